--- /dev/null
+++ b/src/simhost/host.cpp
@@ -0,0 +1,90 @@
+#include "simhost/host.hpp"
+
+#include <exception>
+#include <istream>
+#include <ostream>
+#include <set>
+
+namespace gannethold::simhost {
+
+using simwire::BadFrame;
+using simwire::InstanceId;
+
+std::string Host::answer(const simwire::Batch& batch) {
+    std::set<InstanceId> spoken_to;
+    std::map<InstanceId, std::string> failures;
+    for (const auto& record : batch.records) {
+        if (std::holds_alternative<simwire::Killed>(record.what)) {
+            if (!instances_.erase(record.instance)) throw BadFrame("kill of an unknown instance", record.at);
+            spoken_to.erase(record.instance);
+            failures.erase(record.instance);
+            continue;
+        }
+        if (failures.contains(record.instance)) continue;
+        try {
+            if (const auto* created = std::get_if<simwire::Created>(&record.what)) {
+                instances_[record.instance].reset();
+                instances_[record.instance] = std::make_unique<Choice>(created->orders, created->seed);
+            } else {
+                const auto instance = instances_.find(record.instance);
+                if (instance == instances_.end())
+                    throw BadFrame("event for an instance that was not created", record.at);
+                instance->second->note(batch.now, std::get<Event>(record.what));
+            }
+        } catch (const BadFrame&) {
+            throw;
+        } catch (const std::exception& e) {
+            failures[record.instance] = e.what();
+        }
+        spoken_to.insert(record.instance);
+    }
+    simwire::ReplyWriter reply;
+    std::vector<Action> actions;
+    for (const InstanceId who : spoken_to) {
+        actions.clear();
+        std::string failure = failures.contains(who) ? failures[who] : "";
+        if (failure.empty()) {
+            try {
+                instances_[who]->settle(batch.now, actions);
+            } catch (const std::exception& e) {
+                failure = e.what();
+            }
+        }
+        if (actions.empty() && failure.empty()) continue;
+        reply.instance(who);
+        if (failure.empty()) {
+            for (const Action& action : actions) reply.action(action);
+        } else {
+            reply.failure(failure);
+        }
+    }
+    return reply.frame();
+}
+
+int serve(std::istream& in, std::ostream& out, std::ostream& complaints) {
+    Host host;
+    std::size_t at = 0;
+    std::string bytes;
+    try {
+        for (;;) {
+            bytes.resize(simwire::kHeaderBytes);
+            in.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+            if (in.gcount() == 0) return 0;
+            bytes.resize(static_cast<std::size_t>(in.gcount()));
+            const simwire::Header header = simwire::read_header(bytes, at);
+            at += bytes.size();
+            bytes.resize(header.length);
+            in.read(bytes.data(), header.length);
+            if (in.gcount() != static_cast<std::streamsize>(header.length))
+                throw BadFrame("input ends inside a frame", at + static_cast<std::size_t>(in.gcount()));
+            const std::string reply = host.answer(simwire::read_batch(header, bytes, at));
+            at += bytes.size();
+            out.write(reply.data(), static_cast<std::streamsize>(reply.size())).flush();
+        }
+    } catch (const std::exception& e) {
+        complaints << "gannethold_simhost: " << e.what() << '\n';
+        return 1;
+    }
+}
+
+}  // namespace gannethold::simhost
--- /dev/null
+++ b/src/simhost/host.hpp
@@ -0,0 +1,25 @@
+// Hosts many independent instances of the decision module on one pair of pipes.
+#pragma once
+
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "choice.hpp"
+#include "simwire/wire.hpp"
+
+namespace gannethold::simhost {
+
+class Host {
+  public:
+    std::string answer(const simwire::Batch& batch);
+
+  private:
+    std::map<simwire::InstanceId, std::unique_ptr<Choice>> instances_;
+};
+
+// Plays frames until the input ends; returns the exit status.
+int serve(std::istream& in, std::ostream& out, std::ostream& complaints);
+
+}  // namespace gannethold::simhost
