--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -171,7 +171,7 @@
             // Newton's spirit (paper, section 5): each runner's own second derivative scales its step, shared by
             // the dispatchers that move at once; the bound over all stations is too small to move anything.
             const double t = r->smoothed * job_seconds_, s = r->least * job_seconds_;
-            const double eta = 1 / (2 * t * t * t / s * dispatchers_);
+            const double eta = 1 / (2 * t * t * t / s);
             const double move = std::min(r->fraction / 2, eta * (m - least) / std::max(rate_, kFewJobs));
             r->fraction -= move;
             best->fraction += move;
