--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -106,6 +106,7 @@
   private:
     bool cancelling_, parallel_, probes_, tells_, asks_, knows_held_, by_work_, tells_start_;
     int dispatchers_, max_assignments_;
+    ZoneId zone_;
     Micros resolution_, progress_every_, cold_window_, warm_after_, must_ask_, max_away_;
     double cold_from_, fall_multiple_, surplus_;
     std::vector<std::string> report_names_;
@@ -189,8 +190,12 @@
     Runner* draw(const Task& task, bool stretch = false) {
         double sum = 0;
         std::vector<Runner*> able;
-        for (auto& [id, r] : runners_)
-            if (may_take(r, task, stretch)) able.push_back(&r), sum += r.fraction;
+        for (const bool near : {true, false}) {
+            for (auto& [id, r] : runners_)
+                if ((r.entry.zone == zone_) == near && may_take(r, task, stretch))
+                    able.push_back(&r), sum += r.fraction;
+            if (!able.empty()) break;
+        }
         double at = uniform() * sum;
         for (Runner* r : able)
             if ((at -= r->fraction) < 0) return r;
@@ -653,6 +658,7 @@
     max_away_ = orders.yes("caps.retry_after") ? orders.micros("caps.max_retry_after_us", 0) : 0;
     asks_ = orders.word("roster.how", "pushed") == "on_request";
     by_work_ = orders.word("importance.by", "request") == "work";
+    zone_ = static_cast<ZoneId>(std::max(0.0, orders.number("zone", 0)));
     dispatchers_ = std::max(1, static_cast<int>(orders.number("dispatchers", 1)));
     max_assignments_ = std::max(1, static_cast<int>(orders.number("caps.max_assignments", 1)));
     resolution_ = std::max<Micros>(1, orders.micros("resolution_us", 1000));
