--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -4,7 +4,7 @@
 // The ordinary path is the design's: split fractions over the ready runners, each pick drawn from them, and
 // once a period a clamped gradient step toward the least marginal delay (docs/design.md). Beside it stand
 //   1. Room       a draw on a runner with no free slot is drawn again; probes and peers' words tell of slots
-//   2. Health     a runner that fails or falls silent is set aside, and returns on trial
+//   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
 //   5. Further    a lost or stuck assignment is followed by up to two more, none while overload is seen
@@ -21,73 +21,19 @@
 #include <set>
 #include <unordered_map>
 
-#include "histogram.hpp"
+#include "ledger.hpp"
 #include "standing_orders.hpp"
 
 namespace gannethold {
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kPeriod = kSecond;       // the design's
-constexpr Micros kRest = 2 * kSecond;     // fixed part of a set-aside; as much again at random, so that
-                                          // dispatchers do not all come back to a runner together
-constexpr int kFurther = 2;               // the operators' kept way
-constexpr double kFewJobs = 3;            // the design's floor for the own job rate
-constexpr int kHalvings = 8;              // periods between halvings: long against a period, short against a shift
-
-enum class Effect { side_effecting, fingerprinted, idempotent };  // the first is the safe reading
-enum class RepeatGroup { cell, zone, all };
-enum class Verdict { none, bounce, abandon };
-
-struct Workload {
-    Effect effect{};
-    RepeatGroup group{};
-    Micros due = kSecond, expiry = kSecond, window = 0;
-    double stretch = 0, importance = 1, tardy = 0;
-    int kind = -1;
-    Histogram latency;       // over the due time
-    Micros least_late = -1;  // what a first try's age looks like, where a try has less than the expiry
-    double typical() const { return latency.mean(1) * static_cast<double>(due); }
-};
-
-struct Customer {
-    double allowance = 0, spent = 0;
-    Micros at = 0;
-};
-
-struct Leg {
-    RunnerId runner{};
-    Micros sent_at = 0, stop_at = 0;
-    double crowd = 0;  // what the runner then held, this one included
-    bool sent = false, wanted = true, ended = false, withdrawing = false, never_ran = false;
-};
-
-struct Task {
-    TaskArrived asked;
-    Micros born = 0, due = 0, latest_start = 0, stay_away = 0;
-    double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
-    std::vector<Leg> legs;
-    std::optional<RunnerId> drawn;
-    bool held = true, over = false, streaming = false;
-    Verdict verdict = Verdict::none;
-
-    bool all_legs(bool Leg::*is) const {
-        return std::all_of(legs.begin(), legs.end(), [is](const Leg& leg) { return leg.*is; });
-    }
-};
-
-struct Runner {
-    RosterEntry entry;
-    bool ready = false, probing = false, want_probe = false, silent = false, trial = false;
-    double fraction = 0, smoothed = 1, least = 0, busy = 0, blame = 0;
-    Histogram latency;  // over the cost
-    int out = 0, told_out = 0;
-    double slots = 0, others = 0, usual_others = 0;
-    Micros last_sent = 0, last_word = 0, reported_at = -1, probed_at = -1;
-    Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
-    std::deque<std::pair<Micros, double>> cold_sends;
-    std::map<PeerId, int> peers_out;
-};
+constexpr Micros kPeriod = kSecond;    // the design's
+constexpr Micros kRest = 2 * kSecond;  // fixed part of a set-aside; as much again at random, so that
+                                       // dispatchers do not all come back to a runner together
+constexpr int kFurther = 2;            // the operators' kept way
+constexpr double kFewJobs = 3;         // the design's floor for the own job rate
+constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
 std::string text(RunnerId id) { return "runner " + std::to_string(static_cast<std::uint32_t>(id)); }
 
@@ -107,13 +53,12 @@
     bool cancelling_, parallel_, probes_, tells_, asks_, knows_held_, by_work_, tells_start_;
     int dispatchers_, max_assignments_;
     ZoneId zone_;
-    Micros resolution_, progress_every_, cold_window_, warm_after_, must_ask_, max_away_;
-    double cold_from_, fall_multiple_, surplus_;
+    Micros resolution_, cold_window_, warm_after_, must_ask_, max_away_;
+    double cold_from_, fall_multiple_;
     std::vector<std::string> report_names_;
 
     std::ranlux24_base chance_;
     std::vector<Workload> workloads_;
-    std::vector<Customer> customers_;
     std::map<RunnerId, Runner> runners_;
     std::unordered_map<TaskId, Task> tasks_;
     std::vector<TaskId> held_, touched_;
@@ -169,8 +114,9 @@
         Runner* best = ties[static_cast<std::size_t>(uniform() * static_cast<double>(ties.size()))];
         for (const auto& [r, m] : marginal) {
             if (r == best) continue;
-            // Newton's spirit (paper, section 5): each runner's own second derivative scales its step, shared by
-            // the dispatchers that move at once; the bound over all stations is too small to move anything.
+            // Newton's spirit (paper, section 5): each runner's own second derivative scales its step, shared
+            // by the dispatchers that move at once; the bound over all stations is too small to move
+            // anything.
             const double t = r->smoothed * job_seconds_, s = r->least * job_seconds_;
             const double eta = 1 / (2 * t * t * t / s);
             const double move = std::min(r->fraction / 2, eta * (m - least) / std::max(rate_, kFewJobs));
@@ -229,7 +175,6 @@
         if (held < r.out) return;
         if (free >= 0) r.slots = std::max(1.0, free + std::max(0.0, held - waiting));
         r.others = held - r.out;
-        r.usual_others += (r.others - r.usual_others) / 16;
         r.reported_at = now_;
     }
 
@@ -266,7 +211,7 @@
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
-        if (!r.ready || now_ < r.aside_until || r.silent) return false;
+        if (!r.ready || now_ < r.aside_until) return false;
         const int kind = workload(task).kind;
         if (kind >= 0 && static_cast<int>(r.entry.kind) != kind) return false;
         if (r.probing && now_ - r.probed_at > 8 * resolution_) return false;
@@ -281,7 +226,7 @@
     void set_aside(Runner& r, const char* why) {
         int ready = 0, aside = 0;
         for (const auto& [id, other] : runners_)
-            if (other.ready) ++ready, aside += now_ < other.aside_until || other.silent;
+            if (other.ready) ++ready, aside += now_ < other.aside_until;
         // If half the fleet looks bad at once, it is our view that is bad.
         if (2 * aside >= ready || now_ < r.aside_until) return;
         r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
@@ -289,16 +234,6 @@
         log("set aside " + text(r.entry.runner) + ": " + why);
     }
 
-    // A runner that is not standing still answers or tells progress; one that does neither gets nothing more.
-    void look_for_silence() {
-        const Micros wait = progress_every_ > 0 ? progress_every_ * 8 / 5 : static_cast<Micros>(job_seconds_ * 6e6);
-        for (auto& [id, r] : runners_) {
-            const bool was = r.silent;
-            r.silent = r.out > 0 && now_ - r.last_word > wait && now_ - r.last_sent > wait;
-            if (r.silent && !was) log(text(id) + " fell silent");
-        }
-    }
-
     // ---- 3. cold -----------------------------------------------------------------------------------------
 
     double warmth(const Runner& r) const {
@@ -322,7 +257,8 @@
 
     void give_up(Task& task) {
         task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
-        // What is too late for its due time is not worth another try: the client is asked to stay away longest.
+        // What is too late for its due time is not worth another try: the client is asked to stay away
+        // longest.
         task.stay_away = max_away_;
         close(task);
     }
@@ -337,7 +273,8 @@
     bool may_bounce(const Task& task) {
         const Workload& w = workload(task);
         return w.effect == Effect::idempotent ||
-               (w.effect == Effect::fingerprinted && w.group == RepeatGroup::all) || task.all_legs(&Leg::never_ran);
+               (w.effect == Effect::fingerprinted && w.group == RepeatGroup::all) ||
+               task.all_legs(&Leg::never_ran);
     }
 
     // Best worth first, then the newest: under overload the oldest would all be served just too late.
@@ -385,13 +322,11 @@
 
     void send(Task& task, Runner& r) {
         task.held = false;
-        if (r.out == 0) r.last_word = now_;
         ++r.out;
         r.last_sent = now_;
         Leg leg;
         leg.runner = r.entry.runner;
         leg.sent_at = now_;
-        leg.stop_at = task.asked.expiry - 2 * resolution_;
         leg.crowd = crowd(r);
         task.legs.push_back(leg);
         if (warmth(r) < 1) {
@@ -411,7 +346,8 @@
             if (!leg.ended && !parallel_) return false;
             if (w.effect == Effect::idempotent) continue;
             // The margin: the window counts from the sending, and what is sent now arrives a little later.
-            if (w.effect == Effect::side_effecting || now_ + 8 * resolution_ > leg.sent_at + w.window) return false;
+            if (w.effect == Effect::side_effecting || now_ + 8 * resolution_ > leg.sent_at + w.window)
+                return false;
             const Runner* before = find(leg.runner);
             if (!before || (w.group == RepeatGroup::zone && before->entry.zone != r.entry.zone) ||
                 (w.group == RepeatGroup::cell && before->entry.group != r.entry.group))
@@ -442,25 +378,26 @@
             for (const RosterEntry& e : news.entries) listed.insert(e.runner);
             for (auto& [id, r] : runners_) r.ready = r.ready && listed.count(id);
         }
-        for (const RosterEntry& e : news.entries) heed(e);
+        double ready = 0;
+        for (auto& [id, r] : runners_) ready += r.ready;
+        for (const RosterEntry& e : news.entries) enter(e, ready > 0 ? 1 / ready : 1);
         rescale();
     }
 
-    void heed(const RosterEntry& e) {
+    void enter(const RosterEntry& e, double mean_fraction) {
         if (!find(e.runner) && e.state != RunnerState::ready) return;
         Runner& r = runners_[e.runner];
-        const bool new_here = e.state == RunnerState::ready && (!r.ready || e.started_at > r.entry.started_at);
+        const bool new_here =
+            e.state == RunnerState::ready && (!r.ready || e.started_at > r.entry.started_at);
         r.entry = e;
         r.ready = e.state == RunnerState::ready;
         if (!new_here) return;
         // The mean fraction and estimate, whatever it was before: it is another process by now.
-        int ready = 0;
-        for (const auto& [id, other] : runners_) ready += other.ready;
-        r.fraction = ready > 1 ? 1.0 / (ready - 1) : 1;
+        r.fraction = mean_fraction;
         r.latency.clear();
         r.least = r.blame = 0;
         r.aside_until = 0;
-        r.trial = r.silent = false;
+        r.trial = false;
         if (e.started_at > 0) r.cold_from = std::min(e.started_at, now_);
         r.want_probe = probes_ && !report_names_.empty();
     }
@@ -483,9 +420,6 @@
         t.latest_start = w.tardy > 0 ? std::max(t.due, a.expiry - static_cast<Micros>(2 * t.cost)) : t.due;
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * resolution_);
         t.worth = by_work_ ? w.importance : w.importance / std::max(1.0, w.typical());
-        if (static_cast<std::size_t>(a.customer) < customers_.size() &&
-            !within_allowance(customers_[static_cast<std::size_t>(a.customer)]))
-            t.worth *= surplus_;
         held_.push_back(a.task);
         tasks_[a.task] = std::move(t);
     }
@@ -497,20 +431,9 @@
         return best;
     }
 
-    // Our part of a customer's allowance is taken as our part of the traffic; what is beyond it gives way.
-    bool within_allowance(Customer& c) {
-        const double part = c.allowance * std::max(view_, 0.5 / dispatchers_);
-        c.spent = std::max(0.0, c.spent - part * static_cast<double>(now_ - c.at) / 1e6);
-        c.at = now_;
-        if (c.spent > 2 * part) return false;
-        c.spent += 1;
-        return true;
-    }
-
     void heed(const StreamBegun& begun) {
         const auto found = tasks_.find(begun.task);
         if (found != tasks_.end()) found->second.streaming = true;
-        if (Runner* r = find(begun.runner)) r->last_word = now_, r->silent = false;
     }
 
     void heed(const AssignmentEnded& e) {
@@ -542,7 +465,6 @@
         Workload& w = workload(t);
         const bool died = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
         const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
-        if (e.outcome != Outcome::timed_out && e.outcome != Outcome::withdrawn) r.last_word = now_, r.silent = false;
         if (e.outcome == Outcome::finished) {
             const double latency = static_cast<double>(e.elapsed) / t.cost;
             if (!tells_start_) learn_slots(r, leg, latency < 1.5 * r.smoothed);
@@ -580,7 +502,8 @@
         }
     }
 
-    // A letter (A: this is all, D: this has changed), then a runner in four bytes and what is out there in one.
+    // A letter (A: this is all, D: this has changed), then a runner in four bytes and what is out there in
+    // one.
     void heed(const PeerSaid& said) {
         if (said.words.size() % 5 != 1) return;
         peers_heard_[said.from] = now_;
@@ -588,7 +511,8 @@
         for (std::size_t i = 1; i < said.words.size(); i += 5) {
             std::uint32_t id = 0;
             for (std::size_t k = 0; k < 4; ++k) id = id << 8 | static_cast<unsigned char>(said.words[i + k]);
-            if (Runner* r = find(RunnerId{id})) r->peers_out[said.from] = static_cast<unsigned char>(said.words[i + 4]);
+            if (Runner* r = find(RunnerId{id}))
+                r->peers_out[said.from] = static_cast<unsigned char>(said.words[i + 4]);
         }
     }
 
@@ -599,8 +523,6 @@
     void heed(const Progress& p) {
         Runner* r = find(p.runner);
         if (!r) return;
-        r->last_word = now_;
-        r->silent = false;
         const auto found = tasks_.find(p.task);
         if (p.stage != Stage::begun || found == tasks_.end() || p.assignment < 0 ||
             static_cast<std::size_t>(p.assignment) >= found->second.legs.size())
@@ -627,7 +549,8 @@
             for (auto& [id, r] : runners_) r.latency.halve();
             for (Workload& w : workloads_) w.latency.halve();
         }
-        // Where no answer carries what a runner holds, each is asked now and then: there is no other news of it.
+        // Where no answer carries what a runner holds, each is asked now and then: there is no other news of
+        // it.
         if (probes_ && !knows_held_ && !report_names_.empty())
             for (auto& [id, r] : runners_) r.want_probe = uniform() < 0.4;
     }
@@ -663,16 +586,16 @@
     max_assignments_ = std::max(1, static_cast<int>(orders.number("caps.max_assignments", 1)));
     resolution_ = std::max<Micros>(1, orders.micros("resolution_us", 1000));
     tells_start_ = orders.yes("trade.tells_start");
-    progress_every_ = orders.micros("trade.progress_us", 0);
     // Without figures for cold runners, the cautious reading: a tenth at first, half a minute to warm.
     cold_from_ = orders.number("rules.cold_from", 0.1);
     warm_after_ = std::max<Micros>(1, orders.micros("rules.warm_after_us", 30 * kSecond));
     fall_multiple_ = orders.number("rules.fall_multiple", 1);
     cold_window_ = orders.micros("rules.tip_after_us", kSecond);
     must_ask_ = orders.micros("rules.must_ask_in_us", 10 * kSecond);
-    surplus_ = orders.number("importance.surplus", 1);
     report_names_ = orders.words("reports.names");
-    const auto reported = [&](const char* n) { return std::count(report_names_.begin(), report_names_.end(), n); };
+    const auto reported = [&](const char* n) {
+        return std::count(report_names_.begin(), report_names_.end(), n);
+    };
     knows_held_ = reported("held") && reported("free_slots");
     workloads_.resize(static_cast<std::size_t>(std::clamp(orders.number("workloads.count", 1), 1.0, 256.0)));
     for (std::size_t i = 0; i < workloads_.size(); ++i) {
@@ -690,9 +613,6 @@
         w.stretch = orders.number(at + "aim_stretch", orders.number_in("trade.class_stretch", i, 0));
         w.kind = static_cast<int>(orders.number_in("trade.class_kind", i, -1));
     }
-    customers_.resize(static_cast<std::size_t>(std::clamp(orders.number("customers.count", 0), 0.0, 1e5)));
-    for (std::size_t i = 0; i < customers_.size(); ++i)
-        customers_[i].allowance = orders.number("customers." + std::to_string(i) + ".allowance_per_s", 0);
 }
 
 void Choice::Desk::settle(Micros now, std::vector<Action>& out) {
@@ -703,7 +623,6 @@
         next_period_ = now + kPeriod;
         end_period();
     }
-    look_for_silence();
     place_held();
     emit(out);
 }
@@ -722,7 +641,7 @@
             Leg& leg = t.legs[n];
             if (leg.wanted && !leg.sent) {
                 leg.sent = true;
-                out.push_back(Assign{t.asked.task, leg.runner, leg.stop_at});
+                out.push_back(Assign{t.asked.task, leg.runner, t.asked.expiry - 2 * resolution_});
             } else if (!leg.wanted && !leg.ended && !leg.withdrawing && cancelling_ && !t.streaming) {
                 leg.withdrawing = true;
                 out.push_back(Withdraw{t.asked.task, static_cast<int>(n)});
@@ -754,7 +673,8 @@
     lines_.clear();
 }
 
-Choice::Choice(const StatedOrders& orders, std::uint64_t seed) : desk_(std::make_unique<Desk>(orders, seed)) {}
+Choice::Choice(const StatedOrders& orders, std::uint64_t seed)
+    : desk_(std::make_unique<Desk>(orders, seed)) {}
 Choice::~Choice() = default;
 Choice::Choice(Choice&&) noexcept = default;
 Choice& Choice::operator=(Choice&&) noexcept = default;
--- a/src/simwire/wire.cpp
+++ b/src/simwire/wire.cpp
@@ -57,15 +57,24 @@
 Outcome outcome(Cursor& in) {
     const std::size_t begun = in.at();
     switch (in.number(2)) {
-        case 0: return Outcome::finished;
-        case 5: return Outcome::error;
-        case 11: return Outcome::full;
-        case 110: return Outcome::timed_out;
-        case 111: return Outcome::connect_failed;
-        case 104: return Outcome::reset;
-        case 125: return Outcome::withdrawn;
-        case 114: return Outcome::moot;
-        default: throw BadFrame("unknown outcome", begun);
+        case 0:
+            return Outcome::finished;
+        case 5:
+            return Outcome::error;
+        case 11:
+            return Outcome::full;
+        case 110:
+            return Outcome::timed_out;
+        case 111:
+            return Outcome::connect_failed;
+        case 104:
+            return Outcome::reset;
+        case 125:
+            return Outcome::withdrawn;
+        case 114:
+            return Outcome::moot;
+        default:
+            throw BadFrame("unknown outcome", begun);
     }
 }
 
@@ -73,11 +82,20 @@
     const std::size_t begun = in.at();
     RosterNews news{};
     switch (in.number(1)) {
-        case 0: news.scope = RosterScope::failed; break;
-        case 1: news.scope = RosterScope::complete; break;
-        case 3: news.scope = RosterScope::remembered; break;
-        case 4: news.scope = RosterScope::changes; break;
-        default: throw BadFrame("unknown kind of list", begun);
+        case 0:
+            news.scope = RosterScope::failed;
+            break;
+        case 1:
+            news.scope = RosterScope::complete;
+            break;
+        case 3:
+            news.scope = RosterScope::remembered;
+            break;
+        case 4:
+            news.scope = RosterScope::changes;
+            break;
+        default:
+            throw BadFrame("unknown kind of list", begun);
     }
     news.version = static_cast<std::uint32_t>(in.number(4));
     news.entries.resize(in.count(4, 21));
@@ -161,20 +179,30 @@
             const auto seed = in.number(8);
             return Created{seed, read_orders(in.text(4))};
         }
-        case 20: return Event{roster(in)};
-        case 30: return Event{arrival(in)};
-        case 40: return Event{stream_begun(in)};
-        case 50: return Event{ending(in)};
-        case 60: return Event{ClientLeft{id<TaskId>(in, 8)}};
-        case 70: return Event{TimerDue{id<TimerMark>(in, 8)}};
-        case 80: return Event{probe_ended(in)};
+        case 20:
+            return Event{roster(in)};
+        case 30:
+            return Event{arrival(in)};
+        case 40:
+            return Event{stream_begun(in)};
+        case 50:
+            return Event{ending(in)};
+        case 60:
+            return Event{ClientLeft{id<TaskId>(in, 8)}};
+        case 70:
+            return Event{TimerDue{id<TimerMark>(in, 8)}};
+        case 80:
+            return Event{probe_ended(in)};
         case 90: {
             const auto from = id<PeerId>(in, 4);
             return Event{PeerSaid{from, std::string(in.text(2))}};
         }
-        case 100: return Killed{};
-        case 110: return Event{progress(in)};
-        default: throw BadFrame("unknown record code " + std::to_string(code), begun);
+        case 100:
+            return Killed{};
+        case 110:
+            return Event{progress(in)};
+        default:
+            throw BadFrame("unknown record code " + std::to_string(code), begun);
     }
 }
 
@@ -214,7 +242,8 @@
         const auto comma = std::min(list.find(','), list.size());
         std::string name = in_our_words(kOurReports, list.substr(0, comma));
         // x0 and x1 are named elsewhere in the settings: free slots at one site, something else at the next.
-        if (const auto meant = orders.find("trade.report_" + name); meant != orders.end()) name = meant->second;
+        if (const auto meant = orders.find("trade.report_" + name); meant != orders.end())
+            name = meant->second;
         ours += (ours.empty() ? "" : ",") + name;
         list.remove_prefix(std::min(comma + 1, list.size()));
     }
--- a/src/simwire/wire.hpp
+++ b/src/simwire/wire.hpp
@@ -12,14 +12,20 @@
 
 enum class InstanceId : std::uint16_t {};
 
-struct Created { std::uint64_t seed; StatedOrders orders; };
+struct Created {
+    std::uint64_t seed;
+    StatedOrders orders;
+};
 struct Killed {};
 struct Routed {
     InstanceId instance;
     std::size_t at;  // byte in the stream where the record begins
     std::variant<Created, Killed, Event> what;
 };
-struct Batch { Micros now = 0; std::vector<Routed> records; };
+struct Batch {
+    Micros now = 0;
+    std::vector<Routed> records;
+};
 
 class BadFrame : public std::runtime_error {
   public:
@@ -28,7 +34,11 @@
 };
 
 inline constexpr std::size_t kHeaderBytes = 16;
-struct Header { Micros now; std::uint32_t length; std::uint32_t records; };
+struct Header {
+    Micros now;
+    std::uint32_t length;
+    std::uint32_t records;
+};
 
 Header read_header(std::string_view bytes, std::size_t stream_at);
 Batch read_batch(const Header& header, std::string_view body, std::size_t stream_at);
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -46,7 +46,11 @@
 // Load as a runner tells it, in the order of the names in "reports.names".
 using Report = std::vector<double>;
 
-struct RosterNews { RosterScope scope; std::uint32_t version; std::vector<RosterEntry> entries; };
+struct RosterNews {
+    RosterScope scope;
+    std::uint32_t version;
+    std::vector<RosterEntry> entries;
+};
 struct TaskArrived {
     TaskId task{};
     WorkloadId workload{};
@@ -61,7 +65,12 @@
     bool write = false;
     bool after_break = false;
 };
-struct StreamBegun { TaskId task{}; int assignment = 0; RunnerId runner{}; Micros elapsed = 0; };
+struct StreamBegun {
+    TaskId task{};
+    int assignment = 0;
+    RunnerId runner{};
+    Micros elapsed = 0;
+};
 struct AssignmentEnded {
     TaskId task{};
     bool settled = false;  // the task has its final answer, by this or before it
@@ -72,26 +81,72 @@
     Outcome outcome = Outcome::finished;
     Report report;
 };
-struct ClientLeft { TaskId task{}; };
-struct TimerDue { TimerMark mark{}; };
-struct ProbeEnded { RunnerId runner{}; Outcome outcome = Outcome::finished; Micros elapsed = 0; Report report; };
-struct PeerSaid { PeerId from{}; std::string words; };
-struct Progress { TaskId task{}; double done = 0; RunnerId runner{}; int assignment = 0; Stage stage{}; };
+struct ClientLeft {
+    TaskId task{};
+};
+struct TimerDue {
+    TimerMark mark{};
+};
+struct ProbeEnded {
+    RunnerId runner{};
+    Outcome outcome = Outcome::finished;
+    Micros elapsed = 0;
+    Report report;
+};
+struct PeerSaid {
+    PeerId from{};
+    std::string words;
+};
+struct Progress {
+    TaskId task{};
+    double done = 0;
+    RunnerId runner{};
+    int assignment = 0;
+    Stage stage{};
+};
 
 using Event = std::variant<RosterNews, TaskArrived, StreamBegun, AssignmentEnded, ClientLeft, TimerDue,
                            ProbeEnded, PeerSaid, Progress>;
 
-struct Assign { TaskId task{}; RunnerId runner{}; Micros stop_at = 0; };
-struct Bounce { TaskId task{}; Micros stay_away = 0; };
-struct Abandon { TaskId task{}; };
-struct Withdraw { TaskId task{}; int assignment = 0; };
-struct WakeAt { Micros at = 0; TimerMark mark{}; };
-struct Probe { RunnerId runner{}; };
-struct CloseIdle { RunnerId runner{}; };
-struct TellPeers { std::string words; };  // to every peer
-struct TellPeer { PeerId to{}; std::string words; };
-struct LogLine { std::string text; };
-struct FollowRoster { bool on = true; };
+struct Assign {
+    TaskId task{};
+    RunnerId runner{};
+    Micros stop_at = 0;
+};
+struct Bounce {
+    TaskId task{};
+    Micros stay_away = 0;
+};
+struct Abandon {
+    TaskId task{};
+};
+struct Withdraw {
+    TaskId task{};
+    int assignment = 0;
+};
+struct WakeAt {
+    Micros at = 0;
+    TimerMark mark{};
+};
+struct Probe {
+    RunnerId runner{};
+};
+struct CloseIdle {
+    RunnerId runner{};
+};
+struct TellPeers {
+    std::string words;
+};  // to every peer
+struct TellPeer {
+    PeerId to{};
+    std::string words;
+};
+struct LogLine {
+    std::string text;
+};
+struct FollowRoster {
+    bool on = true;
+};
 struct AskRoster {};
 
 using Action = std::variant<Assign, Bounce, Abandon, Withdraw, WakeAt, Probe, CloseIdle, TellPeers, TellPeer,
--- /dev/null
+++ b/tests/choice_stories.cpp
@@ -0,0 +1,448 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fake_host.hpp"
+
+#include <cmath>
+#include <numeric>
+
+using namespace gannethold;
+
+namespace {
+
+double sum_of(const std::map<RunnerId, double>& fractions) {
+    double sum = 0;
+    for (const auto& [id, f] : fractions) {
+        CHECK(f >= 0);
+        sum += f;
+    }
+    return sum;
+}
+
+// Runner 1 takes 100 ms a task, all others 400 ms.
+void work_through(FakeHost& host, int tasks) {
+    for (int i = 0; i < tasks; ++i) {
+        host.ask();
+        const bool quick = host.assigned.back().runner == RunnerId{1};
+        host.pass(100'000);
+        host.end(Outcome::finished, quick ? 100'000 : 400'000, 0, {2, 0, 1});
+    }
+}
+
+StatedOrders orders_with(const std::string& name, const std::string& value) {
+    StatedOrders orders = plain_orders();
+    orders[name] = value;
+    return orders;
+}
+
+}  // namespace
+
+// ---- the four rules ------------------------------------------------------------------------------------------
+
+TEST_CASE("rule 1: a task that finds no runner gets one answer before its expiry, and nothing after") {
+    FakeHost host;
+    const Micros expiry = host.now + 5'000'000;
+    const TaskId task = host.ask();
+    while (host.now < expiry && host.answers[task] == 0) host.pass(10'000);
+    CHECK(host.now < expiry);
+    host.pass(8'000'000);
+    CHECK(host.answers[task] == 1);
+    host.fleet(2, 2);
+    CHECK(host.assigned.empty());
+}
+
+TEST_CASE("rule 1: an assignment that runs out at its end is answered at once, with stop before expiry") {
+    FakeHost host;
+    host.fleet(2, 2);
+    const TaskId task = host.ask(2);
+    CHECK(host.assigned.back().stop_at < host.now + 5'000'000);
+    host.pass(4'990'000);
+    host.end(Outcome::timed_out, 4'990'000);
+    CHECK(host.answers[task] == 1);
+}
+
+TEST_CASE("rule 2: side-effecting work that may have run is abandoned, never sent again or bounced") {
+    for (const Outcome outcome : {Outcome::error, Outcome::reset, Outcome::timed_out, Outcome::withdrawn}) {
+        FakeHost host;
+        host.fleet(3, 2);
+        host.ask(2);
+        host.end(outcome);
+        CHECK(host.assigned.size() == 1);
+        CHECK(host.count<Abandon>() == 1);
+        CHECK(host.count<Bounce>() == 0);
+    }
+}
+
+TEST_CASE("rule 2: side-effecting work that is proved not to have run goes to another runner") {
+    for (const Outcome outcome : {Outcome::full, Outcome::connect_failed}) {
+        FakeHost host;
+        host.fleet(3, 2);
+        host.ask(2);
+        host.end(outcome, 1000);
+        CHECK(host.assigned.size() == 2);
+        CHECK(host.assigned[0].runner != host.assigned[1].runner);
+    }
+}
+
+TEST_CASE("rule 2: fingerprinted work that may have run stays in its group, or is abandoned") {
+    FakeHost host;
+    host.fleet({host.entry(1), host.entry(2, RunnerState::ready, 7), host.entry(3, RunnerState::ready, 7)});
+    for (unsigned id : {2u, 3u}) host.report(id, 2, 0);
+    host.report(1, 0, 2);
+    host.ask(1);
+    const RunnerId first = host.assigned.back().runner;
+    host.report(1, 2, 0);
+    host.end(Outcome::reset);
+    REQUIRE(host.assigned.size() == 2);
+    CHECK(host.assigned[1].runner != RunnerId{1});
+    CHECK(host.assigned[1].runner != first);
+    host.end(Outcome::error);
+    host.pass(6'000'000);
+    CHECK(host.assigned.size() == 2);
+    CHECK(host.count<Abandon>() == 1);
+    CHECK(host.count<Bounce>() == 0);
+}
+
+TEST_CASE("rule 2: fingerprinted work is not sent again once the runners may have forgotten it") {
+    FakeHost host(orders_with("workloads.1.window_us", "200000"));
+    host.fleet(3, 2);
+    host.ask(1);
+    host.pass(250'000);
+    for (unsigned id : {1u, 2u, 3u}) host.report(id, 2, host.assigned[0].runner == RunnerId{id});
+    host.end(Outcome::error);
+    host.pass(6'000'000);
+    CHECK(host.assigned.size() == 1);
+    CHECK(host.count<Abandon>() == 1);
+}
+
+TEST_CASE("rule 3: draining, gone or missing from a complete list ends all sending") {
+    for (const int way : {0, 1, 2}) {
+        FakeHost host;
+        host.fleet(2, 4);
+        if (way == 0) host.fleet({host.entry(1, RunnerState::draining)}, RosterScope::changes);
+        if (way == 1) host.fleet({host.entry(1, RunnerState::gone)}, RosterScope::changes);
+        if (way == 2) host.fleet({host.entry(2)});
+        for (int i = 0; i < 8; ++i) host.ask();
+        for (const Assign& a : host.assigned) CHECK(a.runner == RunnerId{2});
+        CHECK(host.assigned.size() == 4);
+        CHECK(host.choice.fractions().count(RunnerId{1}) == 0);
+    }
+}
+
+TEST_CASE("rule 4: a cold runner gets a part of its budget, however much room it reports") {
+    StatedOrders orders = plain_orders();
+    orders["rules.cold_from"] = "0.1";
+    orders["rules.warm_after_us"] = "20000000";
+    orders["rules.fall_multiple"] = "4";
+    orders["rules.tip_after_us"] = "2000000";
+    orders["dispatchers"] = "4";
+    FakeHost host(orders);
+    RosterEntry started = host.entry(1);
+    started.started_at = host.now;
+    host.fleet({started});
+    int sent = 0;
+    for (int i = 0; i < 20; ++i) {
+        host.report(1, 50, sent);
+        host.ask();
+        sent = static_cast<int>(host.assigned.size());
+        host.pass(50'000);
+    }
+    CHECK(host.assigned.size() >= 1);
+    // 0.1 to 0.15 of some 55 slots for 2 s, four times over, is 44 to 66 s of work of 1 s; an eighth is ours.
+    CHECK(host.assigned.size() <= 8);
+}
+
+// ---- the design ----------------------------------------------------------------------------------------------
+
+TEST_CASE("fractions start equal, sum to one, and move toward the faster runner") {
+    FakeHost host;
+    host.fleet(4, 2);
+    for (const auto& [id, f] : host.choice.fractions()) CHECK(f == doctest::Approx(0.25));
+    work_through(host, 150);
+    const auto fractions = host.choice.fractions();
+    CHECK(sum_of(fractions) == doctest::Approx(1));
+    CHECK(fractions.at(RunnerId{1}) > 0.4);
+}
+
+TEST_CASE("a new runner starts at the mean fraction, a draining one at none") {
+    FakeHost host;
+    host.fleet(4, 2);
+    work_through(host, 100);
+    host.fleet({host.entry(5)}, RosterScope::changes);
+    CHECK(host.choice.fractions().at(RunnerId{5}) == doctest::Approx(0.2));
+    CHECK(sum_of(host.choice.fractions()) == doctest::Approx(1));
+    host.fleet({host.entry(1, RunnerState::draining)}, RosterScope::changes);
+    CHECK(sum_of(host.choice.fractions()) == doctest::Approx(1));
+}
+
+TEST_CASE("the same seed and events give the same picks, another seed others") {
+    FakeHost a, b, c(plain_orders(), 2);
+    for (FakeHost* host : {&a, &b, &c}) {
+        host->fleet(6, 9);
+        for (int i = 0; i < 40; ++i) host->ask();
+    }
+    const auto runners = [](const FakeHost& host) {
+        std::vector<RunnerId> ids;
+        for (const Assign& s : host.assigned) ids.push_back(s.runner);
+        return ids;
+    };
+    CHECK(runners(a) == runners(b));
+    CHECK(runners(a) != runners(c));
+}
+
+TEST_CASE("failing fast never looks like being fast") {
+    FakeHost host;
+    host.fleet(3, 3);
+    for (int i = 0; i < 120; ++i) {
+        host.ask();
+        if (host.assigned.back().runner == RunnerId{1}) {
+            host.end(Outcome::error, 2'000, 0, {3, 0, 1});
+        }
+        host.pass(100'000);
+        host.end(Outcome::finished, 300'000, 0, {3, 0, 1});
+    }
+    CHECK(host.choice.fractions().at(RunnerId{1}) < 0.2);
+}
+
+// ---- room ----------------------------------------------------------------------------------------------------
+
+TEST_CASE("a task without a free slot waits here and goes out when one is told of") {
+    FakeHost host;
+    host.fleet(1, 1);
+    host.ask();
+    host.ask();
+    CHECK(host.assigned.size() == 1);
+    host.pass(100'000);
+    host.end(Outcome::finished, 100'000, 1 - 1, {0, 0, 1});
+    CHECK(host.assigned.size() == 2);
+}
+
+TEST_CASE("where probes are allowed a runner is asked before work goes to it on old news") {
+    FakeHost host(orders_with("caps.probes", "true"));
+    host.fleet(1, 2);
+    host.pass(900'000);
+    const int probes = host.count<Probe>();
+    host.ask();
+    CHECK(host.assigned.empty());
+    CHECK(host.count<Probe>() == probes + 1);
+    host.report(1, 2, 0);
+    CHECK(host.assigned.size() == 1);
+}
+
+TEST_CASE("reports that miss what was sent long ago are doubted, and work still flows") {
+    FakeHost host(orders_with("caps.probes", "true"));
+    host.fleet(2, 2);
+    host.ask();
+    host.ask();
+    host.pass(100'000);
+    for (int i = 0; i < 4; ++i) {
+        host.report(1, 2, 0);
+        host.report(2, 2, 0);
+    }
+    host.pass(500'000);
+    const std::size_t before = host.assigned.size();
+    host.ask();
+    CHECK(host.assigned.size() == before + 1);
+}
+
+TEST_CASE("a report that cannot be is not heard") {
+    for (const double bad : {std::nan(""), -3.0, 1e30, HUGE_VAL}) {
+        FakeHost host;
+        host.fleet(1, 1);
+        host.report(1, bad, 0);
+        host.report(1, 1, bad);
+        host.tell(ProbeEnded{RunnerId{1}, Outcome::finished, 1, {bad}});
+        for (int i = 0; i < 3; ++i) host.ask();
+        CHECK(host.assigned.size() == 1);
+        host.pass(1'500'000);
+        CHECK(sum_of(host.choice.fractions()) == doctest::Approx(1));
+    }
+}
+
+TEST_CASE("without reports of what is held, slots are learnt from what ends without a wait") {
+    FakeHost host(orders_with("reports.names", ""));
+    host.fleet({host.entry(1)});
+    for (int i = 0; i < 4; ++i) host.ask();
+    for (std::size_t ended = 0; ended < host.assigned.size(); ++ended) {
+        host.pass(100'000);
+        host.end(Outcome::finished, 100'000, static_cast<int>(host.assigned.size() - 1 - ended));
+    }
+    host.assigned.clear();
+    host.ask();
+    host.ask();
+    CHECK(host.assigned.size() == 2);
+}
+
+TEST_CASE("what peers say is out at a runner takes its room; torn words are passed over") {
+    StatedOrders orders = orders_with("caps.may_tell", "true");
+    orders["dispatchers"] = "2";
+    FakeHost host(orders);
+    host.fleet(2, 1);
+    host.tell(PeerSaid{PeerId{1}, std::string("A\0\0\0\1\1", 6)});
+    host.tell(PeerSaid{PeerId{1}, std::string("D\0\0", 3)});
+    host.tell(PeerSaid{PeerId{1}, ""});
+    host.ask();
+    host.ask();
+    REQUIRE(host.assigned.size() == 1);
+    CHECK(host.assigned[0].runner == RunnerId{2});
+    CHECK(host.count<TellPeers>() >= 1);
+}
+
+TEST_CASE("near runners are drawn first, far ones when no near one has room") {
+    FakeHost host(orders_with("zone", "1"));
+    RosterEntry near = host.entry(1), far = host.entry(2);
+    near.zone = ZoneId{1};
+    host.fleet({near, far});
+    host.report(1, 2, 0);
+    host.report(2, 2, 0);
+    for (int i = 0; i < 4; ++i) host.ask();
+    REQUIRE(host.assigned.size() == 4);
+    CHECK(host.assigned[0].runner == RunnerId{1});
+    CHECK(host.assigned[1].runner == RunnerId{1});
+    CHECK(host.assigned[2].runner == RunnerId{2});
+}
+
+// ---- health, holding, further assignments, roster ------------------------------------------------------------
+
+TEST_CASE("a runner out of reach is set aside and comes back on trial") {
+    FakeHost host;
+    host.fleet(3, 4);
+    host.ask();
+    const RunnerId bad = host.assigned[0].runner;
+    host.end(Outcome::connect_failed, 1000);
+    for (int i = 0; i < 8; ++i) host.ask();
+    for (std::size_t i = 1; i < host.assigned.size(); ++i) CHECK(host.assigned[i].runner != bad);
+    CHECK(host.count<LogLine>() >= 1);
+    host.pass(5'000'000);
+    host.assigned.clear();
+    for (int i = 0; i < 12; ++i) host.ask();
+    int back = 0;
+    for (const Assign& a : host.assigned) back += a.runner == bad;
+    CHECK(back == 1);
+}
+
+TEST_CASE("when half the fleet looks bad at once, the rest is not set aside too") {
+    FakeHost host;
+    host.fleet(4, 4);
+    for (int i = 0; i < 12; ++i) {
+        host.ask();
+        for (int legs = 0; legs < 3; ++legs) host.end(Outcome::connect_failed, 1000);
+    }
+    host.pass(500'000);
+    host.assigned.clear();
+    for (int i = 0; i < 4; ++i) host.ask();
+    CHECK(host.assigned.size() == 4);
+}
+
+TEST_CASE("idempotent work that was lost is followed by two more assignments and then bounced") {
+    FakeHost host;
+    host.fleet(6, 4);
+    host.ask(0);
+    for (int i = 0; i < 3; ++i) host.end(Outcome::error, 1000);
+    CHECK(host.assigned.size() == 3);
+    CHECK(host.count<Bounce>() == 1);
+}
+
+TEST_CASE("while overload is seen nothing is assigned a second time") {
+    FakeHost host;
+    host.fleet(2, 1);
+    for (int i = 0; i < 4; ++i) host.ask(0);
+    host.pass(1'100'000);
+    CHECK(host.count<Bounce>() == 2);
+    host.ask(0);
+    host.end(Outcome::reset);
+    for (const Assign& a : host.assigned) CHECK(host.answers[a.task] <= 1);
+    CHECK(host.count<Bounce>() >= 3);
+}
+
+TEST_CASE("what is worth most goes out first, the newest before the oldest") {
+    FakeHost host;
+    host.fleet(1, 1);
+    host.ask(0);
+    host.pass(20'000);
+    const TaskId older = host.ask(1);
+    host.pass(20'000);
+    const TaskId newer = host.ask(1);
+    host.ask(0);
+    host.pass(100'000);
+    host.end(Outcome::finished, 100'000, 0, {0, 0, 1});
+    CHECK(host.assigned.back().task == newer);
+    host.end(Outcome::finished, 100'000, 0, {0, 0, 1});
+    CHECK(host.assigned.back().task == older);
+}
+
+TEST_CASE("a bounce says when to come back where the settings allow it") {
+    StatedOrders orders = orders_with("caps.retry_after", "true");
+    orders["caps.max_retry_after_us"] = "2000000";
+    FakeHost host(orders);
+    host.ask();
+    host.pass(2'000'000);
+    bool advised = false;
+    for (const Action& a : host.all)
+        if (const auto* b = std::get_if<Bounce>(&a)) advised = b->stay_away > 0;
+    CHECK(advised);
+}
+
+TEST_CASE("where the roster must be asked it is, again after failures, with room left in the rule") {
+    FakeHost host(orders_with("roster.how", "on_request"));
+    host.fleet({host.entry(1)}, RosterScope::remembered);
+    for (int i = 0; i < 6; ++i) {
+        const int asked = host.count<FollowRoster>();
+        host.tell(RosterNews{RosterScope::failed, 0, {}});
+        host.pass(4'000'000);
+        CHECK(host.count<FollowRoster>() == asked + 1);
+    }
+    host.tell(RosterNews{RosterScope::changes, 2, {}});
+    const int asked = host.count<FollowRoster>();
+    host.pass(20'000'000);
+    CHECK(host.count<FollowRoster>() == asked);
+}
+
+TEST_CASE("a roster that empties and comes back leaves a working table") {
+    FakeHost host;
+    host.fleet(3, 2);
+    host.fleet(std::vector<RosterEntry>{});
+    CHECK(host.choice.fractions().empty());
+    host.pass(1'500'000);
+    host.fleet(3, 2);
+    CHECK(sum_of(host.choice.fractions()) == doctest::Approx(1));
+    host.ask();
+    CHECK(host.assigned.size() == 1);
+}
+
+TEST_CASE("events about what is not known are passed over") {
+    FakeHost host;
+    host.fleet(1, 1);
+    host.ask();
+    host.tell(AssignmentEnded{TaskId{99}, true, 0, 1, RunnerId{1}, 0, Outcome::finished, {}});
+    host.tell(AssignmentEnded{TaskId{1}, true, 0, 1, RunnerId{77}, 0, Outcome::finished, {}});
+    host.tell(AssignmentEnded{TaskId{1}, true, 0, 1, RunnerId{1}, 9, Outcome::finished, {}});
+    host.tell(ClientLeft{TaskId{99}});
+    host.tell(ProbeEnded{RunnerId{77}, Outcome::finished, 1, {}});
+    host.tell(Progress{TaskId{99}, std::nan(""), RunnerId{77}, 0, Stage::progress});
+    host.tell(TimerDue{TimerMark{1234}});
+    host.end(Outcome::finished);
+    host.end(Outcome::finished);
+    CHECK(host.answers.empty());
+}
+
+TEST_CASE("a client that leaves has its work withdrawn and gets no answer") {
+    FakeHost host;
+    host.fleet(1, 1);
+    const TaskId task = host.ask();
+    host.tell(ClientLeft{task});
+    CHECK(host.count<Withdraw>() == 1);
+    host.end(Outcome::withdrawn);
+    CHECK(host.answers.empty());
+}
+
+TEST_CASE("a standing order that cannot be read fails the start with its name; a missing effect is the safe one") {
+    CHECK_THROWS_WITH_AS(FakeHost(orders_with("rules.fall_multiple", "four")),
+                         doctest::Contains("rules.fall_multiple"), std::runtime_error);
+    CHECK_THROWS_AS(FakeHost(orders_with("caps.probes", "maybe")), std::runtime_error);
+    StatedOrders orders = plain_orders();
+    orders.erase("workloads.0.effect");
+    FakeHost host(orders);
+    host.fleet(2, 2);
+    host.ask(0);
+    host.end(Outcome::error);
+    CHECK(host.count<Abandon>() == 1);
+}
