Look only at runners with room while placing what is held

Cause: every wake tried each held task on each runner, also when none had room; told from a policy fault by the price for cpu alone and the size (42 runners, hundreds held). Change: the runners with room are listed once a settling.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -61,6 +61,7 @@
     std::vector<Workload> workloads_;
     std::map<RunnerId, Runner> runners_;
     std::unordered_map<TaskId, Task> tasks_;
+    std::vector<Runner*> open_;  // with room, while the held are placed
     std::vector<TaskId> held_, touched_;
     std::map<PeerId, Micros> peers_heard_;
     std::vector<std::string> lines_;
@@ -137,9 +138,9 @@
         double sum = 0;
         std::vector<Runner*> able;
         for (const bool near : {true, false}) {
-            for (auto& [id, r] : runners_)
-                if ((r.entry.zone == zone_) == near && may_take(r, task, stretch))
-                    able.push_back(&r), sum += r.fraction;
+            for (Runner* r : open_)
+                if ((r->entry.zone == zone_) == near && may_take(*r, task, stretch))
+                    able.push_back(r), sum += r->fraction;
             if (!able.empty()) break;
         }
         double at = uniform() * sum;
@@ -210,15 +211,19 @@
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
+    // A probe unanswered for long tells as much as one that finds no room.
+    bool is_open(const Runner& r, bool stretch) const {
+        return r.ready && now_ >= r.aside_until && !(r.probing && now_ - r.probed_at > 8 * resolution_) &&
+               room(r, stretch) >= 0.5;
+    }
+
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
-        if (!r.ready || now_ < r.aside_until) return false;
+        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 0.5) return false;
         const int kind = workload(task).kind;
         if (kind >= 0 && static_cast<int>(r.entry.kind) != kind) return false;
-        if (r.probing && now_ - r.probed_at > 8 * resolution_) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
-        return room(r, stretch) >= std::max(0.5, task.asked.slots - 0.5) && effect_allows(r, task) &&
-               cold_allows(r, task);
+        return effect_allows(r, task) && cold_allows(r, task);
     }
 
     // ---- 2. health ---------------------------------------------------------------------------------------
@@ -300,9 +305,16 @@
     void place_held() {
         int probing = 0;
         for (auto& [id, r] : runners_) probing += r.probing && now_ - r.probed_at <= 8 * resolution_;
+        open_.clear();
+        for (auto& [id, r] : runners_)
+            if (is_open(r, true)) open_.push_back(&r);
         const std::vector<TaskId> order = sorted_held();
         held_.clear();
         for (const TaskId id : order) {
+            if (open_.empty()) {
+                held_.push_back(id);
+                continue;
+            }
             Task& t = tasks_.at(id);
             Runner* r = t.drawn ? find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
@@ -310,6 +322,7 @@
             t.drawn.reset();
             if (r && fresh(*r)) {
                 send(t, *r);
+                if (!is_open(*r, true)) open_.erase(std::find(open_.begin(), open_.end(), r));
                 continue;
             }
             if (r) t.drawn = r->entry.runner;
@@ -598,21 +611,7 @@
     };
     knows_held_ = reported("held") && reported("free_slots");
     workloads_.resize(static_cast<std::size_t>(std::clamp(orders.number("workloads.count", 1), 1.0, 256.0)));
-    for (std::size_t i = 0; i < workloads_.size(); ++i) {
-        const std::string at = "workloads." + std::to_string(i) + ".";
-        const std::string effect = orders.word(at + "effect", ""), group = orders.word(at + "group", "cell");
-        Workload& w = workloads_[i];
-        if (effect == "idempotent") w.effect = Effect::idempotent;
-        if (effect == "fingerprinted") w.effect = Effect::fingerprinted;
-        w.group = group == "all" ? RepeatGroup::all : group == "zone" ? RepeatGroup::zone : RepeatGroup::cell;
-        w.due = std::max<Micros>(1, orders.micros(at + "due_time_us", kSecond));
-        w.expiry = orders.micros(at + "expiry_us", kSecond);
-        w.window = orders.micros(at + "window_us", 0);
-        w.importance = orders.number(at + "importance", 1);
-        w.tardy = orders.number(at + "tardy_importance", 0);
-        w.stretch = orders.number(at + "aim_stretch", orders.number_in("trade.class_stretch", i, 0));
-        w.kind = static_cast<int>(orders.number_in("trade.class_kind", i, -1));
-    }
+    for (std::size_t i = 0; i < workloads_.size(); ++i) workloads_[i] = Workload(orders, i);
 }
 
 void Choice::Desk::settle(Micros now, std::vector<Action>& out) {
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -9,15 +9,34 @@
 #include <vector>
 
 #include "histogram.hpp"
+#include "standing_orders.hpp"
 #include "types.hpp"
 
 namespace gannethold {
 
 enum class Effect { side_effecting, fingerprinted, idempotent };  // the first is the safe reading
-enum class RepeatGroup { cell, zone, all };
+enum class RepeatGroup { cell, zone, all };                       // likewise
 enum class Verdict { none, bounce, abandon };
 
 struct Workload {
+    Workload() = default;
+    Workload(const StandingOrders& orders, std::size_t place) {
+        const std::string at = "workloads." + std::to_string(place) + ".";
+        const std::string told_effect = orders.word(at + "effect", ""),
+                          told_group = orders.word(at + "group", "");
+        if (told_effect == "idempotent") effect = Effect::idempotent;
+        if (told_effect == "fingerprinted") effect = Effect::fingerprinted;
+        if (told_group == "zone") group = RepeatGroup::zone;
+        if (told_group == "all") group = RepeatGroup::all;
+        due = std::max<Micros>(1, orders.micros(at + "due_time_us", due));
+        expiry = orders.micros(at + "expiry_us", expiry);
+        window = orders.micros(at + "window_us", 0);
+        importance = orders.number(at + "importance", 1);
+        tardy = orders.number(at + "tardy_importance", 0);
+        stretch = orders.number(at + "aim_stretch", orders.number_in("trade.class_stretch", place, 0));
+        kind = static_cast<int>(orders.number_in("trade.class_kind", place, -1));
+    }
+
     Effect effect{};
     RepeatGroup group{};
     Micros due = 1'000'000, expiry = 1'000'000, window = 0;
