--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,7 +22,6 @@
 #include <unordered_map>
 
 #include "ledger.hpp"
-#include "standing_orders.hpp"
 
 namespace gannethold {
 namespace {
@@ -41,7 +40,10 @@
 
 class Choice::Desk {
   public:
-    Desk(const StatedOrders& stated, std::uint64_t seed);
+    Desk(const StatedOrders& stated, std::uint64_t seed)
+        : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
+        for (std::size_t i = 0; i < orders_.workloads; ++i) workloads_.emplace_back(Stated(stated), i);
+    }
     void note(Micros now, const Event& event) {
         now_ = now;
         std::visit([this](const auto& e) { heed(e); }, event);
@@ -50,13 +52,7 @@
     const std::map<RunnerId, Runner>& runners() const { return runners_; }
 
   private:
-    bool cancelling_, parallel_, probes_, tells_, asks_, knows_held_, by_work_, tells_start_;
-    int dispatchers_, max_assignments_;
-    ZoneId zone_;
-    Micros resolution_, cold_window_, warm_after_, must_ask_, max_away_;
-    double cold_from_, fall_multiple_;
-    std::vector<std::string> report_names_;
-
+    const StandingOrders orders_;
     std::ranlux24_base chance_;
     std::vector<Workload> workloads_;
     std::map<RunnerId, Runner> runners_;
@@ -139,7 +135,7 @@
         std::vector<Runner*> able;
         for (const bool near : {true, false}) {
             for (Runner* r : open_)
-                if ((r->entry.zone == zone_) == near && may_take(*r, task, stretch))
+                if ((r->entry.zone == orders_.zone) == near && may_take(*r, task, stretch))
                     able.push_back(r), sum += r->fraction;
             if (!able.empty()) break;
         }
@@ -152,15 +148,15 @@
     // ---- 1. room -----------------------------------------------------------------------------------------
 
     void read_report(Runner& r, const Report& report) {
-        if (report.size() != report_names_.size()) return;
+        if (report.size() != orders_.report_names.size()) return;
         double free = -1, held = -1, waiting = 0, busy = 0;
         for (std::size_t i = 0; i < report.size(); ++i) {
             // Against broken or lying runners: a report with a value that cannot be is not heard at all.
             if (!std::isfinite(report[i]) || report[i] < 0 || report[i] > 1e4) return;
-            if (report_names_[i] == "free_slots") free = std::round(report[i]);
-            if (report_names_[i] == "held") held = std::round(report[i]);
-            if (report_names_[i] == "waiting") waiting = std::round(report[i]);
-            if (report_names_[i] == "busy") busy = std::min(report[i], 1.0);
+            if (orders_.report_names[i] == "free_slots") free = std::round(report[i]);
+            if (orders_.report_names[i] == "held") held = std::round(report[i]);
+            if (orders_.report_names[i] == "waiting") waiting = std::round(report[i]);
+            if (orders_.report_names[i] == "busy") busy = std::min(report[i], 1.0);
         }
         r.busy = busy;
         if (held < 0) {
@@ -169,7 +165,7 @@
         }
         // Against late reports: one that misses what was sent long ago tells of another time, and soon no
         // report is believed.
-        if (r.out > 0 && now_ - r.last_sent > 16 * resolution_) {
+        if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
             doubt_ = doubt_ * 31 / 32 + (held < r.out ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
         }
@@ -179,12 +175,12 @@
         r.reported_at = now_;
     }
 
-    bool blind() const { return knows_held_ && now_ < late_reports_until_; }
+    bool blind() const { return orders_.knows_held && now_ < late_reports_until_; }
 
     double crowd(const Runner& r) const {
         double others = 0;
         for (const auto& [peer, n] : r.peers_out) others += n;
-        if (knows_held_ && r.reported_at >= 0) {
+        if (orders_.knows_held && r.reported_at >= 0) {
             // What others had there runs off unseen; without this a full runner would stay full for ever.
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
             others = std::max(others, r.others * std::exp(-age / job_seconds_));
@@ -196,25 +192,25 @@
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(r.slots + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
-        return slots + (stretch && !knows_held_ && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
+        return slots + (stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
     }
 
     bool fresh(const Runner& r) const {
-        if (!probes_ || !knows_held_ || blind()) return true;
+        if (!orders_.probes || !orders_.knows_held || blind()) return true;
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
     // Where nobody reports what a runner holds, its slots show in what starts, or ends, without a wait.
     void learn_slots(Runner& r, const Leg& leg, bool quick) {
-        if (knows_held_) return;
+        if (orders_.knows_held) return;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
-        return r.ready && now_ >= r.aside_until && !(r.probing && now_ - r.probed_at > 8 * resolution_) &&
-               room(r, stretch) >= 0.5;
+        return r.ready && now_ >= r.aside_until &&
+               !(r.probing && now_ - r.probed_at > 8 * orders_.resolution) && room(r, stretch) >= 0.5;
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
@@ -243,19 +239,19 @@
 
     double warmth(const Runner& r) const {
         if (r.cold_from < 0) return 1;
-        const double age = static_cast<double>(now_ - r.cold_from) / static_cast<double>(warm_after_);
-        return std::min(1.0, cold_from_ + (1 - cold_from_) * std::max(0.0, age));
+        const double age = static_cast<double>(now_ - r.cold_from) / static_cast<double>(orders_.warm_after);
+        return std::min(1.0, orders_.cold_from + (1 - orders_.cold_from) * std::max(0.0, age));
     }
 
     bool cold_allows(const Runner& r, const Task& task) const {
         if (warmth(r) >= 1) return true;
         double sent = 0;
         for (const auto& [at, cost] : r.cold_sends)
-            if (now_ - at <= cold_window_) sent += cost;
+            if (now_ - at <= orders_.cold_window) sent += cost;
         // Half of this dispatcher's even part: the others send too, and one may carry most of the traffic.
-        const double budget =
-            fall_multiple_ * warmth(r) * std::max(1.0, r.slots) * static_cast<double>(cold_window_) / 2;
-        return sent + task.cost <= budget / dispatchers_ || (sent == 0 && task.cost <= budget);
+        const double budget = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
+                              static_cast<double>(orders_.cold_window) / 2;
+        return sent + task.cost <= budget / orders_.dispatchers || (sent == 0 && task.cost <= budget);
     }
 
     // ---- 4. holding --------------------------------------------------------------------------------------
@@ -264,7 +260,7 @@
         task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
         // What is too late for its due time is not worth another try: the client is asked to stay away
         // longest.
-        task.stay_away = max_away_;
+        task.stay_away = orders_.max_away;
         close(task);
     }
 
@@ -304,7 +300,7 @@
 
     void place_held() {
         int probing = 0;
-        for (auto& [id, r] : runners_) probing += r.probing && now_ - r.probed_at <= 8 * resolution_;
+        for (auto& [id, r] : runners_) probing += r.probing && now_ - r.probed_at <= 8 * orders_.resolution;
         open_.clear();
         for (auto& [id, r] : runners_)
             if (is_open(r, true)) open_.push_back(&r);
@@ -318,7 +314,7 @@
             Task& t = tasks_.at(id);
             Runner* r = t.drawn ? find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
-            if (!r && !knows_held_ && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
+            if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
             t.drawn.reset();
             if (r && fresh(*r)) {
                 send(t, *r);
@@ -344,7 +340,7 @@
         task.legs.push_back(leg);
         if (warmth(r) < 1) {
             r.cold_sends.emplace_back(now_, task.cost);
-            while (now_ - r.cold_sends.front().first > cold_window_) r.cold_sends.pop_front();
+            while (now_ - r.cold_sends.front().first > orders_.cold_window) r.cold_sends.pop_front();
         }
         touched_.push_back(task.asked.task);
     }
@@ -356,10 +352,10 @@
         const Workload& w = workload(task);
         for (const Leg& leg : task.legs) {
             if (leg.never_ran) continue;
-            if (!leg.ended && !parallel_) return false;
+            if (!leg.ended && !orders_.parallel) return false;
             if (w.effect == Effect::idempotent) continue;
             // The margin: the window counts from the sending, and what is sent now arrives a little later.
-            if (w.effect == Effect::side_effecting || now_ + 8 * resolution_ > leg.sent_at + w.window)
+            if (w.effect == Effect::side_effecting || now_ + 8 * orders_.resolution > leg.sent_at + w.window)
                 return false;
             const Runner* before = find(leg.runner);
             if (!before || (w.group == RepeatGroup::zone && before->entry.zone != r.entry.zone) ||
@@ -371,7 +367,8 @@
 
     bool may_follow(const Task& task) {
         if (now_ < overload_until_ || task.streaming || now_ >= task.latest_start) return false;
-        if (static_cast<int>(task.legs.size()) >= std::min(max_assignments_, 1 + kFurther)) return false;
+        if (static_cast<int>(task.legs.size()) >= std::min(orders_.max_assignments, 1 + kFurther))
+            return false;
         return workload(task).effect != Effect::side_effecting || task.all_legs(&Leg::never_ran);
     }
 
@@ -382,7 +379,7 @@
         if (news.scope == RosterScope::failed) {
             following_ = false;
             ask_at_ = now_ + static_cast<Micros>(static_cast<double>(ask_wait_) * (0.5 + uniform()));
-            ask_wait_ = std::min(ask_wait_ * 2, must_ask_ / 4);
+            ask_wait_ = std::min(ask_wait_ * 2, orders_.must_ask / 4);
             return;
         }
         if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
@@ -412,7 +409,7 @@
         r.aside_until = 0;
         r.trial = false;
         if (e.started_at > 0) r.cold_from = std::min(e.started_at, now_);
-        r.want_probe = probes_ && !report_names_.empty();
+        r.want_probe = orders_.probes && !orders_.report_names.empty();
     }
 
     void heed(const TaskArrived& a) {
@@ -431,8 +428,8 @@
         t.due = t.born + w.due;
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - best_latency()));
         t.latest_start = w.tardy > 0 ? std::max(t.due, a.expiry - static_cast<Micros>(2 * t.cost)) : t.due;
-        t.latest_start = std::min(t.latest_start, a.expiry - 4 * resolution_);
-        t.worth = by_work_ ? w.importance : w.importance / std::max(1.0, w.typical());
+        t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
+        t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
         held_.push_back(a.task);
         tasks_[a.task] = std::move(t);
     }
@@ -480,7 +477,7 @@
         const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
         if (e.outcome == Outcome::finished) {
             const double latency = static_cast<double>(e.elapsed) / t.cost;
-            if (!tells_start_) learn_slots(r, leg, latency < 1.5 * r.smoothed);
+            if (!orders_.tells_start) learn_slots(r, leg, latency < 1.5 * r.smoothed);
             r.latency.add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
             r.trial = false;
@@ -564,7 +561,7 @@
         }
         // Where no answer carries what a runner holds, each is asked now and then: there is no other news of
         // it.
-        if (probes_ && !knows_held_ && !report_names_.empty())
+        if (orders_.probes && !orders_.knows_held && !orders_.report_names.empty())
             for (auto& [id, r] : runners_) r.want_probe = uniform() < 0.4;
     }
 
@@ -584,36 +581,6 @@
     void emit(std::vector<Action>& out);
 };
 
-Choice::Desk::Desk(const StatedOrders& stated, std::uint64_t seed)
-    : chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
-    const StandingOrders orders(stated);
-    cancelling_ = orders.yes("caps.cancelling");
-    parallel_ = orders.yes("caps.parallel_tries");
-    probes_ = orders.yes("caps.probes");
-    tells_ = orders.yes("caps.may_tell");
-    max_away_ = orders.yes("caps.retry_after") ? orders.micros("caps.max_retry_after_us", 0) : 0;
-    asks_ = orders.word("roster.how", "pushed") == "on_request";
-    by_work_ = orders.word("importance.by", "request") == "work";
-    zone_ = static_cast<ZoneId>(std::max(0.0, orders.number("zone", 0)));
-    dispatchers_ = std::max(1, static_cast<int>(orders.number("dispatchers", 1)));
-    max_assignments_ = std::max(1, static_cast<int>(orders.number("caps.max_assignments", 1)));
-    resolution_ = std::max<Micros>(1, orders.micros("resolution_us", 1000));
-    tells_start_ = orders.yes("trade.tells_start");
-    // Without figures for cold runners, the cautious reading: a tenth at first, half a minute to warm.
-    cold_from_ = orders.number("rules.cold_from", 0.1);
-    warm_after_ = std::max<Micros>(1, orders.micros("rules.warm_after_us", 30 * kSecond));
-    fall_multiple_ = orders.number("rules.fall_multiple", 1);
-    cold_window_ = orders.micros("rules.tip_after_us", kSecond);
-    must_ask_ = orders.micros("rules.must_ask_in_us", 10 * kSecond);
-    report_names_ = orders.words("reports.names");
-    const auto reported = [&](const char* n) {
-        return std::count(report_names_.begin(), report_names_.end(), n);
-    };
-    knows_held_ = reported("held") && reported("free_slots");
-    workloads_.resize(static_cast<std::size_t>(std::clamp(orders.number("workloads.count", 1), 1.0, 256.0)));
-    for (std::size_t i = 0; i < workloads_.size(); ++i) workloads_[i] = Workload(orders, i);
-}
-
 void Choice::Desk::settle(Micros now, std::vector<Action>& out) {
     now_ = now;
     if (next_period_ == 0) next_period_ = now + kPeriod;
@@ -628,7 +595,7 @@
 
 // The only place that acts: what is wanted against what is, and the difference goes out.
 void Choice::Desk::emit(std::vector<Action>& out) {
-    if (asks_ && !following_ && !asking_ && now_ >= ask_at_) {
+    if (orders_.asks && !following_ && !asking_ && now_ >= ask_at_) {
         asking_ = true;
         out.push_back(FollowRoster{true});
     }
@@ -640,8 +607,8 @@
             Leg& leg = t.legs[n];
             if (leg.wanted && !leg.sent) {
                 leg.sent = true;
-                out.push_back(Assign{t.asked.task, leg.runner, t.asked.expiry - 2 * resolution_});
-            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && cancelling_ && !t.streaming) {
+                out.push_back(Assign{t.asked.task, leg.runner, t.asked.expiry - 2 * orders_.resolution});
+            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && orders_.cancelling && !t.streaming) {
                 leg.withdrawing = true;
                 out.push_back(Withdraw{t.asked.task, static_cast<int>(n)});
             }
@@ -660,10 +627,11 @@
         r.probed_at = now_;
         out.push_back(Probe{id});
     }
-    if (tells_ && dispatchers_ > 1) tell_peers(out);
+    if (orders_.tells && orders_.dispatchers > 1) tell_peers(out);
     Micros wake = next_period_;
-    if (!held_.empty()) wake = std::min(wake, now_ + 4 * resolution_);
-    if (asks_ && !following_ && !asking_) wake = std::min(wake, std::max(ask_at_, now_ + resolution_));
+    if (!held_.empty()) wake = std::min(wake, now_ + 4 * orders_.resolution);
+    if (orders_.asks && !following_ && !asking_)
+        wake = std::min(wake, std::max(ask_at_, now_ + orders_.resolution));
     if (wake_set_ == 0 || wake < wake_set_) {
         wake_set_ = wake;
         out.push_back(WakeAt{wake, TimerMark{}});
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -20,7 +20,7 @@
 
 struct Workload {
     Workload() = default;
-    Workload(const StandingOrders& orders, std::size_t place) {
+    Workload(const Stated& orders, std::size_t place) {
         const std::string at = "workloads." + std::to_string(place) + ".";
         const std::string told_effect = orders.word(at + "effect", ""),
                           told_group = orders.word(at + "group", "");
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -1,6 +1,7 @@
 // Looks names up in what the operators state; a value that cannot be read fails the start with its name.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <stdexcept>
 #include <string>
@@ -10,9 +11,9 @@
 
 namespace gannethold {
 
-class StandingOrders {
+class Stated {
   public:
-    explicit StandingOrders(StatedOrders stated) : stated_(std::move(stated)) {}
+    explicit Stated(StatedOrders stated) : stated_(std::move(stated)) {}
 
     std::string word(const std::string& name, const std::string& otherwise) const {
         const auto found = stated_.find(name);
@@ -64,4 +65,50 @@
     StatedOrders stated_;
 };
 
+// What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
+struct StandingOrders {
+    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held;
+    int dispatchers, max_assignments;
+    std::size_t workloads, customers;
+    ZoneId zone;
+    Micros resolution, cold_window, warm_after, must_ask, max_away;
+    double cold_from, fall_multiple, surplus;
+    std::vector<std::string> report_names;
+    std::vector<double> allowances;
+
+    explicit StandingOrders(const StatedOrders& all) {
+        const Stated stated(all);
+        cancelling = stated.yes("caps.cancelling");
+        parallel = stated.yes("caps.parallel_tries");
+        probes = stated.yes("caps.probes");
+        tells = stated.yes("caps.may_tell");
+        tells_start = stated.yes("trade.tells_start");
+        max_away = stated.yes("caps.retry_after") ? stated.micros("caps.max_retry_after_us", 0) : 0;
+        asks = stated.word("roster.how", "pushed") == "on_request";
+        by_work = stated.word("importance.by", "request") == "work";
+        dispatchers = std::max(1, static_cast<int>(stated.number("dispatchers", 1)));
+        max_assignments = std::max(1, static_cast<int>(stated.number("caps.max_assignments", 1)));
+        zone = static_cast<ZoneId>(std::max(0.0, stated.number("zone", 0)));
+        resolution = std::max<Micros>(1, stated.micros("resolution_us", 1'000));
+        must_ask = stated.micros("rules.must_ask_in_us", 10'000'000);
+        // A runner of which nothing is said has a tenth at first and is warm after half a minute.
+        cold_from = stated.number("rules.cold_from", 0.1);
+        warm_after = std::max<Micros>(1, stated.micros("rules.warm_after_us", 30'000'000));
+        fall_multiple = stated.number("rules.fall_multiple", 1);
+        cold_window = stated.micros("rules.tip_after_us", 1'000'000);
+        report_names = stated.words("reports.names");
+        knows_held = reported("held") && reported("free_slots");
+        workloads = static_cast<std::size_t>(std::clamp(stated.number("workloads.count", 1), 1.0, 256.0));
+        surplus = stated.number("importance.surplus", 1);
+        customers = static_cast<std::size_t>(std::clamp(stated.number("customers.count", 0), 0.0, 1e5));
+        for (std::size_t i = 0; i < customers; ++i)
+            allowances.push_back(stated.number("customers." + std::to_string(i) + ".allowance_per_s", 0));
+    }
+
+  private:
+    bool reported(const char* name) const {
+        return std::find(report_names.begin(), report_names.end(), name) != report_names.end();
+    }
+};
+
 }  // namespace gannethold
