Work beyond a customer's allowance waits behind the rest

Cause: one customer's surge; told from lost capacity by an unchanged server list and by one customer's part of the sends. Change: a bucket for each customer, filled at our part of its allowance; beyond it a task's worth is the surplus worth.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -55,6 +55,7 @@
     const StandingOrders orders_;
     std::ranlux24_base chance_;
     std::vector<Workload> workloads_;
+    std::map<CustomerId, Customer> customers_;
     std::map<RunnerId, Runner> runners_;
     std::unordered_map<TaskId, Task> tasks_;
     std::vector<Runner*> open_;  // with room, while the held are placed
@@ -430,6 +431,7 @@
         t.latest_start = w.tardy > 0 ? std::max(t.due, a.expiry - static_cast<Micros>(2 * t.cost)) : t.due;
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
+        if (!within_allowance(a.customer)) t.worth *= orders_.surplus;
         held_.push_back(a.task);
         tasks_[a.task] = std::move(t);
     }
@@ -441,6 +443,19 @@
         return best;
     }
 
+    // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part of the
+    // allowance is taken as our part of all the work in hand.
+    bool within_allowance(CustomerId id) {
+        if (static_cast<std::size_t>(id) >= orders_.allowances.size()) return true;
+        Customer& c = customers_[id];
+        const double part = orders_.allowances[static_cast<std::size_t>(id)] * view_;
+        c.spent = std::max(0.0, c.spent - part * static_cast<double>(now_ - c.at) / 1e6);
+        c.at = now_;
+        if (c.spent > part) return false;
+        c.spent += 1;
+        return true;
+    }
+
     void heed(const StreamBegun& begun) {
         const auto found = tasks_.find(begun.task);
         if (found != tasks_.end()) found->second.streaming = true;
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -47,6 +47,11 @@
     double typical() const { return latency.mean(1) * static_cast<double>(due); }
 };
 
+struct Customer {
+    double spent = 0;
+    Micros at = 0;
+};
+
 struct Leg {
     RunnerId runner{};
     Micros sent_at = 0;
