--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -134,9 +134,11 @@
     Runner* draw(const Task& task, bool stretch = false) {
         double sum = 0;
         std::vector<Runner*> able;
+        const bool hopeless = nobody_makes(task);
         for (const bool near : {true, false}) {
             for (Runner* r : open_)
-                if ((r->entry.zone == orders_.zone) == near && may_take(*r, task, stretch))
+                if ((r->entry.zone == orders_.zone) == near && may_take(*r, task, stretch) &&
+                    (hopeless || makes(*r, task)))
                     able.push_back(r), sum += r->fraction;
             if (!able.empty()) break;
         }
@@ -208,6 +210,17 @@
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
+    // Against slow and half-warm runners taking what will be late there, while one that can make it is a wait away.
+    bool makes(const Runner& r, const Task& task) const {
+        return static_cast<double>(now_) + task.cost * r.smoothed / warmth(r) <= static_cast<double>(task.wanted);
+    }
+
+    bool nobody_makes(const Task& task) const {
+        return std::none_of(runners_.begin(), runners_.end(), [&](const auto& each) {
+            return each.second.ready && now_ >= each.second.aside_until && makes(each.second, task);
+        });
+    }
+
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
         return r.ready && now_ >= r.aside_until &&
@@ -427,6 +440,7 @@
         const bool hinted = a.hint_valid && a.cost_hint > 0;
         t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
         t.due = t.born + w.due;
+        t.wanted = t.due + static_cast<Micros>(t.cost * w.stretch);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - best_latency()));
         t.latest_start = w.tardy > 0 ? std::max(t.due, a.expiry - static_cast<Micros>(2 * t.cost)) : t.due;
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
