--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -210,9 +210,10 @@
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
-    // Against slow and half-warm runners taking what will be late there, while one that can make it is a wait away.
+    // Against half-warm runners taking what will be late there while a warm one is a short wait away.
     bool makes(const Runner& r, const Task& task) const {
-        return static_cast<double>(now_) + task.cost * r.smoothed / warmth(r) <= static_cast<double>(task.wanted);
+        const double warm = warmth(r);
+        return warm >= 1 || static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
     }
 
     bool nobody_makes(const Task& task) const {
