Count each task at least as the usual one against the cold budget

Symptom: 22 alert-sets of 2 to 90 ms in 2 s, half a second of hinted work. Cause: pressure is counted in tasks, not in hinted work; told by the module's own sends to that runner. Counting large tasks by the runner's own time and sending them to idle ones only did not help alone.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -66,7 +66,7 @@
     Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false;
     int periods_ = 0, arrivals_ = 0;
-    double rate_ = 0, view_ = 1, job_seconds_ = 0.1, doubt_ = 0;
+    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0;
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
@@ -213,7 +213,8 @@
     // Against half-warm runners taking what will be late there while a warm one is a short wait away.
     bool makes(const Runner& r, const Task& task) const {
         const double warm = warmth(r);
-        return warm >= 1 || static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
+        return warm >= 1 ||
+               static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
     }
 
     bool nobody_makes(const Task& task) const {
@@ -258,15 +259,23 @@
         return std::min(1.0, orders_.cold_from + (1 - orders_.cold_from) * std::max(0.0, age));
     }
 
+    // A small task weighs as much as the usual one: many small ones push a runner over just as well.
+    double cold_cost(const Runner& r, const Task& task) const {
+        return std::max(task.cost, usual_cost_) * r.smoothed;
+    }
+
     bool cold_allows(const Runner& r, const Task& task) const {
         if (warmth(r) >= 1) return true;
         double sent = 0;
         for (const auto& [at, cost] : r.cold_sends)
             if (now_ - at <= orders_.cold_window) sent += cost;
-        // Half of this dispatcher's even part: the others send too, and one may carry most of the traffic.
+        // Half of this dispatcher's even part: the others send too, and one may carry most of the traffic. A
+        // task too large for that goes only where nobody is known to have anything, within half of the whole.
         const double budget = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
                               static_cast<double>(orders_.cold_window) / 2;
-        return sent + task.cost <= budget / orders_.dispatchers || (sent == 0 && task.cost <= budget);
+        const double cost = cold_cost(r, task);
+        return sent + cost <= budget / orders_.dispatchers ||
+               (sent == 0 && crowd(r) < 0.5 && cost <= budget / 2);
     }
 
     // ---- 4. holding --------------------------------------------------------------------------------------
@@ -354,7 +363,7 @@
         leg.crowd = crowd(r);
         task.legs.push_back(leg);
         if (warmth(r) < 1) {
-            r.cold_sends.emplace_back(now_, task.cost);
+            r.cold_sends.emplace_back(now_, cold_cost(r, task));
             while (now_ - r.cold_sends.front().first > orders_.cold_window) r.cold_sends.pop_front();
         }
         touched_.push_back(task.asked.task);
@@ -440,6 +449,7 @@
         t.born = now_ - (late - w.least_late);
         const bool hinted = a.hint_valid && a.cost_hint > 0;
         t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
+        usual_cost_ += (t.cost - usual_cost_) / 64;
         t.due = t.born + w.due;
         t.wanted = t.due + static_cast<Micros>(t.cost * w.stretch);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - best_latency()));
@@ -458,8 +468,8 @@
         return best;
     }
 
-    // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part of the
-    // allowance is taken as our part of all the work in hand.
+    // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part of
+    // the allowance is taken as our part of all the work in hand.
     bool within_allowance(CustomerId id) {
         if (static_cast<std::size_t>(id) >= orders_.allowances.size()) return true;
         Customer& c = customers_[id];
