--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -134,11 +134,10 @@
     Runner* draw(const Task& task, bool stretch = false) {
         double sum = 0;
         std::vector<Runner*> able;
-        const bool hopeless = nobody_makes(task);
-        for (const bool near : {true, false}) {
+        for (const int way : {3, 2, 1, 0}) {
             for (Runner* r : open_)
-                if ((r->entry.zone == orders_.zone) == near && may_take(*r, task, stretch) &&
-                    (hopeless || makes(*r, task)))
+                if (2 * makes(*r, task) + (r->entry.zone == orders_.zone) == way &&
+                    may_take(*r, task, stretch))
                     able.push_back(r), sum += r->fraction;
             if (!able.empty()) break;
         }
@@ -210,19 +209,13 @@
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
-    // Against half-warm runners taking what will be late there while a warm one is a short wait away.
+    // Against half-warm runners taking what will be late there while a warm one has room.
     bool makes(const Runner& r, const Task& task) const {
         const double warm = warmth(r);
         return warm >= 1 ||
                static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
     }
 
-    bool nobody_makes(const Task& task) const {
-        return std::none_of(runners_.begin(), runners_.end(), [&](const auto& each) {
-            return each.second.ready && now_ >= each.second.aside_until && makes(each.second, task);
-        });
-    }
-
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
         return r.ready && now_ >= r.aside_until &&
