--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -452,7 +452,8 @@
         t.due = t.born + w.due;
         t.wanted = t.due + static_cast<Micros>(t.cost * w.stretch);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - best_latency()));
-        t.latest_start = w.tardy > 0 ? std::max(t.due, a.expiry - static_cast<Micros>(2 * t.cost)) : t.due;
+        // Against a queue in which all are late: what was never sent waits past its due time only a little.
+        t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
         if (!within_allowance(a.customer)) t.worth *= orders_.surplus;
@@ -498,6 +499,9 @@
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
         judge(*r, t, leg, e);
+        // What was sent in vain may still earn what a late answer does.
+        if (workload(t).tardy > 0 && !e.settled)
+            t.latest_start = std::max(t.latest_start, t.asked.expiry - static_cast<Micros>(2 * t.cost));
         if (e.settled) {
             if (!t.over) close(t);
         } else if (!t.over && !t.held && may_follow(t)) {
