Thin out others' work half as fast between reports

Cause: a full runner was asked again long before a slot was likely to be ours, with 21 dispatchers after each.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -186,7 +186,7 @@
         if (orders_.knows_held && r.reported_at >= 0) {
             // What others had there runs off unseen; without this a full runner would stay full for ever.
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
-            others = std::max(others, r.others * std::exp(-age / job_seconds_));
+            others = std::max(others, r.others * std::exp(-age / job_seconds_ / 2));
         }
         return r.out + others;
     }
