--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -528,10 +528,7 @@
             r.latency.add(static_cast<double>(w.expiry) / t.cost);
         }
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75 + (failed ? 0.25 : 0);
-        // Against a runner that reports room and turns all away: each 'full' in a row doubles the pause.
-        r.refusals = e.outcome == Outcome::full ? std::min(r.refusals + 1, 6) : 0;
-        if (r.refusals > 0)
-            r.full_until = now_ + static_cast<Micros>(job_seconds_ * 2.5e5 * (1 << r.refusals));
+        if (e.outcome == Outcome::full) r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
         // A process that died is cold whenever it is back, and the roster says so only later.
         if (died) r.cold_from = now_;
         if (died || r.blame > 0.4) set_aside(r, died ? "it cannot be reached" : "it keeps failing");
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -78,7 +78,7 @@
     bool ready = false, probing = false, want_probe = false, trial = false;
     double fraction = 0, smoothed = 1, least = 0, busy = 0, blame = 0;
     Histogram latency;  // over the cost
-    int out = 0, told_out = 0, refusals = 0;
+    int out = 0, told_out = 0;
     double slots = 0, others = 0;
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
