--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -284,11 +284,9 @@
 
     void give_up(Task& task) {
         task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
-        // What is too late is not worth another try; what was only turned away may come back when a slot is
-        // free.
-        const bool late = now_ >= task.latest_start;
-        task.stay_away =
-            late ? orders_.max_away : std::min(orders_.max_away, static_cast<Micros>(job_seconds_ * 2.5e5));
+        // What is too late for its due time is not worth another try: the client is asked to stay away
+        // longest.
+        task.stay_away = orders_.max_away;
         close(task);
     }
 
