--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -304,10 +304,6 @@
                task.all_legs(&Leg::never_ran);
     }
 
-    double density(const Workload& w) const {
-        return orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
-    }
-
     // Best worth first, then the newest: under overload the oldest would all be served just too late.
     std::vector<TaskId> sorted_held() {
         std::vector<std::pair<std::array<double, 3>, TaskId>> order;
@@ -336,24 +332,18 @@
             if (is_open(r, true)) open_.push_back(&r);
         const std::vector<TaskId> order = sorted_held();
         held_.clear();
-        double spare = 0, best = 0;
-        for (const Runner* r : open_) spare += std::max(0.0, room(*r, false));
-        for (const Workload& w : workloads_) best = std::max(best, density(w));
         for (const TaskId id : order) {
-            Task& t = tasks_.at(id);
-            // Against the best worth finding every slot taken by the rest: under overload the last free one
-            // is its.
-            if (open_.empty() || (now_ < overload_until_ && spare < 2 && t.worth < best * 0.8)) {
+            if (open_.empty()) {
                 held_.push_back(id);
                 continue;
             }
+            Task& t = tasks_.at(id);
             Runner* r = t.drawn ? find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
             if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
             t.drawn.reset();
             if (r && fresh(*r)) {
                 send(t, *r);
-                spare -= 1;
                 if (!is_open(*r, true)) open_.erase(std::find(open_.begin(), open_.end(), r));
                 continue;
             }
@@ -465,7 +455,7 @@
         // Against a queue in which all are late: what was never sent waits past its due time only a little.
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
-        t.worth = density(w);
+        t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
         if (!within_allowance(a.customer)) t.worth *= orders_.surplus;
         held_.push_back(a.task);
         tasks_[a.task] = std::move(t);
