Ask sooner whether a slot that others held is free

Cause found: with few dispatchers a slot that another's task left stood idle for up to a usual task's time, as belief ran off too slowly to draw it; told by the refusals at full runners' expense while the probes were few. Under the slowdown itself nobody can be in time; what is left is the worth of late answers.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,7 @@
 //   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
-//   5. Further    a lost or stuck assignment is followed by up to two more, none while overload is seen
+//   5. Further    a lost assignment is followed by up to two more, none while overload is seen
 //   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
@@ -15,7 +15,6 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <optional>
 #include <random>
 #include <set>
@@ -32,8 +31,9 @@
 constexpr Micros kRest = 2 * kSecond;  // fixed part of a set-aside; as much again at random, so that
                                        // dispatchers do not all come back to a runner together
 constexpr int kFurther = 2;            // the operators' kept way
-constexpr double kFewJobs = 3;         // the design's floor for the own job rate
-constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
+constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
+constexpr double kFewJobs = 3;  // the design's floor for the own job rate
+constexpr int kHalvings = 8;    // periods between halvings: long against a period, short against a shift
 
 std::string text(RunnerId id) { return "runner " + std::to_string(static_cast<std::uint32_t>(id)); }
 
@@ -99,23 +99,19 @@
     void step() {
         estimate();
         std::vector<std::pair<Runner*, double>> marginal;
-        double least = std::numeric_limits<double>::infinity();
+        Runner* best = nullptr;
+        double least = 0;
         for (auto& [id, r] : runners_) {
             if (!r.ready) continue;
             const double t = r.smoothed * job_seconds_, s = r.least * job_seconds_;
-            marginal.emplace_back(&r, r.busy > 0 ? t / (1 - std::min(r.busy, 0.95)) : t * t / s);
-            least = std::min(least, marginal.back().second);
+            const double m = r.busy > 0 ? t / (1 - std::min(r.busy, 0.95)) : t * t / s;
+            marginal.emplace_back(&r, m);
+            if (!best || m < least || (m == least && uniform() < 0.5)) best = &r, least = m;
         }
-        std::vector<Runner*> ties;
-        for (const auto& [r, m] : marginal)
-            if (m <= least) ties.push_back(r);
-        if (ties.empty()) return;
-        Runner* best = ties[static_cast<std::size_t>(uniform() * static_cast<double>(ties.size()))];
         for (const auto& [r, m] : marginal) {
             if (r == best) continue;
-            // Newton's spirit (paper, section 5): each runner's own second derivative scales its step, shared
-            // by the dispatchers that move at once; the bound over all stations is too small to move
-            // anything.
+            // Newton's spirit (paper, section 5), against a bound over all stations that is too small to move
+            // anything: each runner's own second derivative scales its step.
             const double t = r->smoothed * job_seconds_, s = r->least * job_seconds_;
             const double eta = 1 / (2 * t * t * t / s);
             const double move = std::min(r->fraction / 2, eta * (m - least) / std::max(rate_, kFewJobs));
@@ -217,15 +213,19 @@
                static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
     }
 
+    // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle for
+    // long.
+    double least_room(const Runner& r) const { return fresh(r) ? 0.5 : 0.25; }
+
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
         return r.ready && now_ >= r.aside_until &&
-               !(r.probing && now_ - r.probed_at > 8 * orders_.resolution) && room(r, stretch) >= 0.5 &&
-               cold_allows(r, usual_cost_ * r.smoothed);
+               !(r.probing && now_ - r.probed_at > 8 * orders_.resolution) &&
+               room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * r.smoothed);
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
-        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 0.5) return false;
+        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
         const int kind = workload(task).kind;
         if (kind >= 0 && static_cast<int>(r.entry.kind) != kind) return false;
         for (const Leg& leg : task.legs)
@@ -305,8 +305,9 @@
     }
 
     // Best worth first, then the newest: under overload the oldest would all be served just too late.
-    std::vector<TaskId> sorted_held() {
-        std::vector<std::pair<std::array<double, 3>, TaskId>> order;
+    using Order = std::vector<std::pair<std::array<double, 3>, TaskId>>;
+    Order sorted_held() {
+        Order order;
         for (const TaskId id : held_) {
             const auto found = tasks_.find(id);
             if (found == tasks_.end() || !found->second.held) continue;
@@ -319,9 +320,7 @@
             give_up(t);
         }
         std::sort(order.begin(), order.end());
-        std::vector<TaskId> ids;
-        for (const auto& [key, id] : order) ids.push_back(id);
-        return ids;
+        return order;
     }
 
     void place_held() {
@@ -330,9 +329,9 @@
         open_.clear();
         for (auto& [id, r] : runners_)
             if (is_open(r, true)) open_.push_back(&r);
-        const std::vector<TaskId> order = sorted_held();
+        const Order order = sorted_held();
         held_.clear();
-        for (const TaskId id : order) {
+        for (const auto& [key, id] : order) {
             if (open_.empty()) {
                 held_.push_back(id);
                 continue;
@@ -349,7 +348,7 @@
             }
             if (r) t.drawn = r->entry.runner;
             // Probes cost: no more are out than tasks wait, and few where many do.
-            if (r && !r->probing && probing < std::min<int>(kFurther, static_cast<int>(order.size())))
+            if (r && !r->probing && probing < std::min<int>(kProbesOut, static_cast<int>(order.size())))
                 r->want_probe = true, ++probing;
             held_.push_back(id);
         }
