Make work follow what changed: flat split table, draws until one can, priors by kind

Change: runners in one row, near ones first; fractions, marginal delays and steps in flat columns, reckoned anew only where a sample came; a pick draws until one can take the task before any walk over the fleet; a runner without samples starts from its kind's; words to peers only while they cost under a hundredth; a new runner sees a handful of probes in all; the floor of the rate in the step grows with the fleet.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,14 +14,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <deque>
+#include <limits>
+#include <numeric>
 #include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 
-#include "ledger.hpp"
-#include "peer_words.hpp"
+#include "peer_book.hpp"
 
 namespace gannethold {
 namespace {
@@ -33,7 +32,11 @@
 constexpr int kFurther = 2;            // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
-constexpr int kHalvings = 8;    // periods between halvings: long against a period, short against a shift
+constexpr double kHandful = 8;  // probes that a runner should see at most from all dispatchers together
+constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
+constexpr int kDraws = 6;             // vain ones, before all runners are looked at
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
 std::string text(RunnerId id) { return "runner " + std::to_string(static_cast<std::uint32_t>(id)); }
 
@@ -44,36 +47,53 @@
     Desk(const StatedOrders& stated, std::uint64_t seed)
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
         for (std::size_t i = 0; i < orders_.workloads; ++i) workloads_.emplace_back(Stated(stated), i);
+        view_ = 1.0 / orders_.dispatchers;
+        words_ = orders_.tells && orders_.dispatchers > 1 && orders_.words_price() < kWordsWorth;
     }
     void note(Micros now, const Event& event) {
         now_ = now;
         std::visit([this](const auto& e) { heed(e); }, event);
     }
     void settle(Micros now, std::vector<Action>& out);
-    const std::map<RunnerId, Runner>& runners() const { return runners_; }
+    std::map<RunnerId, double> fractions() const {
+        std::map<RunnerId, double> shares;
+        for (std::size_t i = 0; i < runners_.size(); ++i)
+            if (runners_[i].ready) shares[runners_[i].entry.runner] = fractions_[i];
+        return shares;
+    }
 
   private:
     const StandingOrders orders_;
     std::ranlux24_base chance_;
     std::vector<Workload> workloads_;
     std::map<CustomerId, Customer> customers_;
-    std::map<RunnerId, Runner> runners_;
+    Fleet runners_;
+    // The split table, in the order of the runners: one small array each, since a fleet may be large and a
+    // period must cost little to a dispatcher with hardly a task in it.
+    std::vector<double> fractions_, marginal_, eta_;
+    std::vector<std::size_t> sampled_;  // the runners with samples of their own
+    std::vector<Kind> kinds_;
     std::unordered_map<TaskId, Task> tasks_;
-    std::vector<Runner*> open_;  // with room, while the held are placed
+    std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
-    std::map<PeerId, Micros> peers_heard_;
+    std::vector<RunnerId> to_probe_, to_tell_;
+    std::vector<std::pair<RunnerId, Micros>> probes_out_;
+    PeerBook peers_;
     std::vector<std::string> lines_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, logged_at_ = -kSecond, overload_until_ = 0;
     Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
-    bool following_ = false, asking_ = false, period_over_ = false;
-    int periods_ = 0, arrivals_ = 0;
-    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0;
+    bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
+    int periods_ = 0, arrivals_ = 0, ready_ = 0;
+    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, fleet_ = 1;
+    double near_sum_ = 0, seen_own_ = 0, seen_all_ = 0;
 
-    double uniform() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
+    double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
-    Runner* find(RunnerId id) {
-        const auto found = runners_.find(id);
-        return found == runners_.end() ? nullptr : &found->second;
+    // Of a runner without samples of its own its kind's are the best guess: in a large fleet most have none.
+    double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[kind(r)].smoothed; }
+    // No real fleet has more kinds: against an entry that names an absurd one.
+    static std::size_t kind(const Runner& r) {
+        return std::min(static_cast<std::size_t>(r.entry.kind), 255UL);
     }
     void log(const std::string& line) {
         if (now_ - logged_at_ < kSecond / 4) return;
@@ -83,102 +103,134 @@
 
     // ---- the design --------------------------------------------------------------------------------------
 
-    // The smoothed latency, with the fleet's as its prior: a new runner starts at the mean estimate.
+    // The smoothed latency, with the kind's as its prior: a new runner starts at the mean estimate. Only what
+    // has changed is reckoned anew.
     void estimate() {
         double log_sum = 0, n = 0;
-        for (auto& [id, r] : runners_)
-            if (r.ready && r.latency.weight() > 0) log_sum += std::log2(r.latency.middle(1, 0.01)), ++n;
-        const double fleet = n > 0 ? std::exp2(log_sum / n) : 1;
-        for (auto& [id, r] : runners_) {
-            r.smoothed = r.latency.middle(fleet, 2);
+        for (Kind& k : kinds_) log_sum += k.weight * std::log2(k.smoothed), n += k.weight;
+        if (n > 0) fleet_ = std::exp2(log_sum / n);
+        for (std::size_t k = 0; k < kinds_.size(); ++k) {
+            if (!kinds_[k].stirred) continue;
+            kinds_[k].learn(fleet_);
+            for (std::size_t i = 0; i < runners_.size(); ++i)
+                if (kind(runners_[i]) == k) reckon(i);
+        }
+        for (const std::size_t i : sampled_) {
+            Runner& r = runners_[i];
+            if (r.stirred) r.smoothed = r.latency.middle(kinds_[kind(r)].smoothed, 2);
+            r.stirred = false;
             // The least seen is let go slowly, against a lucky spell that is never reached again.
             r.least = r.least > 0 ? std::min(r.smoothed, r.least * 1.02) : r.smoothed;
+            reckon(i);
         }
     }
 
+    // The marginal delay, and in Newton's spirit (paper, section 5) each runner's own second derivative to
+    // scale its step: a bound over all stations is too small to move anything.
+    void reckon(std::size_t i) {
+        const Runner& r = runners_[i];
+        const double t = latency_of(r), s = r.sampled ? r.least : t;
+        marginal_[i] = !r.ready ? kNever : r.busy > 0 ? t / (1 - std::min(r.busy, 0.95F)) : t * t / s;
+        eta_[i] = s / (2 * t * t * t);
+    }
+
     void step() {
         estimate();
-        std::vector<std::pair<Runner*, double>> marginal;
-        Runner* best = nullptr;
-        double least = 0;
-        for (auto& [id, r] : runners_) {
-            if (!r.ready) continue;
-            const double t = r.smoothed * job_seconds_, s = r.least * job_seconds_;
-            const double m = r.busy > 0 ? t / (1 - std::min(r.busy, 0.95)) : t * t / s;
-            marginal.emplace_back(&r, m);
-            if (!best || m < least || (m == least && uniform() < 0.5)) best = &r, least = m;
-        }
-        for (const auto& [r, m] : marginal) {
-            if (r == best) continue;
-            // Newton's spirit (paper, section 5), against a bound over all stations that is too small to move
-            // anything: each runner's own second derivative scales its step.
-            const double t = r->smoothed * job_seconds_, s = r->least * job_seconds_;
-            const double eta = 1 / (2 * t * t * t / s);
-            const double move = std::min(r->fraction / 2, eta * (m - least) / std::max(rate_, kFewJobs));
-            r->fraction -= move;
-            best->fraction += move;
+        const double least =
+            marginal_.empty() ? kNever : *std::min_element(marginal_.begin(), marginal_.end());
+        if (least == kNever) return;
+        auto best = static_cast<std::size_t>(uniform() * static_cast<double>(marginal_.size()));
+        while (marginal_[best] != least) best = (best + 1) % marginal_.size();
+        // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
+        const double x = std::max({rate_, kFewJobs, static_cast<double>(ready_) / 4}) * job_seconds_;
+        double moved = 0;
+        for (std::size_t i = 0; i < fractions_.size(); ++i) {
+            const double move = std::min(fractions_[i] / 2, eta_[i] * (marginal_[i] - least) / x);
+            fractions_[i] -= move;
+            moved += move;
         }
+        fractions_[best] += moved;
         rescale();
     }
 
     void rescale() {
         double sum = 0;
-        for (auto& [id, r] : runners_) sum += r.ready ? r.fraction : (r.fraction = 0);
-        for (auto& [id, r] : runners_) r.fraction = sum > 0 ? r.fraction / sum : 0;
+        for (const double f : fractions_) sum += f;
+        near_sum_ = 0;
+        for (std::size_t i = 0; i < fractions_.size(); ++i) {
+            fractions_[i] = sum > 0 ? fractions_[i] / sum : 0;
+            if (i < runners_.near()) near_sum_ += fractions_[i];
+        }
     }
 
-    // A draw from the fractions over those that can take the task: the same as drawing until one can.
+    // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
+    // After a few vain draws all that have room are looked at, and the draw is made over them.
     Runner* draw(const Task& task, bool stretch = false) {
+        for (int tries = 0; !looked_ && near_sum_ > 1e-6 && tries < kDraws; ++tries) {
+            double at = uniform() * near_sum_;
+            std::size_t i = 0;
+            while (i + 1 < runners_.near() && (at -= fractions_[i]) >= 0) ++i;
+            Runner& r = runners_[i];
+            if (makes(r, task) && may_take(r, task, stretch)) return &r;
+        }
+        look();
         double sum = 0;
-        std::vector<Runner*> able;
+        able_.clear();
         for (const int way : {3, 2, 1, 0}) {
             for (Runner* r : open_)
-                if (2 * makes(*r, task) + (r->entry.zone == orders_.zone) == way &&
-                    may_take(*r, task, stretch))
-                    able.push_back(r), sum += r->fraction;
-            if (!able.empty()) break;
+                if (2 * makes(*r, task) + r->near == way && may_take(*r, task, stretch))
+                    able_.push_back(r), sum += fractions_[runners_.place(*r)];
+            if (!able_.empty()) break;
         }
         double at = uniform() * sum;
-        for (Runner* r : able)
-            if ((at -= r->fraction) < 0) return r;
-        return able.empty() ? nullptr : able.back();
+        for (Runner* r : able_)
+            if ((at -= fractions_[runners_.place(*r)]) < 0) return r;
+        return able_.empty() ? nullptr : able_.back();
+    }
+
+    void look() {
+        if (looked_) return;
+        looked_ = true;
+        open_.clear();
+        for (Runner& r : runners_)
+            if (is_open(r, true)) open_.push_back(&r);
     }
 
     // ---- 1. room -----------------------------------------------------------------------------------------
 
     void read_report(Runner& r, const Report& report) {
-        if (report.size() != orders_.report_names.size()) return;
-        double free = -1, held = -1, waiting = 0, busy = 0;
-        for (std::size_t i = 0; i < report.size(); ++i) {
-            // Against broken or lying runners: a report with a value that cannot be is not heard at all.
-            if (!std::isfinite(report[i]) || report[i] < 0 || report[i] > 1e4) return;
-            if (orders_.report_names[i] == "free_slots") free = std::round(report[i]);
-            if (orders_.report_names[i] == "held") held = std::round(report[i]);
-            if (orders_.report_names[i] == "waiting") waiting = std::round(report[i]);
-            if (orders_.report_names[i] == "busy") busy = std::min(report[i], 1.0);
-        }
-        r.busy = busy;
-        if (held < 0) {
-            r.slots = std::max(r.slots, free);
+        const auto load = Load::read(orders_.report_names, report);
+        if (!load) return;
+        r.busy = static_cast<float>(load->busy);
+        if (r.busy > 0) sample(r);
+        if (load->held < 0) {
+            r.slots = std::max(r.slots, load->free);
             return;
         }
         // Against late reports: one that misses what was sent long ago tells of another time, and soon no
         // report is believed.
         if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
-            doubt_ = doubt_ * 31 / 32 + (held < r.out ? 0.25 : 0);
+            doubt_ = doubt_ * 31 / 32 + (load->held < r.out ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
         }
-        if (held < r.out) return;
-        if (free >= 0) r.slots = std::max(1.0, free + std::max(0.0, held - waiting));
-        r.others = held - r.out;
+        if (load->held < r.out) return;
+        r.slots = std::max(1.0, load->free + std::max(0.0, load->held - load->waiting));
+        r.others = load->held - r.out;
         r.reported_at = now_;
+        seen_own_ += r.out, seen_all_ += load->held;
+    }
+
+    void sample(Runner& r) {
+        r.stirred = true;
+        if (r.sampled) return;
+        r.sampled = true;
+        sampled_.push_back(runners_.place(r));
     }
 
     bool blind() const { return orders_.knows_held && now_ < late_reports_until_; }
 
     double crowd(const Runner& r) const {
-        double others = 0;
-        for (const auto& [peer, n] : r.peers_out) others += n;
+        double others = r.peers_out;
         if (orders_.knows_held && r.reported_at >= 0) {
             // What others had there runs off unseen; without this a full runner would stay full for ever.
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
@@ -209,8 +261,8 @@
     // Against half-warm runners taking what will be late there while a warm one has room.
     bool makes(const Runner& r, const Task& task) const {
         const double warm = warmth(r);
-        return warm >= 1 ||
-               static_cast<double>(now_) + task.cost * r.smoothed / warm <= static_cast<double>(task.wanted);
+        return warm >= 1 || static_cast<double>(now_) + task.cost * latency_of(r) / warm <=
+                                static_cast<double>(task.wanted);
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle for
@@ -221,7 +273,7 @@
     bool is_open(const Runner& r, bool stretch) const {
         return r.ready && now_ >= r.aside_until &&
                !(r.probing && now_ - r.probed_at > 8 * orders_.resolution) &&
-               room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * r.smoothed);
+               room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * latency_of(r));
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
@@ -236,11 +288,11 @@
     // ---- 2. health ---------------------------------------------------------------------------------------
 
     void set_aside(Runner& r, const char* why) {
-        int ready = 0, aside = 0;
-        for (const auto& [id, other] : runners_)
-            if (other.ready) ++ready, aside += now_ < other.aside_until;
+        if (now_ < r.aside_until) return;
+        int aside = 0;
+        for (const Runner& other : runners_) aside += other.ready && now_ < other.aside_until;
         // If half the fleet looks bad at once, it is our view that is bad.
-        if (2 * aside >= ready || now_ < r.aside_until) return;
+        if (2 * aside >= ready_) return;
         r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
         r.trial = true;
         log("set aside " + text(r.entry.runner) + ": " + why);
@@ -256,26 +308,24 @@
 
     // A small task weighs as much as the usual one: many small ones push a runner over just as well.
     double cold_cost(const Runner& r, const Task& task) const {
-        return std::max(task.cost, usual_cost_) * r.smoothed;
+        return std::max(task.cost, usual_cost_) * latency_of(r);
     }
 
     void count_cold(Runner& r, double cost) {
         if (warmth(r) >= 1) return;
+        r.forget_cold(now_ - orders_.cold_window);
         r.cold_sends.emplace_back(now_, cost);
-        while (now_ - r.cold_sends.front().first > orders_.cold_window) r.cold_sends.pop_front();
     }
 
     bool cold_allows(const Runner& r, double cost) const {
         if (warmth(r) >= 1) return true;
-        double sent = 0;
-        for (const auto& [at, each] : r.cold_sends)
-            if (now_ - at <= orders_.cold_window) sent += each;
+        const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
                              static_cast<double>(orders_.cold_window);
         // Where peers tell what they send, all count against most of the whole. Else half of an even part is
         // ours, as one dispatcher may carry most of the traffic; a task too large for that goes only where
         // nobody is known to have anything, within a quarter of the whole.
-        if (orders_.tells) return sent + cost <= whole * 0.75;
+        if (words_) return sent + cost <= whole * 0.75;
         return sent + cost <= whole / 2 / orders_.dispatchers ||
                (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
     }
@@ -324,45 +374,47 @@
     }
 
     void place_held() {
+        if (held_.empty()) return;
+        looked_ = false;
         int probing = 0;
-        for (auto& [id, r] : runners_) probing += r.probing && now_ - r.probed_at <= 8 * orders_.resolution;
-        open_.clear();
-        for (auto& [id, r] : runners_)
-            if (is_open(r, true)) open_.push_back(&r);
+        for (const auto& [id, at] : probes_out_) probing += now_ - at <= 8 * orders_.resolution;
         const Order order = sorted_held();
         held_.clear();
         for (const auto& [key, id] : order) {
-            if (open_.empty()) {
+            if (looked_ && open_.empty()) {
                 held_.push_back(id);
                 continue;
             }
             Task& t = tasks_.at(id);
-            Runner* r = t.drawn ? find(*t.drawn) : nullptr;
+            Runner* r = t.drawn ? runners_.find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
             if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
             t.drawn.reset();
             if (r && fresh(*r)) {
                 send(t, *r);
-                if (!is_open(*r, true)) open_.erase(std::find(open_.begin(), open_.end(), r));
+                if (looked_ && !is_open(*r, true)) open_.erase(std::find(open_.begin(), open_.end(), r));
                 continue;
             }
             if (r) t.drawn = r->entry.runner;
             // Probes cost: no more are out than tasks wait, and few where many do.
             if (r && !r->probing && probing < std::min<int>(kProbesOut, static_cast<int>(order.size())))
-                r->want_probe = true, ++probing;
+                ask(*r), ++probing;
             held_.push_back(id);
         }
     }
 
+    void ask(Runner& r) {
+        if (r.want_probe || r.probing || !r.ready) return;
+        r.want_probe = true;
+        to_probe_.push_back(r.entry.runner);
+    }
+
     void send(Task& task, Runner& r) {
         task.held = false;
         ++r.out;
+        if (words_) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
-        Leg leg;
-        leg.runner = r.entry.runner;
-        leg.sent_at = now_;
-        leg.crowd = crowd(r);
-        task.legs.push_back(leg);
+        task.legs.push_back({r.entry.runner, now_, crowd(r)});
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
     }
@@ -379,7 +431,7 @@
             // The margin: the window counts from the sending, and what is sent now arrives a little later.
             if (w.effect == Effect::side_effecting || now_ + 8 * orders_.resolution > leg.sent_at + w.window)
                 return false;
-            const Runner* before = find(leg.runner);
+            const Runner* before = runners_.find(leg.runner);
             if (!before || (w.group == RepeatGroup::zone && before->entry.zone != r.entry.zone) ||
                 (w.group == RepeatGroup::cell && before->entry.group != r.entry.group))
                 return false;
@@ -405,33 +457,39 @@
             return;
         }
         if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
-        if (news.scope != RosterScope::changes) {
-            std::set<RunnerId> listed;
-            for (const RosterEntry& e : news.entries) listed.insert(e.runner);
-            for (auto& [id, r] : runners_) r.ready = r.ready && listed.count(id);
+        for (std::size_t i = 0; i < runners_.size(); ++i) runners_[i].fraction = fractions_[i];
+        runners_.seat(news.entries, orders_.zone);
+        if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
+        const double mean = 1.0 / std::max(1, runners_.ready());
+        for (const RosterEntry& e : news.entries)
+            if (Runner* r = runners_.find(e.runner)) enter(*r, e, mean);
+        for (auto* column : {&fractions_, &marginal_, &eta_}) column->resize(runners_.size());
+        sampled_.clear();
+        ready_ = runners_.ready();
+        for (std::size_t i = 0; i < runners_.size(); ++i) {
+            fractions_[i] = runners_[i].ready ? runners_[i].fraction : 0;
+            if (runners_[i].sampled) sampled_.push_back(i);
+            reckon(i);
         }
-        double ready = 0;
-        for (auto& [id, r] : runners_) ready += r.ready;
-        for (const RosterEntry& e : news.entries) enter(e, ready > 0 ? 1 / ready : 1);
         rescale();
     }
 
-    void enter(const RosterEntry& e, double mean_fraction) {
-        if (!find(e.runner) && e.state != RunnerState::ready) return;
-        Runner& r = runners_[e.runner];
-        const bool new_here =
-            e.state == RunnerState::ready && (!r.ready || e.started_at > r.entry.started_at);
+    void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
+        const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
         r.ready = e.state == RunnerState::ready;
-        if (!new_here) return;
+        if (kind(r) >= kinds_.size()) kinds_.resize(kind(r) + 1);
+        if (!r.ready || !started) return;
         // The mean fraction and estimate, whatever it was before: it is another process by now.
         r.fraction = mean_fraction;
         r.latency.clear();
+        r.sampled = r.stirred = r.trial = false;
         r.least = r.blame = 0;
         r.aside_until = 0;
-        r.trial = false;
         r.cold_from = e.started_at > 0 ? std::min(e.started_at, now_) : -1;
-        r.want_probe = orders_.probes && !orders_.report_names.empty();
+        // All dispatchers together ask a new runner a handful of times, however many they are.
+        if (orders_.probes && !orders_.report_names.empty() && uniform() * orders_.dispatchers < kHandful)
+            ask(r);
     }
 
     void heed(const TaskArrived& a) {
@@ -462,8 +520,9 @@
 
     double best_latency() const {
         double best = 1;
-        for (const auto& [id, r] : runners_)
-            if (r.ready) best = std::min(best, r.smoothed);
+        for (const Kind& k : kinds_) best = std::min(best, k.smoothed);
+        for (const std::size_t i : sampled_)
+            if (runners_[i].ready) best = std::min(best, runners_[i].smoothed);
         return best;
     }
 
@@ -471,13 +530,8 @@
     // the allowance is taken as our part of all the work in hand.
     bool within_allowance(CustomerId id) {
         if (static_cast<std::size_t>(id) >= orders_.allowances.size()) return true;
-        Customer& c = customers_[id];
         const double part = orders_.allowances[static_cast<std::size_t>(id)] * view_;
-        c.spent = std::max(0.0, c.spent - part * static_cast<double>(now_ - c.at) / 1e6);
-        c.at = now_;
-        if (c.spent > part) return false;
-        c.spent += 1;
-        return true;
+        return customers_[id].spend(part, now_);
     }
 
     void heed(const StreamBegun& begun) {
@@ -487,7 +541,7 @@
 
     void heed(const AssignmentEnded& e) {
         const auto found = tasks_.find(e.task);
-        Runner* r = find(e.runner);
+        Runner* r = runners_.find(e.runner);
         if (found == tasks_.end() || !r) return;
         Task& t = found->second;
         if (e.assignment < 0 || static_cast<std::size_t>(e.assignment) >= t.legs.size()) return;
@@ -497,6 +551,7 @@
         leg.never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
+        if (words_) to_tell_.push_back(e.runner);
         judge(*r, t, leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -519,14 +574,17 @@
         const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
         if (e.outcome == Outcome::finished) {
             const double latency = static_cast<double>(e.elapsed) / t.cost;
-            if (!orders_.tells_start) learn_slots(r, leg, latency < 1.5 * r.smoothed);
+            if (!orders_.tells_start) learn_slots(r, leg, latency < 1.5 * latency_of(r));
             r.latency.add(latency);
+            sample(r);
+            kinds_[kind(r)].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
             r.trial = false;
         } else if (e.outcome == Outcome::full || (failed && e.outcome != Outcome::connect_failed)) {
             r.latency.add(static_cast<double>(w.expiry) / t.cost);
+            sample(r);
         }
-        if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75 + (failed ? 0.25 : 0);
+        if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
         // A process that died is cold whenever it is back, and the roster says so only later.
         if (died) r.cold_from = now_;
@@ -541,9 +599,10 @@
     void heed(const TimerDue&) { wake_set_ = 0; }
 
     void heed(const ProbeEnded& e) {
-        Runner* r = find(e.runner);
+        Runner* r = runners_.find(e.runner);
         if (!r) return;
         r->probing = false;
+        std::erase_if(probes_out_, [&](const auto& probe) { return probe.first == e.runner; });
         if (e.outcome == Outcome::finished) {
             read_report(*r, e.report);
         } else if (e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset) {
@@ -556,24 +615,14 @@
 
     void heed(const PeerSaid& said) {
         const auto words = read_words(said.words);
-        if (!words) return;
-        peers_heard_[said.from] = now_;
-        for (auto& [id, r] : runners_) {
-            const auto told = words->out.find(id);
-            if (told == words->out.end() && !words->all) continue;
-            int& known = r.peers_out[said.from];
-            const int now_out = told == words->out.end() ? 0 : told->second;
-            for (; known < now_out; ++known) count_cold(r, usual_cost_ * r.smoothed);
-            known = now_out;
-        }
-    }
-
-    void forget_peer(PeerId peer) {
-        for (auto& [id, r] : runners_) r.peers_out.erase(peer);
+        if (!words || !words_ || static_cast<int>(said.from) >= orders_.dispatchers) return;
+        peers_.hear(said.from, *words, now_, runners_, [this](Runner& r, int more) {
+            while (more-- > 0) count_cold(r, usual_cost_ * latency_of(r));
+        });
     }
 
     void heed(const Progress& p) {
-        Runner* r = find(p.runner);
+        Runner* r = runners_.find(p.runner);
         if (!r) return;
         const auto found = tasks_.find(p.task);
         if (p.stage != Stage::begun || found == tasks_.end() || p.assignment < 0 ||
@@ -588,30 +637,28 @@
     void end_period() {
         rate_ += (arrivals_ - rate_) / 4;
         arrivals_ = 0;
-        double seconds = 0, weight = 0, own = 0, all = 0;
+        double seconds = 0, weight = 0;
         for (const Workload& w : workloads_)
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
-        for (const auto& [peer, at] : peers_heard_)
-            if (now_ - at > 3 * kPeriod) forget_peer(peer);
-        for (auto& [id, r] : runners_) own += r.out, all += crowd(r);
-        if (all > 0 && !blind()) view_ += (own / all - view_) / 16;
+        peers_.forget_silent_since(now_ - 3 * kPeriod, runners_);
+        if (!orders_.knows_held && words_)
+            for (const Runner& r : runners_) seen_own_ += r.out, seen_all_ += crowd(r);
+        if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
-            for (auto& [id, r] : runners_) r.latency.halve();
+            for (const std::size_t i : sampled_) runners_[i].latency.halve(), runners_[i].stirred = true;
+            for (Kind& k : kinds_) k.latency.halve(), k.weight /= 2;
             for (Workload& w : workloads_) w.latency.halve();
+            seen_own_ /= 2, seen_all_ /= 2;
         }
-        // Where no answer carries what a runner holds, each is asked now and then: there is no other news of
-        // it.
-        if (orders_.probes && !orders_.knows_held && !orders_.report_names.empty())
-            for (auto& [id, r] : runners_) r.want_probe = uniform() < 0.4;
-    }
-
-    void tell_peers(std::vector<Action>& out) {
-        PeerWords words{period_over_, {}};
-        for (auto& [id, r] : runners_)
-            if (period_over_ ? r.out > 0 : r.out != r.told_out) words.out[id] = r.told_out = r.out;
-        if (!words.out.empty()) out.push_back(TellPeers{spell(words)});
+        // Where no answer carries what a runner holds, some are asked now and then: there is no other news of
+        // them. All dispatchers together ask each a few times a period.
+        if (!orders_.probes || orders_.knows_held || orders_.report_names.empty() || runners_.empty()) return;
+        const double each = std::min(0.4, kFewJobs / orders_.dispatchers);
+        for (double n = each * static_cast<double>(runners_.size()); n > 0; --n)
+            if (n >= 1 || uniform() < n)
+                ask(runners_[static_cast<std::size_t>(uniform() * static_cast<double>(runners_.size()))]);
     }
 
     void emit(std::vector<Action>& out);
@@ -655,15 +702,21 @@
         if (t.over && t.all_legs(&Leg::ended)) tasks_.erase(found);
     }
     touched_.clear();
-    for (auto& [id, r] : runners_) {
-        if (!r.want_probe) continue;
-        r.want_probe = false;
-        if (!r.ready || r.probing) continue;
-        r.probing = true;
-        r.probed_at = now_;
+    for (const RunnerId id : to_probe_) {
+        Runner* r = runners_.find(id);
+        r->want_probe = false;
+        if (!r->ready) continue;
+        r->probing = true;
+        r->probed_at = now_;
+        probes_out_.emplace_back(id, now_);
         out.push_back(Probe{id});
     }
-    if (orders_.tells && orders_.dispatchers > 1) tell_peers(out);
+    to_probe_.clear();
+    if (words_ && (period_over_ || !to_tell_.empty())) {
+        const PeerWords words = runners_.changes_out(to_tell_, period_over_);
+        to_tell_.clear();
+        if (!words.out.empty()) out.push_back(TellPeers{spell(words)});
+    }
     Micros wake = next_period_;
     if (!held_.empty()) wake = std::min(wake, now_ + 4 * orders_.resolution);
     if (orders_.asks && !following_ && !asking_)
@@ -684,11 +737,6 @@
 void Choice::note(Micros now, const Event& event) { desk_->note(now, event); }
 void Choice::settle(Micros now, std::vector<Action>& out) { desk_->settle(now, out); }
 
-std::map<RunnerId, double> Choice::fractions() const {
-    std::map<RunnerId, double> shares;
-    for (const auto& [id, r] : desk_->runners())
-        if (r.ready) shares[id] = r.fraction;
-    return shares;
-}
+std::map<RunnerId, double> Choice::fractions() const { return desk_->fractions(); }
 
 }  // namespace gannethold
--- /dev/null
+++ b/src/fleet.hpp
@@ -0,0 +1,85 @@
+// The runners of one dispatcher in a row that is cheap to walk and to search. Keeps, finds and orders them
+// only.
+#pragma once
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "ledger.hpp"
+#include "peer_words.hpp"
+
+namespace gannethold {
+
+class Fleet {
+  public:
+    std::vector<Runner>::iterator begin() { return runners_.begin(); }
+    std::vector<Runner>::iterator end() { return runners_.end(); }
+    Runner& operator[](std::size_t place) { return runners_[place]; }
+    const Runner& operator[](std::size_t place) const { return runners_[place]; }
+    std::size_t size() const { return runners_.size(); }
+    bool empty() const { return runners_.empty(); }
+    std::size_t near() const { return near_; }  // the near ones stand first
+    std::size_t place(const Runner& r) const { return static_cast<std::size_t>(&r - runners_.data()); }
+
+    Runner* find(RunnerId id) {
+        const auto before = [](const Runner& r, RunnerId sought) { return r.entry.runner < sought; };
+        const auto split = runners_.begin() + static_cast<std::ptrdiff_t>(near_);
+        auto found = std::lower_bound(runners_.begin(), split, id, before);
+        if (found != split && found->entry.runner == id) return &*found;
+        found = std::lower_bound(split, runners_.end(), id, before);
+        return found != runners_.end() && found->entry.runner == id ? &*found : nullptr;
+    }
+
+    // Makes place for ready runners not seen before, in that of those that are gone for good.
+    void seat(const std::vector<RosterEntry>& entries, ZoneId here) {
+        std::vector<Runner> joined;
+        for (const RosterEntry& e : entries) {
+            if (e.state != RunnerState::ready || find(e.runner)) continue;
+            joined.emplace_back().entry = e;
+            joined.back().near = e.zone == here;
+        }
+        if (joined.empty()) return;
+        std::erase_if(runners_, [](const Runner& r) { return !r.ready && r.out == 0 && !r.probing; });
+        runners_.insert(runners_.end(), joined.begin(), joined.end());
+        const auto rank = [](const Runner& r) { return std::pair(!r.near, r.entry.runner); };
+        std::sort(runners_.begin(), runners_.end(),
+                  [&](const Runner& a, const Runner& b) { return rank(a) < rank(b); });
+        const auto twice = [](const Runner& a, const Runner& b) { return a.entry.runner == b.entry.runner; };
+        runners_.erase(std::unique(runners_.begin(), runners_.end(), twice), runners_.end());
+        near_ = static_cast<std::size_t>(
+            std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.near; }));
+    }
+
+    // What a complete list does not name is not ready any more.
+    void keep_only(const std::vector<RosterEntry>& entries) {
+        std::vector<RunnerId> listed;
+        for (const RosterEntry& e : entries) listed.push_back(e.runner);
+        std::sort(listed.begin(), listed.end());
+        for (Runner& r : runners_)
+            r.ready = r.ready && std::binary_search(listed.begin(), listed.end(), r.entry.runner);
+    }
+
+    int ready() const {
+        return static_cast<int>(
+            std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.ready; }));
+    }
+
+    // What is out at those touched, where it differs from what was last told; or at all.
+    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all) {
+        PeerWords words{all, {}};
+        for (Runner& r : runners_)
+            if (all && r.out > 0) words.out[r.entry.runner] = r.told_out = r.out;
+        for (const RunnerId id : touched) {
+            Runner* r = find(id);
+            if (r && r->out != r->told_out) words.out[id] = r->told_out = r->out;
+        }
+        return words;
+    }
+
+  private:
+    std::vector<Runner> runners_;
+    std::size_t near_ = 0;
+};
+
+}  // namespace gannethold
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -50,6 +49,15 @@
 struct Customer {
     double spent = 0;
     Micros at = 0;
+
+    // Whether one more is within what a second allows, a second's worth at once at most.
+    bool spend(double per_second, Micros now) {
+        spent = std::max(0.0, spent - per_second * static_cast<double>(now - at) / 1e6);
+        at = now;
+        if (spent > per_second) return false;
+        spent += 1;
+        return true;
+    }
 };
 
 struct Leg {
@@ -75,15 +83,60 @@
 
 struct Runner {
     RosterEntry entry;
-    bool ready = false, probing = false, want_probe = false, trial = false;
-    double fraction = 0, smoothed = 1, least = 0, busy = 0, blame = 0;
+    bool ready = false, near = false, probing = false, want_probe = false, trial = false;
+    bool sampled = false, stirred = false;  // has samples of its own; has new ones
+    float blame = 0, busy = 0;
+    double fraction = 0, smoothed = 1, least = 0;
     Histogram latency;  // over the cost
-    int out = 0, told_out = 0;
+    int out = 0, told_out = 0, peers_out = 0;
     double slots = 0, others = 0;
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
-    std::deque<std::pair<Micros, double>> cold_sends;
-    std::map<PeerId, int> peers_out;
+    std::vector<std::pair<Micros, double>> cold_sends;
+
+    void forget_cold(Micros before) {
+        std::erase_if(cold_sends, [before](const auto& send) { return send.first < before; });
+    }
+    double cold_sent_since(Micros then) const {
+        double sent = 0;
+        for (const auto& [at, cost] : cold_sends) sent += at >= then ? cost : 0;
+        return sent;
+    }
+};
+
+// What the runners of one kind of machine did. Small changes are left out: each concerns a whole fleet.
+struct Kind {
+    Histogram latency;
+    bool stirred = false;
+    double smoothed = 1, weight = 0;
+
+    void add(double value) {
+        latency.add(value);
+        stirred = ++weight < 16 || (static_cast<int>(weight) % 8 == 0);
+    }
+    void learn(double fleet) {
+        smoothed = latency.middle(fleet, 2);
+        stirred = false;
+    }
+};
+
+// A report read by the names that the standing orders give its values.
+struct Load {
+    double free = -1, held = -1, waiting = 0, busy = 0;
+
+    // Against broken or lying runners: a report with a value that cannot be is not heard at all.
+    static std::optional<Load> read(const std::vector<std::string>& names, const Report& report) {
+        if (report.size() != names.size()) return std::nullopt;
+        Load load;
+        for (std::size_t i = 0; i < report.size(); ++i) {
+            if (!std::isfinite(report[i]) || report[i] < 0 || report[i] > 1e4) return std::nullopt;
+            if (names[i] == "free_slots") load.free = std::round(report[i]);
+            if (names[i] == "held") load.held = std::round(report[i]);
+            if (names[i] == "waiting") load.waiting = std::round(report[i]);
+            if (names[i] == "busy") load.busy = std::min(report[i], 1.0);
+        }
+        return load;
+    }
 };
 
 }  // namespace gannethold
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -13,7 +13,7 @@
 
 class Stated {
   public:
-    explicit Stated(StatedOrders stated) : stated_(std::move(stated)) {}
+    explicit Stated(const StatedOrders& stated) : stated_(stated) {}
 
     std::string word(const std::string& name, const std::string& otherwise) const {
         const auto found = stated_.find(name);
@@ -62,7 +62,7 @@
         return value;
     }
 
-    StatedOrders stated_;
+    const StatedOrders& stated_;
 };
 
 // What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
@@ -72,7 +72,7 @@
     std::size_t workloads, customers;
     ZoneId zone;
     Micros resolution, cold_window, warm_after, must_ask, max_away;
-    double cold_from, fall_multiple, surplus;
+    double cold_from, fall_multiple, surplus, peer_price;
     std::vector<std::string> report_names;
     std::vector<double> allowances;
 
@@ -96,6 +96,7 @@
         warm_after = std::max<Micros>(1, stated.micros("rules.warm_after_us", 30'000'000));
         fall_multiple = stated.number("rules.fall_multiple", 1);
         cold_window = stated.micros("rules.tip_after_us", 1'000'000);
+        peer_price = stated.number("prices.peer", 0);
         report_names = stated.words("reports.names");
         knows_held = reported("held") && reported("free_slots");
         workloads = static_cast<std::size_t>(std::clamp(stated.number("workloads.count", 1), 1.0, 256.0));
@@ -105,6 +106,10 @@
             allowances.push_back(stated.number("customers." + std::to_string(i) + ".allowance_per_s", 0));
     }
 
+    // What it costs to tell all peers of each sending and each end, a dozen bytes in all: grows with their
+    // number.
+    double words_price() const { return peer_price * 12 * (dispatchers - 1) / 256; }
+
   private:
     bool reported(const char* name) const {
         return std::find(report_names.begin(), report_names.end(), name) != report_names.end();
