--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -458,7 +458,8 @@
         }
         if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
         for (std::size_t i = 0; i < runners_.size(); ++i) runners_[i].fraction = fractions_[i];
-        runners_.seat(news.entries, orders_.zone);
+        // Near first only where the room there is known: else a zone with more work than runners drowns them.
+        runners_.seat(news.entries, orders_.zone, !orders_.knows_held && !words_);
         if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
         const double mean = 1.0 / std::max(1, runners_.ready());
         for (const RosterEntry& e : news.entries)
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -32,12 +32,12 @@
     }
 
     // Makes place for ready runners not seen before, in that of those that are gone for good.
-    void seat(const std::vector<RosterEntry>& entries, ZoneId here) {
+    void seat(const std::vector<RosterEntry>& entries, ZoneId here, bool all_near) {
         std::vector<Runner> joined;
         for (const RosterEntry& e : entries) {
             if (e.state != RunnerState::ready || find(e.runner)) continue;
             joined.emplace_back().entry = e;
-            joined.back().near = e.zone == here;
+            joined.back().near = all_near || e.zone == here;
         }
         if (joined.empty()) return;
         std::erase_if(runners_, [](const Runner& r) { return !r.ready && r.out == 0 && !r.probing; });
