Move what has not begun at its runner; give up what cannot begin in time

Change: an assignment of which no begin was told within eight ticks is withdrawn and goes elsewhere within the further assignments allowed; one that can no longer begin in time is given up and answered at once.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -18,6 +18,7 @@
 #include <numeric>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 #include "peer_book.hpp"
@@ -31,6 +32,7 @@
                                        // dispatchers do not all come back to a runner together
 constexpr int kFurther = 2;            // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
+constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kHandful = 8;  // probes that a runner should see at most from all dispatchers together
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
@@ -78,6 +80,7 @@
     std::vector<TaskId> held_, touched_;
     std::vector<RunnerId> to_probe_, to_tell_;
     std::vector<std::pair<RunnerId, Micros>> probes_out_;
+    std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     PeerBook peers_;
     std::vector<std::string> lines_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, logged_at_ = -kSecond, overload_until_ = 0;
@@ -272,7 +275,7 @@
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
         return r.ready && now_ >= r.aside_until &&
-               !(r.probing && now_ - r.probed_at > 8 * orders_.resolution) &&
+               !(r.probing && now_ - r.probed_at > kPatience * orders_.resolution) &&
                room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * latency_of(r));
     }
 
@@ -377,7 +380,7 @@
         if (held_.empty()) return;
         looked_ = false;
         int probing = 0;
-        for (const auto& [id, at] : probes_out_) probing += now_ - at <= 8 * orders_.resolution;
+        for (const auto& [id, at] : probes_out_) probing += now_ - at <= kPatience * orders_.resolution;
         const Order order = sorted_held();
         held_.clear();
         for (const auto& [key, id] : order) {
@@ -415,6 +418,7 @@
         if (words_) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
+        if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
     }
@@ -429,7 +433,8 @@
             if (!leg.ended && !orders_.parallel) return false;
             if (w.effect == Effect::idempotent) continue;
             // The margin: the window counts from the sending, and what is sent now arrives a little later.
-            if (w.effect == Effect::side_effecting || now_ + 8 * orders_.resolution > leg.sent_at + w.window)
+            if (w.effect == Effect::side_effecting ||
+                now_ + kPatience * orders_.resolution > leg.sent_at + w.window)
                 return false;
             const Runner* before = runners_.find(leg.runner);
             if (!before || (w.group == RepeatGroup::zone && before->entry.zone != r.entry.zone) ||
@@ -439,6 +444,27 @@
         return true;
     }
 
+    // Where runners tell when a task begins, one that waits there goes elsewhere, or is given up once it can
+    // not begin in time: against queues in which a free runner next door is not seen and all is late.
+    void watch() {
+        while (!watch_.empty() && watch_.begin()->first <= now_) {
+            const auto found = tasks_.find(watch_.begin()->second);
+            watch_.erase(watch_.begin());
+            if (found == tasks_.end() || found->second.over || found->second.held) continue;
+            Task& t = found->second;
+            Leg& leg = t.legs.back();
+            if (leg.begun || leg.ended || !leg.wanted) continue;
+            if (now_ >= t.latest_start) {
+                give_up(t);
+            } else if (orders_.cancelling && workload(t).effect != Effect::side_effecting && may_follow(t)) {
+                leg.wanted = false;
+                touched_.push_back(t.asked.task);
+            } else {
+                watch_.emplace(t.latest_start, t.asked.task);
+            }
+        }
+    }
+
     bool may_follow(const Task& task) {
         if (now_ < overload_until_ || task.streaming || now_ >= task.latest_start) return false;
         if (static_cast<int>(task.legs.size()) >= std::min(orders_.max_assignments, 1 + kFurther))
@@ -572,6 +598,14 @@
     void judge(Runner& r, const Task& t, const Leg& leg, const AssignmentEnded& e) {
         Workload& w = workload(t);
         const bool died = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
+        if (e.outcome == Outcome::withdrawn && !t.over) {
+            // What waited would have taken so much longer, and the runner has no room for a while.
+            const double latency = static_cast<double>(e.elapsed) / t.cost + latency_of(r);
+            r.latency.add(latency);
+            sample(r);
+            kinds_[kind(r)].add(latency);
+            r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
+        }
         const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
         if (e.outcome == Outcome::finished) {
             const double latency = static_cast<double>(e.elapsed) / t.cost;
@@ -629,7 +663,8 @@
         if (p.stage != Stage::begun || found == tasks_.end() || p.assignment < 0 ||
             static_cast<std::size_t>(p.assignment) >= found->second.legs.size())
             return;
-        const Leg& leg = found->second.legs[static_cast<std::size_t>(p.assignment)];
+        Leg& leg = found->second.legs[static_cast<std::size_t>(p.assignment)];
+        leg.begun = true;
         learn_slots(*r, leg, static_cast<double>(now_ - leg.sent_at) < job_seconds_ * 2e5);
     }
 
@@ -673,6 +708,7 @@
         next_period_ = now + kPeriod;
         end_period();
     }
+    watch();
     place_held();
     emit(out);
 }
@@ -719,6 +755,7 @@
         if (!words.out.empty()) out.push_back(TellPeers{spell(words)});
     }
     Micros wake = next_period_;
+    if (!watch_.empty()) wake = std::min(wake, watch_.begin()->first);
     if (!held_.empty()) wake = std::min(wake, now_ + 4 * orders_.resolution);
     if (orders_.asks && !following_ && !asking_)
         wake = std::min(wake, std::max(ask_at_, now_ + orders_.resolution));
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -64,7 +64,7 @@
     RunnerId runner{};
     Micros sent_at = 0;
     double crowd = 0;  // what the runner then held, this one included
-    bool sent = false, wanted = true, ended = false, withdrawing = false, never_ran = false;
+    bool sent = false, wanted = true, begun = false, ended = false, withdrawing = false, never_ran = false;
 };
 
 struct Task {
