--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,8 +32,7 @@
                                        // dispatchers do not all come back to a runner together
 constexpr int kFurther = 2;            // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
-constexpr int kPatience = 8;    // ticks for a probe to be answered
-constexpr int kPatienceToBegin = 4;  // ticks for word that a task has begun
+constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kHandful = 8;  // probes that a runner should see at most from all dispatchers together
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
@@ -419,7 +418,7 @@
         if (words_) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
-        if (orders_.tells_start) watch_.emplace(now_ + kPatienceToBegin * orders_.resolution, task.asked.task);
+        if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
     }
