Let words go round in circles whose size their price allows; their runners are near

Circles as large as a hundredth of service pays for know the room of their own runners; a draw is made there first, elsewhere when none has room.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -50,7 +50,8 @@
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
         for (std::size_t i = 0; i < orders_.workloads; ++i) workloads_.emplace_back(Stated(stated), i);
         view_ = 1.0 / orders_.dispatchers;
-        words_ = orders_.tells && orders_.dispatchers > 1 && orders_.words_price() < kWordsWorth;
+        words_ = orders_.tells && orders_.dispatchers > 1;
+        if (words_) circles_ = 1 + (orders_.dispatchers - 2) / orders_.peers_worth(kWordsWorth);
     }
     void note(Micros now, const Event& event) {
         now_ = now;
@@ -86,7 +87,7 @@
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, logged_at_ = -kSecond, overload_until_ = 0;
     Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
-    int periods_ = 0, arrivals_ = 0, ready_ = 0;
+    int periods_ = 0, arrivals_ = 0, ready_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, fleet_ = 1;
     double near_sum_ = 0, seen_own_ = 0, seen_all_ = 0;
 
@@ -328,7 +329,7 @@
         // Where peers tell what they send, all count against most of the whole. Else half of an even part is
         // ours, as one dispatcher may carry most of the traffic; a task too large for that goes only where
         // nobody is known to have anything, within a quarter of the whole.
-        if (words_) return sent + cost <= whole * 0.75;
+        if (words_) return (circles_ == 1 || r.near) && sent + cost <= whole * 0.75;
         return sent + cost <= whole / 2 / orders_.dispatchers ||
                (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
     }
@@ -415,7 +416,7 @@
     void send(Task& task, Runner& r) {
         task.held = false;
         ++r.out;
-        if (words_) to_tell_.push_back(r.entry.runner);
+        if (words_ && (circles_ == 1 || r.near)) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
@@ -484,8 +485,7 @@
         }
         if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
         for (std::size_t i = 0; i < runners_.size(); ++i) runners_[i].fraction = fractions_[i];
-        // Near first only where the room there is known: else a zone with more work than runners drowns them.
-        runners_.seat(news.entries, orders_.zone, !orders_.knows_held && !words_);
+        runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
         const double mean = 1.0 / std::max(1, runners_.ready());
         for (const RosterEntry& e : news.entries)
@@ -501,6 +501,14 @@
         rescale();
     }
 
+    // Near is the own zone; where words to all peers would cost too much, peers and runners fall into circles
+    // by their numbers, words go round in the own one, and near are its runners: there the room is known.
+    bool near(const RosterEntry& e) const {
+        if (circles_ == 1) return e.zone == orders_.zone;
+        return static_cast<std::uint32_t>(e.runner) * 2654435761U % static_cast<std::uint32_t>(circles_) ==
+               static_cast<std::uint32_t>(orders_.me % circles_);
+    }
+
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
         const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
@@ -578,7 +586,7 @@
         leg.never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
-        if (words_) to_tell_.push_back(e.runner);
+        if (words_ && (circles_ == 1 || r->near)) to_tell_.push_back(e.runner);
         judge(*r, t, leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -679,7 +687,8 @@
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
         peers_.forget_silent_since(now_ - 3 * kPeriod, runners_);
         if (!orders_.knows_held && words_)
-            for (const Runner& r : runners_) seen_own_ += r.out, seen_all_ += crowd(r);
+            for (const Runner& r : runners_)
+                if (circles_ == 1 || r.near) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
         if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
@@ -750,9 +759,12 @@
     }
     to_probe_.clear();
     if (words_ && (period_over_ || !to_tell_.empty())) {
-        const PeerWords words = runners_.changes_out(to_tell_, period_over_);
+        const PeerWords words = runners_.changes_out(to_tell_, period_over_, circles_ > 1);
         to_tell_.clear();
-        if (!words.out.empty()) out.push_back(TellPeers{spell(words)});
+        if (!words.out.empty() && circles_ == 1) out.push_back(TellPeers{spell(words)});
+        if (!words.out.empty() && circles_ > 1)
+            for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
+                if (peer != orders_.me) out.push_back(TellPeer{PeerId(peer), spell(words)});
     }
     Micros wake = next_period_;
     if (!watch_.empty()) wake = std::min(wake, watch_.begin()->first);
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -32,12 +32,13 @@
     }
 
     // Makes place for ready runners not seen before, in that of those that are gone for good.
-    void seat(const std::vector<RosterEntry>& entries, ZoneId here, bool all_near) {
+    template <class Near>
+    void seat(const std::vector<RosterEntry>& entries, Near is_near) {
         std::vector<Runner> joined;
         for (const RosterEntry& e : entries) {
             if (e.state != RunnerState::ready || find(e.runner)) continue;
             joined.emplace_back().entry = e;
-            joined.back().near = all_near || e.zone == here;
+            joined.back().near = is_near(e);
         }
         if (joined.empty()) return;
         std::erase_if(runners_, [](const Runner& r) { return !r.ready && r.out == 0 && !r.probing; });
@@ -66,10 +67,10 @@
     }
 
     // What is out at those touched, where it differs from what was last told; or at all.
-    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all) {
+    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all, bool near_only) {
         PeerWords words{all, {}};
         for (Runner& r : runners_)
-            if (all && r.out > 0) words.out[r.entry.runner] = r.told_out = r.out;
+            if (all && r.out > 0 && (r.near || !near_only)) words.out[r.entry.runner] = r.told_out = r.out;
         for (const RunnerId id : touched) {
             Runner* r = find(id);
             if (r && r->out != r->told_out) words.out[id] = r->told_out = r->out;
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -68,7 +68,7 @@
 // What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
 struct StandingOrders {
     bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held;
-    int dispatchers, max_assignments;
+    int dispatchers, me, max_assignments;
     std::size_t workloads, customers;
     ZoneId zone;
     Micros resolution, cold_window, warm_after, must_ask, max_away;
@@ -87,6 +87,7 @@
         asks = stated.word("roster.how", "pushed") == "on_request";
         by_work = stated.word("importance.by", "request") == "work";
         dispatchers = std::max(1, static_cast<int>(stated.number("dispatchers", 1)));
+        me = std::clamp(static_cast<int>(stated.number("me", 0)), 0, dispatchers - 1);
         max_assignments = std::max(1, static_cast<int>(stated.number("caps.max_assignments", 1)));
         zone = static_cast<ZoneId>(std::max(0.0, stated.number("zone", 0)));
         resolution = std::max<Micros>(1, stated.micros("resolution_us", 1'000));
@@ -106,9 +107,11 @@
             allowances.push_back(stated.number("customers." + std::to_string(i) + ".allowance_per_s", 0));
     }
 
-    // What it costs to tell all peers of each sending and each end, a dozen bytes in all: grows with their
-    // number.
-    double words_price() const { return peer_price * 12 * (dispatchers - 1) / 256; }
+    // How many peers can be told of each sending and each end, a dozen bytes in all, for a part of all
+    // service.
+    int peers_worth(double part) const {
+        return peer_price > 0 ? std::max(1, static_cast<int>(part * 256 / 12 / peer_price)) : dispatchers;
+    }
 
   private:
     bool reported(const char* name) const {
