--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -31,12 +31,6 @@
         return found != runners_.end() && found->entry.runner == id ? &*found : nullptr;
     }
 
-    Runner* find(ShortId id) {
-        for (Runner& r : runners_)
-            if (shortened(r.entry.runner) == id) return &r;
-        return nullptr;
-    }
-
     // Makes place for ready runners not seen before, in that of those that are gone for good.
     template <class Near>
     void seat(const std::vector<RosterEntry>& entries, Near is_near) {
@@ -76,10 +70,10 @@
     PeerWords changes_out(const std::vector<RunnerId>& touched, bool all, bool near_only) {
         PeerWords words{all, {}};
         for (Runner& r : runners_)
-            if (all && r.out > 0 && (r.near || !near_only)) words.out[shortened(r.entry.runner)] = r.told_out = r.out;
+            if (all && r.out > 0 && (r.near || !near_only)) words.out[r.entry.runner] = r.told_out = r.out;
         for (const RunnerId id : touched) {
             Runner* r = find(id);
-            if (r && r->out != r->told_out) words.out[shortened(id)] = r->told_out = r->out;
+            if (r && r->out != r->told_out) words.out[id] = r->told_out = r->out;
         }
         return words;
     }
--- a/src/peer_book.hpp
+++ b/src/peer_book.hpp
@@ -38,10 +38,10 @@
   private:
     struct Peer {
         Micros heard_at = 0;
-        std::map<ShortId, int> out;
+        std::map<RunnerId, int> out;
     };
 
-    static void forget(Fleet& fleet, ShortId id, int& known) {
+    static void forget(Fleet& fleet, RunnerId id, int& known) {
         if (Runner* r = fleet.find(id)) r->peers_out -= known;
         known = 0;
     }
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -107,10 +107,10 @@
             allowances.push_back(stated.number("customers." + std::to_string(i) + ".allowance_per_s", 0));
     }
 
-    // How many peers can be told of each sending and each end, some ten bytes in all, for a part of all
-    // service.
+    // How many peers can be told of each sending and each end, two dozen bytes in all with what each message
+    // costs by itself, for a part of all service.
     int peers_worth(double part) const {
-        return peer_price > 0 ? std::max(1, static_cast<int>(part * 256 / 10 / peer_price)) : dispatchers;
+        return peer_price > 0 ? std::max(1, static_cast<int>(part * 256 / 24 / peer_price)) : dispatchers;
     }
 
   private:
