--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -12,14 +12,12 @@
 #include "choice.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
-#include <numeric>
 #include <optional>
 #include <random>
 #include <set>
-#include <unordered_map>
+#include <tuple>
 
 #include "peer_book.hpp"
 
@@ -27,10 +25,10 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kPeriod = kSecond;    // the design's
-constexpr Micros kRest = 2 * kSecond;  // fixed part of a set-aside; as much again at random, so that
-                                       // dispatchers do not all come back to a runner together
-constexpr int kFurther = 2;            // the operators' kept way
+constexpr Micros kPeriod = kSecond;  // the design's
+constexpr Micros kRest =
+    2 * kSecond;                // of a set-aside; up to as much again, so that not all come back at once
+constexpr int kFurther = 2;     // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
@@ -40,8 +38,6 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
-std::string text(RunnerId id) { return "runner " + std::to_string(static_cast<std::uint32_t>(id)); }
-
 }  // namespace
 
 class Choice::Desk {
@@ -58,12 +54,7 @@
         std::visit([this](const auto& e) { heed(e); }, event);
     }
     void settle(Micros now, std::vector<Action>& out);
-    std::map<RunnerId, double> fractions() const {
-        std::map<RunnerId, double> shares;
-        for (std::size_t i = 0; i < runners_.size(); ++i)
-            if (runners_[i].ready) shares[runners_[i].entry.runner] = fractions_[i];
-        return shares;
-    }
+    std::map<RunnerId, double> fractions() const { return runners_.shares(); }
 
   private:
     const StandingOrders orders_;
@@ -71,39 +62,26 @@
     std::vector<Workload> workloads_;
     std::map<CustomerId, Customer> customers_;
     Fleet runners_;
-    // The split table, in the order of the runners: one small array each, since a fleet may be large and a
-    // period must cost little to a dispatcher with hardly a task in it.
-    std::vector<double> fractions_, marginal_, eta_;
-    std::vector<std::size_t> sampled_;  // the runners with samples of their own
     std::vector<Kind> kinds_;
-    std::unordered_map<TaskId, Task> tasks_;
+    TaskBook tasks_;
     std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
     std::vector<RunnerId> to_probe_, to_tell_;
     std::vector<std::pair<RunnerId, Micros>> probes_out_;
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     PeerBook peers_;
-    std::vector<std::string> lines_;
-    Micros now_ = 0, next_period_ = 0, wake_set_ = 0, logged_at_ = -kSecond, overload_until_ = 0;
+    Logbook log_;
+    Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0;
     Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
-    int periods_ = 0, arrivals_ = 0, ready_ = 0, circles_ = 1;
-    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, fleet_ = 1;
-    double near_sum_ = 0, seen_own_ = 0, seen_all_ = 0;
+    int periods_ = 0, arrivals_ = 0, circles_ = 1;
+    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
+    double seen_own_ = 0, seen_all_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
     // Of a runner without samples of its own its kind's are the best guess: in a large fleet most have none.
-    double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[kind(r)].smoothed; }
-    // No real fleet has more kinds: against an entry that names an absurd one.
-    static std::size_t kind(const Runner& r) {
-        return std::min(static_cast<std::size_t>(r.entry.kind), 255UL);
-    }
-    void log(const std::string& line) {
-        if (now_ - logged_at_ < kSecond / 4) return;
-        logged_at_ = now_;
-        lines_.push_back(line);
-    }
+    double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[r.kind()].smoothed; }
 
     // ---- the design --------------------------------------------------------------------------------------
 
@@ -112,68 +90,54 @@
     void estimate() {
         double log_sum = 0, n = 0;
         for (Kind& k : kinds_) log_sum += k.weight * std::log2(k.smoothed), n += k.weight;
-        if (n > 0) fleet_ = std::exp2(log_sum / n);
-        for (std::size_t k = 0; k < kinds_.size(); ++k) {
-            if (!kinds_[k].stirred) continue;
-            kinds_[k].learn(fleet_);
-            for (std::size_t i = 0; i < runners_.size(); ++i)
-                if (kind(runners_[i]) == k) reckon(i);
+        if (n > 0) usual_latency_ = std::exp2(log_sum / n);
+        for (Kind& k : kinds_) {
+            if (!k.stirred) continue;
+            k.learn(usual_latency_);
+            for (Runner& r : runners_)
+                if (&kinds_[r.kind()] == &k) reckon(r);
         }
-        for (const std::size_t i : sampled_) {
-            Runner& r = runners_[i];
-            if (r.stirred) r.smoothed = r.latency.middle(kinds_[kind(r)].smoothed, 2);
-            r.stirred = false;
-            // The least seen is let go slowly, against a lucky spell that is never reached again.
-            r.least = r.least > 0 ? std::min(r.smoothed, r.least * 1.02) : r.smoothed;
-            reckon(i);
+        for (const std::size_t i : runners_.sampled) {
+            runners_[i].learn(kinds_[runners_[i].kind()].smoothed);
+            reckon(runners_[i]);
         }
     }
 
     // The marginal delay, and in Newton's spirit (paper, section 5) each runner's own second derivative to
     // scale its step: a bound over all stations is too small to move anything.
-    void reckon(std::size_t i) {
-        const Runner& r = runners_[i];
+    void reckon(const Runner& r) {
         const double t = latency_of(r), s = r.sampled ? r.least : t;
-        marginal_[i] = !r.ready ? kNever : r.busy > 0 ? t / (1 - std::min(r.busy, 0.95F)) : t * t / s;
-        eta_[i] = s / (2 * t * t * t);
+        Share& share = runners_.share(r);
+        share.marginal = !r.ready ? kNever : r.busy > 0 ? t / (1 - std::min(r.busy, 0.95F)) : t * t / s;
+        share.eta = s / (2 * t * t * t);
     }
 
     void step() {
         estimate();
-        const double least =
-            marginal_.empty() ? kNever : *std::min_element(marginal_.begin(), marginal_.end());
+        std::vector<Share>& table = runners_.table;
+        double least = kNever, moved = 0;
+        for (const Share& s : table) least = std::min(least, s.marginal);
         if (least == kNever) return;
-        auto best = static_cast<std::size_t>(uniform() * static_cast<double>(marginal_.size()));
-        while (marginal_[best] != least) best = (best + 1) % marginal_.size();
+        auto best = static_cast<std::size_t>(uniform() * static_cast<double>(table.size()));
+        while (table[best].marginal != least) best = (best + 1) % table.size();
         // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
-        const double x = std::max({rate_, kFewJobs, static_cast<double>(ready_) / 4}) * job_seconds_;
-        double moved = 0;
-        for (std::size_t i = 0; i < fractions_.size(); ++i) {
-            const double move = std::min(fractions_[i] / 2, eta_[i] * (marginal_[i] - least) / x);
-            fractions_[i] -= move;
+        const double x = std::max({rate_, kFewJobs, runners_.ready / 4.0}) * job_seconds_;
+        for (Share& s : table) {
+            const double move = std::min(s.fraction / 2, s.eta * (s.marginal - least) / x);
+            s.fraction -= move;
             moved += move;
         }
-        fractions_[best] += moved;
-        rescale();
-    }
-
-    void rescale() {
-        double sum = 0;
-        for (const double f : fractions_) sum += f;
-        near_sum_ = 0;
-        for (std::size_t i = 0; i < fractions_.size(); ++i) {
-            fractions_[i] = sum > 0 ? fractions_[i] / sum : 0;
-            if (i < runners_.near()) near_sum_ += fractions_[i];
-        }
+        table[best].fraction += moved;
+        runners_.rescale();
     }
 
     // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
     // After a few vain draws all that have room are looked at, and the draw is made over them.
     Runner* draw(const Task& task, bool stretch = false) {
-        for (int tries = 0; !looked_ && near_sum_ > 1e-6 && tries < kDraws; ++tries) {
-            double at = uniform() * near_sum_;
+        for (int tries = 0; !looked_ && runners_.near_sum > 1e-6 && tries < kDraws; ++tries) {
+            double at = uniform() * runners_.near_sum;
             std::size_t i = 0;
-            while (i + 1 < runners_.near() && (at -= fractions_[i]) >= 0) ++i;
+            while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             if (makes(r, task) && may_take(r, task, stretch)) return &r;
         }
@@ -183,18 +147,17 @@
         for (const int way : {3, 2, 1, 0}) {
             for (Runner* r : open_)
                 if (2 * makes(*r, task) + r->near == way && may_take(*r, task, stretch))
-                    able_.push_back(r), sum += fractions_[runners_.place(*r)];
+                    able_.push_back(r), sum += runners_.share(*r).fraction;
             if (!able_.empty()) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
-            if ((at -= fractions_[runners_.place(*r)]) < 0) return r;
+            if ((at -= runners_.share(*r).fraction) < 0) return r;
         return able_.empty() ? nullptr : able_.back();
     }
 
     void look() {
-        if (looked_) return;
-        looked_ = true;
+        if (std::exchange(looked_, true)) return;
         open_.clear();
         for (Runner& r : runners_)
             if (is_open(r, true)) open_.push_back(&r);
@@ -206,11 +169,9 @@
         const auto load = Load::read(orders_.report_names, report);
         if (!load) return;
         r.busy = static_cast<float>(load->busy);
-        if (r.busy > 0) sample(r);
-        if (load->held < 0) {
-            r.slots = std::max(r.slots, load->free);
-            return;
-        }
+        if (r.busy > 0) sample(r, 0);
+        if (load->held < 0) r.slots = std::max(r.slots, load->free);
+        if (load->held < 0) return;
         // Against late reports: one that misses what was sent long ago tells of another time, and soon no
         // report is believed.
         if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
@@ -224,13 +185,18 @@
         seen_own_ += r.out, seen_all_ += load->held;
     }
 
-    void sample(Runner& r) {
+    void sample(Runner& r, double latency) {
+        r.latency.add(latency);
         r.stirred = true;
         if (r.sampled) return;
+        r.smoothed = r.least = latency_of(r);
         r.sampled = true;
-        sampled_.push_back(runners_.place(r));
+        runners_.sampled.push_back(runners_.place(r));
     }
 
+    // For half a usual task: so long does a slot take to come free.
+    void leave_alone(Runner& r) { r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5); }
+
     bool blind() const { return orders_.knows_held && now_ < late_reports_until_; }
 
     double crowd(const Runner& r) const {
@@ -269,8 +235,7 @@
                                 static_cast<double>(task.wanted);
     }
 
-    // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle for
-    // long.
+    // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
     double least_room(const Runner& r) const { return fresh(r) ? 0.5 : 0.25; }
 
     // A probe unanswered for long tells as much as one that finds no room.
@@ -296,10 +261,10 @@
         int aside = 0;
         for (const Runner& other : runners_) aside += other.ready && now_ < other.aside_until;
         // If half the fleet looks bad at once, it is our view that is bad.
-        if (2 * aside >= ready_) return;
+        if (2 * aside >= runners_.ready) return;
         r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
         r.trial = true;
-        log("set aside " + text(r.entry.runner) + ": " + why);
+        log_.say(now_, r.entry.runner, why);
     }
 
     // ---- 3. cold -----------------------------------------------------------------------------------------
@@ -329,7 +294,7 @@
         // Where peers tell what they send, all count against most of the whole. Else half of an even part is
         // ours, as one dispatcher may carry most of the traffic; a task too large for that goes only where
         // nobody is known to have anything, within a quarter of the whole.
-        if (words_) return (circles_ == 1 || r.near) && sent + cost <= whole * 0.75;
+        if (words_) return r.told && sent + cost <= whole * 0.75;
         return sent + cost <= whole / 2 / orders_.dispatchers ||
                (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
     }
@@ -338,8 +303,7 @@
 
     void give_up(Task& task) {
         task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
-        // What is too late for its due time is not worth another try: the client is asked to stay away
-        // longest.
+        // What is too late is not worth another try: the client is asked to stay away longest.
         task.stay_away = orders_.max_away;
         close(task);
     }
@@ -352,28 +316,26 @@
     }
 
     bool may_bounce(const Task& task) {
-        const Workload& w = workload(task);
-        return w.effect == Effect::idempotent ||
-               (w.effect == Effect::fingerprinted && w.group == RepeatGroup::all) ||
-               task.all_legs(&Leg::never_ran);
+        return workload(task).repeats_anywhere() || task.all_legs(&Leg::never_ran);
     }
 
     // Best worth first, then the newest: under overload the oldest would all be served just too late.
-    using Order = std::vector<std::pair<std::array<double, 3>, TaskId>>;
-    Order sorted_held() {
-        Order order;
+    std::vector<Task*> sorted_held() {
+        std::vector<Task*> order;
         for (const TaskId id : held_) {
-            const auto found = tasks_.find(id);
-            if (found == tasks_.end() || !found->second.held) continue;
-            Task& t = found->second;
-            if (now_ < t.latest_start) {
-                order.push_back({{now_ > t.due ? 1.0 : 0.0, -t.worth, -static_cast<double>(t.born)}, id});
+            Task* const t = tasks_.find(id);
+            if (!t || !t->held) continue;
+            if (now_ < t->latest_start) {
+                order.push_back(t);
                 continue;
             }
             overload_until_ = now_ + kPeriod;
-            give_up(t);
+            give_up(*t);
         }
-        std::sort(order.begin(), order.end());
+        const auto rank = [this](const Task* t) {
+            return std::tuple(now_ > t->due, -t->worth, -t->born, t->asked.task);
+        };
+        std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return rank(a) < rank(b); });
         return order;
     }
 
@@ -382,19 +344,18 @@
         looked_ = false;
         int probing = 0;
         for (const auto& [id, at] : probes_out_) probing += now_ - at <= kPatience * orders_.resolution;
-        const Order order = sorted_held();
+        const std::vector<Task*> order = sorted_held();
         held_.clear();
-        for (const auto& [key, id] : order) {
-            if (looked_ && open_.empty()) {
-                held_.push_back(id);
-                continue;
-            }
-            Task& t = tasks_.at(id);
+        for (Task* const task : order) {
+            Task& t = *task;
+            held_.push_back(t.asked.task);
+            if (looked_ && open_.empty()) continue;
             Runner* r = t.drawn ? runners_.find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
             if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
             t.drawn.reset();
             if (r && fresh(*r)) {
+                held_.pop_back();
                 send(t, *r);
                 if (looked_ && !is_open(*r, true)) open_.erase(std::find(open_.begin(), open_.end(), r));
                 continue;
@@ -403,7 +364,6 @@
             // Probes cost: no more are out than tasks wait, and few where many do.
             if (r && !r->probing && probing < std::min<int>(kProbesOut, static_cast<int>(order.size())))
                 ask(*r), ++probing;
-            held_.push_back(id);
         }
     }
 
@@ -416,7 +376,7 @@
     void send(Task& task, Runner& r) {
         task.held = false;
         ++r.out;
-        if (words_ && (circles_ == 1 || r.near)) to_tell_.push_back(r.entry.runner);
+        if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
@@ -438,9 +398,7 @@
                 now_ + kPatience * orders_.resolution > leg.sent_at + w.window)
                 return false;
             const Runner* before = runners_.find(leg.runner);
-            if (!before || (w.group == RepeatGroup::zone && before->entry.zone != r.entry.zone) ||
-                (w.group == RepeatGroup::cell && before->entry.group != r.entry.group))
-                return false;
+            if (!before || !w.same_group(before->entry, r.entry)) return false;
         }
         return true;
     }
@@ -449,10 +407,10 @@
     // not begin in time: against queues in which a free runner next door is not seen and all is late.
     void watch() {
         while (!watch_.empty() && watch_.begin()->first <= now_) {
-            const auto found = tasks_.find(watch_.begin()->second);
+            Task* const found = tasks_.find(watch_.begin()->second);
             watch_.erase(watch_.begin());
-            if (found == tasks_.end() || found->second.over || found->second.held) continue;
-            Task& t = found->second;
+            if (!found || found->over || found->held) continue;
+            Task& t = *found;
             Leg& leg = t.legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
             if (now_ >= t.latest_start) {
@@ -484,21 +442,13 @@
             return;
         }
         if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
-        for (std::size_t i = 0; i < runners_.size(); ++i) runners_[i].fraction = fractions_[i];
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
-        const double mean = 1.0 / std::max(1, runners_.ready());
+        const double mean = 1.0 / std::max(1, runners_.count_ready());
         for (const RosterEntry& e : news.entries)
             if (Runner* r = runners_.find(e.runner)) enter(*r, e, mean);
-        for (auto* column : {&fractions_, &marginal_, &eta_}) column->resize(runners_.size());
-        sampled_.clear();
-        ready_ = runners_.ready();
-        for (std::size_t i = 0; i < runners_.size(); ++i) {
-            fractions_[i] = runners_[i].ready ? runners_[i].fraction : 0;
-            if (runners_[i].sampled) sampled_.push_back(i);
-            reckon(i);
-        }
-        rescale();
+        runners_.lay_out();
+        for (const Runner& r : runners_) reckon(r);
     }
 
     // Near is the own zone; where words to all peers would cost too much, peers and runners fall into circles
@@ -513,7 +463,8 @@
         const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
         r.ready = e.state == RunnerState::ready;
-        if (kind(r) >= kinds_.size()) kinds_.resize(kind(r) + 1);
+        r.told = words_ && (circles_ == 1 || r.near);
+        if (r.kind() >= kinds_.size()) kinds_.resize(r.kind() + 1);
         if (!r.ready || !started) return;
         // The mean fraction and estimate, whatever it was before: it is another process by now.
         r.fraction = mean_fraction;
@@ -543,50 +494,38 @@
         usual_cost_ += (t.cost - usual_cost_) / 64;
         t.due = t.born + w.due;
         t.wanted = t.due + static_cast<Micros>(t.cost * w.stretch);
-        if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - best_latency()));
+        double quickest = 1;
+        for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
+        if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
         // Against a queue in which all are late: what was never sent waits past its due time only a little.
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
-        if (!within_allowance(a.customer)) t.worth *= orders_.surplus;
+        // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part
+        // of the allowance is taken as our part of all the work in hand.
+        const auto who = static_cast<std::size_t>(a.customer);
+        if (who < orders_.allowances.size() &&
+            !customers_[a.customer].spend(orders_.allowances[who] * view_, now_))
+            t.worth *= orders_.surplus;
         held_.push_back(a.task);
-        tasks_[a.task] = std::move(t);
-    }
-
-    double best_latency() const {
-        double best = 1;
-        for (const Kind& k : kinds_) best = std::min(best, k.smoothed);
-        for (const std::size_t i : sampled_)
-            if (runners_[i].ready) best = std::min(best, runners_[i].smoothed);
-        return best;
-    }
-
-    // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part of
-    // the allowance is taken as our part of all the work in hand.
-    bool within_allowance(CustomerId id) {
-        if (static_cast<std::size_t>(id) >= orders_.allowances.size()) return true;
-        const double part = orders_.allowances[static_cast<std::size_t>(id)] * view_;
-        return customers_[id].spend(part, now_);
+        tasks_.add(std::move(t));
     }
 
     void heed(const StreamBegun& begun) {
-        const auto found = tasks_.find(begun.task);
-        if (found != tasks_.end()) found->second.streaming = true;
+        if (Task* t = tasks_.find(begun.task)) t->streaming = true;
     }
 
     void heed(const AssignmentEnded& e) {
-        const auto found = tasks_.find(e.task);
         Runner* r = runners_.find(e.runner);
-        if (found == tasks_.end() || !r) return;
-        Task& t = found->second;
-        if (e.assignment < 0 || static_cast<std::size_t>(e.assignment) >= t.legs.size()) return;
-        Leg& leg = t.legs[static_cast<std::size_t>(e.assignment)];
-        if (leg.ended) return;
+        Leg* const sent = tasks_.leg(e.task, e.assignment);
+        if (!r || !sent || sent->ended) return;
+        Task& t = *tasks_.find(e.task);
+        Leg& leg = *sent;
         leg.ended = true;
         leg.never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
-        if (words_ && (circles_ == 1 || r->near)) to_tell_.push_back(e.runner);
+        if (r->told) to_tell_.push_back(e.runner);
         judge(*r, t, leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -606,37 +545,32 @@
     void judge(Runner& r, const Task& t, const Leg& leg, const AssignmentEnded& e) {
         Workload& w = workload(t);
         const bool died = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
-        if (e.outcome == Outcome::withdrawn && !t.over) {
-            // What waited would have taken so much longer, and the runner has no room for a while.
-            const double latency = static_cast<double>(e.elapsed) / t.cost + latency_of(r);
-            r.latency.add(latency);
-            sample(r);
-            kinds_[kind(r)].add(latency);
-            r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
-        }
         const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
+        const double latency = static_cast<double>(e.elapsed) / t.cost;
         if (e.outcome == Outcome::finished) {
-            const double latency = static_cast<double>(e.elapsed) / t.cost;
             if (!orders_.tells_start) learn_slots(r, leg, latency < 1.5 * latency_of(r));
-            r.latency.add(latency);
-            sample(r);
-            kinds_[kind(r)].add(latency);
+            sample(r, latency);
+            kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
             r.trial = false;
+        } else if (e.outcome == Outcome::withdrawn && !t.over) {
+            // What waited would have taken so much longer.
+            sample(r, latency + latency_of(r));
+            kinds_[r.kind()].add(latency + latency_of(r));
+            leave_alone(r);
         } else if (e.outcome == Outcome::full || (failed && e.outcome != Outcome::connect_failed)) {
-            r.latency.add(static_cast<double>(w.expiry) / t.cost);
-            sample(r);
+            sample(r, static_cast<double>(w.expiry) / t.cost);
         }
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
-        if (e.outcome == Outcome::full) r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
+        if (e.outcome == Outcome::full) leave_alone(r);
         // A process that died is cold whenever it is back, and the roster says so only later.
         if (died) r.cold_from = now_;
         if (died || r.blame > 0.4) set_aside(r, died ? "it cannot be reached" : "it keeps failing");
     }
 
     void heed(const ClientLeft& left) {
-        const auto found = tasks_.find(left.task);
-        if (found != tasks_.end() && !found->second.over) close(found->second);
+        Task* t = tasks_.find(left.task);
+        if (t && !t->over) close(*t);
     }
 
     void heed(const TimerDue&) { wake_set_ = 0; }
@@ -652,7 +586,7 @@
             r->cold_from = now_;
             set_aside(*r, "a probe cannot reach it");
         } else {
-            r->full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5);
+            leave_alone(*r);
         }
     }
 
@@ -666,14 +600,10 @@
 
     void heed(const Progress& p) {
         Runner* r = runners_.find(p.runner);
-        if (!r) return;
-        const auto found = tasks_.find(p.task);
-        if (p.stage != Stage::begun || found == tasks_.end() || p.assignment < 0 ||
-            static_cast<std::size_t>(p.assignment) >= found->second.legs.size())
-            return;
-        Leg& leg = found->second.legs[static_cast<std::size_t>(p.assignment)];
-        leg.begun = true;
-        learn_slots(*r, leg, static_cast<double>(now_ - leg.sent_at) < job_seconds_ * 2e5);
+        Leg* leg = tasks_.leg(p.task, p.assignment);
+        if (!r || !leg || p.stage != Stage::begun) return;
+        leg->begun = true;
+        learn_slots(*r, *leg, static_cast<double>(now_ - leg->sent_at) < job_seconds_ * 2e5);
     }
 
     // ---- settling ----------------------------------------------------------------------------------------
@@ -686,13 +616,14 @@
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
         peers_.forget_silent_since(now_ - 3 * kPeriod, runners_);
-        if (!orders_.knows_held && words_)
+        if (!orders_.knows_held)
             for (const Runner& r : runners_)
-                if (circles_ == 1 || r.near) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
+                if (r.told) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
         if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
-            for (const std::size_t i : sampled_) runners_[i].latency.halve(), runners_[i].stirred = true;
+            for (const std::size_t i : runners_.sampled)
+                runners_[i].latency.halve(), runners_[i].stirred = true;
             for (Kind& k : kinds_) k.latency.halve(), k.weight /= 2;
             for (Workload& w : workloads_) w.latency.halve();
             seen_own_ /= 2, seen_all_ /= 2;
@@ -728,10 +659,10 @@
         asking_ = true;
         out.push_back(FollowRoster{true});
     }
-    for (std::size_t i = 0; i < touched_.size(); ++i) {
-        const auto found = tasks_.find(touched_[i]);
-        if (found == tasks_.end()) continue;
-        Task& t = found->second;
+    for (const TaskId id : touched_) {
+        Task* const found = tasks_.find(id);
+        if (!found) continue;
+        Task& t = *found;
         for (std::size_t n = 0; n < t.legs.size(); ++n) {
             Leg& leg = t.legs[n];
             if (leg.wanted && !leg.sent) {
@@ -745,7 +676,7 @@
         if (t.verdict == Verdict::bounce) out.push_back(Bounce{t.asked.task, t.stay_away});
         if (t.verdict == Verdict::abandon) out.push_back(Abandon{t.asked.task});
         t.verdict = Verdict::none;
-        if (t.over && t.all_legs(&Leg::ended)) tasks_.erase(found);
+        if (t.over && t.all_legs(&Leg::ended)) tasks_.erase(id);
     }
     touched_.clear();
     for (const RunnerId id : to_probe_) {
@@ -759,12 +690,12 @@
     }
     to_probe_.clear();
     if (words_ && (period_over_ || !to_tell_.empty())) {
-        const PeerWords words = runners_.changes_out(to_tell_, period_over_, circles_ > 1);
+        const PeerWords words = runners_.changes_out(to_tell_, period_over_);
         to_tell_.clear();
         if (!words.out.empty() && circles_ == 1) out.push_back(TellPeers{spell(words)});
-        if (!words.out.empty() && circles_ > 1)
-            for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
-                if (peer != orders_.me) out.push_back(TellPeer{PeerId(peer), spell(words)});
+        for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
+            if (!words.out.empty() && circles_ > 1 && peer != orders_.me)
+                out.push_back(TellPeer{PeerId(peer), spell(words)});
     }
     Micros wake = next_period_;
     if (!watch_.empty()) wake = std::min(wake, watch_.begin()->first);
@@ -775,15 +706,12 @@
         wake_set_ = wake;
         out.push_back(WakeAt{wake, TimerMark{}});
     }
-    for (std::string& line : lines_) out.push_back(LogLine{std::move(line)});
-    lines_.clear();
+    for (std::string& line : log_.taken()) out.push_back(LogLine{std::move(line)});
 }
 
 Choice::Choice(const StatedOrders& orders, std::uint64_t seed)
     : desk_(std::make_unique<Desk>(orders, seed)) {}
 Choice::~Choice() = default;
-Choice::Choice(Choice&&) noexcept = default;
-Choice& Choice::operator=(Choice&&) noexcept = default;
 void Choice::note(Micros now, const Event& event) { desk_->note(now, event); }
 void Choice::settle(Micros now, std::vector<Action>& out) { desk_->settle(now, out); }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -18,8 +18,6 @@
   public:
     Choice(const StatedOrders& orders, std::uint64_t seed);
     ~Choice();
-    Choice(Choice&&) noexcept;
-    Choice& operator=(Choice&&) noexcept;
 
     void note(Micros now, const Event& event);
     void settle(Micros now, std::vector<Action>& out);
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,13 @@
 
 class Fleet {
   public:
+    // The split table, in the order of the runners; small and apart from them, since a fleet may be large and
+    // a period must cost little to a dispatcher with hardly a task in it.
+    std::vector<Share> table;
+    double near_sum = 0;               // of the near ones' fractions
+    std::vector<std::size_t> sampled;  // the runners with samples of their own
+    int ready = 0;
+
     std::vector<Runner>::iterator begin() { return runners_.begin(); }
     std::vector<Runner>::iterator end() { return runners_.end(); }
     Runner& operator[](std::size_t place) { return runners_[place]; }
@@ -20,6 +28,7 @@
     std::size_t size() const { return runners_.size(); }
     bool empty() const { return runners_.empty(); }
     std::size_t near() const { return near_; }  // the near ones stand first
+    Share& share(const Runner& r) { return table[place(r)]; }
     std::size_t place(const Runner& r) const { return static_cast<std::size_t>(&r - runners_.data()); }
 
     Runner* find(RunnerId id) {
@@ -34,6 +43,7 @@
     // Makes place for ready runners not seen before, in that of those that are gone for good.
     template <class Near>
     void seat(const std::vector<RosterEntry>& entries, Near is_near) {
+        for (std::size_t i = 0; i < size(); ++i) runners_[i].fraction = table[i].fraction;
         std::vector<Runner> joined;
         for (const RosterEntry& e : entries) {
             if (e.state != RunnerState::ready || find(e.runner)) continue;
@@ -61,16 +71,43 @@
             r.ready = r.ready && std::binary_search(listed.begin(), listed.end(), r.entry.runner);
     }
 
-    int ready() const {
+    // The split table anew after a change of the list; what is not ready has no share.
+    void lay_out() {
+        table.resize(size());
+        ready = count_ready();
+        sampled.clear();
+        for (std::size_t i = 0; i < size(); ++i) {
+            table[i].fraction = runners_[i].ready ? runners_[i].fraction : 0;
+            if (runners_[i].sampled) sampled.push_back(i);
+        }
+        rescale();
+    }
+
+    void rescale() {
+        double sum = 0;
+        for (const Share& s : table) sum += s.fraction;
+        for (Share& s : table) s.fraction = sum > 0 ? s.fraction / sum : 0;
+        near_sum = 0;
+        for (std::size_t i = 0; i < near_; ++i) near_sum += table[i].fraction;
+    }
+
+    std::map<RunnerId, double> shares() const {
+        std::map<RunnerId, double> of;
+        for (std::size_t i = 0; i < size(); ++i)
+            if (runners_[i].ready) of[runners_[i].entry.runner] = table[i].fraction;
+        return of;
+    }
+
+    int count_ready() const {
         return static_cast<int>(
             std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.ready; }));
     }
 
     // What is out at those touched, where it differs from what was last told; or at all.
-    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all, bool near_only) {
+    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all) {
         PeerWords words{all, {}};
         for (Runner& r : runners_)
-            if (all && r.out > 0 && (r.near || !near_only)) words.out[r.entry.runner] = r.told_out = r.out;
+            if (all && r.told && r.out > 0) words.out[r.entry.runner] = r.told_out = r.out;
         for (const RunnerId id : touched) {
             Runner* r = find(id);
             if (r && r->out != r->told_out) words.out[id] = r->told_out = r->out;
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -36,6 +38,15 @@
         kind = static_cast<int>(orders.number_in("trade.class_kind", place, -1));
     }
 
+    bool repeats_anywhere() const {
+        return effect == Effect::idempotent || (effect == Effect::fingerprinted && group == RepeatGroup::all);
+    }
+    // Whether one would drop a repeat of what the other ran.
+    bool same_group(const RosterEntry& a, const RosterEntry& b) const {
+        return group == RepeatGroup::all ||
+               (group == RepeatGroup::zone ? a.zone == b.zone : a.group == b.group);
+    }
+
     Effect effect{};
     RepeatGroup group{};
     Micros due = 1'000'000, expiry = 1'000'000, window = 0;
@@ -81,9 +92,46 @@
     }
 };
 
+// Lines for the operators, few enough to be read.
+class Logbook {
+  public:
+    void say(Micros now, RunnerId about, const char* why) {
+        if (now < next_) return;
+        next_ = now + 250'000;
+        lines_.push_back("set aside runner " + std::to_string(static_cast<std::uint32_t>(about)) + ": " +
+                         why);
+    }
+    std::vector<std::string> taken() { return std::exchange(lines_, {}); }
+
+  private:
+    std::vector<std::string> lines_;
+    Micros next_ = 0;
+};
+
+class TaskBook {
+  public:
+    Task* find(TaskId id) {
+        const auto found = tasks_.find(id);
+        return found == tasks_.end() ? nullptr : &found->second;
+    }
+    Leg* leg(TaskId id, int number) {
+        Task* const t = find(id);
+        const auto place = static_cast<std::size_t>(number);
+        return t && number >= 0 && place < t->legs.size() ? &t->legs[place] : nullptr;
+    }
+    void add(Task&& t) {
+        const TaskId id = t.asked.task;
+        tasks_[id] = std::move(t);
+    }
+    void erase(TaskId id) { tasks_.erase(id); }
+
+  private:
+    std::unordered_map<TaskId, Task> tasks_;
+};
+
 struct Runner {
     RosterEntry entry;
-    bool ready = false, near = false, probing = false, want_probe = false, trial = false;
+    bool ready = false, near = false, told = false, probing = false, want_probe = false, trial = false;
     bool sampled = false, stirred = false;  // has samples of its own; has new ones
     float blame = 0, busy = 0;
     double fraction = 0, smoothed = 1, least = 0;
@@ -94,6 +142,14 @@
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
     std::vector<std::pair<Micros, double>> cold_sends;
 
+    // No real fleet has more kinds: against an entry that names an absurd one.
+    std::size_t kind() const { return std::min(static_cast<std::size_t>(entry.kind), std::size_t{255}); }
+    void learn(double prior) {
+        if (stirred) smoothed = latency.middle(prior, 2);
+        stirred = false;
+        // The least seen is let go slowly, against a lucky spell that is never reached again.
+        least = least > 0 ? std::min(smoothed, least * 1.02) : smoothed;
+    }
     void forget_cold(Micros before) {
         std::erase_if(cold_sends, [before](const auto& send) { return send.first < before; });
     }
@@ -104,6 +160,11 @@
     }
 };
 
+// A runner's row in the split table.
+struct Share {
+    double fraction = 0, marginal = 0, eta = 0;
+};
+
 // What the runners of one kind of machine did. Small changes are left out: each concerns a whole fleet.
 struct Kind {
     Histogram latency;
