--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,7 +32,6 @@
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
-constexpr double kHandful = 8;  // probes that a runner should see at most from all dispatchers together
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr double kNever = std::numeric_limits<double>::infinity();
@@ -473,9 +472,6 @@
         r.least = r.blame = 0;
         r.aside_until = 0;
         r.cold_from = e.started_at > 0 ? std::min(e.started_at, now_) : -1;
-        // All dispatchers together ask a new runner a handful of times, however many they are.
-        if (orders_.probes && !orders_.report_names.empty() && uniform() * orders_.dispatchers < kHandful)
-            ask(r);
     }
 
     void heed(const TaskArrived& a) {
@@ -628,13 +624,6 @@
             for (Workload& w : workloads_) w.latency.halve();
             seen_own_ /= 2, seen_all_ /= 2;
         }
-        // Where no answer carries what a runner holds, some are asked now and then: there is no other news of
-        // them. All dispatchers together ask each a few times a period.
-        if (!orders_.probes || orders_.knows_held || orders_.report_names.empty() || runners_.empty()) return;
-        const double each = std::min(0.4, kFewJobs / orders_.dispatchers);
-        for (double n = each * static_cast<double>(runners_.size()); n > 0; --n)
-            if (n >= 1 || uniform() < n)
-                ask(runners_[static_cast<std::size_t>(uniform() * static_cast<double>(runners_.size()))]);
     }
 
     void emit(std::vector<Action>& out);
