--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -138,7 +138,7 @@
             std::size_t i = 0;
             while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            if (may_take(r, task, stretch)) return &r;
+            if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
         }
         look();
         double sum = 0;
@@ -146,12 +146,12 @@
         for (const bool near : {true, false}) {
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
-                    able_.push_back(r), sum += runners_.share(*r).fraction;
+                    able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
             if (!able_.empty()) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
-            if ((at -= runners_.share(*r).fraction) < 0) return r;
+            if ((at -= runners_.share(*r).fraction * warmth(*r)) < 0) return r;
         return able_.empty() ? nullptr : able_.back();
     }
 
