--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -138,21 +138,20 @@
             std::size_t i = 0;
             while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            // Against all who draw it unseen: a cold one counts only as far as it is warm.
-            if (uniform() <= warmth(r) && makes(r, task) && may_take(r, task, stretch)) return &r;
+            if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
         }
         look();
         double sum = 0;
         able_.clear();
-        for (const int way : {3, 2, 1, 0}) {
+        for (const bool near : {true, false}) {
             for (Runner* r : open_)
-                if (2 * makes(*r, task) + r->near == way && may_take(*r, task, stretch))
-                    able_.push_back(r), sum += runners_.share(*r).fraction;
+                if (r->near == near && may_take(*r, task, stretch))
+                    able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
             if (!able_.empty()) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
-            if ((at -= runners_.share(*r).fraction) < 0) return r;
+            if ((at -= runners_.share(*r).fraction * warmth(*r)) < 0) return r;
         return able_.empty() ? nullptr : able_.back();
     }
 
@@ -228,12 +227,6 @@
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
-    // Against half-warm runners taking what will be late there while a warm one has room.
-    bool makes(const Runner& r, const Task& task) const {
-        const double takes = task.cost * latency_of(r) / warmth(r);
-        return warmth(r) >= 1 || static_cast<double>(now_) + takes <= static_cast<double>(task.wanted);
-    }
-
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
     double least_room(const Runner& r) const { return fresh(r) ? 0.5 : 0.25; }
 
