--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -71,7 +71,7 @@
     PeerBook peers_;
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0;
-    Micros check_at_ = 0, ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
@@ -371,13 +371,9 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
+        if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
-        if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
-        if (!orders_.probes || !orders_.knows_held || now_ < check_at_) return;
-        // Once a period a report is tried against what must be seen in it: with few tasks nothing else would.
-        check_at_ = now_ + kPeriod;
-        watch_.emplace(now_ + 20 * orders_.resolution, task.asked.task);
     }
 
     // ---- 5. further assignments --------------------------------------------------------------------------
@@ -409,9 +405,7 @@
             Task& t = *found;
             Leg& leg = t.legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
-            if (!orders_.tells_start) {
-                if (Runner* r = runners_.find(leg.runner)) ask(*r);
-            } else if (now_ >= t.latest_start) {
+            if (now_ >= t.latest_start) {
                 give_up(t);
             } else if (orders_.cancelling && workload(t).effect != Effect::side_effecting && may_follow(t)) {
                 leg.wanted = false;
