--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -133,13 +133,10 @@
     // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
     // After a few vain draws all that have room are looked at, and the draw is made over them.
     Runner* draw(const Task& task, bool stretch = false) {
-        // While no report is believed near ones are not preferred: work would drown one zone unseen.
-        const std::size_t span = blind() ? runners_.size() : runners_.near();
-        const double whole = blind() ? 1 : runners_.near_sum;
-        for (int tries = 0; !looked_ && span > 0 && whole > 1e-6 && tries < kDraws; ++tries) {
-            double at = uniform() * whole;
+        for (int tries = 0; !looked_ && runners_.near_sum > 1e-6 && tries < kDraws; ++tries) {
+            double at = uniform() * runners_.near_sum;
             std::size_t i = 0;
-            while (i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
+            while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
         }
@@ -148,7 +145,7 @@
         able_.clear();
         for (const bool near : {true, false}) {
             for (Runner* r : open_)
-                if ((r->near || blind()) == near && may_take(*r, task, stretch))
+                if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
             if (!able_.empty()) break;
         }
