--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -353,9 +353,11 @@
                 continue;
             }
             if (r) t.drawn = r->entry.runner;
-            // Probes cost: no more are out than tasks wait, and few where many do.
-            if (r && !r->probing && probing < std::min<int>(kProbesOut, static_cast<int>(order.size())))
-                ask(*r), ++probing;
+            // Probes cost: few are out at once, and the longer a task has waited the longer it waits between
+            // them, so that of all who wait for a slot, here and elsewhere, the newest tend to find it.
+            if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
+            t.ask_after = now_ + (now_ - t.born) / 8;
+            ask(*r), ++probing;
         }
     }
 
