--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -356,7 +356,7 @@
             // Probes cost: few are out at once, and the longer a task has waited the longer it waits between
             // them, so that of all who wait for a slot, here and elsewhere, the newest tend to find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
-            t.ask_after = now_ + (now_ - t.born) / 8;
+            t.ask_after = now_ + (now_ - t.born) / 16;
             ask(*r), ++probing;
         }
     }
