--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -138,7 +138,8 @@
             std::size_t i = 0;
             while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
+            // Against all who draw it unseen: where no words tell, a cold one counts only as far as it is warm.
+            if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
         look();
         double sum = 0;
