--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,21 +1,14 @@
-// Every decision of a dispatcher, and nothing else. The interface is
-// choice.hpp, the words are types.hpp: construct with the stated orders and a
-// seed, note() each event, settle() once a batch.
+// Every decision of a dispatcher, and nothing else. The interface is choice.hpp, the words are types.hpp:
+// construct with the stated orders and a seed, note() each event, settle() once a batch.
 //
-// The ordinary path is the design's: split fractions over the ready runners,
-// each pick drawn from them, and once a period a clamped gradient step toward
-// the least marginal delay (docs/design.md). Beside it stand
-//   1. Room       a draw on a runner with no free slot is drawn again; probes
-//   and peers' words tell of slots
-//   2. Health     a runner that keeps failing or cannot be reached is set
-//   aside, and returns on trial
+// The ordinary path is the design's: split fractions over the ready runners, each pick drawn from them, and
+// once a period a clamped gradient step toward the least marginal delay (docs/design.md). Beside it stand
+//   1. Room       a draw on a runner with no free slot is drawn again; probes and peers' words tell of slots
+//   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is sent its part of a budget only
-//   4. Holding    what finds no room waits here, best worth first, and is
-//   answered once it cannot be in time
-//   5. Further    a lost assignment is followed by up to two more, none while
-//   overload is seen
-//   6. Roster     follow the list; draining, gone or missing ends all sending
-//   at once
+//   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
+//   5. Further    a lost assignment is followed by up to two more, none while overload is seen
+//   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
 #include <algorithm>
@@ -32,17 +25,15 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kPeriod = kSecond;    // the design's
-constexpr Micros kRest = 2 * kSecond;  // of a set-aside; up to as much again, so
-                                       // that not all come back at once
-constexpr int kFurther = 2;            // the operators' kept way
-constexpr int kProbesOut = 2;          // while many tasks wait: more would ask the same
-                                       // runners for the same slot
-constexpr int kPatience = 8;           // ticks for word that a task begins or a probe is answered
-constexpr double kFewJobs = 3;         // the design's floor for the own job rate
-constexpr double kWordsWorth = 0.01;   // of all service, for words to all peers;
-                                       // more buys less than it costs
-constexpr int kDraws = 6;              // vain ones, before all runners are looked at
+constexpr Micros kPeriod = kSecond;  // the design's
+constexpr Micros kRest =
+    2 * kSecond;                // of a set-aside; up to as much again, so that not all come back at once
+constexpr int kFurther = 2;     // the operators' kept way
+constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
+constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
+constexpr double kFewJobs = 3;  // the design's floor for the own job rate
+constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
+constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
@@ -72,8 +63,7 @@
     Fleet runners_;
     std::vector<Kind> kinds_;
     TaskBook tasks_;
-    std::vector<Runner*> open_,
-        able_;  // with room, while the held are placed; for the one drawn now
+    std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
     std::vector<RunnerId> to_probe_, to_tell_;
     std::vector<std::pair<RunnerId, Micros>> probes_out_;
@@ -89,15 +79,13 @@
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
-    // Of a runner without samples of its own its kind's are the best guess: in a
-    // large fleet most have none.
+    // Of a runner without samples of its own its kind's are the best guess: in a large fleet most have none.
     double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[r.kind()].smoothed; }
 
-    // ---- the design
-    // --------------------------------------------------------------------------------------
+    // ---- the design --------------------------------------------------------------------------------------
 
-    // The smoothed latency, with the kind's as its prior: a new runner starts at
-    // the mean estimate. Only what has changed is reckoned anew.
+    // The smoothed latency, with the kind's as its prior: a new runner starts at the mean estimate. Only what
+    // has changed is reckoned anew.
     void estimate() {
         double log_sum = 0, n = 0;
         for (Kind& k : kinds_) log_sum += k.weight * std::log2(k.smoothed), n += k.weight;
@@ -114,9 +102,8 @@
         }
     }
 
-    // The marginal delay, and in Newton's spirit (paper, section 5) each runner's
-    // own second derivative to scale its step: a bound over all stations is too
-    // small to move anything.
+    // The marginal delay, and in Newton's spirit (paper, section 5) each runner's own second derivative to
+    // scale its step: a bound over all stations is too small to move anything.
     void reckon(const Runner& r) {
         const double t = latency_of(r), s = r.sampled ? r.least : t;
         Share& share = runners_.share(r);
@@ -132,8 +119,7 @@
         if (least == kNever) return;
         auto best = static_cast<std::size_t>(uniform() * static_cast<double>(table.size()));
         while (table[best].marginal != least) best = (best + 1) % table.size();
-        // The floor grows with the fleet: a flow of which hardly a task goes to
-        // each runner says as little.
+        // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
         const double x = std::max({rate_, kFewJobs, runners_.ready / 4.0}) * job_seconds_;
         for (Share& s : table) {
             const double move = std::min(s.fraction / 2, s.eta * (s.marginal - least) / x);
@@ -144,17 +130,16 @@
         runners_.rescale();
     }
 
-    // A draw from the fractions over those that can take the task: drawn until
-    // one can, near ones first. After a few vain draws all that have room are
-    // looked at, and the draw is made over them.
+    // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
+    // After a few vain draws all that have room are looked at, and the draw is made over them.
     Runner* draw(const Task& task, bool stretch = false) {
         for (int tries = 0; !looked_ && runners_.near_sum > 1e-6 && tries < kDraws; ++tries) {
             double at = uniform() * runners_.near_sum;
             std::size_t i = 0;
             while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            // Against all who draw it unseen: where no words tell, a cold one counts
-            // only as far as it is warm.
+            // Against all who draw it unseen: where no words tell, a cold one counts only as far as it is
+            // warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
         look();
@@ -179,8 +164,7 @@
             if (is_open(r, true)) open_.push_back(&r);
     }
 
-    // ---- 1. room
-    // -----------------------------------------------------------------------------------------
+    // ---- 1. room -----------------------------------------------------------------------------------------
 
     void read_report(Runner& r, const Report& report) {
         const auto load = Load::read(orders_.report_names, report);
@@ -189,8 +173,8 @@
         if (r.busy > 0) sample(r, 0);
         if (load->held < 0) r.slots = std::max(r.slots, load->free);
         if (load->held < 0) return;
-        // Against late reports: one that misses what was sent long ago tells of
-        // another time, and soon no report is believed.
+        // Against late reports: one that misses what was sent long ago tells of another time, and soon no
+        // report is believed.
         if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
             doubt_ = doubt_ * 31 / 32 + (load->held < r.out ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
@@ -219,8 +203,7 @@
     double crowd(const Runner& r) const {
         double others = r.peers_out;
         if (orders_.knows_held && r.reported_at >= 0) {
-            // What others had there runs off unseen; without this a full runner would
-            // stay full for ever.
+            // What others had there runs off unseen; without this a full runner would stay full for ever.
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
             others = std::max(others, r.others * std::exp(-age / job_seconds_ / 2));
         }
@@ -239,16 +222,14 @@
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
-    // Where nobody reports what a runner holds, its slots show in what starts, or
-    // ends, without a wait.
+    // Where nobody reports what a runner holds, its slots show in what starts, or ends, without a wait.
     void learn_slots(Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held) return;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
-    // On old news a slot need not be likely, a probe will tell: one that others
-    // left must not stand idle.
+    // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
     double least_room(const Runner& r) const { return fresh(r) ? 0.5 : 0.25; }
 
     // A probe unanswered for long tells as much as one that finds no room.
@@ -267,8 +248,7 @@
         return effect_allows(r, task) && cold_allows(r, cold_cost(r, task));
     }
 
-    // ---- 2. health
-    // ---------------------------------------------------------------------------------------
+    // ---- 2. health ---------------------------------------------------------------------------------------
 
     void set_aside(Runner& r, const char* why) {
         if (now_ < r.aside_until) return;
@@ -281,8 +261,7 @@
         log_.say(now_, r.entry.runner, why);
     }
 
-    // ---- 3. cold
-    // -----------------------------------------------------------------------------------------
+    // ---- 3. cold -----------------------------------------------------------------------------------------
 
     double warmth(const Runner& r) const {
         if (r.cold_from < 0) return 1;
@@ -290,8 +269,7 @@
         return std::min(1.0, orders_.cold_from + (1 - orders_.cold_from) * std::max(0.0, age));
     }
 
-    // A small task weighs as much as the usual one: many small ones push a runner
-    // over just as well.
+    // A small task weighs as much as the usual one: many small ones push a runner over just as well.
     double cold_cost(const Runner& r, const Task& task) const {
         return std::max(task.cost, usual_cost_) * latency_of(r);
     }
@@ -307,22 +285,19 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
                              static_cast<double>(orders_.cold_window);
-        // Where peers tell what they send, all count against most of the whole.
-        // Else half of an even part is ours, as one dispatcher may carry most of
-        // the traffic; a task too large for that goes only where nobody is known to
-        // have anything, within a quarter of the whole.
+        // Where peers tell what they send, all count against most of the whole. Else half of an even part is
+        // ours, as one dispatcher may carry most of the traffic; a task too large for that goes only where
+        // nobody is known to have anything, within a quarter of the whole.
         if (words_) return r.told && sent + cost <= whole * 0.75;
         return sent + cost <= whole / 2 / orders_.dispatchers ||
                (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
     }
 
-    // ---- 4. holding
-    // --------------------------------------------------------------------------------------
+    // ---- 4. holding --------------------------------------------------------------------------------------
 
     void give_up(Task& task) {
         task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
-        // What is too late is not worth another try: the client is asked to stay
-        // away longest.
+        // What is too late is not worth another try: the client is asked to stay away longest.
         task.stay_away = orders_.max_away;
         close(task);
     }
@@ -338,8 +313,7 @@
         return workload(task).repeats_anywhere() || task.all_legs(&Leg::never_ran);
     }
 
-    // Best worth first, then the newest: under overload the oldest would all be
-    // served just too late.
+    // Best worth first, then the newest: under overload the oldest would all be served just too late.
     std::vector<Task*> sorted_held() {
         std::vector<Task*> order;
         for (const TaskId id : held_) {
@@ -381,9 +355,8 @@
                 continue;
             }
             if (r) t.drawn = r->entry.runner;
-            // Probes cost: few are out at once, and the longer a task has waited the
-            // longer it waits between them, so that of all who wait for a slot, here
-            // and elsewhere, the newest tend to find it.
+            // Probes cost: few are out at once, and the longer a task has waited the longer it waits between
+            // them, so that of all who wait for a slot, here and elsewhere, the newest tend to find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
             t.ask_after = now_ + (now_ - t.born) / 16;
             ask(*r), ++probing;
@@ -407,19 +380,16 @@
         touched_.push_back(task.asked.task);
     }
 
-    // ---- 5. further assignments
-    // --------------------------------------------------------------------------
+    // ---- 5. further assignments --------------------------------------------------------------------------
 
-    // Rule 2, wherever a task is sent: what may have run binds where it may go
-    // next.
+    // Rule 2, wherever a task is sent: what may have run binds where it may go next.
     bool effect_allows(const Runner& r, const Task& task) {
         const Workload& w = workload(task);
         for (const Leg& leg : task.legs) {
             if (leg.never_ran) continue;
             if (!leg.ended && !orders_.parallel) return false;
             if (w.effect == Effect::idempotent) continue;
-            // The margin: the window counts from the sending, and what is sent now
-            // arrives a little later.
+            // The margin: the window counts from the sending, and what is sent now arrives a little later.
             if (w.effect == Effect::side_effecting ||
                 now_ + kPatience * orders_.resolution > leg.sent_at + w.window)
                 return false;
@@ -429,9 +399,8 @@
         return true;
     }
 
-    // Where runners tell when a task begins, one that waits there goes elsewhere,
-    // or is given up once it can not begin in time: against queues in which a
-    // free runner next door is not seen and all is late.
+    // Where runners tell when a task begins, one that waits there goes elsewhere, or is given up once it can
+    // not begin in time: against queues in which a free runner next door is not seen and all is late.
     void watch() {
         while (!watch_.empty() && watch_.begin()->first <= now_) {
             Task* const found = tasks_.find(watch_.begin()->second);
@@ -458,8 +427,7 @@
         return workload(task).effect != Effect::side_effecting || task.all_legs(&Leg::never_ran);
     }
 
-    // ---- events
-    // ------------------------------------------------------------------------------------------
+    // ---- events ------------------------------------------------------------------------------------------
 
     void heed(const RosterNews& news) {
         asking_ = false;
@@ -479,9 +447,8 @@
         for (const Runner& r : runners_) reckon(r);
     }
 
-    // Near is where room is known: the own zone where reports or all peers tell
-    // of it; where words to all would cost too much, the runners of the own
-    // circle, into which peers and runners fall by their numbers.
+    // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
+    // would cost too much, the runners of the own circle, into which peers and runners fall by their numbers.
     bool near(const RosterEntry& e) const {
         if (circles_ == 1) return e.zone == orders_.zone || !(orders_.knows_held || words_);
         return static_cast<std::uint32_t>(e.runner) * 2654435761U % static_cast<std::uint32_t>(circles_) ==
@@ -495,8 +462,7 @@
         r.told = words_ && (circles_ == 1 || r.near);
         if (r.kind() >= kinds_.size()) kinds_.resize(r.kind() + 1);
         if (!r.ready || !started) return;
-        // The mean fraction and estimate, whatever it was before: it is another
-        // process by now.
+        // The mean fraction and estimate, whatever it was before: it is another process by now.
         r.fraction = mean_fraction;
         r.latency.clear();
         r.sampled = r.stirred = r.trial = false;
@@ -512,8 +478,7 @@
         Workload& w = workloads_[kind_of_work];
         Task t;
         t.asked = a;
-        // A client's repeat keeps the first try's expiry, so what is missing of the
-        // usual is its age.
+        // A client's repeat keeps the first try's expiry, so what is missing of the usual is its age.
         const Micros late = std::max<Micros>(0, now_ + w.expiry - a.expiry);
         if (w.least_late < 0 || late < w.least_late) w.least_late = late;
         t.born = now_ - (late - w.least_late);
@@ -525,14 +490,12 @@
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
-        // Against a queue in which all are late: what was never sent waits past its
-        // due time only a little.
+        // Against a queue in which all are late: what was never sent waits past its due time only a little.
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
-        // Against one customer's surge pushing out the rest: what is beyond an
-        // allowance gives way. Our part of the allowance is taken as our part of
-        // all the work in hand.
+        // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part
+        // of the allowance is taken as our part of all the work in hand.
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, now_))
@@ -571,8 +534,7 @@
         touched_.push_back(e.task);
     }
 
-    // Failures count as the longest latency, so that failing fast never looks
-    // like being fast.
+    // Failures count as the longest latency, so that failing fast never looks like being fast.
     void judge(Runner& r, const Task& t, const Leg& leg, const AssignmentEnded& e) {
         Workload& w = workload(t);
         const bool died = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
@@ -594,8 +556,7 @@
         }
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
-        // A process that died is cold whenever it is back, and the roster says so
-        // only later.
+        // A process that died is cold whenever it is back, and the roster says so only later.
         if (died) r.cold_from = now_;
         if (died || r.blame > 0.4) set_aside(r, died ? "it cannot be reached" : "it keeps failing");
     }
@@ -638,8 +599,7 @@
         learn_slots(*r, *leg, static_cast<double>(now_ - leg->sent_at) < job_seconds_ * 2e5);
     }
 
-    // ---- settling
-    // ----------------------------------------------------------------------------------------
+    // ---- settling ----------------------------------------------------------------------------------------
 
     void end_period() {
         rate_ += (arrivals_ - rate_) / 4;
@@ -679,8 +639,7 @@
     emit(out);
 }
 
-// The only place that acts: what is wanted against what is, and the difference
-// goes out.
+// The only place that acts: what is wanted against what is, and the difference goes out.
 void Choice::Desk::emit(std::vector<Action>& out) {
     if (orders_.asks && !following_ && !asking_ && now_ >= ask_at_) {
         asking_ = true;
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -1,5 +1,5 @@
-// The runners of one dispatcher in a row that is cheap to walk and to search.
-// Keeps, finds and orders them only.
+// The runners of one dispatcher in a row that is cheap to walk and to search. Keeps, finds and orders them
+// only.
 #pragma once
 
 #include <algorithm>
@@ -14,9 +14,8 @@
 
 class Fleet {
   public:
-    // The split table, in the order of the runners; small and apart from them,
-    // since a fleet may be large and a period must cost little to a dispatcher
-    // with hardly a task in it.
+    // The split table, in the order of the runners; small and apart from them, since a fleet may be large and
+    // a period must cost little to a dispatcher with hardly a task in it.
     std::vector<Share> table;
     double near_sum = 0;               // of the near ones' fractions
     std::vector<std::size_t> sampled;  // the runners with samples of their own
@@ -41,8 +40,7 @@
         return found != runners_.end() && found->entry.runner == id ? &*found : nullptr;
     }
 
-    // Makes place for ready runners not seen before, in that of those that are
-    // gone for good.
+    // Makes place for ready runners not seen before, in that of those that are gone for good.
     template <class Near>
     void seat(const std::vector<RosterEntry>& entries, Near is_near) {
         for (std::size_t i = 0; i < size(); ++i) runners_[i].fraction = table[i].fraction;
@@ -74,8 +72,7 @@
             r.ready = r.ready && std::binary_search(listed.begin(), listed.end(), r.entry.runner);
     }
 
-    // The split table anew after a change of the list; what is not ready has no
-    // share.
+    // The split table anew after a change of the list; what is not ready has no share.
     void lay_out() {
         table.resize(size());
         ready = count_ready();
@@ -107,8 +104,7 @@
             std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.ready; }));
     }
 
-    // What is out at those touched, where it differs from what was last told; or
-    // at all.
+    // What is out at those touched, where it differs from what was last told; or at all.
     PeerWords changes_out(const std::vector<RunnerId>& touched, bool all) {
         PeerWords words{all, {}};
         for (Runner& r : runners_)
