Let a few tasks of a customer come at once before they are beyond its allowance

Cause: a dispatcher among hundreds has a part of an allowance far under one task a second, so that its second task of any customer counted as beyond.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -498,7 +498,7 @@
         // of the allowance is taken as our part of all the work in hand.
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
-            !customers_[a.customer].spend(orders_.allowances[who] * view_, now_))
+            !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
             t.worth *= orders_.surplus;
         held_.push_back(a.task);
         tasks_.add(std::move(t));
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -61,11 +61,11 @@
     double spent = 0;
     Micros at = 0;
 
-    // Whether one more is within what a second allows, a second's worth at once at most.
-    bool spend(double per_second, Micros now) {
+    // Whether one more is within what a second allows; at once a second's worth may come, or a few.
+    bool spend(double per_second, double few, Micros now) {
         spent = std::max(0.0, spent - per_second * static_cast<double>(now - at) / 1e6);
         at = now;
-        if (spent > per_second) return false;
+        if (spent > std::max(per_second, few)) return false;
         spent += 1;
         return true;
     }
