--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -240,11 +240,7 @@
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
-        // Under overload work beyond an allowance leaves a slot to what others, here or elsewhere, may ask
-        // for.
-        const double spare = task.surplus && orders_.knows_held && now_ < overload_until_ ? 1 : 0;
-        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r) + spare)
-            return false;
+        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
         const int kind = workload(task).kind;
         if (kind >= 0 && static_cast<int>(r.entry.kind) != kind) return false;
         for (const Leg& leg : task.legs)
@@ -503,7 +499,7 @@
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
-            t.worth *= orders_.surplus, t.surplus = true;
+            t.worth *= orders_.surplus;
         held_.push_back(a.task);
         tasks_.add(std::move(t));
     }
