--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -502,9 +502,6 @@
             t.worth *= orders_.surplus;
         held_.push_back(a.task);
         tasks_.add(std::move(t));
-        // Against a surge that others' work has to pass in every queue: what is far beyond waits for no slot.
-        if (now_ < overload_until_ && customers_[a.customer].excess > 4 * kFewJobs)
-            give_up(*tasks_.find(a.task));
     }
 
     void heed(const StreamBegun& begun) {
