--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -258,6 +258,7 @@
         if (2 * aside >= runners_.ready) return;
         r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
         r.trial = true;
+        if (r.told) to_tell_.push_back(r.entry.runner);
         log_.say(now_, r.entry.runner, why);
     }
 
@@ -587,7 +588,7 @@
         const auto words = read_words(said.words);
         if (!words || !words_ || static_cast<int>(said.from) >= orders_.dispatchers) return;
         peers_.hear(said.from, *words, now_, runners_, [this](Runner& r, int more) {
-            while (more-- > 0) count_cold(r, usual_cost_ * latency_of(r));
+            while (more < kWarning && more-- > 0) count_cold(r, usual_cost_ * latency_of(r));
         });
     }
 
@@ -676,7 +677,7 @@
     }
     to_probe_.clear();
     if (words_ && (period_over_ || !to_tell_.empty())) {
-        const PeerWords words = runners_.changes_out(to_tell_, period_over_);
+        const PeerWords words = runners_.changes_out(to_tell_, period_over_, now_);
         to_tell_.clear();
         if (!words.out.empty() && circles_ == 1) out.push_back(TellPeers{spell(words)});
         for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -104,15 +104,19 @@
             std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.ready; }));
     }
 
-    // What is out at those touched, where it differs from what was last told; or at all.
-    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all) {
+    // What is out at those touched, where it differs from what was last told; or at all. One set aside is
+    // told as having far more out than it can hold, so that peers find no room where this dispatcher found
+    // trouble.
+    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all, Micros now) {
         PeerWords words{all, {}};
+        const auto tell = [&](Runner& r) {
+            const int n = r.out + (now < r.aside_until ? kWarning : 0);
+            if (n != r.told_out || (all && n > 0)) words.out[r.entry.runner] = r.told_out = n;
+        };
         for (Runner& r : runners_)
-            if (all && r.told && r.out > 0) words.out[r.entry.runner] = r.told_out = r.out;
-        for (const RunnerId id : touched) {
-            Runner* r = find(id);
-            if (r && r->out != r->told_out) words.out[id] = r->told_out = r->out;
-        }
+            if (all && r.told) tell(r);
+        for (const RunnerId id : touched)
+            if (Runner* r = find(id)) tell(*r);
         return words;
     }
 
--- a/src/peer_words.hpp
+++ b/src/peer_words.hpp
@@ -17,6 +17,7 @@
 };
 
 inline constexpr std::size_t kLongestWords = 256;
+inline constexpr int kWarning = 200;  // more than any runner can hold, and still one byte
 
 // A letter, then a runner in four bytes and its count in one; what does not fit is left for the next time.
 inline std::string spell(const PeerWords& words) {
