--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,10 +24,9 @@
 namespace gannethold {
 namespace {
 
-constexpr Micros kSecond = 1'000'000;
-constexpr Micros kPeriod = kSecond;  // the design's
+constexpr Micros kPeriod = 1'000'000;  // the design's
 constexpr Micros kRest =
-    2 * kSecond;                // of a set-aside; up to as much again, so that not all come back at once
+    2 * kPeriod;                // of a set-aside; up to as much again, so that not all come back at once
 constexpr int kFurther = 2;     // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
@@ -71,7 +70,7 @@
     PeerBook peers_;
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0;
-    Micros ask_at_ = 0, ask_wait_ = kSecond / 4, late_reports_until_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = kPeriod / 4, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
@@ -142,7 +141,11 @@
             // warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
-        look();
+        if (!std::exchange(looked_, true)) {
+            open_.clear();
+            for (Runner& r : runners_)
+                if (is_open(r, true)) open_.push_back(&r);
+        }
         double sum = 0;
         able_.clear();
         for (const bool near : {true, false}) {
@@ -157,13 +160,6 @@
         return able_.empty() ? nullptr : able_.back();
     }
 
-    void look() {
-        if (std::exchange(looked_, true)) return;
-        open_.clear();
-        for (Runner& r : runners_)
-            if (is_open(r, true)) open_.push_back(&r);
-    }
-
     // ---- 1. room -----------------------------------------------------------------------------------------
 
     void read_report(Runner& r, const Report& report) {
@@ -297,7 +293,8 @@
     // ---- 4. holding --------------------------------------------------------------------------------------
 
     void give_up(Task& task) {
-        task.verdict = may_bounce(task) ? Verdict::bounce : Verdict::abandon;
+        const bool harmless = workload(task).repeats_anywhere() || task.all_legs(&Leg::never_ran);
+        task.verdict = harmless ? Verdict::bounce : Verdict::abandon;
         // What is too late is not worth another try: the client is asked to stay away longest.
         task.stay_away = orders_.max_away;
         close(task);
@@ -310,10 +307,6 @@
         touched_.push_back(task.asked.task);
     }
 
-    bool may_bounce(const Task& task) {
-        return workload(task).repeats_anywhere() || task.all_legs(&Leg::never_ran);
-    }
-
     // Best worth first, then the newest: under overload the oldest would all be served just too late.
     std::vector<Task*> sorted_held() {
         std::vector<Task*> order;
@@ -404,19 +397,19 @@
     // not begin in time: against queues in which a free runner next door is not seen and all is late.
     void watch() {
         while (!watch_.empty() && watch_.begin()->first <= now_) {
-            Task* const found = tasks_.find(watch_.begin()->second);
+            Task* const t = tasks_.find(watch_.begin()->second);
             watch_.erase(watch_.begin());
-            if (!found || found->over || found->held) continue;
-            Task& t = *found;
-            Leg& leg = t.legs.back();
+            if (!t || t->over || t->held) continue;
+            Leg& leg = t->legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
-            if (now_ >= t.latest_start) {
-                give_up(t);
-            } else if (orders_.cancelling && workload(t).effect != Effect::side_effecting && may_follow(t)) {
+            if (now_ >= t->latest_start) {
+                give_up(*t);
+            } else if (orders_.cancelling && workload(*t).effect != Effect::side_effecting &&
+                       may_follow(*t)) {
                 leg.wanted = false;
-                touched_.push_back(t.asked.task);
+                touched_.push_back(t->asked.task);
             } else {
-                watch_.emplace(t.latest_start, t.asked.task);
+                watch_.emplace(t->latest_start, t->asked.task);
             }
         }
     }
@@ -438,7 +431,7 @@
             ask_wait_ = std::min(ask_wait_ * 2, orders_.must_ask / 4);
             return;
         }
-        if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kSecond / 4;
+        if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kPeriod / 4;
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
         const double mean = 1.0 / std::max(1, runners_.count_ready());
@@ -487,7 +480,6 @@
         t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
         usual_cost_ += (t.cost - usual_cost_) / 64;
         t.due = t.born + w.due;
-        t.wanted = t.due + static_cast<Micros>(t.cost * w.stretch);
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
@@ -495,8 +487,7 @@
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
-        // Against one customer's surge pushing out the rest: what is beyond an allowance gives way. Our part
-        // of the allowance is taken as our part of all the work in hand.
+        // Against one customer's surge: beyond our part, as of all the work in hand, of its allowance.
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
@@ -511,16 +502,15 @@
 
     void heed(const AssignmentEnded& e) {
         Runner* r = runners_.find(e.runner);
-        Leg* const sent = tasks_.leg(e.task, e.assignment);
-        if (!r || !sent || sent->ended) return;
+        Leg* const leg = tasks_.leg(e.task, e.assignment);
+        if (!r || !leg || leg->ended) return;
         Task& t = *tasks_.find(e.task);
-        Leg& leg = *sent;
-        leg.ended = true;
-        leg.never_ran = proves_never_ran(e.outcome);
+        leg->ended = true;
+        leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
         if (r->told) to_tell_.push_back(e.runner);
-        judge(*r, t, leg, e);
+        judge(*r, t, *leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
             t.latest_start = std::max(t.latest_start, t.asked.expiry - static_cast<Micros>(2 * t.cost));
@@ -629,12 +619,9 @@
 
 void Choice::Desk::settle(Micros now, std::vector<Action>& out) {
     now_ = now;
-    if (next_period_ == 0) next_period_ = now + kPeriod;
-    period_over_ = now >= next_period_;
-    if (period_over_) {
-        next_period_ = now + kPeriod;
-        end_period();
-    }
+    period_over_ = next_period_ > 0 && now >= next_period_;
+    if (period_over_) end_period();
+    if (period_over_ || next_period_ == 0) next_period_ = now + kPeriod;
     watch();
     place_held();
     emit(out);
@@ -647,23 +634,22 @@
         out.push_back(FollowRoster{true});
     }
     for (const TaskId id : touched_) {
-        Task* const found = tasks_.find(id);
-        if (!found) continue;
-        Task& t = *found;
-        for (std::size_t n = 0; n < t.legs.size(); ++n) {
-            Leg& leg = t.legs[n];
+        Task* const t = tasks_.find(id);
+        if (!t) continue;
+        for (std::size_t n = 0; n < t->legs.size(); ++n) {
+            Leg& leg = t->legs[n];
             if (leg.wanted && !leg.sent) {
                 leg.sent = true;
-                out.push_back(Assign{t.asked.task, leg.runner, t.asked.expiry - 2 * orders_.resolution});
-            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && orders_.cancelling && !t.streaming) {
+                out.push_back(Assign{t->asked.task, leg.runner, t->asked.expiry - 2 * orders_.resolution});
+            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && orders_.cancelling && !t->streaming) {
                 leg.withdrawing = true;
-                out.push_back(Withdraw{t.asked.task, static_cast<int>(n)});
+                out.push_back(Withdraw{t->asked.task, static_cast<int>(n)});
             }
         }
-        if (t.verdict == Verdict::bounce) out.push_back(Bounce{t.asked.task, t.stay_away});
-        if (t.verdict == Verdict::abandon) out.push_back(Abandon{t.asked.task});
-        t.verdict = Verdict::none;
-        if (t.over && t.all_legs(&Leg::ended)) tasks_.erase(id);
+        if (t->verdict == Verdict::bounce) out.push_back(Bounce{t->asked.task, t->stay_away});
+        if (t->verdict == Verdict::abandon) out.push_back(Abandon{t->asked.task});
+        t->verdict = Verdict::none;
+        if (t->over && t->all_legs(&Leg::ended)) tasks_.erase(id);
     }
     touched_.clear();
     for (const RunnerId id : to_probe_) {
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -80,7 +80,7 @@
 
 struct Task {
     TaskArrived asked;
-    Micros born = 0, due = 0, wanted = 0, latest_start = 0, stay_away = 0, ask_after = 0;
+    Micros born = 0, due = 0, latest_start = 0, stay_away = 0, ask_after = 0;
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
