Close a connection that will hardly be used again

Change: after an answer, with nothing else out there, it is closed where own rate times its idle time is under a use a runner.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -64,7 +64,7 @@
     TaskBook tasks_;
     std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
-    std::vector<RunnerId> to_probe_, to_tell_;
+    std::vector<RunnerId> to_probe_, to_tell_, to_close_;
     std::vector<std::pair<RunnerId, Micros>> probes_out_;
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     PeerBook peers_;
@@ -510,6 +510,9 @@
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
         if (r->told) to_tell_.push_back(e.runner);
+        // Against hundreds who each keep a connection that they hardly use again: a runner takes only so
+        // many.
+        if (r->out == 0 && rate_ * orders_.keepalive_s < runners_.ready) to_close_.push_back(e.runner);
         judge(*r, t, *leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -662,6 +665,8 @@
         out.push_back(Probe{id});
     }
     to_probe_.clear();
+    for (const RunnerId id : std::exchange(to_close_, {}))
+        if (const Runner* r = runners_.find(id); r && r->out == 0) out.push_back(CloseIdle{id});
     if (words_ && (period_over_ || !to_tell_.empty())) {
         const PeerWords words = runners_.changes_out(to_tell_, period_over_, now_);
         to_tell_.clear();
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -72,7 +72,7 @@
     std::size_t workloads, customers;
     ZoneId zone;
     Micros resolution, cold_window, warm_after, must_ask, max_away;
-    double cold_from, fall_multiple, surplus, peer_price;
+    double cold_from, fall_multiple, surplus, peer_price, keepalive_s;
     std::vector<std::string> report_names;
     std::vector<double> allowances;
 
@@ -97,6 +97,7 @@
         warm_after = std::max<Micros>(1, stated.micros("rules.warm_after_us", 30'000'000));
         fall_multiple = stated.number("rules.fall_multiple", 1);
         cold_window = stated.micros("rules.tip_after_us", 1'000'000);
+        keepalive_s = stated.number("caps.keepalive_us", 0) / 1e6;
         peer_price = stated.number("prices.peer", 0);
         report_names = stated.words("reports.names");
         knows_held = reported("held") && reported("free_slots");
