--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,7 @@
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
+constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
@@ -510,9 +511,7 @@
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
         --r->out;
         if (r->told) to_tell_.push_back(e.runner);
-        // Against hundreds who each keep a connection that they hardly use again: a runner takes only so
-        // many.
-        if (r->out == 0 && rate_ * orders_.keepalive_s < runners_.ready) to_close_.push_back(e.runner);
+        if (r->out == 0 && crowds_table()) to_close_.push_back(e.runner);
         judge(*r, t, *leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -528,6 +527,12 @@
         touched_.push_back(e.task);
     }
 
+    // Against hundreds who each keep a connection that they hardly use again: a runner takes only so many.
+    bool crowds_table() const {
+        const double uses = rate_ * orders_.keepalive_s / std::max(1, runners_.ready);
+        return periods_ > 0 && uses < 1 && uses * orders_.dispatchers > kTable;
+    }
+
     // Failures count as the longest latency, so that failing fast never looks like being fast.
     void judge(Runner& r, const Task& t, const Leg& leg, const AssignmentEnded& e) {
         Workload& w = workload(t);
