--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <optional>
 #include <random>
 #include <set>
@@ -34,7 +33,6 @@
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
 constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
-constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
 }  // namespace
@@ -84,8 +82,7 @@
 
     // ---- the design --------------------------------------------------------------------------------------
 
-    // The smoothed latency, with the kind's as its prior: a new runner starts at the mean estimate. Only what
-    // has changed is reckoned anew.
+    // The smoothed latency, with the kind's as its prior; only what has changed is reckoned anew.
     void estimate() {
         double log_sum = 0, n = 0;
         for (Kind& k : kinds_) log_sum += k.weight * std::log2(k.smoothed), n += k.weight;
@@ -107,16 +104,16 @@
     void reckon(const Runner& r) {
         const double t = latency_of(r), s = r.sampled ? r.least : t;
         Share& share = runners_.share(r);
-        share.marginal = !r.ready ? kNever : r.busy > 0 ? t / (1 - std::min(r.busy, 0.95F)) : t * t / s;
+        share.marginal = !r.ready ? HUGE_VAL : r.busy > 0 ? t / (1 - std::min(r.busy, 0.95F)) : t * t / s;
         share.eta = s / (2 * t * t * t);
     }
 
     void step() {
         estimate();
         std::vector<Share>& table = runners_.table;
-        double least = kNever, moved = 0;
+        double least = HUGE_VAL, moved = 0;
         for (const Share& s : table) least = std::min(least, s.marginal);
-        if (least == kNever) return;
+        if (least == HUGE_VAL) return;
         auto best = static_cast<std::size_t>(uniform() * static_cast<double>(table.size()));
         while (table[best].marginal != least) best = (best + 1) % table.size();
         // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
@@ -170,8 +167,8 @@
         if (r.busy > 0) sample(r, 0);
         if (load->held < 0) r.slots = std::max(r.slots, load->free);
         if (load->held < 0) return;
-        // Against late reports: one that misses what was sent long ago tells of another time, and soon no
-        // report is believed.
+        // Against late reports: of one that misses what was sent long ago comes doubt, and soon none is
+        // believed.
         if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
             doubt_ = doubt_ * 31 / 32 + (load->held < r.out ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
@@ -283,9 +280,8 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
                              static_cast<double>(orders_.cold_window);
-        // Where peers tell what they send, all count against most of the whole. Else half of an even part is
-        // ours, as one dispatcher may carry most of the traffic; a task too large for that goes only where
-        // nobody is known to have anything, within a quarter of the whole.
+        // Where words tell, all count against most of the whole. Else half of an even part is ours; what is
+        // too large for that goes only where nobody is known to have anything, within a quarter of the whole.
         if (words_) return r.told && sent + cost <= whole * 0.75;
         return sent + cost <= whole / 2 / orders_.dispatchers ||
                (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
@@ -350,8 +346,7 @@
                 continue;
             }
             if (r) t.drawn = r->entry.runner;
-            // Probes cost: few are out at once, and the longer a task has waited the longer it waits between
-            // them, so that of all who wait for a slot, here and elsewhere, the newest tend to find it.
+            // Probes cost, and of all who wait for a slot, here and elsewhere, the newest should find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
             t.ask_after = now_ + (now_ - t.born) / 16;
             ask(*r), ++probing;
@@ -641,7 +636,7 @@
         asking_ = true;
         out.push_back(FollowRoster{true});
     }
-    for (const TaskId id : touched_) {
+    for (const TaskId id : std::exchange(touched_, {})) {
         Task* const t = tasks_.find(id);
         if (!t) continue;
         for (std::size_t n = 0; n < t->legs.size(); ++n) {
@@ -659,8 +654,7 @@
         t->verdict = Verdict::none;
         if (t->over && t->all_legs(&Leg::ended)) tasks_.erase(id);
     }
-    touched_.clear();
-    for (const RunnerId id : to_probe_) {
+    for (const RunnerId id : std::exchange(to_probe_, {})) {
         Runner* r = runners_.find(id);
         r->want_probe = false;
         if (!r->ready) continue;
@@ -669,12 +663,10 @@
         probes_out_.emplace_back(id, now_);
         out.push_back(Probe{id});
     }
-    to_probe_.clear();
     for (const RunnerId id : std::exchange(to_close_, {}))
         if (const Runner* r = runners_.find(id); r && r->out == 0) out.push_back(CloseIdle{id});
     if (words_ && (period_over_ || !to_tell_.empty())) {
-        const PeerWords words = runners_.changes_out(to_tell_, period_over_, now_);
-        to_tell_.clear();
+        const PeerWords words = runners_.changes_out(std::exchange(to_tell_, {}), period_over_, now_);
         if (!words.out.empty() && circles_ == 1) out.push_back(TellPeers{spell(words)});
         for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
             if (!words.out.empty() && circles_ > 1 && peer != orders_.me)
