--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -150,7 +150,8 @@
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
-            if (!able_.empty()) break;
+            // Under overload what is sent beyond the circle, where no room is known, only lengthens queues.
+            if (!able_.empty() || (circles_ > 1 && now_ < overload_until_)) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
