--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -3,11 +3,11 @@
 //
 // The ordinary path is the design's: split fractions over the ready runners, each pick drawn from them, and
 // once a period a clamped gradient step toward the least marginal delay (docs/design.md). Beside it stand
-//   1. Room       a draw on a runner with no free slot is drawn again; probes and peers' words tell of slots
+//   1. Room       a draw on a runner with no free slot is drawn again; reports, probes and peers' words tell
 //   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
-//   3. Cold       a runner just started is sent its part of a budget only
+//   3. Cold       a runner just started is drawn as far as it is warm and sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
-//   5. Further    a lost assignment is followed by up to two more, none while overload is seen
+//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more, not under overload
 //   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
@@ -150,8 +150,7 @@
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
-            // Under overload what is sent beyond the circle, where no room is known, only lengthens queues.
-            if (!able_.empty() || (circles_ > 1 && now_ < overload_until_)) break;
+            if (!able_.empty()) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
