--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,8 @@
 //   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is drawn as far as it is warm and sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
-//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more, not under overload
+//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more, not under
+//   overload
 //   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
@@ -130,13 +131,16 @@
     // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
     // After a few vain draws all that have room are looked at, and the draw is made over them.
     Runner* draw(const Task& task, bool stretch = false) {
-        for (int tries = 0; !looked_ && runners_.near_sum > 1e-6 && tries < kDraws; ++tries) {
+        // In a large fleet as many even ones follow: where the favourites are full the rest differ little,
+        // and to look at all of them for each task that waits is what cut off a day.
+        const int tries = runners_.near() > 16 * kDraws ? 2 * kDraws : kDraws;
+        for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < tries; ++n) {
             double at = uniform() * runners_.near_sum;
-            std::size_t i = 0;
-            while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
+            std::size_t i =
+                n < kDraws ? 0 : static_cast<std::size_t>(at / runners_.near_sum * runners_.near());
+            while (n < kDraws && i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            // Against all who draw it unseen: where no words tell, a cold one counts only as far as it is
-            // warm.
+            // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
         if (!std::exchange(looked_, true)) {
