--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -154,7 +154,9 @@
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
-            if (!able_.empty()) break;
+            // Against a customer's surge that floods every queue: beyond its allowance only where room is
+            // known.
+            if (!able_.empty() || (task.surplus && circles_ > 1 && now_ < overload_until_)) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
@@ -491,7 +493,7 @@
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
-            t.worth *= orders_.surplus;
+            t.worth *= orders_.surplus, t.surplus = true;
         held_.push_back(a.task);
         tasks_.add(std::move(t));
     }
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -84,7 +84,7 @@
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
-    bool held = true, over = false, streaming = false;
+    bool held = true, over = false, streaming = false, surplus = false;
     Verdict verdict = Verdict::none;
 
     bool all_legs(bool Leg::*is) const {
