--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -154,8 +154,7 @@
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
-            // Against a customer's surge that floods every queue: beyond its allowance only where room is
-            // known.
+            // Against a surge that floods every queue: what is far beyond goes only where room is known.
             if (!able_.empty() || (task.surplus && circles_ > 1 && now_ < overload_until_)) break;
         }
         double at = uniform() * sum;
@@ -493,7 +492,7 @@
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
-            t.worth *= orders_.surplus, t.surplus = true;
+            t.worth *= orders_.surplus, t.surplus = customers_[a.customer].excess > 4 * kFewJobs;
         held_.push_back(a.task);
         tasks_.add(std::move(t));
     }
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -58,14 +58,16 @@
 };
 
 struct Customer {
-    double spent = 0;
+    double spent = 0, excess = 0;  // the latter grows with a demand of over twice what is allowed
     Micros at = 0;
 
     // Whether one more is within what a second allows; at once a second's worth may come, or a few.
     bool spend(double per_second, double few, Micros now) {
-        spent = std::max(0.0, spent - per_second * static_cast<double>(now - at) / 1e6);
+        const double since = per_second * static_cast<double>(now - at) / 1e6;
+        spent = std::max(0.0, spent - since);
+        excess = std::max(0.0, excess - since);
         at = now;
-        if (spent > std::max(per_second, few)) return false;
+        if (spent > std::max(per_second, few)) return ++excess, false;
         spent += 1;
         return true;
     }
