--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 #include <random>
 #include <set>
 #include <tuple>
@@ -129,16 +128,15 @@
     }
 
     // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
-    // After a few vain draws all that have room are looked at, and the draw is made over them.
+    // After a few vain draws, and as many even ones in a large fleet, where the rest differ little and to
+    // look at all for each task that waits has cut off a day, the draw is made over all that have room.
     Runner* draw(const Task& task, bool stretch = false) {
-        // In a large fleet as many even ones follow: where the favourites are full the rest differ little,
-        // and to look at all of them for each task that waits is what cut off a day.
-        const int tries = runners_.near() > 16 * kDraws ? 2 * kDraws : kDraws;
+        const std::size_t span = runners_.near();
+        const int tries = span > 16 * kDraws ? 2 * kDraws : kDraws;
         for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < tries; ++n) {
             double at = uniform() * runners_.near_sum;
-            std::size_t i =
-                n < kDraws ? 0 : static_cast<std::size_t>(at / runners_.near_sum * runners_.near());
-            while (n < kDraws && i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
+            std::size_t i = n < kDraws ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(span));
+            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
@@ -315,12 +313,10 @@
         for (const TaskId id : held_) {
             Task* const t = tasks_.find(id);
             if (!t || !t->held) continue;
-            if (now_ < t->latest_start) {
+            if (now_ < t->latest_start)
                 order.push_back(t);
-                continue;
-            }
-            overload_until_ = now_ + kPeriod;
-            give_up(*t);
+            else
+                overload_until_ = now_ + kPeriod, give_up(*t);
         }
         const auto rank = [this](const Task* t) {
             return std::tuple(now_ > t->due, -t->worth, -t->born, t->asked.task);
@@ -608,9 +604,8 @@
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
         peers_.forget_silent_since(now_ - 3 * kPeriod, runners_);
-        if (!orders_.knows_held)
-            for (const Runner& r : runners_)
-                if (r.told) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
+        for (std::size_t i = 0; words_ && i < runners_.size(); ++i)
+            if (const Runner& r = runners_[i]; r.told) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
         if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
