Lots decide which dispatchers feed a cold runner one task at a time

Cause told by the roster lines: listed 1.6 s before, within the late reports. Change: a lot drawn at the runner's start; as many dispatchers may feed it as half the budget feeds, at once or in turn.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -238,8 +238,7 @@
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
         if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
-        const int kind = workload(task).kind;
-        if (kind >= 0 && static_cast<int>(r.entry.kind) != kind) return false;
+        if (!workload(task).runs_on(r.entry.kind)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
         return effect_allows(r, task) && cold_allows(r, cold_cost(r, task));
@@ -283,11 +282,13 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
                              static_cast<double>(orders_.cold_window);
-        // Where words tell, all count against most of the whole. Else half of an even part is ours; what is
-        // too large for that goes only where nobody is known to have anything, within a quarter of the whole.
         if (words_) return r.told && sent + cost <= whole * 0.75;
+        // Half of an even part is ours. Of what is too large for that, one task at a time goes where nobody
+        // seems to have anything; as late reports show that to all at once, only from as many as half the
+        // whole feeds.
         return sent + cost <= whole / 2 / orders_.dispatchers ||
-               (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4);
+               (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4 &&
+                r.lot * cost * orders_.dispatchers <= whole / 2);
     }
 
     // ---- 4. holding --------------------------------------------------------------------------------------
@@ -458,7 +459,7 @@
         r.latency.clear();
         r.sampled = r.stirred = r.trial = false;
         r.least = r.blame = 0;
-        r.aside_until = 0;
+        r.lot = uniform(), r.aside_until = 0;
         r.cold_from = e.started_at > 0 ? std::min(e.started_at, now_) : -1;
     }
 
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -41,6 +41,7 @@
     bool repeats_anywhere() const {
         return effect == Effect::idempotent || (effect == Effect::fingerprinted && group == RepeatGroup::all);
     }
+    bool runs_on(KindId which) const { return kind < 0 || static_cast<int>(which) == kind; }
     // Whether one would drop a repeat of what the other ran.
     bool same_group(const RosterEntry& a, const RosterEntry& b) const {
         return group == RepeatGroup::all ||
@@ -139,7 +140,7 @@
     double fraction = 0, smoothed = 1, least = 0;
     Histogram latency;  // over the cost
     int out = 0, told_out = 0, peers_out = 0;
-    double slots = 0, others = 0;
+    double slots = 0, others = 0, lot = 0;  // lot: drawn once a start, for who may feed it while it is cold
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
     std::vector<std::pair<Micros, double>> cold_sends;
