--- /dev/null
+++ b/src/clients/request.hpp
@@ -0,0 +1,43 @@
+// What a client's request says, in our words; the protocol's names end here.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "http/reader.hpp"
+#include "net/block_pool.hpp"
+#include "types.hpp"
+
+namespace gannethold::clients {
+
+// The workloads and customers that a request may name, by their places in the standing orders.
+struct Directory {
+    std::map<std::string, WorkloadId, std::less<>> workloads;
+    std::map<std::string, CustomerId, std::less<>> customers;
+    std::set<WorkloadId> fingerprinted;
+
+    explicit Directory(const StatedOrders& orders);
+};
+
+struct Request {
+    std::string id, fingerprint, method, target, content_type;
+    WorkloadId workload{};
+    CustomerId customer{};
+    std::uint64_t key = 0;
+    Micros patience = 0;  // how long the client waits, from when it sent the request
+    Micros cost_hint = 0;
+    double slots = 1, memory = 0;
+    bool repeat = false;
+};
+
+struct Refused {
+    int status;
+    const char* why;
+};
+
+std::variant<Request, Refused> read_request(const http::Head& head, const Directory& directory);
+
+}  // namespace gannethold::clients
--- /dev/null
+++ b/src/clients/server.cpp
@@ -0,0 +1,214 @@
+#include "clients/server.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "http/writer.hpp"
+
+namespace gannethold::clients {
+namespace {
+
+constexpr std::size_t kMostBody = 64 * 1024;
+constexpr Micros kStalled = 10'000'000;  // a request that comes no further is given up
+constexpr Micros kLookForStalled = 2'000'000;
+
+int status_of(http::Fault fault) {
+    switch (fault) {
+        case http::Fault::too_large: return 431;
+        case http::Fault::version: return 505;
+        case http::Fault::out_of_blocks: return 503;
+        default: return 400;
+    }
+}
+
+std::string seconds(Micros span) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(span) / 1e6);
+    return text;
+}
+
+}  // namespace
+
+Server::Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
+               std::size_t most_sessions)
+    : loop_(loop),
+      directory_(directory),
+      taker_(taker),
+      most_sessions_(most_sessions),
+      listener_(loop, at, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
+      stalled_(loop, [this] { check_stalled(); }) {
+    stalled_.set(net::Loop::now() + kLookForStalled);
+}
+
+Server::~Server() = default;
+
+void Server::accept(evutil_socket_t socket) {
+    if (sessions_.size() >= most_sessions_) make_room();
+    sessions_.push_back(std::make_unique<Session>(*this, socket));
+    sessions_.back()->place_ = std::prev(sessions_.end());
+}
+
+// Against running out of descriptors, with tasks in the backlog that nobody takes: of the connections that
+// stand between requests the one idle for longest goes. Its client opens another when it needs one.
+void Server::make_room() {
+    for (const auto& session : sessions_) {
+        if (session->state_ != Session::State::idle) continue;
+        session->connection_.close();
+        session->ended(net::Ending::closed);
+        return;
+    }
+}
+
+// Against clients that begin a request and never end it: each would hold a descriptor and a block for ever.
+void Server::check_stalled() {
+    const Micros now = net::Loop::now();
+    for (const auto& session : sessions_)
+        if (session->state_ == Session::State::reading && now - session->last_byte_at_ > kStalled)
+            session->refuse(408, "the request came no further");
+    stalled_.set(now + kLookForStalled);
+}
+
+void Server::leave() {
+    leaving_ = true;
+    for (const auto& session : sessions_) {
+        if (session->state_ != Session::State::idle) continue;
+        session->state_ = Session::State::closing;
+        session->connection_.finish();
+    }
+}
+
+bool Server::quiet() const {
+    return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
+        const bool busy = session->state_ == Session::State::reading || session->state_ == Session::State::waiting;
+        return !busy && !session->connection_.unsent();
+    });
+}
+
+void Server::sweep() {
+    for (Session* const session : std::exchange(ended_, {})) sessions_.erase(session->place_);
+}
+
+Session::Session(Server& server, evutil_socket_t socket)
+    : server_(server),
+      connection_(server.loop_, *this, socket),
+      reader_(http::Kind::request, server.loop_.blocks()),
+      body_(server.loop_.blocks()) {}
+
+void Session::touch() {
+    last_byte_at_ = net::Loop::now();
+    server_.sessions_.splice(server_.sessions_.end(), server_.sessions_, place_);
+}
+
+void Session::bytes(std::string_view bytes) {
+    touch();
+    // Against a client that asks on and on and reads no answer: one that has not had the last answer whole
+    // has nothing to ask, and what it is owed stays one answer.
+    if (state_ == State::idle && connection_.unsent()) {
+        state_ = State::closing;
+        return connection_.finish();
+    }
+    while (state_ == State::idle || state_ == State::reading) {
+        const bool waits = state_ == State::idle;
+        switch (reader_.read(bytes)) {
+            case http::Found::nothing:
+                if (waits && reader_.begun()) state_ = State::reading, begun_at_ = last_byte_at_;
+                return;
+            case http::Found::head:
+                if (waits) state_ = State::reading, begun_at_ = last_byte_at_;
+                if (!heed_head()) return;
+                break;
+            case http::Found::body:
+                if (body_.size() + reader_.piece().size() > kMostBody) return refuse(413, "body too large");
+                if (!body_.append(reader_.piece())) return refuse(503, "no buffer left");
+                break;
+            case http::Found::end:
+                heed_end();
+                break;
+            case http::Found::fault:
+                return refuse(status_of(reader_.fault()), "malformed request");
+        }
+    }
+    // More bytes while the task is out: a client sends one request at a time here, so what follows cannot be
+    // told from rubbish. The answer still goes out, and ends the connection.
+    if (state_ == State::waiting && !bytes.empty()) last_answer_ = true;
+}
+
+bool Session::heed_head() {
+    const http::Head& head = reader_.head();
+    last_answer_ = !head.keeps_alive;
+    request_.reset();
+    if (head.method == "GET" && head.path() == "/healthz") return true;
+    auto read = read_request(head, server_.directory_);
+    if (const auto* refused = std::get_if<Refused>(&read)) {
+        refuse(refused->status, refused->why);
+        return false;
+    }
+    request_ = std::move(std::get<Request>(read));
+    // One id twice at once would look like a second copy at the runners.
+    if (server_.taker_.knows(request_->id)) {
+        refuse(409, "a request with this id is under way");
+        return false;
+    }
+    if (http::same_word(head.field("Expect"), "100-continue"))
+        connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+void Session::heed_end() {
+    reader_.restart();
+    if (!request_) {
+        body_.clear();
+        state_ = State::idle;
+        const bool ready = server_.taker_.ready() && !server_.leaving_;
+        return say(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    }
+    state_ = State::waiting;
+    task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), begun_at_);
+}
+
+void Session::answer(Answer answer, std::string_view result, Micros stay_away) {
+    if (state_ != State::waiting) return;
+    state_ = State::idle;
+    switch (answer) {
+        case Answer::finished: return say(200, result);
+        case Answer::bounced: return say(503, "try again\n", stay_away);
+        case Answer::abandoned: return say(502, "given up\n");
+    }
+}
+
+void Session::say(int status, std::string_view body, Micros stay_away) {
+    auto head = http::Writer::answer(status);
+    head.length(body.size());
+    if (stay_away > 0) head.field("Retry-After", seconds(stay_away));
+    if (server_.leaving_) last_answer_ = true;
+    if (last_answer_) head.field("Connection", "close");
+    net::Blocks out(server_.loop_.blocks());
+    if (!out.append(head.head()) || !out.append(body)) {
+        // No buffer for the answer: a connection that ends is all that can still be said.
+        connection_.close();
+        return ended(net::Ending::closed);
+    }
+    connection_.write(std::move(out));
+    if (last_answer_) {
+        state_ = State::closing;
+        connection_.finish();
+    }
+}
+
+void Session::refuse(int status, std::string_view why) {
+    last_answer_ = true;
+    reader_.restart();
+    body_.clear();
+    say(status, std::string(why) + "\n");
+}
+
+void Session::ended(net::Ending) {
+    if (state_ == State::over) return;
+    const bool waited = state_ == State::waiting;
+    state_ = State::over;
+    server_.ended_.push_back(this);
+    if (waited) server_.taker_.left(task_);
+}
+
+}  // namespace gannethold::clients
--- /dev/null
+++ b/src/clients/server.hpp
@@ -0,0 +1,96 @@
+// Clients' connections: requests in, answers out.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "clients/request.hpp"
+#include "net/connection.hpp"
+#include "net/listener.hpp"
+
+namespace gannethold::clients {
+
+class Session;
+
+enum class Answer { finished, bounced, abandoned };
+
+// Who takes the tasks.
+class Taker {
+  public:
+    virtual TaskId take(Session& session, Request&& request, net::Blocks&& body, Micros sent_at) = 0;
+    virtual void left(TaskId task) = 0;
+    virtual bool knows(const std::string& request_id) const = 0;
+    virtual bool ready() const = 0;
+
+  protected:
+    ~Taker() = default;
+};
+
+class Server {
+  public:
+    Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
+           std::size_t most_sessions);
+    ~Server();
+
+    // From now on answers end their connections, and idle ones are closed.
+    void leave();
+    bool leaving() const { return leaving_; }
+    bool quiet() const;  // nothing is being read, waited for or still to be written
+    void sweep();  // frees what has ended; once a turn, after its last callback
+    std::uint16_t port() const { return listener_.port(); }
+    std::size_t sessions() const { return sessions_.size(); }
+
+  private:
+    friend class Session;
+    using Sessions = std::list<std::unique_ptr<Session>>;
+
+    void accept(evutil_socket_t socket);
+    void make_room();
+    void check_stalled();
+
+    net::Loop& loop_;
+    const Directory& directory_;
+    Taker& taker_;
+    const std::size_t most_sessions_;
+    bool leaving_ = false;
+    Sessions sessions_;       // the one that was used longest ago stands first
+    std::vector<Session*> ended_;
+    net::Listener listener_;
+    net::Timer stalled_;
+};
+
+// One client's connection. It carries one request at a time.
+class Session final : public net::Connection::Owner {
+  public:
+    Session(Server& server, evutil_socket_t socket);
+
+    // The final answer to the task under way; stay_away goes along with a bounce.
+    void answer(Answer answer, std::string_view result, Micros stay_away);
+
+  private:
+    friend class Server;
+    enum class State { idle, reading, waiting, closing, over };
+
+    void bytes(std::string_view bytes) override;
+    void ended(net::Ending ending) override;
+    bool heed_head();
+    void heed_end();
+    void say(int status, std::string_view body, Micros stay_away = 0);
+    void refuse(int status, std::string_view why);
+    void touch();
+
+    Server& server_;
+    net::Connection connection_;
+    http::Reader reader_;
+    net::Blocks body_;
+    std::optional<Request> request_;  // none for a check of health
+    TaskId task_{};
+    State state_ = State::idle;
+    Micros begun_at_ = 0, last_byte_at_ = 0;
+    bool last_answer_ = false;
+    Server::Sessions::iterator place_;
+};
+
+}  // namespace gannethold::clients
--- /dev/null
+++ b/src/dispatcher/dispatcher.cpp
@@ -0,0 +1,258 @@
+#include "dispatcher/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dispatcher/outcomes.hpp"
+#include "http/writer.hpp"
+#include "standing_orders.hpp"
+
+namespace gannethold::dispatcher {
+namespace {
+
+// At a restart clients still come for a while after the signal, through a front that has not yet heard.
+constexpr Micros kStillComing = 600'000;
+// And no task may still be out when the system kills what has not ended.
+constexpr Micros kLastMinute = 3'000'000;
+constexpr Micros kFollowAgain = 500'000;
+
+// Descriptors: a few for the process itself and discovery, a quarter for runners, the rest for clients.
+constexpr std::size_t kOwnSockets = 24;
+std::size_t for_runners(std::size_t sockets) { return std::max<std::size_t>(8, (sockets - std::min(sockets, kOwnSockets)) / 4); }
+std::size_t for_clients(std::size_t sockets) {
+    const std::size_t others = kOwnSockets + for_runners(sockets);
+    return sockets > others + 8 ? sockets - others : 8;
+}
+
+runners::Upkeep upkeep(const Posting& posting) {
+    const Stated stated(posting.orders);
+    runners::Upkeep u;
+    u.connect_limit = std::max<Micros>(1'000, stated.micros("caps.connect_timeout_us", u.connect_limit));
+    // A margin for a runner that counts from before its answer reached us.
+    u.keep_idle = stated.micros("caps.keepalive_us", 10'000'000) * 3 / 4;
+    u.most_links = for_runners(posting.sockets);
+    return u;
+}
+
+template <class... Ts>
+struct Match : Ts... {
+    using Ts::operator()...;
+};
+
+}  // namespace
+
+Dispatcher::Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log)
+    : loop_(loop),
+      log_(log),
+      posting_(posting),
+      directory_(posting_.orders),
+      choice_(posting_.orders, posting_.seed),
+      book_(Stated(posting_.orders).words("zones"), Stated(posting_.orders).words("kinds"), log),
+      follower_(
+          loop, posting_.discovery, log,
+          [this](const roster::Listing& l) {
+              return heard(l, l.full ? RosterScope::complete : RosterScope::changes);
+          },
+          [this] {
+              if (follows_by_itself_) wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
+              note(RosterNews{RosterScope::failed, book_.version(), {}});
+          }),
+      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_)),
+      server_(loop, posting_.listen, directory_, *this, for_clients(posting_.sockets)),
+      wake_(loop, [this] { wake(); }),
+      farewell_(loop, [this] { see_off(); }) {
+    heard(posting_.known, RosterScope::remembered);
+    // Where changes come by themselves the module never asks, so the watch is ours to open.
+    follows_by_itself_ = Stated(posting_.orders).word("roster.how", "pushed") != "on_request";
+    if (follows_by_itself_) follower_.follow(book_.version());
+    log_.info(net::Loop::now(), "serving as ", posting_.name, " on ", posting_.listen.text, ", ",
+              posting_.known.entries.size(), " runners known");
+}
+
+void Dispatcher::run() {
+    after_turn();
+    loop_.run([this] { after_turn(); });
+}
+
+void Dispatcher::leave() {
+    if (left_at_ > 0) return;
+    left_at_ = net::Loop::now();
+    last_minute_ = left_at_ + kLastMinute;
+    log_.info(left_at_, "leaving, ", tasks_.size(), " tasks under way");
+    farewell_.set(left_at_ + kStillComing);
+}
+
+// The last part of a restart: whoever still has a connection is told to open its next one elsewhere, and the
+// process ends once nobody waits for anything.
+void Dispatcher::see_off() {
+    const Micros now = net::Loop::now();
+    if (!server_.leaving()) server_.leave();
+    if (server_.quiet()) {
+        log_.info(now, "left after ", (now - left_at_) / 1000, " ms");
+        return loop_.stop();
+    }
+    farewell_.set(now + 20'000);
+}
+
+// ---- what comes in -----------------------------------------------------------------------------------
+
+void Dispatcher::note(const Event& event) {
+    choice_.note(net::Loop::now(), event);
+    noted_ = true;
+}
+
+bool Dispatcher::heard(const roster::Listing& listing, RosterScope scope) {
+    const auto news = book_.take(listing, scope, net::Loop::now());
+    if (!news) return false;
+    for (const auto& seat : news->seats) links_.seat(seat.runner, seat.address, seat.open);
+    note(news->for_module);
+    return true;
+}
+
+TaskId Dispatcher::take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
+                        Micros sent_at) {
+    const TaskId id{++tasks_taken_};
+    auto head = http::Writer::request(request.method, request.target);
+    head.field("Host", "runner").field("X-Request-ID", request.id);
+    if (!request.fingerprint.empty()) head.field("Idempotency-Key", request.fingerprint);
+    if (!request.content_type.empty()) head.field("Content-Type", request.content_type);
+    head.length(body.size());
+    std::string lines = head.head();
+    lines.resize(lines.size() - 2);  // the empty line comes after the time it has
+
+    TaskArrived arrived;
+    arrived.task = id;
+    arrived.workload = request.workload;
+    arrived.customer = request.customer;
+    arrived.key = request.key;
+    arrived.expiry = sent_at + request.patience;
+    arrived.cost_hint = request.cost_hint;
+    arrived.hint_valid = request.cost_hint > 0;
+    arrived.slots = request.slots;
+    arrived.memory = request.memory;
+    arrived.client_repeat = request.repeat;
+    ids_.insert(request.id);
+    tasks_.emplace(id, Task{&session, std::move(request.id), std::move(lines), std::move(body), arrived.expiry});
+    note(arrived);
+    return id;
+}
+
+void Dispatcher::left(TaskId id) {
+    const auto task = tasks_.find(id);
+    if (task == tasks_.end()) return;
+    end_session(task);
+    note(ClientLeft{id});
+    forget_if_over(task);
+}
+
+void Dispatcher::errand_ended(runners::ErrandEnded&& ended) {
+    const auto task = tasks_.find(ended.task);
+    if (task == tasks_.end()) return;
+    --task->second.out;
+    AssignmentEnded e;
+    e.task = ended.task;
+    e.elapsed = ended.elapsed;
+    e.runner = ended.runner;
+    e.assignment = ended.number;
+    e.outcome = outcome_of(ended.ending);
+    e.report = std::move(ended.report);
+    // The first result goes to the client by itself.
+    if (e.outcome == Outcome::finished && task->second.session)
+        answer(ended.task, clients::Answer::finished, ended.result, 0);
+    e.settled = !task->second.session;
+    note(e);
+    forget_if_over(task);
+}
+
+void Dispatcher::progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) {
+    note(Progress{task, share, runner, number, stage});
+}
+
+void Dispatcher::probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) {
+    note(ProbeEnded{runner, outcome_of(ending), elapsed, std::move(report)});
+}
+
+// ---- what goes out -----------------------------------------------------------------------------------
+
+void Dispatcher::after_turn() {
+    // What carrying out brings at once, such as an assignment that is moot, is a batch of its own.
+    while (std::exchange(noted_, false)) {
+        actions_.clear();
+        choice_.settle(net::Loop::now(), actions_);
+        for (const Action& action : std::exchange(actions_, {})) carry_out(action);
+    }
+    links_.sweep();
+    server_.sweep();
+    follower_.sweep();
+}
+
+void Dispatcher::carry_out(const Action& action) {
+    std::visit(Match{[&](const Assign& a) { assign(a); },
+                     [&](const Bounce& a) { answer(a.task, clients::Answer::bounced, "", a.stay_away); },
+                     [&](const Abandon& a) { answer(a.task, clients::Answer::abandoned, "", 0); },
+                     [&](const Withdraw& a) { links_.withdraw(a.task, a.assignment); },
+                     [&](const WakeAt& a) { wakes_.emplace(a.at, a.mark), set_wake(); },
+                     [&](const Probe& a) { links_.probe(a.runner); },
+                     [&](const CloseIdle& a) { links_.close_idle(a.runner); },
+                     // Peers' addresses are told to nobody yet; the standing orders do not allow words here.
+                     [&](const TellPeers&) {}, [&](const TellPeer&) {},
+                     [&](const LogLine& a) { log_.info(net::Loop::now(), "choice: ", a.text); },
+                     [&](const FollowRoster& a) {
+                         a.on ? follower_.follow(book_.version()) : follower_.stop_following();
+                     },
+                     [&](const AskRoster&) { follower_.ask(); }},
+               action);
+}
+
+void Dispatcher::assign(const Assign& wanted) {
+    const auto task = tasks_.find(wanted.task);
+    if (task == tasks_.end()) return;
+    const int number = task->second.assignments++;
+    ++task->second.out;
+    Micros stop_at = wanted.stop_at > 0 ? std::min(wanted.stop_at, task->second.expiry) : task->second.expiry;
+    // At a restart nothing may still be out when the process is killed, whatever time its task has left.
+    if (last_minute_ > 0) stop_at = std::min(stop_at, last_minute_);
+    if (!task->second.session || stop_at <= net::Loop::now()) {
+        errand_ended({wanted.task, number, wanted.runner, net::Ending::stopped_unsent, 0, {}, {}});
+        return;
+    }
+    links_.assign(wanted.runner, {wanted.task, number, task->second.request_id, task->second.head,
+                                  &task->second.body, stop_at});
+}
+
+void Dispatcher::answer(TaskId id, clients::Answer answer, std::string_view result, Micros stay_away) {
+    const auto task = tasks_.find(id);
+    if (task == tasks_.end() || !task->second.session) return;
+    clients::Session* const session = task->second.session;
+    end_session(task);
+    session->answer(answer, result, stay_away);
+    if (answer != clients::Answer::finished) forget_if_over(task);
+}
+
+void Dispatcher::end_session(Tasks::iterator task) {
+    task->second.session = nullptr;
+    ids_.erase(task->second.request_id);
+}
+
+void Dispatcher::forget_if_over(Tasks::iterator task) {
+    if (!task->second.session && task->second.out == 0) tasks_.erase(task);
+}
+
+void Dispatcher::set_wake() {
+    if (!wakes_.empty()) wake_.set(wakes_.top().first);
+}
+
+void Dispatcher::wake() {
+    const Micros now = net::Loop::now();
+    while (!wakes_.empty() && wakes_.top().first <= now) {
+        const TimerMark mark = wakes_.top().second;
+        wakes_.pop();
+        if (mark == TimerMark{})
+            note(TimerDue{mark});
+        else
+            follower_.follow(book_.version());
+    }
+    set_wake();
+}
+
+}  // namespace gannethold::dispatcher
--- /dev/null
+++ b/src/dispatcher/dispatcher.hpp
@@ -0,0 +1,81 @@
+// Joins clients, runners and the roster to one Choice: what they bring in a turn of the loop is a batch of
+// events, and what the module then wants is carried out. Decides nothing itself.
+#pragma once
+
+#include <functional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "choice.hpp"
+#include "clients/server.hpp"
+#include "dispatcher/posting.hpp"
+#include "log/log.hpp"
+#include "roster/book.hpp"
+#include "roster/follower.hpp"
+#include "runners/links.hpp"
+
+namespace gannethold::dispatcher {
+
+class Dispatcher final : public clients::Taker, public runners::Sender {
+  public:
+    Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log);
+
+    void run();    // until it has left
+    void leave();  // answers what it has and what still comes, then ends
+    std::uint16_t port() const { return server_.port(); }
+
+  private:
+    struct Task {
+        clients::Session* session = nullptr;  // none once answered, or the client has left
+        std::string request_id, head;
+        net::Blocks body;
+        Micros expiry = 0;
+        int assignments = 0, out = 0;
+    };
+    using Tasks = std::unordered_map<TaskId, Task>;
+
+    TaskId take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
+                Micros sent_at) override;
+    void left(TaskId task) override;
+    bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
+    bool ready() const override { return !book_.empty(); }
+    void errand_ended(runners::ErrandEnded&& ended) override;
+    void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) override;
+    void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) override;
+
+    bool heard(const roster::Listing& listing, RosterScope scope);
+    void note(const Event& event);
+    void after_turn();
+    void carry_out(const Action& action);
+    void assign(const Assign& wanted);
+    void answer(TaskId task, clients::Answer answer, std::string_view result, Micros stay_away);
+    void end_session(Tasks::iterator task);
+    void forget_if_over(Tasks::iterator task);
+    void set_wake();
+    void wake();
+    void see_off();
+
+    net::Loop& loop_;
+    log::Log& log_;
+    const Posting posting_;
+    const clients::Directory directory_;
+    Choice choice_;
+    roster::Book book_;
+    roster::Follower follower_;
+    runners::Links links_;
+    clients::Server server_;
+    Tasks tasks_;
+    std::set<std::string> ids_;  // of the requests under way
+    std::priority_queue<std::pair<Micros, TimerMark>, std::vector<std::pair<Micros, TimerMark>>, std::greater<>>
+        wakes_;
+    net::Timer wake_, farewell_;
+    std::vector<Action> actions_;
+    std::uint64_t tasks_taken_ = 0;
+    Micros left_at_ = 0, last_minute_ = 0;
+    bool noted_ = false, follows_by_itself_ = false;
+};
+
+}  // namespace gannethold::dispatcher
--- /dev/null
+++ b/src/dispatcher/posting.cpp
@@ -0,0 +1,102 @@
+#include "dispatcher/posting.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "json/json.hpp"
+#include "orders/spelling.hpp"
+
+namespace gannethold::dispatcher {
+namespace {
+
+std::string scalar(const json::Value& value) {
+    if (const auto* text = value.get<std::string>()) {
+        std::string flat = *text;
+        std::replace_if(flat.begin(), flat.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+        return flat;
+    }
+    if (const auto* yes = value.get<bool>()) return *yes ? "true" : "false";
+    if (const auto* number = value.get<json::Number>()) return number->text;
+    return "";
+}
+
+// The settings as the lines in which the bench gives them.
+void flatten(const std::string& path, const json::Value& value, std::string& lines) {
+    const std::string under = path.empty() ? "" : path + ".";
+    if (const auto* object = value.get<json::Object>()) {
+        for (const auto& [name, item] : *object) flatten(under + name, item, lines);
+    } else if (const auto* list = value.get<json::List>()) {
+        if (!list->empty() && list->front().get<json::Object>()) {
+            lines += under + "count=" + std::to_string(list->size()) + "\n";
+            for (std::size_t i = 0; i < list->size(); ++i) flatten(under + std::to_string(i), (*list)[i], lines);
+            return;
+        }
+        lines += path + "=";
+        for (const auto& item : *list) lines += (&item == &list->front() ? "" : ",") + scalar(item);
+        lines += "\n";
+    } else {
+        lines += path + "=" + scalar(value) + "\n";
+    }
+}
+
+net::Address address(const json::Value& all, const char* name) {
+    const std::string* const text = all.text(name);
+    if (!text) throw std::runtime_error(std::string("the configuration names no ") + name + " address");
+    const auto read = net::Address::read(*text);
+    if (!read) throw std::runtime_error(std::string("the ") + name + " address is none: " + *text);
+    return *read;
+}
+
+std::size_t limit(const json::Value& all, const char* name, std::size_t otherwise) {
+    const json::Value* const limits = all.find("limits");
+    const auto value = limits ? limits->number(name) : std::nullopt;
+    if (!value) return otherwise;
+    if (!(*value >= 1 && *value < 1e9)) throw std::runtime_error(std::string("the limit is no number: ") + name);
+    return static_cast<std::size_t>(*value);
+}
+
+}  // namespace
+
+Posting Posting::read(const std::string& text) {
+    json::Value all;
+    try {
+        all = json::read(text);
+    } catch (const json::Malformed& e) {
+        throw std::runtime_error(std::string("the configuration is not JSON: ") + e.what());
+    }
+    Posting p;
+    if (const auto* name = all.text("name")) p.name = *name;
+    p.listen = address(all, "listen");
+    p.discovery = address(all, "discovery");
+    if (const auto* seed = all.text("seed")) {
+        const auto [end, wrong] = std::from_chars(seed->data(), seed->data() + seed->size(), p.seed, 16);
+        if (wrong != std::errc() || end != seed->data() + seed->size())
+            throw std::runtime_error("the seed is no hexadecimal number: " + *seed);
+    }
+    p.memory_mb = limit(all, "memory_mb", p.memory_mb);
+    p.sockets = limit(all, "sockets", p.sockets);
+    if (const auto* known = all.find("known")) {
+        const auto listing = roster::read_listing(*known);
+        if (!listing) throw std::runtime_error("the known list of runners cannot be read");
+        p.known = *listing;
+    }
+    const json::Value* const settings = all.find("settings");
+    if (!settings || !settings->get<json::Object>()) throw std::runtime_error("the configuration has no settings");
+    std::string lines;
+    flatten("", *settings, lines);
+    p.orders = orders::read_lines(lines);
+    if (const auto* reporting = settings->find("reporting"))
+        if (const auto* names = reporting->find("names"); names && names->get<json::List>())
+            for (const json::Value& name : *names->get<json::List>()) p.report_names.push_back(scalar(name));
+    return p;
+}
+
+Posting Posting::read_file(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) throw std::runtime_error("cannot read the configuration " + path);
+    return read({std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()});
+}
+
+}  // namespace gannethold::dispatcher
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,169 @@
+#include "net/connection.hpp"
+
+#include <event2/buffer.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace gannethold::net {
+namespace {
+
+constexpr Micros kLinger = 1'000'000;  // for a peer to close after us; longer gains nothing
+
+void give_back(const void* block, std::size_t, void* pool) {
+    static_cast<BlockPool*>(pool)->give_back(static_cast<char*>(const_cast<void*>(block)));
+}
+
+}  // namespace
+
+const char* name_of(Ending ending) {
+    switch (ending) {
+        case Ending::done: return "done";
+        case Ending::failed: return "failed";
+        case Ending::handed_back: return "handed back";
+        case Ending::lost: return "lost";
+        case Ending::refused: return "refused";
+        case Ending::unreachable: return "unreachable";
+        case Ending::connect_timed_out: return "connect timed out";
+        case Ending::out_of_sockets: return "out of sockets";
+        case Ending::broken_unsent: return "broken before the last byte was written";
+        case Ending::broken: return "broken";
+        case Ending::ended_early: return "ended before the last line";
+        case Ending::crossed: return "closed as the request came";
+        case Ending::idle_closed: return "closed while idle";
+        case Ending::malformed: return "malformed answer";
+        case Ending::stopped: return "out of time";
+        case Ending::stopped_unsent: return "out of time before the last byte was written";
+        case Ending::withdrawn: return "withdrawn";
+        case Ending::withdrawn_unsent: return "withdrawn before the last byte was written";
+        case Ending::drained_unsent: return "runner drains, nothing written";
+        case Ending::closed: return "closed";
+    }
+    return "unknown";
+}
+
+std::optional<Address> Address::read(const std::string& text) {
+    Address a;
+    int length = sizeof a.where;
+    if (evutil_parse_sockaddr_port(text.c_str(), a.get(), &length) != 0) return std::nullopt;
+    const auto port = a.where.ss_family == AF_INET ? reinterpret_cast<const sockaddr_in*>(&a.where)->sin_port
+                                                   : reinterpret_cast<const sockaddr_in6*>(&a.where)->sin6_port;
+    if (port == 0) return std::nullopt;
+    a.length = static_cast<socklen_t>(length);
+    a.text = text;
+    return a;
+}
+
+Connection::Connection(Loop& loop, Owner& owner, evutil_socket_t accepted) : loop_(loop), owner_(owner) {
+    listen_to(accepted);
+}
+
+Connection::Connection(Loop& loop, Owner& owner, const Address& to, Micros connect_limit)
+    : loop_(loop), owner_(owner), connecting_(true) {
+    limit_.emplace(loop, [this] { end(failure_); });
+    const int socket = ::socket(to.where.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0) {
+        // Told in the next turn, like every other end: an owner is never called from a constructor.
+        failure_ = Ending::out_of_sockets;
+        limit_->set(0);
+        return;
+    }
+    listen_to(socket);
+    if (bufferevent_socket_connect(stream_.get(), to.get(), static_cast<int>(to.length)) != 0) {
+        limit_->set(0);
+        return;
+    }
+    failure_ = Ending::connect_timed_out;
+    limit_->set(Loop::now() + connect_limit);
+}
+
+void Connection::listen_to(evutil_socket_t socket) {
+    // Against Nagle's wait: heads and bodies are small and written whole.
+    const int yes = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+    stream_.reset(bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        stream_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read_some(); },
+        [](bufferevent*, void* self) {
+            auto* const c = static_cast<Connection*>(self);
+            c->finishing_ ? c->hang_up() : c->owner_.all_written();
+        },
+        [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->event(what); }, this);
+    // One read is one block at most, and what is not yet handed on is no more than that.
+    bufferevent_set_max_single_read(stream_.get(), BlockPool::kBytes);
+    bufferevent_setwatermark(stream_.get(), EV_READ, 0, BlockPool::kBytes);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+}
+
+void Connection::read_some() {
+    char space[BlockPool::kBytes];
+    const std::size_t n = bufferevent_read(stream_.get(), space, sizeof space);
+    if (n > 0 && !finishing_) owner_.bytes({space, n});
+}
+
+void Connection::event(short what) {
+    if (what & BEV_EVENT_CONNECTED) {
+        connecting_ = false;
+        limit_->cancel();
+        owner_.connected();
+        return;
+    }
+    if (connecting_) {
+        // Read at once, before another call can change it.
+        end(EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? Ending::refused : Ending::unreachable);
+    } else if (unsent()) {
+        end(Ending::broken_unsent);
+    } else {
+        end(what & BEV_EVENT_EOF ? Ending::ended_early : Ending::broken);
+    }
+}
+
+void Connection::end(Ending ending) {
+    close();
+    owner_.ended(finishing_ ? Ending::closed : ending);
+}
+
+void Connection::close() {
+    if (limit_) limit_->cancel();
+    stream_.reset();
+}
+
+bool Connection::unsent() const {
+    return stream_ && evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
+}
+
+bool Connection::write(std::string_view bytes) {
+    Blocks blocks(loop_.blocks());
+    if (!blocks.append(bytes)) return false;
+    write(std::move(blocks));
+    return true;
+}
+
+void Connection::write(Blocks&& bytes) {
+    if (!stream_) return;
+    BlockPool& pool = bytes.pool();
+    for (const auto& [block, used] : bytes.release())
+        evbuffer_add_reference(bufferevent_get_output(stream_.get()), block, used, &give_back, &pool);
+}
+
+void Connection::finish() {
+    if (!stream_ || finishing_) return;
+    finishing_ = true;
+    if (!limit_) limit_.emplace(loop_, [this] { end(Ending::closed); });
+    // A peer that does not read what is left ends here too.
+    limit_->set(Loop::now() + 5 * kLinger);
+    if (!unsent()) hang_up();
+}
+
+// Against an answer lost to the reset that closing with unread bytes would send: our side ends first, and
+// what still comes is read and dropped.
+void Connection::hang_up() {
+    if (std::exchange(hung_up_, true)) return;
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+    limit_->set(Loop::now() + kLinger);
+}
+
+}  // namespace gannethold::net
--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,60 @@
+// One TCP connection on a libevent bufferevent. Tells its owner what happens; decides nothing.
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "net/address.hpp"
+#include "net/ending.hpp"
+#include "net/loop.hpp"
+
+namespace gannethold::net {
+
+class Connection {
+  public:
+    // An owner may close the connection in any of these, but must keep the object until the turn is over.
+    class Owner {
+      public:
+        virtual void connected() {}
+        virtual void bytes(std::string_view bytes) = 0;
+        virtual void all_written() {}
+        virtual void ended(Ending ending) = 0;
+
+      protected:
+        ~Owner() = default;
+    };
+
+    Connection(Loop& loop, Owner& owner, evutil_socket_t accepted);
+    // A connect that has not come up in time ends as such.
+    Connection(Loop& loop, Owner& owner, const Address& to, Micros connect_limit);
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    bool write(std::string_view bytes);  // false once the pool is empty
+    void write(Blocks&& bytes);
+    bool unsent() const;  // whether bytes are left that the system has not taken
+    bool open() const { return stream_ != nullptr; }
+    // Ends at once, without a word to the owner.
+    void close();
+    // Writes what is left and says that no more comes; the owner is told when the peer has closed too.
+    void finish();
+
+  private:
+    void listen_to(evutil_socket_t socket);
+    void read_some();
+    void event(short what);
+    void end(Ending ending);
+    void hang_up();
+
+    Loop& loop_;
+    Owner& owner_;
+    std::unique_ptr<bufferevent, decltype(&bufferevent_free)> stream_{nullptr, &bufferevent_free};
+    std::optional<Timer> limit_;
+    Ending failure_ = Ending::unreachable;
+    bool connecting_ = false, finishing_ = false, hung_up_ = false;
+};
+
+}  // namespace gannethold::net
--- /dev/null
+++ b/src/roster/book.hpp
@@ -0,0 +1,49 @@
+// The list of runners as last heard: their numbers, their addresses, and what is news in a listing.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "log/log.hpp"
+#include "roster/listing.hpp"
+
+namespace gannethold::roster {
+
+class Book {
+  public:
+    Book(std::vector<std::string> zones, std::vector<std::string> kinds, log::Log& log)
+        : zones_(std::move(zones)), kinds_(std::move(kinds)), log_(log) {}
+
+    struct Seat {
+        RunnerId runner{};
+        net::Address address;
+        bool open = false;
+    };
+    struct News {
+        RosterNews for_module;
+        std::vector<Seat> seats;  // for the connections
+    };
+
+    // nothing: older than what is held
+    std::optional<News> take(const Listing& listing, RosterScope scope, Micros now);
+    std::uint32_t version() const { return version_; }
+    bool empty() const { return held_.empty(); }
+    const std::string& name_of(RunnerId runner) const;
+
+  private:
+    struct Held {
+        RunnerId runner{};
+        Entry entry;
+        Micros started_at = 0;
+    };
+    RunnerId number_for(const std::string& id);
+
+    const std::vector<std::string> zones_, kinds_;
+    log::Log& log_;
+    std::map<std::string, Held> held_;  // once in a list, a runner stays known
+    std::map<RunnerId, std::string> names_;
+    std::uint32_t version_ = 0;
+};
+
+}  // namespace gannethold::roster
--- /dev/null
+++ b/src/roster/follower.cpp
@@ -0,0 +1,135 @@
+#include "roster/follower.hpp"
+
+#include <utility>
+
+#include "http/writer.hpp"
+
+namespace gannethold::roster {
+namespace {
+
+constexpr Micros kConnectLimit = 1'000'000;
+constexpr Micros kAnswerLimit = 4'000'000;  // discovery works through calls in turn, so some wait
+constexpr Micros kSilence = 3'000'000;      // a line comes every two seconds, if only an empty one
+constexpr std::size_t kLongestLine = 8 * 1024 * 1024;
+
+}  // namespace
+
+Call::Call(net::Loop& loop, Hearer& hearer, const net::Address& discovery, Kind kind, std::uint32_t since)
+    : loop_(loop),
+      hearer_(hearer),
+      kind_(kind),
+      reader_(http::Kind::answer, loop.blocks()),
+      limit_(loop, [this] { give_up(heard_ ? "it fell silent" : "no answer in time"); }),
+      connection_(loop, *this, discovery, kConnectLimit) {
+    const std::string watch = "/v1/servers?follow=1&since=" + std::to_string(since);
+    request_ = http::Writer::request("GET", kind == Kind::watch ? watch : "/v1/servers")
+                   .field("Host", discovery.text)
+                   .head();
+    limit_.set(net::Loop::now() + kAnswerLimit);
+}
+
+void Call::close() {
+    over_ = true;
+    limit_.cancel();
+    connection_.close();
+    reader_.restart();
+}
+
+void Call::give_up(const char* why) {
+    if (over_) return;
+    close();
+    hearer_.call_ended(kind_, why);
+}
+
+void Call::connected() { connection_.write(request_); }
+
+void Call::ended(net::Ending ending) {
+    // A list that goes on until the connection closes ends properly by that.
+    if (kind_ == Kind::list && ending == net::Ending::ended_early && reader_.ends_by_close() && !line_.empty() &&
+        !heed_line(std::exchange(line_, {})))
+        return;
+    give_up(net::name_of(ending));
+}
+
+void Call::bytes(std::string_view bytes) {
+    // Against a discovery, or a network, that goes silent with the connection open.
+    if (kind_ == Kind::watch) limit_.set(net::Loop::now() + (heard_ ? kSilence : kAnswerLimit));
+    while (!over_) {
+        switch (reader_.read(bytes)) {
+            case http::Found::nothing:
+                return;
+            case http::Found::head:
+                if (reader_.head().status != 200) return give_up("it answered that it cannot");
+                break;
+            case http::Found::body: {
+                std::string_view piece = reader_.piece();
+                while (!piece.empty() && !over_) {
+                    const auto end = piece.find('\n');
+                    if (line_.size() + piece.size() > kLongestLine) return give_up("a line without end");
+                    line_ += piece.substr(0, end);
+                    if (end == std::string_view::npos) break;
+                    piece.remove_prefix(end + 1);
+                    if (!heed_line(std::exchange(line_, {}))) return;
+                }
+                break;
+            }
+            case http::Found::end:
+                if (!line_.empty() && !heed_line(std::exchange(line_, {}))) return;
+                return give_up(kind_ == Kind::list && heard_ ? nullptr : "it ended");
+            case http::Found::fault:
+                return give_up("its answer cannot be read");
+        }
+    }
+}
+
+bool Call::heed_line(std::string_view text) {
+    if (text.find_first_not_of(" \t\r") == std::string_view::npos) return true;
+    std::optional<Listing> listing;
+    try {
+        listing = read_listing(json::read(text));
+    } catch (const json::Malformed&) {
+    }
+    // What the line would have told is missed, so the call must be made again.
+    if (!listing) return give_up("a line cannot be read"), false;
+    heard_ = true;
+    hearer_.heard(kind_, *listing);
+    return !over_;
+}
+
+Follower::Follower(net::Loop& loop, const net::Address& discovery, log::Log& log, Heard heard, Failed failed)
+    : loop_(loop),
+      discovery_(discovery),
+      log_(log),
+      heard_(std::move(heard)),
+      failed_(std::move(failed)) {}
+
+void Follower::begin(Call::Kind kind, std::uint32_t since) {
+    drop(kind);
+    call(kind) = std::make_unique<Call>(loop_, *this, discovery_, kind, since);
+}
+
+void Follower::drop(Call::Kind kind) {
+    if (!call(kind)) return;
+    call(kind)->close();
+    ended_.push_back(std::move(call(kind)));
+}
+
+void Follower::follow(std::uint32_t since) { begin(Call::Kind::watch, since); }
+void Follower::stop_following() { drop(Call::Kind::watch); }
+void Follower::ask() { begin(Call::Kind::list, 0); }
+
+void Follower::heard(Call::Kind kind, const Listing& listing) {
+    if (heard_(listing)) return;
+    drop(kind);
+    failed_();
+}
+
+void Follower::call_ended(Call::Kind kind, const char* why) {
+    drop(kind);
+    if (!why) return;
+    log_.warning(net::Loop::now(), "roster: ", kind == Call::Kind::watch ? "the watch" : "the list",
+                 " failed: ", why);
+    failed_();
+}
+
+}  // namespace gannethold::roster
--- /dev/null
+++ b/src/roster/listing.cpp
@@ -0,0 +1,49 @@
+#include "roster/listing.hpp"
+
+namespace gannethold::roster {
+namespace {
+
+std::optional<RunnerState> state_of(const std::string* word) {
+    if (!word) return std::nullopt;
+    if (*word == "SERVING") return RunnerState::ready;
+    if (*word == "DRAINING") return RunnerState::draining;
+    if (*word == "DELETED") return RunnerState::gone;
+    return std::nullopt;
+}
+
+std::string word(const json::Value& of, std::string_view name) {
+    const std::string* const text = of.text(name);
+    return text ? *text : "";
+}
+
+double within(double value, double least, double most) { return value >= least && value <= most ? value : least; }
+
+}  // namespace
+
+std::optional<Listing> read_listing(const json::Value& said) {
+    Listing listing;
+    const json::Value* const servers = said.find("servers");
+    const json::List* const list = servers ? servers->get<json::List>() : nullptr;
+    const json::Value* const full = said.find("full");
+    const auto version = said.number("version");
+    if (!list || !version || *version < 0 || *version > 4e9) return std::nullopt;
+    listing.version = static_cast<std::uint32_t>(*version);
+    listing.full = full && full->get<bool>() && *full->get<bool>();
+    for (const json::Value& one : *list) {
+        Entry e;
+        e.id = word(one, "id");
+        // Without a name nothing can be told of it, not even that it is to be passed over.
+        if (e.id.empty()) return std::nullopt;
+        e.address = net::Address::read(word(one, "addr"));
+        e.zone = word(one, "zone");
+        e.kind = word(one, "kind");
+        e.group = static_cast<std::uint32_t>(within(one.number("cell").value_or(0), 0, 4e9));
+        e.state = state_of(one.text("state"));
+        e.share = within(one.number("weight").value_or(1), 0, 1e6);
+        e.started_ms = static_cast<std::int64_t>(within(one.number("started_ms").value_or(0), 0, 9e15));
+        listing.entries.push_back(std::move(e));
+    }
+    return listing;
+}
+
+}  // namespace gannethold::roster
--- /dev/null
+++ b/src/runners/links.cpp
@@ -0,0 +1,310 @@
+#include "runners/links.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gannethold::runners {
+namespace {
+
+constexpr std::size_t kLongestLine = 128 * 1024;
+constexpr Micros kFinishing = 500'000;  // for the end of an answer whose last line has come
+constexpr std::string_view kProbeHead = "GET /load HTTP/1.1\r\nHost: runner\r\n\r\n";
+constexpr std::string_view kHealthHead = "GET /healthz HTTP/1.1\r\nHost: runner\r\n\r\n";
+
+}  // namespace
+
+Links::Links(net::Loop& loop, Sender& sender, Reports reports, Upkeep upkeep)
+    : loop_(loop), sender_(sender), reports_(std::move(reports)), upkeep_(upkeep) {}
+
+Links::~Links() = default;
+
+void Links::seat(RunnerId runner, const net::Address& address, bool open) {
+    Place& place = places_[runner];
+    const bool moved = place.address && place.address->text != address.text;
+    place.address = address;
+    place.open = open;
+    if (moved || !open) close_idle(runner);
+    if (open) return;
+    // Against a send after the grace of a drain, also when the connect was slow: what has not begun never
+    // will. What has begun goes on.
+    for (const auto& link : links_)
+        if (link->runner() == runner && link->waits_to_begin())
+            link->stop(net::Ending::drained_unsent, net::Ending::drained_unsent);
+}
+
+void Links::assign(RunnerId runner, Errand&& errand) {
+    Link& link = idle_or_new(runner);
+    out_[{errand.task, errand.number}] = &link;
+    link.carry(std::move(errand));
+}
+
+void Links::withdraw(TaskId task, int number) {
+    const auto found = out_.find({task, number});
+    if (found != out_.end()) found->second->stop(net::Ending::withdrawn, net::Ending::withdrawn_unsent);
+}
+
+void Links::probe(RunnerId runner) { idle_or_new(runner).carry_probe(); }
+
+void Links::close_idle(RunnerId runner) {
+    for (Link* const link : std::exchange(places_[runner].idle, {})) link->close();
+}
+
+Link& Links::idle_or_new(RunnerId runner) {
+    Place& place = places_[runner];
+    // The one used last: it is the surest to be open still, and the rest can grow old and close.
+    if (!place.idle.empty()) {
+        Link* const link = place.idle.back();
+        place.idle.pop_back();
+        return *link;
+    }
+    if (links_.size() >= upkeep_.most_links) {
+        // Short of descriptors: a connection that stands idle, to whomever, goes first.
+        for (auto& [id, other] : places_) {
+            if (other.idle.empty()) continue;
+            Link* const oldest = other.idle.front();
+            other.idle.erase(other.idle.begin());
+            oldest->close();
+            break;
+        }
+    }
+    return open_link(runner, place);
+}
+
+Link& Links::open_link(RunnerId runner, Place& place) {
+    links_.push_back(std::make_unique<Link>(*this, runner, place.address.value_or(net::Address{})));
+    links_.back()->place_ = std::prev(links_.end());
+    return *links_.back();
+}
+
+void Links::forget_idle(Link& link) { std::erase(places_[link.runner()].idle, &link); }
+
+void Links::sweep() {
+    for (Link* const link : std::exchange(ended_, {})) links_.erase(link->place_);
+}
+
+Link::Link(Links& links, RunnerId runner, const net::Address& address)
+    : links_(links),
+      runner_(runner),
+      address_(address.text),
+      reader_(http::Kind::answer, links.loop_.blocks()),
+      line_(links.loop_.blocks()),
+      limit_(links.loop_,
+             [this] {
+                 if (busy())
+                     stop(net::Ending::stopped, net::Ending::stopped_unsent);
+                 else
+                     close();
+             }),
+      connection_(links.loop_, *this, address, links.upkeep_.connect_limit) {}
+
+void Link::carry(Errand&& errand) {
+    errand_ = std::move(errand);
+    state_ = State::errand;
+    since_ = net::Loop::now();
+    limit_.set(errand_.stop_at);
+    if (up_) begin();
+}
+
+void Link::carry_probe() {
+    state_ = State::probe;
+    since_ = net::Loop::now();
+    limit_.set(since_ + links_.upkeep_.connect_limit);
+    if (up_) begin();
+}
+
+void Link::connected() {
+    up_ = true;
+    if (busy()) begin();
+}
+
+void Link::begin() {
+    begun_ = true;
+    answered_ = false;
+    if (state_ == State::probe) {
+        connection_.write(links_.reports_.wanted() ? kProbeHead : kHealthHead);
+        return;
+    }
+    net::Blocks out(links_.loop_.blocks());
+    const Micros left = std::max<Micros>(1, errand_.stop_at - net::Loop::now());
+    bool room = out.append(errand_.head + "X-Timeout: " + std::to_string(left) + "u\r\n\r\n");
+    if (errand_.body) room = room && out.append(errand_.body->text());
+    if (!room) return stop(net::Ending::out_of_sockets, net::Ending::out_of_sockets);
+    connection_.write(std::move(out));
+}
+
+void Link::bytes(std::string_view bytes) {
+    // Bytes that nobody asked for: whatever answer they belong to, it is not the next one's.
+    if (state_ == State::idle) return close();
+    answered_ = true;
+    while (state_ != State::idle && state_ != State::over) {
+        switch (reader_.read(bytes)) {
+            case http::Found::nothing:
+                return;
+            case http::Found::head:
+                if (!heed_head()) return;
+                break;
+            case http::Found::body:
+                if (!heed_piece()) return;
+                break;
+            case http::Found::end:
+                heed_end();
+                if (state_ == State::idle && !bytes.empty()) close();
+                return;
+            case http::Found::fault:
+                settle(net::Ending::malformed);
+                return close();
+        }
+    }
+}
+
+bool Link::heed_head() {
+    report_ = links_.reports_.read_pairs(reader_.head().field("X-Server-Load"));
+    // An answer that comes before the request is out belongs to no request of ours.
+    if (state_ != State::errand || !connection_.unsent()) return true;
+    settle(by_status());
+    close();
+    return false;
+}
+
+net::Ending Link::by_status() const {
+    const http::Head& head = reader_.head();
+    const bool never_ran = head.field("X-Not-Processed") == "1";
+    if ((head.status == 503 || head.status == 504) && never_ran) return net::Ending::handed_back;
+    if (head.status >= 500) return net::Ending::failed;
+    // Whatever it means, it is no result, and nothing says that the task did not run.
+    return net::Ending::malformed;
+}
+
+bool Link::heed_piece() {
+    const auto give_up = [this] {
+        settle(net::Ending::malformed);
+        close();
+        return false;
+    };
+    std::string_view piece = reader_.piece();
+    if (state_ == State::probe || (state_ == State::errand && reader_.head().status != 200)) {
+        // Bodies that are not lines: a load report, or words on why not.
+        return line_.size() + piece.size() <= kLongestLine && line_.append(piece) ? true : give_up();
+    }
+    while (!piece.empty()) {
+        const auto end = piece.find('\n');
+        if (line_.size() + piece.size() > kLongestLine || !line_.append(piece.substr(0, end))) return give_up();
+        if (end == std::string_view::npos) return true;
+        piece.remove_prefix(end + 1);
+        const std::string text = line_.text();
+        line_.clear();
+        if (!heed_line(text)) return false;
+    }
+    return true;
+}
+
+bool Link::heed_line(std::string_view text) {
+    if (text.find_first_not_of(" \t\r") == std::string_view::npos) return true;
+    Line line;
+    if (state_ == State::errand) line = read_line(text, errand_.request_id, links_.reports_);
+    switch (line.state) {
+        case Line::State::started:
+            links_.sender_.progressed(errand_.task, errand_.number, runner_, Stage::begun, 0);
+            return true;
+        case Line::State::running:
+            links_.sender_.progressed(errand_.task, errand_.number, runner_, Stage::progress, line.share);
+            return true;
+        case Line::State::last:
+            if (line.report.empty()) line.report = std::move(report_);
+            settle(line.ending, std::move(line.report), std::move(line.result));
+            return true;
+        case Line::State::unreadable:
+            // Also a line after the last one: a runner that goes on talking is not to be followed.
+            settle(net::Ending::malformed);
+            close();
+            return false;
+    }
+    return true;
+}
+
+void Link::heed_end() {
+    if (state_ == State::probe) {
+        Report report = links_.reports_.read_object(line_.text());
+        if (report.empty()) report = std::move(report_);
+        settle(reader_.head().status == 200 ? net::Ending::done : net::Ending::handed_back, std::move(report));
+    } else if (state_ == State::errand && reader_.head().status != 200) {
+        settle(by_status(), std::move(report_));
+    } else if (state_ == State::errand) {
+        // The last line may lack its line end.
+        const std::string text = line_.text();
+        line_.clear();
+        if (!text.empty() && !heed_line(text)) return;
+        if (state_ == State::errand) {
+            settle(net::Ending::ended_early);
+            return close();
+        }
+    }
+    const bool keeps = reader_.head().keeps_alive;
+    reader_.restart();
+    line_.clear();
+    if (keeps && state_ != State::over)
+        keep();
+    else
+        close();
+}
+
+void Link::keep() {
+    Links::Place& place = links_.places_[runner_];
+    if (!place.open || place.address->text != address_) return close();
+    state_ = State::idle;
+    begun_ = false;
+    used_ = true;
+    // Closed before the runner would: a request that crosses its close counts as one that may have run.
+    limit_.set(net::Loop::now() + links_.upkeep_.keep_idle);
+    place.idle.push_back(this);
+}
+
+// The one end of an errand or probe; what still comes on the connection is only read to its end.
+void Link::settle(net::Ending ending, Report&& report, std::string&& result) {
+    if (!busy()) return;
+    const bool probe = state_ == State::probe;
+    state_ = State::finishing;
+    limit_.set(net::Loop::now() + kFinishing);
+    const Micros elapsed = net::Loop::now() - since_;
+    if (probe) return links_.sender_.probe_ended(runner_, ending, elapsed, std::move(report));
+    links_.out_.erase({errand_.task, errand_.number});
+    links_.sender_.errand_ended(
+        {errand_.task, errand_.number, runner_, ending, elapsed, std::move(report), std::move(result)});
+}
+
+void Link::stop(net::Ending sent, net::Ending unsent) {
+    if (!busy()) return;
+    const bool all_out = begun_ && !connection_.unsent();
+    settle(all_out ? sent : unsent);
+    close();
+}
+
+void Link::close() {
+    if (state_ == State::over) return;
+    if (state_ == State::idle) links_.forget_idle(*this);
+    settle(net::Ending::closed);
+    state_ = State::over;
+    limit_.cancel();
+    connection_.close();
+    reader_.restart();
+    line_.clear();
+    links_.ended_.push_back(this);
+}
+
+void Link::ended(net::Ending ending) {
+    if (!begun_ && busy() && up_) ending = net::Ending::broken_unsent;
+    // An answer that goes on until the connection closes ends properly by that.
+    if (ending == net::Ending::ended_early && state_ == State::errand && reader_.ends_by_close()) {
+        const std::string text = line_.text();
+        if (reader_.head().status != 200)
+            settle(by_status(), std::move(report_));
+        else if (!text.empty())
+            heed_line(text);
+    }
+    if ((ending == net::Ending::ended_early || ending == net::Ending::broken) && used_ && !answered_)
+        ending = net::Ending::crossed;
+    settle(ending);
+    close();
+}
+
+}  // namespace gannethold::runners
--- /dev/null
+++ b/src/runners/links.hpp
@@ -0,0 +1,138 @@
+// Connections to runners: assignments and probes go out on them, and each is kept for the next.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/reader.hpp"
+#include "net/connection.hpp"
+#include "runners/words.hpp"
+
+namespace gannethold::runners {
+
+// One assignment on its way to a runner.
+struct Errand {
+    TaskId task{};
+    int number = 0;
+    std::string request_id;
+    std::string head;  // of the request, without the time it has and the empty line
+    const net::Blocks* body = nullptr;  // kept by the sender until the errand has ended
+    Micros stop_at = 0;
+};
+
+struct ErrandEnded {
+    TaskId task{};
+    int number = 0;
+    RunnerId runner{};
+    net::Ending ending{};
+    Micros elapsed = 0;
+    Report report;
+    std::string result;
+};
+
+// Who hears of it; also from inside a call to Links, so it must only take note.
+class Sender {
+  public:
+    virtual void errand_ended(ErrandEnded&& ended) = 0;
+    virtual void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) = 0;
+    virtual void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) = 0;
+
+  protected:
+    ~Sender() = default;
+};
+
+// How connections to runners are made and kept.
+struct Upkeep {
+    Micros connect_limit = 1'000'000;
+    Micros keep_idle = 0;  // shorter than a runner's own limit
+    std::size_t most_links = 64;
+};
+
+class Link;
+
+class Links {
+  public:
+    Links(net::Loop& loop, Sender& sender, Reports reports, Upkeep upkeep);
+    ~Links();
+
+    // What the roster says. A runner that is not open gets nothing that has not begun to be written.
+    void seat(RunnerId runner, const net::Address& address, bool open);
+    void assign(RunnerId runner, Errand&& errand);
+    void withdraw(TaskId task, int number);
+    void probe(RunnerId runner);
+    void close_idle(RunnerId runner);
+    void sweep();
+    std::size_t size() const { return links_.size(); }
+
+  private:
+    friend class Link;
+    struct Place {
+        std::optional<net::Address> address;
+        bool open = false;
+        std::vector<Link*> idle;  // the last one used stands last
+    };
+
+    Link& open_link(RunnerId runner, Place& place);
+    Link& idle_or_new(RunnerId runner);
+    void forget_idle(Link& link);
+
+    net::Loop& loop_;
+    Sender& sender_;
+    const Reports reports_;
+    const Upkeep upkeep_;
+    std::map<RunnerId, Place> places_;
+    std::map<std::pair<TaskId, int>, Link*> out_;
+    std::list<std::unique_ptr<Link>> links_;
+    std::vector<Link*> ended_;
+};
+
+// One connection to a runner. It carries one errand or probe at a time.
+class Link final : public net::Connection::Owner {
+  public:
+    Link(Links& links, RunnerId runner, const net::Address& address);
+
+    void carry(Errand&& errand);
+    void carry_probe();
+    void stop(net::Ending sent, net::Ending unsent);
+    RunnerId runner() const { return runner_; }
+    const std::string& address() const { return address_; }
+    bool waits_to_begin() const { return busy() && !begun_; }
+
+  private:
+    friend class Links;
+    enum class State { idle, errand, probe, finishing, over };
+
+    bool busy() const { return state_ == State::errand || state_ == State::probe; }
+    void connected() override;
+    void bytes(std::string_view bytes) override;
+    void ended(net::Ending ending) override;
+    void begin();
+    bool heed_head();
+    bool heed_piece();
+    bool heed_line(std::string_view text);
+    void heed_end();
+    void settle(net::Ending ending, Report&& report = {}, std::string&& result = {});
+    void close();
+    void keep();
+    net::Ending by_status() const;
+
+    Links& links_;
+    const RunnerId runner_;
+    const std::string address_;
+    State state_ = State::idle;
+    Errand errand_;
+    Micros since_ = 0;
+    bool up_ = false, begun_ = false, used_ = false, answered_ = false;
+    Report report_;
+    http::Reader reader_;
+    net::Blocks line_;
+    net::Timer limit_;  // of what is under way, or of standing idle
+    net::Connection connection_;
+    std::list<std::unique_ptr<Link>>::iterator place_;
+};
+
+}  // namespace gannethold::runners
--- /dev/null
+++ b/src/runners/words.cpp
@@ -0,0 +1,124 @@
+#include "runners/words.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "json/json.hpp"
+
+namespace gannethold::runners {
+namespace {
+
+// The settings' names of values, and how they stand in a report.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 6> kOtherSpellings{
+    {{"rif", "inflight"},
+     {"q", "queue"},
+     {"busy", "util"},
+     {"lat_ms", "latency_ms"},
+     {"rate", "qps"},
+     {"fail_rate", "eps"}}};
+
+constexpr std::array<std::pair<std::string_view, net::Ending>, 4> kLastStates{
+    {{"done", net::Ending::done},
+     {"failed", net::Ending::failed},
+     {"returned", net::Ending::handed_back},
+     {"lost", net::Ending::lost}}};
+
+}  // namespace
+
+Reports::Reports(std::vector<std::string> names) {
+    for (std::string& name : names) {
+        std::vector<std::string> spellings{name};
+        for (const auto& [one, other] : kOtherSpellings) {
+            if (name == one) spellings.emplace_back(other);
+            if (name == other) spellings.emplace_back(one);
+        }
+        names_.push_back(std::move(spellings));
+    }
+}
+
+Report Reports::in_order(const std::map<std::string, double, std::less<>>& values) const {
+    Report report;
+    for (const auto& spellings : names_) {
+        const auto found = std::find_if(spellings.begin(), spellings.end(),
+                                        [&](const std::string& name) { return values.contains(name); });
+        if (found == spellings.end()) return {};
+        report.push_back(values.find(*found)->second);
+    }
+    return report;
+}
+
+Report Reports::read_pairs(std::string_view text) const {
+    std::map<std::string, double, std::less<>> values;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        std::string_view one = text.substr(0, comma);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+        while (!one.empty() && one.front() == ' ') one.remove_prefix(1);
+        const auto equals = std::min(one.find('='), one.size());
+        const std::string_view digits = one.substr(std::min(equals + 1, one.size()));
+        double value = 0;
+        const auto [end, wrong] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+        if (wrong != std::errc() || end != digits.data() + digits.size()) return {};
+        values.emplace(one.substr(0, equals), value);
+    }
+    return in_order(values);
+}
+
+namespace {
+
+Report read_load(const json::Value& load, const Reports& reports) {
+    if (const auto* text = load.get<std::string>()) return reports.read_pairs(*text);
+    const auto* object = load.get<json::Object>();
+    if (!object) return {};
+    std::map<std::string, double, std::less<>> values;
+    for (const auto& [name, value] : *object)
+        if (const auto* number = value.get<json::Number>()) values.emplace(name, number->value());
+    return reports.in_order(values);
+}
+
+}  // namespace
+
+Report Reports::read_object(std::string_view text) const {
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) text.remove_suffix(1);
+    if (text.empty() || text.front() != '{') return read_pairs(text);
+    try {
+        const json::Value value = json::read(text);
+        const json::Value* const load = value.find("load");
+        return read_load(load ? *load : value, *this);
+    } catch (const json::Malformed&) {
+        return {};
+    }
+}
+
+Line read_line(std::string_view text, std::string_view request_id, const Reports& reports) {
+    Line line;
+    json::Value said;
+    try {
+        said = json::read(text);
+    } catch (const json::Malformed&) {
+        return line;
+    }
+    const std::string* const id = said.text("id");
+    const std::string* const state = said.text("state");
+    if (!id || *id != request_id || !state) return line;
+    if (*state == "started") {
+        line.state = Line::State::started;
+    } else if (*state == "running") {
+        line.share = said.number("share").value_or(-1);
+        if (line.share >= 0 && line.share <= 1) line.state = Line::State::running;
+    }
+    for (const auto& [name, ending] : kLastStates)
+        if (*state == name) line.state = Line::State::last, line.ending = ending;
+    if (const auto* load = said.find("load")) line.report = read_load(*load, reports);
+    if (line.ending == net::Ending::done) {
+        const json::Value* const result = said.find("result");
+        const std::string* const words = result ? result->get<std::string>() : nullptr;
+        if (!result) line.state = Line::State::unreadable, line.ending = net::Ending::malformed;
+        else line.result = words ? *words : json::write(*result);
+    }
+    return line;
+}
+
+}  // namespace gannethold::runners
--- a/tests/wire_stories.cpp
+++ b/tests/wire_stories.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
+#include "orders/spelling.hpp"
 #include "simhost/host.hpp"
 
 using namespace gannethold;
@@ -75,7 +76,7 @@
 }
 
 TEST_CASE("settings are told in our words, unknown ones pass") {
-    const auto orders = read_orders("workloads.0.effect=token\nreporting.names=x0,q,rif\nspecifics.report_x0=free_slots\n"
+    const auto orders = orders::read_lines("workloads.0.effect=token\nreporting.names=x0,q,rif\nspecifics.report_x0=free_slots\n"
                                     "tenants.count=2\nodd.thing=a=b\n");
     CHECK(orders.at("workloads.0.effect") == "fingerprinted");
     CHECK(orders.at("reports.names") == "free_slots,waiting,held");
