--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -34,7 +34,10 @@
             return;
         }
         lines += path + "=";
-        for (const auto& item : *list) lines += (&item == &list->front() ? "" : ",") + scalar(item);
+        for (const auto& item : *list) {
+            if (&item != &list->front()) lines += ",";
+            lines += scalar(item);
+        }
         lines += "\n";
     } else {
         lines += path + "=" + scalar(value) + "\n";
