--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -12,8 +12,9 @@
 
 // At a restart clients still come for a while after the signal, through a front that has not yet heard.
 constexpr Micros kStillComing = 600'000;
-// And no task may still be out when the system kills what has not ended.
-constexpr Micros kLastMinute = 3'000'000;
+// The system kills what has not ended in the longest time that a client waits, or three seconds, and a little
+// more after the signal; no task may still be out then.
+constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
 constexpr Micros kFollowAgain = 500'000;
 
 // Descriptors: a few for the process itself and discovery, a quarter for runners, the rest for clients.
@@ -70,14 +71,20 @@
 }
 
 void Dispatcher::run() {
-    after_turn();
-    loop_.run([this] { after_turn(); });
+    end_turn();
+    loop_.run([this] { end_turn(); });
 }
 
 void Dispatcher::leave() {
     if (left_at_ > 0) return;
     left_at_ = net::Loop::now();
-    last_minute_ = left_at_ + kLastMinute;
+    Micros longest = 0;
+    for (const auto& [name, id] : directory_.workloads) {
+        const std::string expiry = "workloads." + std::to_string(static_cast<std::uint32_t>(id)) + ".expiry_us";
+        longest = std::max(longest, Stated(posting_.orders).micros(expiry, kLongestStay));
+    }
+    last_minute_ = left_at_ + std::min(longest, kLongestStay) + kLastMinute;
+    links_.stop_all_by(last_minute_);
     log_.info(left_at_, "leaving, ", tasks_.size(), " tasks under way");
     farewell_.set(left_at_ + kStillComing);
 }
@@ -87,6 +94,15 @@
 void Dispatcher::see_off() {
     const Micros now = net::Loop::now();
     if (!server_.leaving()) server_.leave();
+    // Against a task that waits for room to the end: the process cannot, and silence would lose it. Whether
+    // it may have run is the module's to know, so nothing is promised.
+    for (auto task = tasks_.begin(); now > last_minute_ + kLastMinute / 4 && task != tasks_.end();) {
+        const auto [id, waits] = std::pair(task->first, task->second.session != nullptr);
+        ++task;
+        if (!waits) continue;
+        note(ClientLeft{id});
+        answer(id, clients::Answer::abandoned, "", 0);
+    }
     if (server_.quiet()) {
         log_.info(now, "left after ", (now - left_at_) / 1000, " ms");
         return loop_.stop();
@@ -174,7 +190,7 @@
 
 // ---- what goes out -----------------------------------------------------------------------------------
 
-void Dispatcher::after_turn() {
+void Dispatcher::end_turn() {
     // What carrying out brings at once, such as an assignment that is moot, is a batch of its own.
     while (std::exchange(noted_, false)) {
         actions_.clear();
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -23,8 +23,9 @@
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log);
 
-    void run();    // until it has left
-    void leave();  // answers what it has and what still comes, then ends
+    void run();       // until it has left
+    void end_turn();  // settles what the turn brought; run() calls it
+    void leave();     // answers what it has and what still comes, then ends
     std::uint16_t port() const { return server_.port(); }
 
   private:
@@ -48,7 +49,6 @@
 
     bool heard(const roster::Listing& listing, RosterScope scope);
     void note(const Event& event);
-    void after_turn();
     void carry_out(const Action& action);
     void assign(const Assign& wanted);
     void answer(TaskId task, clients::Answer answer, std::string_view result, Micros stay_away);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -24,12 +24,11 @@
 Loop::Loop(std::size_t most_blocks) : blocks_(most_blocks), base_(precise_base(), &event_base_free) {}
 
 void Loop::run(const std::function<void()>& after_turn) {
-    while (!stopping_) {
-        if (event_base_loop(base_.get(), EVLOOP_ONCE) != 0) return;
-        after_turn();
-    }
+    while (!stopping_ && turn(true)) after_turn();
 }
 
+bool Loop::turn(bool wait) { return event_base_loop(base_.get(), wait ? EVLOOP_ONCE : EVLOOP_NONBLOCK) == 0; }
+
 Micros Loop::now() {
     using namespace std::chrono;
     return duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count();
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -17,7 +17,9 @@
 
     // Turns until stop(); what one turn of the loop brought is a batch, and after_turn is called for it.
     void run(const std::function<void()>& after_turn);
+    bool turn(bool wait);  // false: nothing is left to wait for
     void stop() { stopping_ = true; }
+    bool stopping() const { return stopping_; }
 
     static Micros now();  // monotonic
     event_base* base() const { return base_.get(); }
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -45,6 +45,10 @@
 
 void Links::probe(RunnerId runner) { idle_or_new(runner).carry_probe(); }
 
+void Links::stop_all_by(Micros at) {
+    for (const auto& link : links_) link->stop_by(at);
+}
+
 void Links::close_idle(RunnerId runner) {
     for (Link* const link : std::exchange(places_[runner].idle, {})) link->close();
 }
@@ -279,6 +283,12 @@
     close();
 }
 
+void Link::stop_by(Micros at) {
+    if (state_ != State::errand || errand_.stop_at <= at) return;
+    errand_.stop_at = at;
+    limit_.set(at);
+}
+
 void Link::close() {
     if (state_ == State::over) return;
     if (state_ == State::idle) links_.forget_idle(*this);
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -64,6 +64,7 @@
     void assign(RunnerId runner, Errand&& errand);
     void withdraw(TaskId task, int number);
     void probe(RunnerId runner);
+    void stop_all_by(Micros at);  // no assignment that is out now may be out longer
     void close_idle(RunnerId runner);
     void sweep();
     std::size_t size() const { return links_.size(); }
@@ -98,6 +99,7 @@
     void carry(Errand&& errand);
     void carry_probe();
     void stop(net::Ending sent, net::Ending unsent);
+    void stop_by(Micros at);
     RunnerId runner() const { return runner_; }
     const std::string& address() const { return address_; }
     bool waits_to_begin() const { return busy() && !begun_; }
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "fake_host.hpp"
+#include "helpers.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -1,11 +1,23 @@
-// One tiny host for the stories: a clock, a fleet that does what the story says, and a record of all actions.
+// What the stories share: a tiny host for the module, with a clock and a record of all actions; and for
+// sockets a town of scripted peers on loopback, all in the test's own process.
 #pragma once
 
 #include <doctest/doctest.h>
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <functional>
+#include <memory>
 #include <set>
+#include <sstream>
+#include <utility>
 
 #include "choice.hpp"
+#include "dispatcher/dispatcher.hpp"
 
 namespace gannethold {
 
@@ -103,4 +115,168 @@
     unsigned long long asked = 0;
 };
 
+// One end of a connection, in the hands of the story.
+class Wire {
+  public:
+    explicit Wire(int socket) : socket_(socket) {
+        const int yes = 1;
+        setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+        fcntl(socket_, F_SETFL, O_NONBLOCK);
+    }
+    static Wire to(std::uint16_t port) {
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        return Wire(socket);
+    }
+    Wire(Wire&& other) noexcept : got(std::move(other.got)), socket_(std::exchange(other.socket_, -1)) {}
+    ~Wire() { hang_up(); }
+
+    void say(std::string_view text) const {
+        while (!text.empty()) {
+            const auto n = send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
+            if (n <= 0) return;
+            text.remove_prefix(static_cast<std::size_t>(n));
+        }
+    }
+    void hang_up() {
+        if (socket_ >= 0) close(std::exchange(socket_, -1));
+    }
+    void reset() {
+        const linger now{1, 0};
+        setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        hang_up();
+    }
+    // All that has come since the last look, in got; closed once the other side has ended.
+    Wire& look() {
+        char space[65536];
+        for (ssize_t n; socket_ >= 0 && (n = recv(socket_, space, sizeof space, 0)) >= 0;) {
+            if (n == 0) closed = true;
+            if (n == 0) break;
+            got.append(space, static_cast<std::size_t>(n));
+        }
+        if (socket_ >= 0 && errno == ECONNRESET) closed = true;
+        return *this;
+    }
+    bool has(const std::string& text) { return look().got.find(text) != std::string::npos; }
+    bool ended() { return look().closed; }
+
+    std::string got;
+    bool closed = false;
+
+  private:
+    int socket_;
+};
+
+// A listening socket of a scripted peer.
+class Door {
+  public:
+    explicit Door(int backlog = 16) : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+        sockaddr_in at{};
+        socklen_t length = sizeof at;
+        at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(bind(socket_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &length);
+        port = ntohs(at.sin_port);
+        if (backlog >= 0) REQUIRE(listen(socket_, backlog) == 0);
+    }
+    ~Door() { shut(); }
+    void shut() {
+        if (socket_ >= 0) close(std::exchange(socket_, -1));
+    }
+    // Whoever has come; the newest is last.
+    std::vector<Wire>& guests() {
+        for (int one; socket_ >= 0 && (one = accept(socket_, nullptr, nullptr)) >= 0;) guests_.emplace_back(one);
+        return guests_;
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+
+    std::uint16_t port = 0;
+
+  private:
+    int socket_;
+    std::vector<Wire> guests_;
+};
+
+// A dispatcher with its runners and its discovery, all of them scripted by the story.
+struct Town {
+    explicit Town(int runners = 1, const std::string& workload = "pure", const std::string& caps = "",
+                  const std::string& limits = "\"memory_mb\":64,\"sockets\":64") {
+        for (int i = 0; i < runners; ++i) doors.push_back(std::make_unique<Door>());
+        const std::string text =
+            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) +
+            "\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
+            "},\"known\":" + list(7, "SERVING", true) +
+            ",\"settings\":{\"balancers\":1,\"registry_mode\":\"on_request\",\"resolution_us\":1000,"
+            "\"reporting\":{\"names\":[\"x0\",\"q\",\"rif\"]},\"specifics\":{\"report_x0\":\"free slots\"},"
+            "\"caps\":{\"cancelling\":true,\"connect_timeout_us\":150000,\"keepalive_us\":600000,"
+            "\"max_assignments\":3,\"retry_after\":true,\"max_retry_after_us\":1500000" + caps +
+            "},\"rules\":{\"fall_multiple\":400},\"workloads\":[{\"name\":\"render\",\"effect\":\"" + workload +
+            "\",\"due_time_us\":600000,\"expiry_us\":900000,\"importance\":1}]}}";
+        dispatcher = std::make_unique<dispatcher::Dispatcher>(loop, dispatcher::Posting::read(text), log);
+        dispatcher->end_turn();
+    }
+    std::string list(int version, const std::string& state, bool full, long long started = 0) const {
+        std::string text = "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") +
+                           ",\"servers\":[";
+        for (const auto& door : doors)
+            text += (door == doors.front() ? "" : ",") + ("{\"id\":\"s-" + std::to_string(&door - &doors[0])) +
+                    "\",\"addr\":\"" + door->address() + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\"" +
+                    state + "\",\"weight\":1.0,\"started_ms\":" + std::to_string(started) + "}";
+        return text + "]}";
+    }
+    void turn() {
+        loop.turn(false);
+        dispatcher->end_turn();
+    }
+    // Turns until it holds, for a bounded time.
+    bool until(const std::function<bool()>& holds, int milliseconds = 3000) {
+        for (const Micros end = net::Loop::now() + milliseconds * 1000; net::Loop::now() < end; usleep(200)) {
+            turn();
+            if (holds()) return true;
+        }
+        return false;
+    }
+    void pass(int milliseconds) { until([] { return false; }, milliseconds); }
+
+    Wire client() const { return Wire::to(dispatcher->port()); }
+    static std::string post(const std::string& id, const std::string& more = "X-Timeout: 900m\r\n",
+                            const std::string& body = "scene") {
+        return "POST /render/key HTTP/1.1\r\nHost: app\r\nX-Request-ID: " + id + "\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    // The wire on which that request came to some runner; waits for it.
+    Wire& at_runner(const std::string& id) {
+        Wire* found = nullptr;
+        const auto there = [&] {
+            for (const auto& door : doors)
+                for (Wire& wire : door->guests())
+                    if (wire.has("X-Request-ID: " + id + "\r\n")) found = &wire;
+            return found != nullptr;
+        };
+        REQUIRE(until(there));
+        return *found;
+    }
+    static std::string chunk(const std::string& text) {
+        std::ostringstream out;
+        out << std::hex << text.size() << "\r\n" << text << "\r\n";
+        return out.str();
+    }
+    static std::string line(const std::string& id, const std::string& rest) {
+        return chunk("{\"id\":\"" + id + "\",\"from\":\"s-0\"," + rest + "}\n");
+    }
+    static inline const std::string taken = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static std::string done(const std::string& id, const std::string& result = "picture") {
+        return taken + line(id, "\"state\":\"done\",\"result\":\"" + result + "\"") + "0\r\n\r\n";
+    }
+
+    std::ostringstream said;
+    log::Log log{said, log::Level::debug};
+    net::Loop loop{4096};
+    Door discovery;
+    std::vector<std::unique_ptr<Door>> doors;
+    std::unique_ptr<dispatcher::Dispatcher> dispatcher;
+};
+
 }  // namespace gannethold
--- /dev/null
+++ b/tests/parser_stories.cpp
@@ -0,0 +1,264 @@
+#include "clients/request.hpp"
+#include "helpers.hpp"
+#include "http/writer.hpp"
+#include "json/json.hpp"
+#include "roster/book.hpp"
+#include "runners/words.hpp"
+
+using namespace gannethold;
+
+namespace {
+
+// What a reader makes of pieces, as one text.
+struct Reading {
+    explicit Reading(http::Kind kind) : reader(kind, pool) {}
+
+    void take(std::string_view bytes) {
+        while (heard.find("fault") == std::string::npos) {
+            switch (reader.read(bytes)) {
+                case http::Found::nothing:
+                    return;
+                case http::Found::head:
+                    heard += std::string(reader.head().method) + std::string(reader.head().target) +
+                             std::to_string(reader.head().status) + (reader.head().keeps_alive ? "+" : "-");
+                    for (const auto& f : reader.head().fields)
+                        heard += "[" + std::string(f.name) + "=" + std::string(f.value) + "]";
+                    break;
+                case http::Found::body:
+                    heard += reader.piece();
+                    break;
+                case http::Found::end:
+                    heard += "|";
+                    reader.restart();
+                    break;
+                case http::Found::fault:
+                    heard += "fault" + std::to_string(static_cast<int>(reader.fault()));
+            }
+        }
+    }
+
+    net::BlockPool pool{4};
+    http::Reader reader;
+    std::string heard;
+};
+
+std::string read_whole(http::Kind kind, const std::string& text) {
+    Reading r(kind);
+    r.take(text);
+    return r.heard;
+}
+
+void reads_alike_however_split(http::Kind kind, const std::string& text, const std::string& expected) {
+    CHECK(read_whole(kind, text) == expected);
+    for (std::size_t at = 1; at < text.size(); ++at) {
+        Reading r(kind);
+        r.take(std::string_view(text).substr(0, at));
+        r.take(std::string_view(text).substr(at));
+        CHECK_MESSAGE(r.heard == expected, "split at ", at);
+    }
+    Reading r(kind);
+    for (const char& c : text) r.take({&c, 1});
+    CHECK(r.heard == expected);
+}
+
+const std::string kMalformed = "fault1", kTooLarge = "fault2", kVersion = "fault3", kNoBlock = "fault4";
+
+}  // namespace
+
+TEST_CASE("requests read the same wherever the network splits them") {
+    reads_alike_however_split(http::Kind::request,
+                              "\r\nPOST /render/7?a=b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+                              "GET /healthz HTTP/1.0\r\n\r\n"
+                              "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\nconnection: Keep, CLOSE\r\n\r\n"
+                              "3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nEnd: 1\r\n\r\n",
+                              "POST/render/7?a=b0+[Host=x][Content-Length=5]hello|GET/healthz0-|"
+                              "POST/r0-[Transfer-Encoding=chunked][connection=Keep, CLOSE]abcd|");
+}
+
+TEST_CASE("answers read the same wherever the network splits them") {
+    reads_alike_however_split(http::Kind::answer,
+                              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno"
+                              "HTTP/1.1 204 None\r\n\r\nHTTP/1.1 200\r\nA:\t b \r\n\r\ntill the end",
+                              "503+[Content-Length=2]no|204+|200-[A=b]till the end");
+}
+
+TEST_CASE("a head that two readers could take differently is refused") {
+    for (const std::string bad :
+         {"POST /r HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "POST /r HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+          "POST /r HTTP/1.1\r\nContent-Length: +1\r\n\r\n", "POST /r HTTP/1.1\r\nContent-Length: 1 1\r\n\r\n",
+          "POST /r HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+          "POST /r HTTP/1.1\r\nContent-Length:\r\n\r\n", "POST /r HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+          "POST /r HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "POST /r HTTP/1.1\r\nA : b\r\n\r\n",
+          "POST /r HTTP/1.1\r\n folded\r\n\r\n", "POST /r HTTP/1.1\r\nA: b\nC: d\r\n\r\n", "POST /r\r\n\r\n",
+          "POST  /r HTTP/1.1\r\n\r\n", "POST r HTTP/1.1\r\n\r\n", "P(ST /r HTTP/1.1\r\n\r\n",
+          "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+          "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n",
+          "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n"}) {
+        const std::string heard = read_whole(http::Kind::request, bad);
+        CHECK_MESSAGE(heard.ends_with(kMalformed), bad);
+    }
+    CHECK(read_whole(http::Kind::request, "GET / HTTP/2.0\r\n\r\n") == kVersion);
+    CHECK(read_whole(http::Kind::answer, "HTTP/1.1 99 x\r\n\r\n") == kMalformed);
+    CHECK(read_whole(http::Kind::answer, "HTTP/1.1 101 Switch\r\n\r\n") == kMalformed);
+    CHECK(read_whole(http::Kind::answer, "HTTP/1.1 2000 x\r\n\r\n") == kMalformed);
+}
+
+TEST_CASE("heads, chunk sizes and trailers without an end are refused, and blocks go back") {
+    const std::string head = "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(read_whole(http::Kind::request, "GET /" + std::string(net::BlockPool::kBytes, 'a')) == kTooLarge);
+    CHECK(read_whole(http::Kind::request, head + "00000000001").ends_with(kTooLarge));
+    CHECK(read_whole(http::Kind::request, head + "1;" + std::string(5000, 'x')).ends_with(kMalformed));
+    CHECK(read_whole(http::Kind::request, head + "0\r\n" + std::string(5000, 'x')).ends_with(kMalformed));
+    net::BlockPool none(0);
+    http::Reader starved(http::Kind::request, none);
+    std::string_view bytes = "GET / HTTP/1.1\r\n\r\n";
+    CHECK(starved.read(bytes) == http::Found::fault);
+    net::BlockPool pool(2);
+    {
+        net::Blocks body(pool);
+        CHECK(body.append(std::string(net::BlockPool::kBytes + 1, 'b')));
+        CHECK(pool.out() == 2);
+        CHECK_FALSE(body.append(std::string(net::BlockPool::kBytes, 'b')));
+        net::Blocks moved(std::move(body));
+        CHECK(moved.text().size() == 2 * net::BlockPool::kBytes);
+    }
+    CHECK(pool.out() == 0);
+}
+
+TEST_CASE("JSON is read whole or refused, also when it stops anywhere") {
+    const std::string text =
+        R"({"a":[1,-2.5e+3,true,false,null,{}],"b":"q\"\\\/\b\f\n\r\t\u0041\u00e9\u20ac\ud83d\ude00","c":[]})";
+    const json::Value value = json::read(text);
+    CHECK(*value.text("b") == "q\"\\/\b\f\n\r\tA\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80");
+    CHECK((*value.find("a")->get<json::List>())[1].get<json::Number>()->value() == -2500);
+    CHECK(json::write(json::read(json::write(value))) == json::write(value));
+    for (std::size_t at = 0; at < text.size(); ++at)
+        CHECK_THROWS_AS(json::read(std::string_view(text).substr(0, at)), json::Malformed);
+    for (const std::string bad : {"{}x", "[1,]", "{\"a\":1,}", "{\"a\":1,\"a\":2}", "01", "1.", "-", "1e", "\"\n\"", "\"\\x\"",
+                                  "\"\\u12g4\"", "\"\\ud800\"", "\"\\ude00\"", "tru", "nan", "{a:1}", "+1"})
+        CHECK_THROWS_AS(json::read(bad), json::Malformed);
+    CHECK_THROWS_AS(json::read(std::string(100, '[') + std::string(100, ']')), json::Malformed);
+}
+
+TEST_CASE("a runner's lines and load reports are read; what cannot be is one that may have run") {
+    const runners::Reports reports({"x0", "q", "rif"});
+    using State = runners::Line::State;
+    const auto read = [&](const std::string& rest) { return runners::read_line("{\"id\":\"7\"," + rest + "}", "7", reports); };
+    const auto done = read(R"("state":"done","result":"a\nb","load":{"inflight":7,"queue":2,"x0":1})");
+    CHECK(done.state == State::last);
+    CHECK(done.result == "a\nb");
+    CHECK(done.report == Report{1, 2, 7});
+    CHECK(read(R"("state":"done","result":{"n":[1]})").result == R"({"n":[1]})");
+    CHECK(read(R"("state":"started")").state == State::started);
+    CHECK(read(R"("state":"running","share":0.4)").share == 0.4);
+    CHECK(read(R"("state":"failed")").ending == net::Ending::failed);
+    CHECK(read(R"("state":"returned")").ending == net::Ending::handed_back);
+    CHECK(read(R"("state":"lost")").ending == net::Ending::lost);
+    for (const std::string bad : {R"("state":"running","share":1.5)", R"("state":"running")", R"("state":"odd")",
+                                  R"("state":"done")", R"("state":1)", R"("state")"})
+        CHECK(read(bad).state == State::unreadable);
+    CHECK(runners::read_line(R"({"id":"8","state":"done","result":""})", "7", reports).state == State::unreadable);
+    CHECK(reports.read_pairs("rif=7,q=2, x0=0.5") == Report{0.5, 2, 7});
+    CHECK(reports.read_pairs("rif=7,q=2").empty());
+    CHECK(reports.read_pairs("rif=7,q=two,x0=1").empty());
+    CHECK(reports.read_object("{\"load\":{\"rif\":7,\"q\":2,\"x0\":1}}\n") == Report{1, 2, 7});
+    CHECK(reports.read_object("{\"rif\":").empty());
+}
+
+TEST_CASE("requests that name what is not there are refused with a reason") {
+    const clients::Directory directory(StatedOrders{{"workloads.0.name", "render"},
+                                                    {"workloads.1.name", "proof"},
+                                                    {"workloads.1.effect", "fingerprinted"},
+                                                    {"customers.0.name", "acme"}});
+    const auto status = [&](const std::string& line, const std::string& fields) {
+        net::BlockPool pool(1);
+        http::Reader reader(http::Kind::request, pool);
+        const std::string text = line + " HTTP/1.1\r\n" + fields + "\r\n";
+        std::string_view bytes = text;
+        REQUIRE(reader.read(bytes) == http::Found::head);
+        const auto read = clients::read_request(reader.head(), directory);
+        const auto* refused = std::get_if<clients::Refused>(&read);
+        return refused ? refused->status : 200;
+    };
+    const std::string id = "X-Request-ID: 1\r\n", who = "X-Tenant-Id: acme\r\n", wait = "X-Timeout: 480m\r\n";
+    CHECK(status("POST /render/7", id + who + wait) == 200);
+    CHECK(status("POST /render/7", id + who + "X-Timeout: 480000u\r\nX-Attrs: memory=2,slots=1.5,odd=x\r\n") == 200);
+    CHECK(status("GET /render/7", id + who + wait) == 405);
+    CHECK(status("POST /other/7", id + who + wait) == 404);
+    CHECK(status("POST /render/7", who + wait) == 400);
+    CHECK(status("POST /render/7", id + "X-Tenant-Id: nobody\r\n" + wait) == 400);
+    CHECK(status("POST /render/7", id + wait) == 400);
+    CHECK(status("POST /proof/7", id + who + wait) == 400);
+    CHECK(status("POST /proof/7", id + who + wait + "Idempotency-Key: k\r\n") == 200);
+    CHECK(status("POST /render/7", id + who + wait + "X-Attrs: memory=-1\r\n") == 400);
+    for (const std::string odd : {"", "480", "m", "-1m", "0m", "1e30m", "nanm", "1s", "4 m"})
+        CHECK_MESSAGE(status("POST /render/7", id + who + "X-Timeout: " + odd + "\r\n") == 400, odd);
+}
+
+TEST_CASE("the roster keeps its last good entries and numbers, and passes over what is older") {
+    std::ostringstream said;
+    log::Log log(said, log::Level::info);
+    roster::Book book({"a"}, {"m"}, log);
+    const auto take = [&](const std::string& text, RosterScope scope) {
+        const auto listing = roster::read_listing(json::read(text));
+        REQUIRE(listing);
+        return book.take(*listing, scope, 100'000'000);
+    };
+    const auto list = [](const std::string& version, const std::string& addr, const std::string& state, const std::string& more = "") {
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":[{\"id\":\"s-1\",\"addr\":\"" + addr +
+               "\",\"zone\":\"a\",\"kind\":\"m\",\"state\":\"" + state + "\"" + more + "}]}";
+    };
+    const auto first = take(list("41", "127.0.0.1:5000", "SERVING"), RosterScope::complete);
+    CHECK(first->for_module.entries[0].state == RunnerState::ready);
+    CHECK(first->seats[0].open);
+    // A state or an address that cannot be read: the last good entry stands.
+    const auto odd = take(list("42", "127.0.0.1:5000", "RESTING"), RosterScope::changes);
+    CHECK(odd->for_module.entries[0].state == RunnerState::ready);
+    CHECK(take(list("43", "nowhere", "SERVING"), RosterScope::changes)->seats[0].address.text == "127.0.0.1:5000");
+    CHECK(said.str().find("passed over the entry of s-1") != std::string::npos);
+    // Older changes are passed over, an older whole list counts: discovery has restarted.
+    CHECK_FALSE(take(list("40", "127.0.0.1:5000", "DRAINING"), RosterScope::changes));
+    CHECK(take(list("1", "127.0.0.1:5001", "DRAINING"), RosterScope::complete)->for_module.version == 1);
+    CHECK_FALSE(take(list("2", "127.0.0.1:5001", "DELETED"), RosterScope::changes)->seats[0].open);
+    // A start is reckoned once, so that the same start told again is no other one.
+    const std::string started = ",\"started_ms\":1700000000000";
+    const auto again = take(list("3", "127.0.0.1:5001", "SERVING", started), RosterScope::changes);
+    usleep(2000);
+    const auto same = take(list("4", "127.0.0.1:5001", "SERVING", started), RosterScope::complete);
+    CHECK(again->for_module.entries[0].started_at == same->for_module.entries[0].started_at);
+    CHECK(same->for_module.entries[0].runner == first->for_module.entries[0].runner);
+    // What a whole list does not name is closed.
+    const auto nobody = take("{\"version\":5,\"full\":true,\"servers\":[]}", RosterScope::complete);
+    CHECK_FALSE(nobody->seats.at(0).open);
+    for (const std::string bad : {"{}", "{\"version\":1,\"servers\":{}}", "{\"version\":-1,\"servers\":[]}",
+                                  "{\"version\":1,\"servers\":[{}]}"})
+        CHECK_FALSE(roster::read_listing(json::read(bad)));
+}
+
+TEST_CASE("a configuration that cannot be served says why in one line") {
+    const auto why = [](const std::string& text) {
+        try {
+            dispatcher::Posting::read(text);
+        } catch (const std::runtime_error& e) {
+            return std::string(e.what());
+        }
+        return std::string("none");
+    };
+    const std::string places = "\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\"";
+    CHECK(why("{" + places + ",\"settings\":{}}") == "none");
+    CHECK(why("{").find("is not JSON") != std::string::npos);
+    CHECK(why("{}").find("no listen address") != std::string::npos);
+    CHECK(why("{\"listen\":\"here\"}").find("is none: here") != std::string::npos);
+    CHECK(why("{" + places + "}").find("no settings") != std::string::npos);
+    CHECK(why("{" + places + ",\"settings\":{},\"seed\":\"xyz\"}").find("seed") != std::string::npos);
+    CHECK(why("{" + places + ",\"settings\":{},\"known\":[]}").find("known list") != std::string::npos);
+    CHECK(why("{" + places + ",\"settings\":{},\"limits\":{\"sockets\":0}}").find("limit") != std::string::npos);
+    CHECK_THROWS_AS(dispatcher::Posting::read_file("/nowhere/at/all"), std::runtime_error);
+    const auto read = dispatcher::Posting::read(
+        "{" + places + ",\"settings\":{\"dcs\":[\"a b\",\"c\"],\"workloads\":[{\"effect\":\"token\"}],\"caps\":{\"probes\":true}}}");
+    CHECK(read.orders.at("zones") == "a_b,c");
+    CHECK(read.orders.at("workloads.0.effect") == "fingerprinted");
+    CHECK(read.orders.at("workloads.count") == "1");
+    CHECK(read.orders.at("caps.probes") == "true");
+}
--- /dev/null
+++ b/tests/socket_stories.cpp
@@ -0,0 +1,444 @@
+#include "dispatcher/outcomes.hpp"
+#include "helpers.hpp"
+#include "runners/links.hpp"
+
+using namespace gannethold;
+using net::Ending;
+
+namespace {
+
+std::size_t count(const std::string& text, const std::string& word) {
+    std::size_t n = 0;
+    for (auto at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) ++n;
+    return n;
+}
+
+// Connections to one runner, and what their sender hears.
+struct Street : runners::Sender {
+    Street() : links(loop, *this, runners::Reports({"rif"}), {100'000, 200'000, 4}) { seat(true); }
+    void errand_ended(runners::ErrandEnded&& e) override { ended.push_back(std::move(e)); }
+    void progressed(TaskId, int, RunnerId, Stage, double share) override { shares.push_back(share); }
+    void probe_ended(RunnerId, Ending ending, Micros, Report&& report) override {
+        probes.emplace_back(ending, report);
+    }
+    void seat(bool open) { links.seat(RunnerId{1}, *net::Address::read(door.address()), open); }
+    void assign(const std::string& id = "7", Micros span = 2'000'000) {
+        links.assign(RunnerId{1}, {TaskId{++sent}, 0, id, "POST /r HTTP/1.1\r\nX-Request-ID: " + id + "\r\n",
+                                   nullptr, net::Loop::now() + span});
+    }
+    bool until(const std::function<bool()>& holds, int milliseconds = 3000) {
+        for (const Micros end = net::Loop::now() + milliseconds * 1000; net::Loop::now() < end; usleep(200)) {
+            loop.turn(false);
+            links.sweep();
+            if (holds()) return true;
+        }
+        return false;
+    }
+    Wire& runner() {
+        Wire* asked = nullptr;
+        REQUIRE(until([&] {
+            for (Wire& wire : door.guests())
+                if (wire.has("\r\n\r\n")) asked = &wire;
+            return asked != nullptr;
+        }));
+        return *asked;
+    }
+    // How a new assignment ends after the runner has said that, and hung up or not.
+    Ending after(const std::string& words, bool hangs_up = false) {
+        const std::size_t before = ended.size();
+        assign();
+        Wire& wire = runner();
+        wire.got.clear();
+        wire.say(words);
+        if (hangs_up) wire.hang_up();
+        REQUIRE(until([&] { return ended.size() > before; }));
+        return ended.back().ending;
+    }
+
+    net::Loop loop{256};
+    Door door;
+    runners::Links links;
+    std::vector<runners::ErrandEnded> ended;
+    std::vector<double> shares;
+    std::vector<std::pair<Ending, Report>> probes;
+    std::uint64_t sent = 0;
+};
+
+// A door that lets nobody in: its backlog is full, so a connect neither comes up nor is refused.
+struct StuckDoor : Door {
+    StuckDoor() : Door(0) {
+        for (int i = 0; i < 4; ++i) {
+            sockaddr_in at{};
+            at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            connect(waiting.back(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+        }
+    }
+    ~StuckDoor() {
+        for (const int one : waiting) close(one);
+    }
+    std::vector<int> waiting;
+};
+
+std::string answer(const std::string& status, const std::string& more = "") {
+    return "HTTP/1.1 " + status + "\r\n" + more + "Content-Length: 0\r\n\r\n";
+}
+std::string lines(const std::string& text) { return Town::taken + Town::chunk(text) + "0\r\n\r\n"; }
+
+}  // namespace
+
+TEST_CASE("what a runner says or does ends an assignment as the protocol has it") {
+    Street s;
+    CHECK(s.after(Town::done("7")) == Ending::done);
+    CHECK(s.ended.back().result == "picture");
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"failed\"}\n")) == Ending::failed);
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"returned\"}\n")) == Ending::handed_back);
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"lost\",\"load\":{\"rif\":3}}")) == Ending::lost);
+    CHECK(s.ended.back().report == Report{3});
+    CHECK(s.after(answer("500 Oh")) == Ending::failed);
+    CHECK(s.after(answer("503 Full", "X-Not-Processed: 1\r\nX-Server-Load: inflight=9\r\n")) == Ending::handed_back);
+    CHECK(s.ended.back().report == Report{9});
+    CHECK(s.after(answer("504 Late", "X-Not-Processed: 1\r\n")) == Ending::handed_back);
+    CHECK(s.after(answer("503 Full")) == Ending::failed);
+    CHECK(s.door.guests().size() == 1);  // all on one connection
+    // From here on each answer spoils its connection.
+    CHECK(s.after(lines("no JSON\n")) == Ending::malformed);
+    CHECK(s.after(lines("{\"id\":\"8\",\"state\":\"done\",\"result\":\"\"}\n")) == Ending::malformed);
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"running\",\"share\":7}\n")) == Ending::malformed);
+    CHECK(s.after("HTTP/1.1 200 OK\r\nA: " + std::string(9000, 'a')) == Ending::malformed);
+    CHECK(s.after(Town::taken + "zz\r\n") == Ending::malformed);
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"started\"}\n")) == Ending::ended_early);
+    CHECK(s.after(Town::taken, true) == Ending::ended_early);
+    CHECK(s.after("", true) == Ending::ended_early);
+    CHECK(s.door.guests().size() == 8);
+    CHECK(s.after(Town::done("7") + "more") == Ending::done);
+    CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"done\",\"result\":\"\"}\nmore\n")) == Ending::done);
+    CHECK(s.after(Town::done("7")) == Ending::done);
+    CHECK(s.door.guests().size() == 11);  // bytes after the end: those two were not used again
+    s.assign();
+    s.runner().reset();
+    REQUIRE(s.until([&] { return s.links.size() == 0; }));
+    CHECK(s.ended.back().ending == Ending::crossed);
+    CHECK(s.loop.blocks().out() == 0);
+}
+
+TEST_CASE("progress is told, and the answer read, wherever the network splits it") {
+    const std::string text = Town::taken + Town::line("7", "\"state\":\"running\",\"share\":0.5") + Town::done("7").substr(Town::taken.size());
+    Street s;
+    for (std::size_t at = 1; at < text.size(); ++at) {
+        s.assign();
+        Wire& wire = s.runner();
+        wire.got.clear();
+        wire.say(text.substr(0, at));
+        s.loop.turn(false);
+        wire.say(text.substr(at));
+        REQUIRE(s.until([&] { return s.ended.size() == at; }));
+        CHECK(s.ended.back().ending == Ending::done);
+    }
+    CHECK(s.shares.size() == text.size() - 1);
+}
+
+TEST_CASE("an assignment of which no last byte was written has never run") {
+    Street s;
+    s.assign("7", 50'000);
+    s.runner();
+    REQUIRE(s.until([&] { return s.ended.size() == 1; }));
+    CHECK(s.ended.back().ending == Ending::stopped);
+    s.assign();
+    s.runner();
+    s.links.withdraw(TaskId{2}, 0);
+    CHECK(s.ended.back().ending == Ending::withdrawn);
+    StuckDoor stuck;
+    s.links.seat(RunnerId{1}, *net::Address::read(stuck.address()), true);
+    s.assign();
+    s.loop.turn(false);
+    s.links.withdraw(TaskId{3}, 0);
+    CHECK(s.ended.back().ending == Ending::withdrawn_unsent);
+    s.assign("7", 20'000);
+    REQUIRE(s.until([&] { return s.ended.size() == 4; }));
+    CHECK(s.ended.back().ending == Ending::stopped_unsent);
+    s.assign();
+    REQUIRE(s.until([&] { return s.ended.size() == 5; }));
+    CHECK(s.ended.back().ending == Ending::connect_timed_out);
+    s.seat(true);
+    s.door.shut();
+    s.assign();
+    REQUIRE(s.until([&] { return s.ended.size() == 6; }));
+    CHECK(s.ended.back().ending == Ending::refused);
+    // A peer that takes nothing and then resets, with most of a message still here.
+    struct Far : net::Connection::Owner {
+        void connected() override { up = true; }
+        void bytes(std::string_view) override {}
+        void ended(Ending e) override { end = e; }
+        bool up = false;
+        std::optional<Ending> end;
+    } far;
+    Door door;
+    net::Loop loop(4096);
+    net::Connection connection(loop, far, *net::Address::read(door.address()), 1'000'000);
+    while (!far.up) loop.turn(true);
+    connection.write(std::string(16'000'000, 'x'));
+    for (int i = 0; i < 50; ++i) loop.turn(false);
+    door.guests().back().reset();
+    while (!far.end) loop.turn(true);
+    CHECK(*far.end == Ending::broken_unsent);
+}
+
+TEST_CASE("each end has one outcome, and in doubt a task may have run") {
+    using dispatcher::outcome_of;
+    for (const Ending e : {Ending::handed_back, Ending::refused, Ending::unreachable, Ending::connect_timed_out,
+                           Ending::out_of_sockets, Ending::broken_unsent, Ending::stopped_unsent,
+                           Ending::withdrawn_unsent, Ending::drained_unsent})
+        CHECK_MESSAGE(proves_never_ran(outcome_of(e)), net::name_of(e));
+    for (const Ending e : {Ending::done, Ending::failed, Ending::lost, Ending::broken, Ending::ended_early,
+                           Ending::crossed, Ending::idle_closed, Ending::malformed, Ending::stopped,
+                           Ending::withdrawn, Ending::closed})
+        CHECK_MESSAGE(!proves_never_ran(outcome_of(e)), net::name_of(e));
+    CHECK(outcome_of(Ending::done) == Outcome::finished);
+    CHECK(outcome_of(Ending::stopped) == Outcome::timed_out);
+}
+
+TEST_CASE("nothing is begun at a runner that drains, also when the connect was slow") {
+    Street s;
+    s.assign();
+    s.seat(false);
+    CHECK(s.ended.back().ending == Ending::drained_unsent);
+    REQUIRE(s.until([&] { return s.links.size() == 0; }));
+    CHECK((s.door.guests().empty() || s.door.guests().back().look().got.empty()));
+    // What has begun goes on.
+    s.seat(true);
+    s.assign();
+    Wire& wire = s.runner();
+    s.seat(false);
+    wire.say(Town::done("7"));
+    REQUIRE(s.until([&] { return s.ended.size() == 2; }));
+    CHECK(s.ended.back().ending == Ending::done);
+    CHECK(s.until([&] { return s.links.size() == 0; }));  // but its connection is not kept
+}
+
+TEST_CASE("connections are kept for the next assignment and closed before the runner would") {
+    Street s;
+    for (int i = 0; i < 3; ++i) CHECK(s.after(Town::done("7")) == Ending::done);
+    CHECK(s.door.guests().size() == 1);
+    CHECK(s.until([&] { return s.door.guests().back().ended(); }, 400));
+    CHECK(s.links.size() == 0);
+    // One that the runner closed meanwhile is not used again, nor one to an address that it has left.
+    s.after(Town::done("7"));
+    s.door.guests().back().hang_up();
+    CHECK(s.until([&] { return s.links.size() == 0; }));
+    s.after(Town::done("7"));
+    Door moved;
+    s.links.seat(RunnerId{1}, *net::Address::read(moved.address()), true);
+    s.assign();
+    CHECK(s.until([&] { return !moved.guests().empty() && moved.guests().back().has("X-Request-ID: 7"); }));
+}
+
+TEST_CASE("a probe brings the load report, from the body or the header, or says that it cannot") {
+    Street s;
+    s.links.probe(RunnerId{1});
+    CHECK(s.runner().has("GET /load HTTP/1.1"));
+    s.runner().say("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\ninflight=4\n");
+    REQUIRE(s.until([&] { return s.probes.size() == 1; }));
+    CHECK(s.probes[0] == std::pair(Ending::done, Report{4}));
+    s.runner().got.clear();
+    s.links.probe(RunnerId{1});
+    s.runner().say("HTTP/1.1 503 No\r\nX-Server-Load: rif=5\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(s.until([&] { return s.probes.size() == 2; }));
+    CHECK(s.probes[1] == std::pair(Ending::handed_back, Report{5}));
+    s.runner().got.clear();
+    s.links.probe(RunnerId{1});
+    REQUIRE(s.until([&] { return s.probes.size() == 3; }));  // no answer
+    CHECK(s.probes[2].first == Ending::stopped);
+}
+
+TEST_CASE("a task goes to a runner unchanged and its result to the client, on connections that are kept") {
+    Town town;
+    Wire client = town.client();
+    client.say(Town::post("r1", "X-Timeout: 900m\r\nIdempotency-Key: k1\r\nContent-Type: a/b\r\n"));
+    Wire& runner = town.at_runner("r1");
+    CHECK(runner.has("POST /render/key HTTP/1.1\r\n"));
+    CHECK(runner.has("Idempotency-Key: k1\r\n"));
+    CHECK(runner.has("Content-Length: 5\r\n"));
+    CHECK(runner.has("X-Timeout: "));
+    CHECK(runner.has("\r\n\r\nscene"));
+    runner.say(Town::done("r1", "a\\nb"));
+    REQUIRE(town.until([&] { return client.has("\r\n\r\na\nb"); }));
+    CHECK(client.has("HTTP/1.1 200 OK\r\n"));
+    client.say("POST /render/key?q=1 HTTP/1.1\r\nX-Request-ID: r2\r\nX-Timeout: 900m\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    Wire& again = town.at_runner("r2");
+    CHECK(again.has("POST /render/key?q=1 HTTP/1.1\r\n"));
+    CHECK(again.has("\r\n\r\nabcde"));
+    again.say(Town::done("r2", "second"));
+    REQUIRE(town.until([&] { return client.has("second"); }));
+    CHECK(town.doors[0]->guests().size() == 1);
+    CHECK(town.loop.blocks().out() == 0);
+}
+
+TEST_CASE("a task that cannot be served gets one answer, and nothing after it") {
+    Town town;
+    Wire client = town.client();
+    client.say(Town::post("r1", "X-Timeout: 300m\r\n"));
+    Wire& runner = town.at_runner("r1");
+    REQUIRE(town.until([&] { return client.has("HTTP/1.1 503"); }, 320));  // idempotent, so it may come again
+    CHECK(client.has("Retry-After: 1.500\r\n"));
+    runner.say(Town::done("r1"));
+    town.pass(50);
+    CHECK(count(client.look().got, "HTTP/1.1") == 1);
+    Town unsafe(1, "side_effect");
+    Wire other = unsafe.client();
+    other.say(Town::post("r1", "X-Timeout: 300m\r\n"));
+    unsafe.at_runner("r1").say(answer("500 Oh"));
+    REQUIRE(unsafe.until([&] { return other.has("HTTP/1.1 502"); }));
+    unsafe.pass(100);
+    CHECK(unsafe.doors[0]->guests().size() == 1);
+    CHECK(count(unsafe.doors[0]->guests()[0].got, "POST") == 1);
+}
+
+TEST_CASE("what was turned away goes to another runner, also a side effect") {
+    Town town(2, "side_effect");
+    Wire client = town.client();
+    client.say(Town::post("r1"));
+    Wire& first = town.at_runner("r1");
+    first.got.clear();
+    first.say(answer("503 Full", "X-Not-Processed: 1\r\n"));
+    Wire& second = town.at_runner("r1");
+    CHECK(&second != &first);
+    second.say(Town::done("r1"));
+    CHECK(town.until([&] { return client.has("picture"); }));
+}
+
+TEST_CASE("a client that leaves ends its task") {
+    Town town;
+    Wire client = town.client();
+    client.say(Town::post("r1"));
+    Wire& runner = town.at_runner("r1");
+    client.hang_up();
+    CHECK(town.until([&] { return runner.ended(); }));
+    CHECK(town.loop.blocks().out() == 0);
+}
+
+TEST_CASE("bad requests get a 4xx and leave other connections alone") {
+    Town town;
+    Wire good = town.client();
+    good.say(Town::post("good"));
+    Wire& runner = town.at_runner("good");
+    const std::string chunked = "POST /render/k HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\n";
+    for (const auto& [bad, status] : std::vector<std::pair<std::string, std::string>>{
+             {"rubbish\r\n\r\n", "400"},
+             {chunked + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+             {Town::post("b", "X-Timeout: soon\r\n"), "400"},
+             {Town::post("b", "X-Timeout: 900m\r\n", std::string(65'537, 'b')), "413"},
+             {"GET /" + std::string(9000, 'a'), "431"},
+             {"POST /odd/k HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\n\r\n", "404"},
+             {"PUT /render/k HTTP/1.1\r\n\r\n", "405"},
+             {"GET / HTTP/3.0\r\n\r\n", "505"},
+             {Town::post("good"), "409"}}) {
+        Wire client = town.client();
+        client.say(bad);
+        CHECK_MESSAGE(town.until([&] { return client.has("HTTP/1.1 " + status); }), status);
+        CHECK(town.until([&] { return client.ended(); }));
+    }
+    runner.say(Town::done("good"));
+    CHECK(town.until([&] { return good.has("picture"); }));
+    CHECK(town.until([&] { return town.loop.blocks().out() == 0; }));
+}
+
+TEST_CASE("bytes behind an open request end the connection after its answer") {
+    Town town;
+    Wire client = town.client();
+    client.say(Town::post("r1"));
+    Wire& runner = town.at_runner("r1");
+    client.say(Town::post("r2"));
+    town.pass(20);
+    runner.say(Town::done("r1"));
+    REQUIRE(town.until([&] { return client.ended(); }));
+    CHECK(client.has("Connection: close\r\n"));
+    CHECK(count(client.got, "HTTP/1.1") == 1);
+    CHECK_FALSE(runner.has("r2"));
+}
+
+TEST_CASE("idle connections make room when descriptors are short, and accepting goes on") {
+    Town town;  // of 64 descriptors 24 are the process's own and 10 the runners'
+    std::vector<Wire> idle;
+    for (int i = 0; i < 45; ++i) idle.push_back(town.client()), town.turn();
+    Wire late = town.client();
+    late.say("GET /healthz HTTP/1.1\r\n\r\n");
+    CHECK(town.until([&] { return late.has("HTTP/1.1 200"); }));
+    CHECK(town.until([&] { return idle[0].ended(); }));  // the one idle for longest went
+    CHECK_FALSE(idle[44].ended());
+}
+
+TEST_CASE("clients that do not read hold a bounded memory") {
+    Town town;
+    Wire deaf = town.client();
+    const std::string ask = "GET /healthz HTTP/1.1\r\n\r\n";
+    for (int i = 0; i < 20'000; ++i) {
+        deaf.say(ask);
+        if (i % 100 == 0) town.turn();
+    }
+    CHECK(town.until([&] { return town.loop.blocks().out() < 200; }));
+    Wire other = town.client();
+    other.say(ask);
+    CHECK(town.until([&] { return other.has("HTTP/1.1 200"); }));
+}
+
+TEST_CASE("a start from the known list serves while discovery is down, and asks again") {
+    Town town;
+    CHECK(town.until([&] { return !town.discovery.guests().empty(); }));
+    CHECK(town.until([&] { return town.discovery.guests()[0].has("GET /v1/servers?follow=1&since=7 HTTP/1.1\r\n"); }));
+    town.discovery.guests()[0].reset();
+    Wire client = town.client();
+    client.say(Town::post("r1"));
+    town.at_runner("r1").say(Town::done("r1"));
+    CHECK(town.until([&] { return client.has("picture"); }));
+    CHECK(town.until([&] { return town.discovery.guests().size() == 2; }));
+    town.discovery.guests()[1].say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    CHECK(town.until([&] { return town.discovery.guests().size() == 3; }));
+    town.discovery.guests()[2].say(Town::taken + Town::chunk("{\"version\":8,\"full\":fal"));
+    town.pass(20);
+    town.discovery.guests()[2].say(Town::chunk("se,\"serv}\n"));
+    CHECK(town.until([&] { return town.discovery.guests().size() == 4; }));
+    CHECK(town.discovery.guests()[3].has(""));
+    CHECK(town.said.str().find("a line cannot be read") != std::string::npos);
+}
+
+TEST_CASE("a watch is followed line by line, and asked for anew once it falls silent") {
+    Town town(2);
+    REQUIRE(town.until([&] { return !town.discovery.guests().empty() && town.discovery.guests()[0].has("\r\n\r\n"); }));
+    Wire& watch = town.discovery.guests()[0];
+    watch.say(Town::taken + Town::chunk(town.list(9, "SERVING", true) + "\n") + Town::chunk("\n"));
+    town.pass(20);
+    std::string gone = town.list(10, "DRAINING", false);
+    gone = gone.substr(0, gone.find("},{") + 1) + "]}";  // the first only
+    watch.say(Town::chunk(gone + "\n"));
+    town.pass(20);
+    Wire client = town.client();
+    for (const std::string id : {"r1", "r2", "r3", "r4", "r5", "r6"}) {
+        client.say(Town::post(id));
+        town.at_runner(id).say(Town::done(id, id));
+        REQUIRE(town.until([&] { return client.has("\r\n\r\n" + id); }));
+    }
+    CHECK(town.doors[0]->guests().empty());
+    REQUIRE(town.until([&] { return town.discovery.guests().size() == 2; }, 4500));
+    CHECK(town.until([&] { return town.discovery.guests()[1].has("since=10 HTTP/1.1"); }));
+}
+
+TEST_CASE("a restart loses nothing: what still comes is served, then all is ended") {
+    Town town(2);
+    Wire kept = town.client(), waiting = town.client();
+    waiting.say(Town::post("r1", "X-Timeout: 20000m\r\n"));
+    town.at_runner("r1");
+    town.dispatcher->leave();
+    town.pass(200);
+    Wire late = town.client();
+    late.say(Town::post("r2"));
+    town.at_runner("r2").say(Town::done("r2", "late"));
+    CHECK(town.until([&] { return late.has("late"); }));
+    CHECK(town.until([&] { return kept.ended() && late.ended(); }, 1000));  // idle ones, once nobody new comes
+    CHECK_FALSE(town.loop.stopping());
+    // The runner stays silent, so the task is answered before the system would kill the process.
+    CHECK(town.until([&] { return waiting.has("HTTP/1.1 503"); }, 3000));
+    CHECK(waiting.has("Connection: close\r\n"));
+    CHECK(town.until([&] { return town.loop.stopping(); }, 500));
+}
