A request's time counts from its last byte, however slowly the others came

Seen in reading the protocol's figures against the code: Session counted from the first byte, so a slow sender's task was over before it was taken. Story with a request in two pieces 250 ms apart and 200 ms to live: bounced before, served now.

--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -112,10 +112,10 @@
         const bool waits = state_ == State::idle;
         switch (reader_.read(bytes)) {
             case http::Found::nothing:
-                if (waits && reader_.begun()) state_ = State::reading, begun_at_ = last_byte_at_;
+                if (waits && reader_.begun()) state_ = State::reading;
                 return;
             case http::Found::head:
-                if (waits) state_ = State::reading, begun_at_ = last_byte_at_;
+                state_ = State::reading;
                 if (!heed_head()) return;
                 break;
             case http::Found::body:
@@ -164,7 +164,7 @@
         return say(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
     state_ = State::waiting;
-    task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), begun_at_);
+    task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), last_byte_at_);
 }
 
 void Session::answer(Answer answer, std::string_view result, Micros stay_away) {
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -19,7 +19,7 @@
 // Who takes the tasks.
 class Taker {
   public:
-    virtual TaskId take(Session& session, Request&& request, net::Blocks&& body, Micros sent_at) = 0;
+    virtual TaskId take(Session& session, Request&& request, net::Blocks&& body, Micros came_at) = 0;
     virtual void left(TaskId task) = 0;
     virtual bool knows(const std::string& request_id) const = 0;
     virtual bool ready() const = 0;
@@ -88,7 +88,7 @@
     std::optional<Request> request_;  // none for a check of health
     TaskId task_{};
     State state_ = State::idle;
-    Micros begun_at_ = 0, last_byte_at_ = 0;
+    Micros last_byte_at_ = 0;
     bool last_answer_ = false;
     Server::Sessions::iterator place_;
 };
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -126,7 +126,7 @@
 }
 
 TaskId Dispatcher::take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
-                        Micros sent_at) {
+                        Micros came_at) {
     const TaskId id{++tasks_taken_};
     auto head = http::Writer::request(request.method, request.target);
     head.field("Host", "runner").field("X-Request-ID", request.id);
@@ -141,7 +141,7 @@
     arrived.workload = request.workload;
     arrived.customer = request.customer;
     arrived.key = request.key;
-    arrived.expiry = sent_at + request.patience;
+    arrived.expiry = came_at + request.patience;
     arrived.cost_hint = request.cost_hint;
     arrived.hint_valid = request.cost_hint > 0;
     arrived.slots = request.slots;
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -39,7 +39,7 @@
     using Tasks = std::unordered_map<TaskId, Task>;
 
     TaskId take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
-                Micros sent_at) override;
+                Micros came_at) override;
     void left(TaskId task) override;
     bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
     bool ready() const override { return !book_.empty(); }
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -308,6 +308,17 @@
     CHECK(town.until([&] { return client.has("picture"); }));
 }
 
+TEST_CASE("a request that comes slowly has its whole time from its last byte on") {
+    Town town;
+    Wire client = town.client();
+    const std::string request = Town::post("r1", "X-Timeout: 200m\r\n");
+    client.say(request.substr(0, 30));
+    town.pass(250);
+    client.say(request.substr(30));
+    town.at_runner("r1").say(Town::done("r1"));
+    CHECK(town.until([&] { return client.has("picture"); }));
+}
+
 TEST_CASE("a client that leaves ends its task") {
     Town town;
     Wire client = town.client();
