Turn away before the module what no descriptor is left for; runners' share is a bound

Cause: Server::accept went on past its share with every session busy, and Links::idle_or_new opened past its own, so accepts failed and tasks died in the backlog. Ruled out: memory (0 of 16 MB) and CPU (0.01 s a second). Now a task beyond the room is answered 503 before it is taken (as caps.max_open means it), and an assignment beyond the runners' share ends as moot.

--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -31,11 +31,11 @@
 }  // namespace
 
 Server::Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
-               std::size_t most_sessions)
+               Room room)
     : loop_(loop),
       directory_(directory),
       taker_(taker),
-      most_sessions_(most_sessions),
+      room_(room),
       listener_(loop, at, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
       stalled_(loop, [this] { check_stalled(); }) {
     stalled_.set(net::Loop::now() + kLookForStalled);
@@ -44,7 +44,7 @@
 Server::~Server() = default;
 
 void Server::accept(evutil_socket_t socket) {
-    if (sessions_.size() >= most_sessions_) make_room();
+    if (sessions_.size() >= room_.sessions) make_room();
     sessions_.push_back(std::make_unique<Session>(*this, socket));
     sessions_.back()->place_ = std::prev(sessions_.end());
 }
@@ -60,6 +60,12 @@
     }
 }
 
+// What comes beyond the room is turned away before the module sees it: never sent, so harmless to try again.
+// Against a backlog of tasks that are lost because no descriptor is left to take them.
+bool Server::full() const {
+    return waiting_ >= room_.tasks || sessions_.size() - ended_.size() > room_.sessions;
+}
+
 // Against clients that begin a request and never end it: each would hold a descriptor and a block for ever.
 void Server::check_stalled() {
     const Micros now = net::Loop::now();
@@ -163,13 +169,18 @@
         const bool ready = server_.taker_.ready() && !server_.leaving_;
         return say(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
-    state_ = State::waiting;
+    if (server_.full()) {
+        last_answer_ = true;
+        body_.clear();
+        return say(503, "no room\n", server_.room_.stay_away);
+    }
+    set_waiting(true);
     task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), last_byte_at_);
 }
 
 void Session::answer(Answer answer, std::string_view result, Micros stay_away) {
     if (state_ != State::waiting) return;
-    state_ = State::idle;
+    set_waiting(false);
     switch (answer) {
         case Answer::finished: return say(200, result);
         case Answer::bounced: return say(503, "try again\n", stay_away);
@@ -196,6 +207,11 @@
     }
 }
 
+void Session::set_waiting(bool waits) {
+    server_.waiting_ += static_cast<std::size_t>(waits) - static_cast<std::size_t>(state_ == State::waiting);
+    state_ = waits ? State::waiting : State::idle;
+}
+
 void Session::refuse(int status, std::string_view why) {
     last_answer_ = true;
     reader_.restart();
@@ -206,6 +222,7 @@
 void Session::ended(net::Ending) {
     if (state_ == State::over) return;
     const bool waited = state_ == State::waiting;
+    set_waiting(false);
     state_ = State::over;
     server_.ended_.push_back(this);
     if (waited) server_.taker_.left(task_);
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -28,10 +28,16 @@
     ~Taker() = default;
 };
 
+// How much the server may have open, and for how long it sends away who comes beyond that.
+struct Room {
+    std::size_t sessions = 64, tasks = 64;
+    Micros stay_away = 0;
+};
+
 class Server {
   public:
     Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
-           std::size_t most_sessions);
+           Room room);
     ~Server();
 
     // From now on answers end their connections, and idle ones are closed.
@@ -48,12 +54,14 @@
 
     void accept(evutil_socket_t socket);
     void make_room();
+    bool full() const;
     void check_stalled();
 
     net::Loop& loop_;
     const Directory& directory_;
     Taker& taker_;
-    const std::size_t most_sessions_;
+    const Room room_;
+    std::size_t waiting_ = 0;  // tasks that a client waits for
     bool leaving_ = false;
     Sessions sessions_;       // the one that was used longest ago stands first
     std::vector<Session*> ended_;
@@ -79,6 +87,7 @@
     void heed_end();
     void say(int status, std::string_view body, Micros stay_away = 0);
     void refuse(int status, std::string_view why);
+    void set_waiting(bool waits);
     void touch();
 
     Server& server_;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -17,12 +17,19 @@
 constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
 constexpr Micros kFollowAgain = 500'000;
 
-// Descriptors: a few for the process itself and discovery, a quarter for runners, the rest for clients.
-constexpr std::size_t kOwnSockets = 24;
-std::size_t for_runners(std::size_t sockets) { return std::max<std::size_t>(8, (sockets - std::min(sockets, kOwnSockets)) / 4); }
-std::size_t for_clients(std::size_t sockets) {
-    const std::size_t others = kOwnSockets + for_runners(sockets);
-    return sockets > others + 8 ? sockets - others : 8;
+// Descriptors: ten are the process's own and discovery's, a few are for clients that are turned away. A task that
+// is out needs two, one that waits only its client's; so runners have two fifths of the rest and clients three.
+constexpr std::size_t kOwnSockets = 18;
+std::size_t for_tasks(std::size_t sockets) { return sockets > kOwnSockets + 5 ? sockets - kOwnSockets : 5; }
+std::size_t for_runners(std::size_t sockets) { return for_tasks(sockets) * 2 / 5; }
+
+clients::Room room(const Posting& posting) {
+    const Stated stated(posting.orders);
+    clients::Room r;
+    r.sessions = for_tasks(posting.sockets) - for_runners(posting.sockets);
+    r.tasks = static_cast<std::size_t>(std::max(1.0, stated.number("caps.max_open", 1e6)));
+    if (stated.yes("caps.retry_after")) r.stay_away = stated.micros("caps.max_retry_after_us", 0);
+    return r;
 }
 
 runners::Upkeep upkeep(const Posting& posting) {
@@ -59,7 +66,7 @@
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
       links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_)),
-      server_(loop, posting_.listen, directory_, *this, for_clients(posting_.sockets)),
+      server_(loop, posting_.listen, directory_, *this, room(posting_)),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { see_off(); }) {
     heard(posting_.known, RosterScope::remembered);
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -33,9 +33,11 @@
 }
 
 void Links::assign(RunnerId runner, Errand&& errand) {
-    Link& link = idle_or_new(runner);
-    out_[{errand.task, errand.number}] = &link;
-    link.carry(std::move(errand));
+    Link* const link = idle_or_new(runner);
+    if (!link)
+        return sender_.errand_ended({errand.task, errand.number, runner, net::Ending::out_of_sockets, 0, {}, {}});
+    out_[{errand.task, errand.number}] = link;
+    link->carry(std::move(errand));
 }
 
 void Links::withdraw(TaskId task, int number) {
@@ -43,7 +45,12 @@
     if (found != out_.end()) found->second->stop(net::Ending::withdrawn, net::Ending::withdrawn_unsent);
 }
 
-void Links::probe(RunnerId runner) { idle_or_new(runner).carry_probe(); }
+void Links::probe(RunnerId runner) {
+    if (Link* const link = idle_or_new(runner))
+        link->carry_probe();
+    else
+        sender_.probe_ended(runner, net::Ending::out_of_sockets, 0, {});
+}
 
 void Links::stop_all_by(Micros at) {
     for (const auto& link : links_) link->stop_by(at);
@@ -53,31 +60,32 @@
     for (Link* const link : std::exchange(places_[runner].idle, {})) link->close();
 }
 
-Link& Links::idle_or_new(RunnerId runner) {
+Link* Links::idle_or_new(RunnerId runner) {
     Place& place = places_[runner];
     // The one used last: it is the surest to be open still, and the rest can grow old and close.
     if (!place.idle.empty()) {
         Link* const link = place.idle.back();
         place.idle.pop_back();
-        return *link;
+        return link;
     }
-    if (links_.size() >= upkeep_.most_links) {
+    if (links_.size() - ended_.size() >= upkeep_.most_links) {
         // Short of descriptors: a connection that stands idle, to whomever, goes first.
         for (auto& [id, other] : places_) {
             if (other.idle.empty()) continue;
             Link* const oldest = other.idle.front();
             other.idle.erase(other.idle.begin());
             oldest->close();
-            break;
+            return open_link(runner, place);
         }
+        return nullptr;
     }
     return open_link(runner, place);
 }
 
-Link& Links::open_link(RunnerId runner, Place& place) {
+Link* Links::open_link(RunnerId runner, Place& place) {
     links_.push_back(std::make_unique<Link>(*this, runner, place.address.value_or(net::Address{})));
     links_.back()->place_ = std::prev(links_.end());
-    return *links_.back();
+    return links_.back().get();
 }
 
 void Links::forget_idle(Link& link) { std::erase(places_[link.runner()].idle, &link); }
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -77,8 +77,8 @@
         std::vector<Link*> idle;  // the last one used stands last
     };
 
-    Link& open_link(RunnerId runner, Place& place);
-    Link& idle_or_new(RunnerId runner);
+    Link* open_link(RunnerId runner, Place& place);
+    Link* idle_or_new(RunnerId runner);  // none: all that may be open is in use
     void forget_idle(Link& link);
 
     net::Loop& loop_;
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -370,7 +370,7 @@
 }
 
 TEST_CASE("idle connections make room when descriptors are short, and accepting goes on") {
-    Town town;  // of 64 descriptors 24 are the process's own and 10 the runners'
+    Town town;  // of 64 descriptors 18 are the process's own and 18 the runners'
     std::vector<Wire> idle;
     for (int i = 0; i < 45; ++i) idle.push_back(town.client()), town.turn();
     Wire late = town.client();
@@ -380,6 +380,27 @@
     CHECK_FALSE(idle[44].ended());
 }
 
+TEST_CASE("a task beyond what descriptors allow is turned away at once, and those before it are served") {
+    Town town(1, "pure", "", "\"memory_mb\":64,\"sockets\":28");  // four for runners, six for clients
+    std::vector<Wire> clients;
+    for (int i = 0; i < 6; ++i) {
+        clients.push_back(town.client());
+        clients.back().say(Town::post("r" + std::to_string(i)));
+        town.at_runner("r0");
+    }
+    Wire& runner = town.at_runner("r0");
+    Wire late = town.client();
+    late.say(Town::post("late"));
+    CHECK(town.until([&] { return late.has("HTTP/1.1 503") && late.ended(); }));
+    CHECK(late.has("Retry-After: 1.500\r\n"));
+    runner.say(Town::done("r0"));
+    CHECK(town.until([&] { return clients[0].has("picture"); }));
+    Street s;  // of whose links four may be open
+    for (int i = 0; i < 5; ++i) s.assign();
+    REQUIRE(s.ended.size() == 1);
+    CHECK(s.ended.back().ending == Ending::out_of_sockets);
+}
+
 TEST_CASE("clients that do not read hold a bounded memory") {
     Town town;
     Wire deaf = town.client();
