Follow from the beginning once discovery and book have come apart; names in log lines

A discovery whose changes are older than what is held would have been asked from the same version for ever: Book::since() is 0 until the next list. Bodies of new requests leave a quarter of the pool to answers.

--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -15,10 +15,14 @@
 
 int status_of(http::Fault fault) {
     switch (fault) {
-        case http::Fault::too_large: return 431;
-        case http::Fault::version: return 505;
-        case http::Fault::out_of_blocks: return 503;
-        default: return 400;
+        case http::Fault::too_large:
+            return 431;
+        case http::Fault::version:
+            return 505;
+        case http::Fault::out_of_blocks:
+            return 503;
+        default:
+            return 400;
     }
 }
 
@@ -30,13 +34,15 @@
 
 }  // namespace
 
-Server::Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
-               Room room)
+Server::Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker, Room room,
+               log::Log& log)
     : loop_(loop),
       directory_(directory),
       taker_(taker),
       room_(room),
-      listener_(loop, at, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
+      log_(log),
+      listener_(
+          loop, at, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
       stalled_(loop, [this] { check_stalled(); }) {
     stalled_.set(net::Loop::now() + kLookForStalled);
 }
@@ -86,7 +92,8 @@
 
 bool Server::quiet() const {
     return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
-        const bool busy = session->state_ == Session::State::reading || session->state_ == Session::State::waiting;
+        const bool busy =
+            session->state_ == Session::State::reading || session->state_ == Session::State::waiting;
         return !busy && !session->connection_.unsent();
     });
 }
@@ -126,7 +133,8 @@
                 break;
             case http::Found::body:
                 if (body_.size() + reader_.piece().size() > kMostBody) return refuse(413, "body too large");
-                if (!body_.append(reader_.piece())) return refuse(503, "no buffer left");
+                if (server_.loop_.blocks().scarce() || !body_.append(reader_.piece()))
+                    return refuse(503, "no buffer left");
                 break;
             case http::Found::end:
                 heed_end();
@@ -170,6 +178,8 @@
         return say(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
     if (server_.full()) {
+        server_.log_.warning(last_byte_at_, "clients: no room, turned away ", request_->id, "; ",
+                             server_.waiting_, " tasks wait on ", server_.sessions_.size(), " connections");
         last_answer_ = true;
         body_.clear();
         return say(503, "no room\n", server_.room_.stay_away);
@@ -182,9 +192,12 @@
     if (state_ != State::waiting) return;
     set_waiting(false);
     switch (answer) {
-        case Answer::finished: return say(200, result);
-        case Answer::bounced: return say(503, "try again\n", stay_away);
-        case Answer::abandoned: return say(502, "given up\n");
+        case Answer::finished:
+            return say(200, result);
+        case Answer::bounced:
+            return say(503, "try again\n", stay_away);
+        case Answer::abandoned:
+            return say(502, "given up\n");
     }
 }
 
@@ -213,6 +226,7 @@
 }
 
 void Session::refuse(int status, std::string_view why) {
+    server_.log_.debug(net::Loop::now(), "clients: refused with ", status, ": ", why);
     last_answer_ = true;
     reader_.restart();
     body_.clear();
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "clients/request.hpp"
+#include "log/log.hpp"
 #include "net/connection.hpp"
 #include "net/listener.hpp"
 
@@ -36,15 +37,15 @@
 
 class Server {
   public:
-    Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker,
-           Room room);
+    Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker, Room room,
+           log::Log& log);
     ~Server();
 
     // From now on answers end their connections, and idle ones are closed.
     void leave();
     bool leaving() const { return leaving_; }
     bool quiet() const;  // nothing is being read, waited for or still to be written
-    void sweep();  // frees what has ended; once a turn, after its last callback
+    void sweep();        // frees what has ended; once a turn, after its last callback
     std::uint16_t port() const { return listener_.port(); }
     std::size_t sessions() const { return sessions_.size(); }
 
@@ -61,9 +62,10 @@
     const Directory& directory_;
     Taker& taker_;
     const Room room_;
+    log::Log& log_;
     std::size_t waiting_ = 0;  // tasks that a client waits for
     bool leaving_ = false;
-    Sessions sessions_;       // the one that was used longest ago stands first
+    Sessions sessions_;  // the one that was used longest ago stands first
     std::vector<Session*> ended_;
     net::Listener listener_;
     net::Timer stalled_;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher/dispatcher.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "dispatcher/outcomes.hpp"
@@ -17,8 +18,9 @@
 constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
 constexpr Micros kFollowAgain = 500'000;
 
-// Descriptors: ten are the process's own and discovery's, a few are for clients that are turned away. A task that
-// is out needs two, one that waits only its client's; so runners have two fifths of the rest and clients three.
+// Descriptors: ten are the process's own and discovery's, a few are for clients that are turned away. A task
+// that is out needs two, one that waits only its client's; so runners have two fifths of the rest and clients
+// three.
 constexpr std::size_t kOwnSockets = 18;
 std::size_t for_tasks(std::size_t sockets) { return sockets > kOwnSockets + 5 ? sockets - kOwnSockets : 5; }
 std::size_t for_runners(std::size_t sockets) { return for_tasks(sockets) * 2 / 5; }
@@ -62,17 +64,18 @@
               return heard(l, l.full ? RosterScope::complete : RosterScope::changes);
           },
           [this] {
-              if (follows_by_itself_) wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
+              if (follows_by_itself_)
+                  wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
       links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_)),
-      server_(loop, posting_.listen, directory_, *this, room(posting_)),
+      server_(loop, posting_.listen, directory_, *this, room(posting_), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { see_off(); }) {
     heard(posting_.known, RosterScope::remembered);
     // Where changes come by themselves the module never asks, so the watch is ours to open.
     follows_by_itself_ = Stated(posting_.orders).word("roster.how", "pushed") != "on_request";
-    if (follows_by_itself_) follower_.follow(book_.version());
+    if (follows_by_itself_) follower_.follow(book_.since());
     log_.info(net::Loop::now(), "serving as ", posting_.name, " on ", posting_.listen.text, ", ",
               posting_.known.entries.size(), " runners known");
 }
@@ -87,7 +90,8 @@
     left_at_ = net::Loop::now();
     Micros longest = 0;
     for (const auto& [name, id] : directory_.workloads) {
-        const std::string expiry = "workloads." + std::to_string(static_cast<std::uint32_t>(id)) + ".expiry_us";
+        const std::string expiry =
+            "workloads." + std::to_string(static_cast<std::uint32_t>(id)) + ".expiry_us";
         longest = std::max(longest, Stated(posting_.orders).micros(expiry, kLongestStay));
     }
     last_minute_ = left_at_ + std::min(longest, kLongestStay) + kLastMinute;
@@ -155,7 +159,8 @@
     arrived.memory = request.memory;
     arrived.client_repeat = request.repeat;
     ids_.insert(request.id);
-    tasks_.emplace(id, Task{&session, std::move(request.id), std::move(lines), std::move(body), arrived.expiry});
+    tasks_.emplace(id,
+                   Task{&session, std::move(request.id), std::move(lines), std::move(body), arrived.expiry});
     note(arrived);
     return id;
 }
@@ -172,6 +177,12 @@
     const auto task = tasks_.find(ended.task);
     if (task == tasks_.end()) return;
     --task->second.out;
+    if (ended.ending == net::Ending::out_of_sockets)
+        log_.warning(net::Loop::now(), "runners: no descriptor or buffer left for an assignment");
+    else if (ended.ending != net::Ending::done)
+        log_.debug(net::Loop::now(), "runners: assignment of ", task->second.request_id, " at ",
+                   book_.name_of(ended.runner), " ended: ", net::name_of(ended.ending), ", after ",
+                   ended.elapsed / 1000, " ms");
     AssignmentEnded e;
     e.task = ended.task;
     e.elapsed = ended.elapsed;
@@ -219,14 +230,26 @@
                      [&](const CloseIdle& a) { links_.close_idle(a.runner); },
                      // Peers' addresses are told to nobody yet; the standing orders do not allow words here.
                      [&](const TellPeers&) {}, [&](const TellPeer&) {},
-                     [&](const LogLine& a) { log_.info(net::Loop::now(), "choice: ", a.text); },
+                     [&](const LogLine& a) { log_.info(net::Loop::now(), "choice: ", with_names(a.text)); },
                      [&](const FollowRoster& a) {
-                         a.on ? follower_.follow(book_.version()) : follower_.stop_following();
+                         a.on ? follower_.follow(book_.since()) : follower_.stop_following();
                      },
                      [&](const AskRoster&) { follower_.ask(); }},
                action);
 }
 
+// The module knows runners by number, the operators by name.
+std::string Dispatcher::with_names(const std::string& text) const {
+    constexpr std::string_view kBefore = "runner ";
+    const auto found = text.find(kBefore);
+    if (found == std::string::npos) return text;
+    const char* const begun = text.data() + found + kBefore.size();
+    std::uint32_t number = 0;
+    const auto [end, wrong] = std::from_chars(begun, text.data() + text.size(), number);
+    if (wrong != std::errc()) return text;
+    return text.substr(0, found + kBefore.size()) + book_.name_of(RunnerId{number}) + end;
+}
+
 void Dispatcher::assign(const Assign& wanted) {
     const auto task = tasks_.find(wanted.task);
     if (task == tasks_.end()) return;
@@ -273,7 +296,7 @@
         if (mark == TimerMark{})
             note(TimerDue{mark});
         else
-            follower_.follow(book_.version());
+            follower_.follow(book_.since());
     }
     set_wake();
 }
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -54,6 +54,7 @@
     void answer(TaskId task, clients::Answer answer, std::string_view result, Micros stay_away);
     void end_session(Tasks::iterator task);
     void forget_if_over(Tasks::iterator task);
+    std::string with_names(const std::string& text) const;
     void set_wake();
     void wake();
     void see_off();
@@ -69,7 +70,8 @@
     clients::Server server_;
     Tasks tasks_;
     std::set<std::string> ids_;  // of the requests under way
-    std::priority_queue<std::pair<Micros, TimerMark>, std::vector<std::pair<Micros, TimerMark>>, std::greater<>>
+    std::priority_queue<std::pair<Micros, TimerMark>, std::vector<std::pair<Micros, TimerMark>>,
+                        std::greater<>>
         wakes_;
     net::Timer wake_, farewell_;
     std::vector<Action> actions_;
--- a/src/dispatcher/outcomes.cpp
+++ b/src/dispatcher/outcomes.cpp
@@ -2,7 +2,8 @@
 
 namespace gannethold::dispatcher {
 
-// In doubt a task may have run: only what shows that no runner can have had the whole request proves otherwise.
+// In doubt a task may have run: only what shows that no runner can have had the whole request proves
+// otherwise.
 Outcome outcome_of(net::Ending ending) {
     using net::Ending;
     switch (ending) {
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -14,7 +14,8 @@
 std::string scalar(const json::Value& value) {
     if (const auto* text = value.get<std::string>()) {
         std::string flat = *text;
-        std::replace_if(flat.begin(), flat.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+        std::replace_if(
+            flat.begin(), flat.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
         return flat;
     }
     if (const auto* yes = value.get<bool>()) return *yes ? "true" : "false";
@@ -30,7 +31,8 @@
     } else if (const auto* list = value.get<json::List>()) {
         if (!list->empty() && list->front().get<json::Object>()) {
             lines += under + "count=" + std::to_string(list->size()) + "\n";
-            for (std::size_t i = 0; i < list->size(); ++i) flatten(under + std::to_string(i), (*list)[i], lines);
+            for (std::size_t i = 0; i < list->size(); ++i)
+                flatten(under + std::to_string(i), (*list)[i], lines);
             return;
         }
         lines += path + "=";
@@ -56,7 +58,8 @@
     const json::Value* const limits = all.find("limits");
     const auto value = limits ? limits->number(name) : std::nullopt;
     if (!value) return otherwise;
-    if (!(*value >= 1 && *value < 1e9)) throw std::runtime_error(std::string("the limit is no number: ") + name);
+    if (!(*value >= 1 && *value < 1e9))
+        throw std::runtime_error(std::string("the limit is no number: ") + name);
     return static_cast<std::size_t>(*value);
 }
 
@@ -86,7 +89,8 @@
         p.known = *listing;
     }
     const json::Value* const settings = all.find("settings");
-    if (!settings || !settings->get<json::Object>()) throw std::runtime_error("the configuration has no settings");
+    if (!settings || !settings->get<json::Object>())
+        throw std::runtime_error("the configuration has no settings");
     std::string lines;
     flatten("", *settings, lines);
     p.orders = orders::read_lines(lines);
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -157,7 +157,8 @@
     std::uint64_t length = 0;
     for (const Field& f : head_.fields) {
         if (same_word(f.name, "Content-Length")) {
-            const auto [end, wrong] = std::from_chars(f.value.data(), f.value.data() + f.value.size(), length);
+            const auto [end, wrong] =
+                std::from_chars(f.value.data(), f.value.data() + f.value.size(), length);
             if (counted || f.value.empty() || wrong != std::errc() || end != f.value.data() + f.value.size())
                 return false;
             counted = true;
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -5,18 +5,30 @@
 
 const char* reason(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 408: return "Request Timeout";
-        case 409: return "Conflict";
-        case 413: return "Content Too Large";
-        case 431: return "Request Header Fields Too Large";
-        case 502: return "Bad Gateway";
-        case 503: return "Service Unavailable";
-        case 505: return "HTTP Version Not Supported";
-        default: return "Status";
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
+        case 409:
+            return "Conflict";
+        case 413:
+            return "Content Too Large";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 505:
+            return "HTTP Version Not Supported";
+        default:
+            return "Status";
     }
 }
 
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -41,13 +41,20 @@
         if (depth > kDeepest) fail("nested too deep");
         space();
         switch (peek()) {
-            case '{': return Value(object(depth));
-            case '[': return Value(list(depth));
-            case '"': return Value(string());
-            case 't': return word("true"), Value(true);
-            case 'f': return word("false"), Value(false);
-            case 'n': return word("null"), Value();
-            default: return Value(number());
+            case '{':
+                return Value(object(depth));
+            case '[':
+                return Value(list(depth));
+            case '"':
+                return Value(string());
+            case 't':
+                return word("true"), Value(true);
+            case 'f':
+                return word("false"), Value(false);
+            case 'n':
+                return word("null"), Value();
+            default:
+                return Value(number());
         }
     }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -37,20 +37,21 @@
 int check(const std::string& path) {
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
     const StandingOrders orders(posting.orders);
-    std::cout << path << " can be served: " << posting.name << " on " << posting.listen.text << ", discovery at "
-              << posting.discovery.text << ", " << posting.known.entries.size() << " runners known, "
-              << orders.workloads << " workloads, " << orders.customers << " customers, " << posting.sockets
-              << " sockets, " << posting.memory_mb << " MB\n";
+    std::cout << path << " can be served: " << posting.name << " on " << posting.listen.text
+              << ", discovery at " << posting.discovery.text << ", " << posting.known.entries.size()
+              << " runners known, " << orders.workloads << " workloads, " << orders.customers
+              << " customers, " << posting.sockets << " sockets, " << posting.memory_mb << " MB\n";
     return 0;
 }
 
 }  // namespace
 
 int main(int count, char** words) {
-    std::string command, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "", level = "info";
+    std::string command, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "",
+                         level = "info";
     options::options_description shown("Options");
-    shown.add_options()("help,h", "say this")(
-        "configuration,c", options::value(&path), "the configuration, as JSON (default: $RELAY_CONFIG)")(
+    shown.add_options()("help,h", "say this")("configuration,c", options::value(&path),
+                                              "the configuration, as JSON (default: $RELAY_CONFIG)")(
         "log-level,l", options::value(&level), "least level that is logged: debug, info, warning or error");
     options::options_description all;
     all.add(shown).add_options()("command", options::value(&command));
@@ -65,7 +66,8 @@
     };
     try {
         options::variables_map given;
-        options::store(options::command_line_parser(count, words).options(all).positional(places).run(), given);
+        options::store(options::command_line_parser(count, words).options(all).positional(places).run(),
+                       given);
         options::notify(given);
         if (given.contains("help")) return explain(std::cout), 0;
         const std::string levels[] = {"debug", "info", "warning", "error"};
--- a/src/net/block_pool.hpp
+++ b/src/net/block_pool.hpp
@@ -23,6 +23,8 @@
     char* take();  // nullptr once all are out
     void give_back(char* block);
     std::size_t out() const { return out_; }
+    // So few are left that they are kept for answers: what is new must wait outside.
+    bool scarce() const { return out_ > most_ / 4 * 3; }
 
   private:
     const std::size_t most_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -19,44 +19,6 @@
 
 }  // namespace
 
-const char* name_of(Ending ending) {
-    switch (ending) {
-        case Ending::done: return "done";
-        case Ending::failed: return "failed";
-        case Ending::handed_back: return "handed back";
-        case Ending::lost: return "lost";
-        case Ending::refused: return "refused";
-        case Ending::unreachable: return "unreachable";
-        case Ending::connect_timed_out: return "connect timed out";
-        case Ending::out_of_sockets: return "out of sockets";
-        case Ending::broken_unsent: return "broken before the last byte was written";
-        case Ending::broken: return "broken";
-        case Ending::ended_early: return "ended before the last line";
-        case Ending::crossed: return "closed as the request came";
-        case Ending::idle_closed: return "closed while idle";
-        case Ending::malformed: return "malformed answer";
-        case Ending::stopped: return "out of time";
-        case Ending::stopped_unsent: return "out of time before the last byte was written";
-        case Ending::withdrawn: return "withdrawn";
-        case Ending::withdrawn_unsent: return "withdrawn before the last byte was written";
-        case Ending::drained_unsent: return "runner drains, nothing written";
-        case Ending::closed: return "closed";
-    }
-    return "unknown";
-}
-
-std::optional<Address> Address::read(const std::string& text) {
-    Address a;
-    int length = sizeof a.where;
-    if (evutil_parse_sockaddr_port(text.c_str(), a.get(), &length) != 0) return std::nullopt;
-    const auto port = a.where.ss_family == AF_INET ? reinterpret_cast<const sockaddr_in*>(&a.where)->sin_port
-                                                   : reinterpret_cast<const sockaddr_in6*>(&a.where)->sin6_port;
-    if (port == 0) return std::nullopt;
-    a.length = static_cast<socklen_t>(length);
-    a.text = text;
-    return a;
-}
-
 Connection::Connection(Loop& loop, Owner& owner, evutil_socket_t accepted) : loop_(loop), owner_(owner) {
     listen_to(accepted);
 }
--- /dev/null
+++ b/src/net/ending.cpp
@@ -0,0 +1,51 @@
+#include "net/ending.hpp"
+
+namespace gannethold::net {
+
+const char* name_of(Ending ending) {
+    switch (ending) {
+        case Ending::done:
+            return "done";
+        case Ending::failed:
+            return "failed";
+        case Ending::handed_back:
+            return "handed back";
+        case Ending::lost:
+            return "lost";
+        case Ending::refused:
+            return "refused";
+        case Ending::unreachable:
+            return "unreachable";
+        case Ending::connect_timed_out:
+            return "connect timed out";
+        case Ending::out_of_sockets:
+            return "out of sockets";
+        case Ending::broken_unsent:
+            return "broken before the last byte was written";
+        case Ending::broken:
+            return "broken";
+        case Ending::ended_early:
+            return "ended before the last line";
+        case Ending::crossed:
+            return "closed as the request came";
+        case Ending::idle_closed:
+            return "closed while idle";
+        case Ending::malformed:
+            return "malformed answer";
+        case Ending::stopped:
+            return "out of time";
+        case Ending::stopped_unsent:
+            return "out of time before the last byte was written";
+        case Ending::withdrawn:
+            return "withdrawn";
+        case Ending::withdrawn_unsent:
+            return "withdrawn before the last byte was written";
+        case Ending::drained_unsent:
+            return "runner drains, nothing written";
+        case Ending::closed:
+            return "closed";
+    }
+    return "unknown";
+}
+
+}  // namespace gannethold::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -18,9 +18,9 @@
     const auto take = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         static_cast<Listener*>(self)->accepted_(socket);
     };
-    socket_.reset(evconnlistener_new_bind(
-        loop.base(), take, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
-        at.get(), static_cast<int>(at.length)));
+    socket_.reset(evconnlistener_new_bind(loop.base(), take, this,
+                                          LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                          kBacklog, at.get(), static_cast<int>(at.length)));
     if (!socket_) throw std::runtime_error("cannot listen on " + at.text);
     evconnlistener_set_error_cb(socket_.get(), [](evconnlistener* socket, void* self) {
         auto* const listener = static_cast<Listener*>(self);
--- a/src/roster/book.cpp
+++ b/src/roster/book.cpp
@@ -41,9 +41,11 @@
     // A whole list counts whatever its version: a discovery that has restarted counts from the beginning.
     if (scope == RosterScope::changes && listing.version < version_) {
         log_.warning(now, "roster: passed over changes of version ", listing.version, ", held is ", version_);
+        apart_ = true;
         return std::nullopt;
     }
     version_ = listing.version;
+    apart_ = false;
     News news{{scope, version_, {}}, {}};
     std::set<std::string> listed;
     for (const Entry& said : listing.entries) {
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -28,6 +28,8 @@
     // nothing: older than what is held
     std::optional<News> take(const Listing& listing, RosterScope scope, Micros now);
     std::uint32_t version() const { return version_; }
+    // From where to follow: from the beginning once discovery and this book have come apart.
+    std::uint32_t since() const { return apart_ ? 0 : version_; }
     bool empty() const { return held_.empty(); }
     const std::string& name_of(RunnerId runner) const;
 
@@ -44,6 +46,7 @@
     std::map<std::string, Held> held_;  // once in a list, a runner stays known
     std::map<RunnerId, std::string> names_;
     std::uint32_t version_ = 0;
+    bool apart_ = false;
 };
 
 }  // namespace gannethold::roster
--- a/src/roster/follower.cpp
+++ b/src/roster/follower.cpp
@@ -45,10 +45,9 @@
 
 void Call::ended(net::Ending ending) {
     // A list that goes on until the connection closes ends properly by that.
-    if (kind_ == Kind::list && ending == net::Ending::ended_early && reader_.ends_by_close() && !line_.empty() &&
-        !heed_line(std::exchange(line_, {})))
-        return;
-    give_up(net::name_of(ending));
+    const bool proper = kind_ == Kind::list && ending == net::Ending::ended_early && reader_.ends_by_close();
+    if (proper && !line_.empty() && !heed_line(std::exchange(line_, {}))) return;
+    give_up(proper && heard_ ? nullptr : net::name_of(ending));
 }
 
 void Call::bytes(std::string_view bytes) {
@@ -97,11 +96,7 @@
 }
 
 Follower::Follower(net::Loop& loop, const net::Address& discovery, log::Log& log, Heard heard, Failed failed)
-    : loop_(loop),
-      discovery_(discovery),
-      log_(log),
-      heard_(std::move(heard)),
-      failed_(std::move(failed)) {}
+    : loop_(loop), discovery_(discovery), log_(log), heard_(std::move(heard)), failed_(std::move(failed)) {}
 
 void Follower::begin(Call::Kind kind, std::uint32_t since) {
     drop(kind);
--- a/src/roster/listing.cpp
+++ b/src/roster/listing.cpp
@@ -16,7 +16,9 @@
     return text ? *text : "";
 }
 
-double within(double value, double least, double most) { return value >= least && value <= most ? value : least; }
+double within(double value, double least, double most) {
+    return value >= least && value <= most ? value : least;
+}
 
 }  // namespace
 
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -35,7 +35,8 @@
 void Links::assign(RunnerId runner, Errand&& errand) {
     Link* const link = idle_or_new(runner);
     if (!link)
-        return sender_.errand_ended({errand.task, errand.number, runner, net::Ending::out_of_sockets, 0, {}, {}});
+        return sender_.errand_ended(
+            {errand.task, errand.number, runner, net::Ending::out_of_sockets, 0, {}, {}});
     out_[{errand.task, errand.number}] = link;
     link->carry(std::move(errand));
 }
@@ -200,7 +201,8 @@
     }
     while (!piece.empty()) {
         const auto end = piece.find('\n');
-        if (line_.size() + piece.size() > kLongestLine || !line_.append(piece.substr(0, end))) return give_up();
+        if (line_.size() + piece.size() > kLongestLine || !line_.append(piece.substr(0, end)))
+            return give_up();
         if (end == std::string_view::npos) return true;
         piece.remove_prefix(end + 1);
         const std::string text = line_.text();
@@ -238,7 +240,8 @@
     if (state_ == State::probe) {
         Report report = links_.reports_.read_object(line_.text());
         if (report.empty()) report = std::move(report_);
-        settle(reader_.head().status == 200 ? net::Ending::done : net::Ending::handed_back, std::move(report));
+        settle(reader_.head().status == 200 ? net::Ending::done : net::Ending::handed_back,
+               std::move(report));
     } else if (state_ == State::errand && reader_.head().status != 200) {
         settle(by_status(), std::move(report_));
     } else if (state_ == State::errand) {
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -19,7 +19,7 @@
     TaskId task{};
     int number = 0;
     std::string request_id;
-    std::string head;  // of the request, without the time it has and the empty line
+    std::string head;                   // of the request, without the time it has and the empty line
     const net::Blocks* body = nullptr;  // kept by the sender until the errand has ended
     Micros stop_at = 0;
 };
--- a/src/runners/words.cpp
+++ b/src/runners/words.cpp
@@ -115,8 +115,10 @@
     if (line.ending == net::Ending::done) {
         const json::Value* const result = said.find("result");
         const std::string* const words = result ? result->get<std::string>() : nullptr;
-        if (!result) line.state = Line::State::unreadable, line.ending = net::Ending::malformed;
-        else line.result = words ? *words : json::write(*result);
+        if (!result)
+            line.state = Line::State::unreadable, line.ending = net::Ending::malformed;
+        else
+            line.result = words ? *words : json::write(*result);
     }
     return line;
 }
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -202,13 +202,14 @@
 // A dispatcher with its runners and its discovery, all of them scripted by the story.
 struct Town {
     explicit Town(int runners = 1, const std::string& workload = "pure", const std::string& caps = "",
-                  const std::string& limits = "\"memory_mb\":64,\"sockets\":64") {
+                  const std::string& limits = "\"memory_mb\":64,\"sockets\":64",
+                  const std::string& how = "on_request") {
         for (int i = 0; i < runners; ++i) doors.push_back(std::make_unique<Door>());
         const std::string text =
             "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) +
             "\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
             "},\"known\":" + list(7, "SERVING", true) +
-            ",\"settings\":{\"balancers\":1,\"registry_mode\":\"on_request\",\"resolution_us\":1000,"
+            ",\"settings\":{\"balancers\":1,\"registry_mode\":\"" + how + "\",\"resolution_us\":1000,"
             "\"reporting\":{\"names\":[\"x0\",\"q\",\"rif\"]},\"specifics\":{\"report_x0\":\"free slots\"},"
             "\"caps\":{\"cancelling\":true,\"connect_timeout_us\":150000,\"keepalive_us\":600000,"
             "\"max_assignments\":3,\"retry_after\":true,\"max_retry_after_us\":1500000" + caps +
--- a/tests/parser_stories.cpp
+++ b/tests/parser_stories.cpp
@@ -66,13 +66,14 @@
 }  // namespace
 
 TEST_CASE("requests read the same wherever the network splits them") {
-    reads_alike_however_split(http::Kind::request,
-                              "\r\nPOST /render/7?a=b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
-                              "GET /healthz HTTP/1.0\r\n\r\n"
-                              "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\nconnection: Keep, CLOSE\r\n\r\n"
-                              "3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nEnd: 1\r\n\r\n",
-                              "POST/render/7?a=b0+[Host=x][Content-Length=5]hello|GET/healthz0-|"
-                              "POST/r0-[Transfer-Encoding=chunked][connection=Keep, CLOSE]abcd|");
+    reads_alike_however_split(
+        http::Kind::request,
+        "\r\nPOST /render/7?a=b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+        "GET /healthz HTTP/1.0\r\n\r\n"
+        "POST /r HTTP/1.1\r\nTransfer-Encoding: chunked\r\nconnection: Keep, CLOSE\r\n\r\n"
+        "3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nEnd: 1\r\n\r\n",
+        "POST/render/7?a=b0+[Host=x][Content-Length=5]hello|GET/healthz0-|"
+        "POST/r0-[Transfer-Encoding=chunked][connection=Keep, CLOSE]abcd|");
 }
 
 TEST_CASE("answers read the same wherever the network splits them") {
@@ -88,7 +89,8 @@
           "POST /r HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
           "POST /r HTTP/1.1\r\nContent-Length: +1\r\n\r\n", "POST /r HTTP/1.1\r\nContent-Length: 1 1\r\n\r\n",
           "POST /r HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
-          "POST /r HTTP/1.1\r\nContent-Length:\r\n\r\n", "POST /r HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+          "POST /r HTTP/1.1\r\nContent-Length:\r\n\r\n",
+          "POST /r HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
           "POST /r HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "POST /r HTTP/1.1\r\nA : b\r\n\r\n",
           "POST /r HTTP/1.1\r\n folded\r\n\r\n", "POST /r HTTP/1.1\r\nA: b\nC: d\r\n\r\n", "POST /r\r\n\r\n",
           "POST  /r HTTP/1.1\r\n\r\n", "POST r HTTP/1.1\r\n\r\n", "P(ST /r HTTP/1.1\r\n\r\n",
@@ -119,6 +121,7 @@
         net::Blocks body(pool);
         CHECK(body.append(std::string(net::BlockPool::kBytes + 1, 'b')));
         CHECK(pool.out() == 2);
+        CHECK(pool.scarce());
         CHECK_FALSE(body.append(std::string(net::BlockPool::kBytes, 'b')));
         net::Blocks moved(std::move(body));
         CHECK(moved.text().size() == 2 * net::BlockPool::kBytes);
@@ -135,8 +138,9 @@
     CHECK(json::write(json::read(json::write(value))) == json::write(value));
     for (std::size_t at = 0; at < text.size(); ++at)
         CHECK_THROWS_AS(json::read(std::string_view(text).substr(0, at)), json::Malformed);
-    for (const std::string bad : {"{}x", "[1,]", "{\"a\":1,}", "{\"a\":1,\"a\":2}", "01", "1.", "-", "1e", "\"\n\"", "\"\\x\"",
-                                  "\"\\u12g4\"", "\"\\ud800\"", "\"\\ude00\"", "tru", "nan", "{a:1}", "+1"})
+    for (const std::string bad :
+         {"{}x", "[1,]", "{\"a\":1,}", "{\"a\":1,\"a\":2}", "01", "1.", "-", "1e", "\"\n\"", "\"\\x\"",
+          "\"\\u12g4\"", "\"\\ud800\"", "\"\\ude00\"", "tru", "nan", "{a:1}", "+1"})
         CHECK_THROWS_AS(json::read(bad), json::Malformed);
     CHECK_THROWS_AS(json::read(std::string(100, '[') + std::string(100, ']')), json::Malformed);
 }
@@ -144,7 +148,9 @@
 TEST_CASE("a runner's lines and load reports are read; what cannot be is one that may have run") {
     const runners::Reports reports({"x0", "q", "rif"});
     using State = runners::Line::State;
-    const auto read = [&](const std::string& rest) { return runners::read_line("{\"id\":\"7\"," + rest + "}", "7", reports); };
+    const auto read = [&](const std::string& rest) {
+        return runners::read_line("{\"id\":\"7\"," + rest + "}", "7", reports);
+    };
     const auto done = read(R"("state":"done","result":"a\nb","load":{"inflight":7,"queue":2,"x0":1})");
     CHECK(done.state == State::last);
     CHECK(done.result == "a\nb");
@@ -155,10 +161,11 @@
     CHECK(read(R"("state":"failed")").ending == net::Ending::failed);
     CHECK(read(R"("state":"returned")").ending == net::Ending::handed_back);
     CHECK(read(R"("state":"lost")").ending == net::Ending::lost);
-    for (const std::string bad : {R"("state":"running","share":1.5)", R"("state":"running")", R"("state":"odd")",
-                                  R"("state":"done")", R"("state":1)", R"("state")"})
+    for (const std::string bad : {R"("state":"running","share":1.5)", R"("state":"running")",
+                                  R"("state":"odd")", R"("state":"done")", R"("state":1)", R"("state")"})
         CHECK(read(bad).state == State::unreadable);
-    CHECK(runners::read_line(R"({"id":"8","state":"done","result":""})", "7", reports).state == State::unreadable);
+    CHECK(runners::read_line(R"({"id":"8","state":"done","result":""})", "7", reports).state ==
+          State::unreadable);
     CHECK(reports.read_pairs("rif=7,q=2, x0=0.5") == Report{0.5, 2, 7});
     CHECK(reports.read_pairs("rif=7,q=2").empty());
     CHECK(reports.read_pairs("rif=7,q=two,x0=1").empty());
@@ -183,7 +190,8 @@
     };
     const std::string id = "X-Request-ID: 1\r\n", who = "X-Tenant-Id: acme\r\n", wait = "X-Timeout: 480m\r\n";
     CHECK(status("POST /render/7", id + who + wait) == 200);
-    CHECK(status("POST /render/7", id + who + "X-Timeout: 480000u\r\nX-Attrs: memory=2,slots=1.5,odd=x\r\n") == 200);
+    CHECK(status("POST /render/7",
+                 id + who + "X-Timeout: 480000u\r\nX-Attrs: memory=2,slots=1.5,odd=x\r\n") == 200);
     CHECK(status("GET /render/7", id + who + wait) == 405);
     CHECK(status("POST /other/7", id + who + wait) == 404);
     CHECK(status("POST /render/7", who + wait) == 400);
@@ -205,7 +213,8 @@
         REQUIRE(listing);
         return book.take(*listing, scope, 100'000'000);
     };
-    const auto list = [](const std::string& version, const std::string& addr, const std::string& state, const std::string& more = "") {
+    const auto list = [](const std::string& version, const std::string& addr, const std::string& state,
+                         const std::string& more = "") {
         return "{\"version\":" + version + ",\"full\":true,\"servers\":[{\"id\":\"s-1\",\"addr\":\"" + addr +
                "\",\"zone\":\"a\",\"kind\":\"m\",\"state\":\"" + state + "\"" + more + "}]}";
     };
@@ -215,10 +224,12 @@
     // A state or an address that cannot be read: the last good entry stands.
     const auto odd = take(list("42", "127.0.0.1:5000", "RESTING"), RosterScope::changes);
     CHECK(odd->for_module.entries[0].state == RunnerState::ready);
-    CHECK(take(list("43", "nowhere", "SERVING"), RosterScope::changes)->seats[0].address.text == "127.0.0.1:5000");
+    CHECK(take(list("43", "nowhere", "SERVING"), RosterScope::changes)->seats[0].address.text ==
+          "127.0.0.1:5000");
     CHECK(said.str().find("passed over the entry of s-1") != std::string::npos);
     // Older changes are passed over, an older whole list counts: discovery has restarted.
     CHECK_FALSE(take(list("40", "127.0.0.1:5000", "DRAINING"), RosterScope::changes));
+    CHECK(book.since() == 0);
     CHECK(take(list("1", "127.0.0.1:5001", "DRAINING"), RosterScope::complete)->for_module.version == 1);
     CHECK_FALSE(take(list("2", "127.0.0.1:5001", "DELETED"), RosterScope::changes)->seats[0].open);
     // A start is reckoned once, so that the same start told again is no other one.
@@ -253,10 +264,13 @@
     CHECK(why("{" + places + "}").find("no settings") != std::string::npos);
     CHECK(why("{" + places + ",\"settings\":{},\"seed\":\"xyz\"}").find("seed") != std::string::npos);
     CHECK(why("{" + places + ",\"settings\":{},\"known\":[]}").find("known list") != std::string::npos);
-    CHECK(why("{" + places + ",\"settings\":{},\"limits\":{\"sockets\":0}}").find("limit") != std::string::npos);
+    CHECK(why("{" + places + ",\"settings\":{},\"limits\":{\"sockets\":0}}").find("limit") !=
+          std::string::npos);
     CHECK_THROWS_AS(dispatcher::Posting::read_file("/nowhere/at/all"), std::runtime_error);
     const auto read = dispatcher::Posting::read(
-        "{" + places + ",\"settings\":{\"dcs\":[\"a b\",\"c\"],\"workloads\":[{\"effect\":\"token\"}],\"caps\":{\"probes\":true}}}");
+        "{" + places +
+        ",\"settings\":{\"dcs\":[\"a "
+        "b\",\"c\"],\"workloads\":[{\"effect\":\"token\"}],\"caps\":{\"probes\":true}}}");
     CHECK(read.orders.at("zones") == "a_b,c");
     CHECK(read.orders.at("workloads.0.effect") == "fingerprinted");
     CHECK(read.orders.at("workloads.count") == "1");
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -96,7 +96,8 @@
     CHECK(s.after(lines("{\"id\":\"7\",\"state\":\"lost\",\"load\":{\"rif\":3}}")) == Ending::lost);
     CHECK(s.ended.back().report == Report{3});
     CHECK(s.after(answer("500 Oh")) == Ending::failed);
-    CHECK(s.after(answer("503 Full", "X-Not-Processed: 1\r\nX-Server-Load: inflight=9\r\n")) == Ending::handed_back);
+    CHECK(s.after(answer("503 Full", "X-Not-Processed: 1\r\nX-Server-Load: inflight=9\r\n")) ==
+          Ending::handed_back);
     CHECK(s.ended.back().report == Report{9});
     CHECK(s.after(answer("504 Late", "X-Not-Processed: 1\r\n")) == Ending::handed_back);
     CHECK(s.after(answer("503 Full")) == Ending::failed);
@@ -123,7 +124,8 @@
 }
 
 TEST_CASE("progress is told, and the answer read, wherever the network splits it") {
-    const std::string text = Town::taken + Town::line("7", "\"state\":\"running\",\"share\":0.5") + Town::done("7").substr(Town::taken.size());
+    const std::string text = Town::taken + Town::line("7", "\"state\":\"running\",\"share\":0.5") +
+                             Town::done("7").substr(Town::taken.size());
     Street s;
     for (std::size_t at = 1; at < text.size(); ++at) {
         s.assign();
@@ -186,13 +188,13 @@
 
 TEST_CASE("each end has one outcome, and in doubt a task may have run") {
     using dispatcher::outcome_of;
-    for (const Ending e : {Ending::handed_back, Ending::refused, Ending::unreachable, Ending::connect_timed_out,
-                           Ending::out_of_sockets, Ending::broken_unsent, Ending::stopped_unsent,
-                           Ending::withdrawn_unsent, Ending::drained_unsent})
+    for (const Ending e : {Ending::handed_back, Ending::refused, Ending::unreachable,
+                           Ending::connect_timed_out, Ending::out_of_sockets, Ending::broken_unsent,
+                           Ending::stopped_unsent, Ending::withdrawn_unsent, Ending::drained_unsent})
         CHECK_MESSAGE(proves_never_ran(outcome_of(e)), net::name_of(e));
-    for (const Ending e : {Ending::done, Ending::failed, Ending::lost, Ending::broken, Ending::ended_early,
-                           Ending::crossed, Ending::idle_closed, Ending::malformed, Ending::stopped,
-                           Ending::withdrawn, Ending::closed})
+    for (const Ending e :
+         {Ending::done, Ending::failed, Ending::lost, Ending::broken, Ending::ended_early, Ending::crossed,
+          Ending::idle_closed, Ending::malformed, Ending::stopped, Ending::withdrawn, Ending::closed})
         CHECK_MESSAGE(!proves_never_ran(outcome_of(e)), net::name_of(e));
     CHECK(outcome_of(Ending::done) == Outcome::finished);
     CHECK(outcome_of(Ending::stopped) == Outcome::timed_out);
@@ -264,8 +266,9 @@
     runner.say(Town::done("r1", "a\\nb"));
     REQUIRE(town.until([&] { return client.has("\r\n\r\na\nb"); }));
     CHECK(client.has("HTTP/1.1 200 OK\r\n"));
-    client.say("POST /render/key?q=1 HTTP/1.1\r\nX-Request-ID: r2\r\nX-Timeout: 900m\r\n"
-               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    client.say(
+        "POST /render/key?q=1 HTTP/1.1\r\nX-Request-ID: r2\r\nX-Timeout: 900m\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     Wire& again = town.at_runner("r2");
     CHECK(again.has("POST /render/key?q=1 HTTP/1.1\r\n"));
     CHECK(again.has("\r\n\r\nabcde"));
@@ -418,7 +421,8 @@
 TEST_CASE("a start from the known list serves while discovery is down, and asks again") {
     Town town;
     CHECK(town.until([&] { return !town.discovery.guests().empty(); }));
-    CHECK(town.until([&] { return town.discovery.guests()[0].has("GET /v1/servers?follow=1&since=7 HTTP/1.1\r\n"); }));
+    CHECK(town.until(
+        [&] { return town.discovery.guests()[0].has("GET /v1/servers?follow=1&since=7 HTTP/1.1\r\n"); }));
     town.discovery.guests()[0].reset();
     Wire client = town.client();
     client.say(Town::post("r1"));
@@ -437,7 +441,8 @@
 
 TEST_CASE("a watch is followed line by line, and asked for anew once it falls silent") {
     Town town(2);
-    REQUIRE(town.until([&] { return !town.discovery.guests().empty() && town.discovery.guests()[0].has("\r\n\r\n"); }));
+    REQUIRE(town.until(
+        [&] { return !town.discovery.guests().empty() && town.discovery.guests()[0].has("\r\n\r\n"); }));
     Wire& watch = town.discovery.guests()[0];
     watch.say(Town::taken + Town::chunk(town.list(9, "SERVING", true) + "\n") + Town::chunk("\n"));
     town.pass(20);
@@ -456,6 +461,53 @@
     CHECK(town.until([&] { return town.discovery.guests()[1].has("since=10 HTTP/1.1"); }));
 }
 
+TEST_CASE("where changes come by themselves the watch is open from the start, and opened again") {
+    Town town(1, "pure", "", "\"memory_mb\":64,\"sockets\":64", "pushed");
+    REQUIRE(town.until([&] { return !town.discovery.guests().empty(); }));
+    CHECK(town.until([&] { return town.discovery.guests()[0].has("follow=1&since=7 HTTP/1.1"); }));
+    town.discovery.guests()[0].hang_up();
+    CHECK(town.until([&] { return town.discovery.guests().size() == 2; }));
+}
+
+TEST_CASE("the whole list is asked for once, counted, chunked or to the end of the connection") {
+    net::Loop loop(64);
+    Door discovery;
+    std::ostringstream said;
+    log::Log log(said, log::Level::debug);
+    std::vector<std::uint32_t> versions;
+    int failures = 0;
+    roster::Follower follower(
+        loop, *net::Address::read(discovery.address()), log,
+        [&](const roster::Listing& listing) { return versions.push_back(listing.version), true; },
+        [&] { ++failures; });
+    const auto told = [&](const std::string& answer, bool hangs_up) {
+        const std::size_t before = discovery.guests().size();
+        follower.ask();
+        bool spoken = false;
+        for (const Micros end = net::Loop::now() + 300'000; net::Loop::now() < end; usleep(200)) {
+            loop.turn(false);
+            if (spoken || discovery.guests().size() == before) continue;
+            if (!discovery.guests().back().has("GET /v1/servers HTTP/1.1\r\n")) continue;
+            discovery.guests().back().say(answer);
+            if (hangs_up) discovery.guests().back().hang_up();
+            spoken = true;
+        }
+        follower.sweep();
+    };
+    const auto list = [](int version) {
+        return "{\"version\":" + std::to_string(version) + ",\"full\":true,\"servers\":[]}";
+    };
+    told("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list(1).size()) + "\r\n\r\n" + list(1),
+         false);
+    told(lines(list(2) + "\n"), false);
+    told("HTTP/1.1 200 OK\r\n\r\n" + list(3), true);
+    CHECK(versions == std::vector<std::uint32_t>{1, 2, 3});
+    CHECK(failures == 0);
+    told("HTTP/1.1 503 Busy\r\n\r\n", true);
+    CHECK(versions.size() == 3);
+    CHECK(failures == 1);
+}
+
 TEST_CASE("a restart loses nothing: what still comes is served, then all is ended") {
     Town town(2);
     Wire kept = town.client(), waiting = town.client();
@@ -467,7 +519,8 @@
     late.say(Town::post("r2"));
     town.at_runner("r2").say(Town::done("r2", "late"));
     CHECK(town.until([&] { return late.has("late"); }));
-    CHECK(town.until([&] { return kept.ended() && late.ended(); }, 1000));  // idle ones, once nobody new comes
+    CHECK(
+        town.until([&] { return kept.ended() && late.ended(); }, 1000));  // idle ones, once nobody new comes
     CHECK_FALSE(town.loop.stopping());
     // The runner stays silent, so the task is answered before the system would kill the process.
     CHECK(town.until([&] { return waiting.has("HTTP/1.1 503"); }, 3000));
