Kept connections that may be dead are not used: checked, and closed at restarts and breaks

From reading the protocol's network page against Links: a request written to a connection that the runner has closed, or that stands open to a machine that vanished and is back, ends as a reset that may have run, and a side-effecting task is lost by it. Now a kept connection is looked at before it is used, and all to a runner are closed when it restarts or one of them breaks.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -131,7 +131,7 @@
 bool Dispatcher::heard(const roster::Listing& listing, RosterScope scope) {
     const auto news = book_.take(listing, scope, net::Loop::now());
     if (!news) return false;
-    for (const auto& seat : news->seats) links_.seat(seat.runner, seat.address, seat.open);
+    for (const auto& seat : news->seats) links_.seat(seat.runner, seat.address, seat.open, seat.restarted);
     note(news->for_module);
     return true;
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -97,6 +97,12 @@
     return stream_ && evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
 }
 
+bool Connection::stale() const {
+    char next;
+    if (!stream_) return true;
+    return recv(bufferevent_getfd(stream_.get()), &next, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+}
+
 bool Connection::write(std::string_view bytes) {
     Blocks blocks(loop_.blocks());
     if (!blocks.append(bytes)) return false;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -36,7 +36,8 @@
     bool write(std::string_view bytes);  // false once the pool is empty
     void write(Blocks&& bytes);
     bool unsent() const;  // whether bytes are left that the system has not taken
-    bool open() const { return stream_ != nullptr; }
+    // Whether the peer has ended it, or said something unasked, that the loop has not come to yet.
+    bool stale() const;
     // Ends at once, without a word to the owner.
     void close();
     // Writes what is left and says that no more comes; the owner is told when the peer has closed too.
--- a/src/roster/book.cpp
+++ b/src/roster/book.cpp
@@ -59,8 +59,8 @@
         Held& held = known == held_.end() ? held_[e.id] : known->second;
         if (held.entry.id.empty()) held.runner = number_for(e.id);
         // Reckoned once for each start: reckoned again it could differ a little, and look like another start.
-        if (held.entry.id.empty() || held.entry.started_ms != e.started_ms)
-            held.started_at = on_our_clock(e.started_ms, now);
+        const bool restarted = !held.entry.id.empty() && held.entry.started_ms != e.started_ms;
+        if (held.entry.id.empty() || restarted) held.started_at = on_our_clock(e.started_ms, now);
         const auto address = e.address ? e.address : held.entry.address;
         if (&held.entry != &e) held.entry = e;
         held.entry.address = address;
@@ -68,13 +68,13 @@
         news.for_module.entries.push_back({held.runner, place_in<ZoneId>(zones_, e.zone),
                                            place_in<KindId>(kinds_, e.kind), GroupId{e.group}, *e.state,
                                            e.share, held.started_at});
-        if (address) news.seats.push_back({held.runner, *address, *e.state == RunnerState::ready});
+        if (address) news.seats.push_back({held.runner, *address, *e.state == RunnerState::ready, restarted});
     }
     if (scope == RosterScope::changes) return news;
     for (auto& [id, held] : held_) {
         if (listed.contains(id) || held.entry.state == RunnerState::gone) continue;
         held.entry.state = RunnerState::gone;
-        if (held.entry.address) news.seats.push_back({held.runner, *held.entry.address, false});
+        if (held.entry.address) news.seats.push_back({held.runner, *held.entry.address, false, false});
     }
     return news;
 }
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -19,6 +19,7 @@
         RunnerId runner{};
         net::Address address;
         bool open = false;
+        bool restarted = false;
     };
     struct News {
         RosterNews for_module;
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -18,12 +18,14 @@
 
 Links::~Links() = default;
 
-void Links::seat(RunnerId runner, const net::Address& address, bool open) {
+void Links::seat(RunnerId runner, const net::Address& address, bool open, bool restarted) {
     Place& place = places_[runner];
     const bool moved = place.address && place.address->text != address.text;
     place.address = address;
     place.open = open;
-    if (moved || !open) close_idle(runner);
+    // Against connections to a machine that vanished and is back: they stand open here, and what is sent on
+    // them is reset.
+    if (moved || restarted || !open) close_idle(runner);
     if (open) return;
     // Against a send after the grace of a drain, also when the connect was slow: what has not begun never
     // will. What has begun goes on.
@@ -64,8 +66,13 @@
 Link* Links::idle_or_new(RunnerId runner) {
     Place& place = places_[runner];
     // The one used last: it is the surest to be open still, and the rest can grow old and close.
-    if (!place.idle.empty()) {
+    while (!place.idle.empty()) {
         Link* const link = place.idle.back();
+        // Against a request that crosses the runner's close: it would count as one that may have run.
+        if (link->connection_.stale()) {
+            link->close();
+            continue;
+        }
         place.idle.pop_back();
         return link;
     }
@@ -324,6 +331,8 @@
     }
     if ((ending == net::Ending::ended_early || ending == net::Ending::broken) && used_ && !answered_)
         ending = net::Ending::crossed;
+    // Where one connection broke, or none could be made, those that are kept are no surer.
+    if (busy()) links_.close_idle(runner_);
     settle(ending);
     close();
 }
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -60,7 +60,7 @@
     ~Links();
 
     // What the roster says. A runner that is not open gets nothing that has not begun to be written.
-    void seat(RunnerId runner, const net::Address& address, bool open);
+    void seat(RunnerId runner, const net::Address& address, bool open, bool restarted = false);
     void assign(RunnerId runner, Errand&& errand);
     void withdraw(TaskId task, int number);
     void probe(RunnerId runner);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -186,7 +187,7 @@
         if (socket_ >= 0) close(std::exchange(socket_, -1));
     }
     // Whoever has come; the newest is last.
-    std::vector<Wire>& guests() {
+    std::deque<Wire>& guests() {
         for (int one; socket_ >= 0 && (one = accept(socket_, nullptr, nullptr)) >= 0;) guests_.emplace_back(one);
         return guests_;
     }
@@ -196,7 +197,7 @@
 
   private:
     int socket_;
-    std::vector<Wire> guests_;
+    std::deque<Wire> guests_;  // stories keep references
 };
 
 // A dispatcher with its runners and its discovery, all of them scripted by the story.
--- a/tests/parser_stories.cpp
+++ b/tests/parser_stories.cpp
@@ -235,8 +235,10 @@
     // A start is reckoned once, so that the same start told again is no other one.
     const std::string started = ",\"started_ms\":1700000000000";
     const auto again = take(list("3", "127.0.0.1:5001", "SERVING", started), RosterScope::changes);
+    CHECK(again->seats[0].restarted);
     usleep(2000);
     const auto same = take(list("4", "127.0.0.1:5001", "SERVING", started), RosterScope::complete);
+    CHECK_FALSE(same->seats[0].restarted);
     CHECK(again->for_module.entries[0].started_at == same->for_module.entries[0].started_at);
     CHECK(same->for_module.entries[0].runner == first->for_module.entries[0].runner);
     // What a whole list does not name is closed.
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -224,9 +224,19 @@
     CHECK(s.door.guests().size() == 1);
     CHECK(s.until([&] { return s.door.guests().back().ended(); }, 400));
     CHECK(s.links.size() == 0);
-    // One that the runner closed meanwhile is not used again, nor one to an address that it has left.
+    // One that the runner closed meanwhile is not used again, also if the loop has not yet heard of it.
     s.after(Town::done("7"));
     s.door.guests().back().hang_up();
+    CHECK(s.after(Town::done("7")) == Ending::done);
+    // Nor is one kept from before a restart, after another has broken, or to an address that it has left.
+    REQUIRE(s.until([&] { return s.links.size() == 1; }));
+    s.links.seat(RunnerId{1}, *net::Address::read(s.door.address()), true, true);
+    CHECK(s.until([&] { return s.links.size() == 0; }));
+    s.assign();
+    Wire& breaks = s.runner();
+    breaks.got.clear();
+    CHECK(s.after(Town::done("7")) == Ending::done);
+    breaks.reset();
     CHECK(s.until([&] { return s.links.size() == 0; }));
     s.after(Town::done("7"));
     Door moved;
