--- a/src/main.cpp
+++ b/src/main.cpp
@@ -37,6 +37,7 @@
 int check(const std::string& path) {
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
     const StandingOrders orders(posting.orders);
+    const Choice choice(posting.orders, posting.seed);  // reads every order, and fails on one that is wrong
     std::cout << path << " can be served: " << posting.name << " on " << posting.listen.text
               << ", discovery at " << posting.discovery.text << ", " << posting.known.entries.size()
               << " runners known, " << orders.workloads << " workloads, " << orders.customers
