Words to peers go out as datagrams

Checked: the configuration names peer_listen and peers there and may_tell is true, but Dispatcher::carry_out dropped TellPeers and TellPeer, so the module took every runner for unused by others. Ruled out: late turns (to the first attempt 215 us) and connections (none written to closed ones). src/peers/Post sends them; senders are known by their address.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -69,6 +69,10 @@
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
       links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_)),
+      post_(loop, posting_.neighbours,
+            [this](PeerId from, std::string_view words) {
+                note(PeerSaid{from, std::string(words)});
+            }),
       server_(loop, posting_.listen, directory_, *this, room(posting_), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { see_off(); }) {
@@ -228,8 +232,8 @@
                      [&](const WakeAt& a) { wakes_.emplace(a.at, a.mark), set_wake(); },
                      [&](const Probe& a) { links_.probe(a.runner); },
                      [&](const CloseIdle& a) { links_.close_idle(a.runner); },
-                     // Peers' addresses are told to nobody yet; the standing orders do not allow words here.
-                     [&](const TellPeers&) {}, [&](const TellPeer&) {},
+                     [&](const TellPeers& a) { post_.tell_all(a.words); },
+                     [&](const TellPeer& a) { post_.tell(a.to, a.words); },
                      [&](const LogLine& a) { log_.info(net::Loop::now(), "choice: ", with_names(a.text)); },
                      [&](const FollowRoster& a) {
                          a.on ? follower_.follow(book_.since()) : follower_.stop_following();
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -67,6 +67,7 @@
     roster::Book book_;
     roster::Follower follower_;
     runners::Links links_;
+    peers::Post post_;
     clients::Server server_;
     Tasks tasks_;
     std::set<std::string> ids_;  // of the requests under way
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -63,6 +63,21 @@
     return static_cast<std::size_t>(*value);
 }
 
+peers::Neighbours read_neighbours(const json::Value& all) {
+    peers::Neighbours n;
+    if (all.find("peer_listen")) n.listen = address(all, "peer_listen");
+    const json::Value* const listed = all.find("peers");
+    const json::List* const list = listed ? listed->get<json::List>() : nullptr;
+    for (const json::Value& one : list ? *list : json::List{}) {
+        const auto read = net::Address::read(scalar(one));
+        if (!read) throw std::runtime_error("a peer's address is none: " + json::write(one));
+        n.all.push_back(*read);
+    }
+    if (const auto* settings = all.find("settings"))
+        n.me = static_cast<std::size_t>(std::max(0.0, settings->number("me").value_or(0)));
+    return n;
+}
+
 }  // namespace
 
 Posting Posting::read(const std::string& text) {
@@ -76,6 +91,7 @@
     if (const auto* name = all.text("name")) p.name = *name;
     p.listen = address(all, "listen");
     p.discovery = address(all, "discovery");
+    p.neighbours = read_neighbours(all);
     if (const auto* seed = all.text("seed")) {
         const auto [end, wrong] = std::from_chars(seed->data(), seed->data() + seed->size(), p.seed, 16);
         if (wrong != std::errc() || end != seed->data() + seed->size())
--- a/src/dispatcher/posting.hpp
+++ b/src/dispatcher/posting.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/address.hpp"
+#include "peers/post.hpp"
 #include "roster/listing.hpp"
 #include "types.hpp"
 
@@ -15,6 +16,7 @@
 struct Posting {
     std::string name;
     net::Address listen, discovery;
+    peers::Neighbours neighbours;
     std::uint64_t seed = 0;
     std::size_t memory_mb = 256, sockets = 1024;
     roster::Listing known;
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -518,6 +518,31 @@
     CHECK(failures == 1);
 }
 
+TEST_CASE("peers are told by datagrams, and only those whose address is known are heard") {
+    const auto free_port = [] { return *net::Address::read("127.0.0.1:" + std::to_string(Door(-1).port)); };
+    const peers::Neighbours first{free_port(), {}, 0}, second{free_port(), {}, 1},
+        stranger{free_port(), {}, 0};
+    net::Loop loop(16);
+    std::vector<std::string> heard;
+    const auto post = [&](peers::Neighbours n) {
+        n.all = {*first.listen, *second.listen};
+        return std::make_unique<peers::Post>(
+            loop, n, [&heard, me = n.me](PeerId from, std::string_view words) {
+                heard.push_back(std::to_string(static_cast<unsigned>(from)) + ">" + std::to_string(me) +
+                                std::string(words));
+            });
+    };
+    const auto one = post(first), other = post(second), odd = post(stranger);
+    one->tell_all("a");
+    other->tell(PeerId{0}, "b");
+    other->tell(PeerId{7}, "c");
+    one->tell(PeerId{1}, std::string(300, 'd'));
+    odd->tell(PeerId{1}, "e");
+    for (int i = 0; i < 100; ++i) loop.turn(false), usleep(200);
+    std::sort(heard.begin(), heard.end());
+    CHECK(heard == std::vector<std::string>{"0>1a", "1>0b"});
+}
+
 TEST_CASE("a restart loses nothing: what still comes is served, then all is ended") {
     Town town(2);
     Wire kept = town.client(), waiting = town.client();
