--- a/src/dispatcher/outcomes.cpp
+++ b/src/dispatcher/outcomes.cpp
@@ -29,7 +29,6 @@
         case Ending::broken:
         case Ending::ended_early:
         case Ending::crossed:
-        case Ending::idle_closed:
         case Ending::closed:
             return Outcome::reset;
         case Ending::stopped:
--- a/src/net/ending.cpp
+++ b/src/net/ending.cpp
@@ -28,8 +28,6 @@
             return "ended before the last line";
         case Ending::crossed:
             return "closed as the request came";
-        case Ending::idle_closed:
-            return "closed while idle";
         case Ending::malformed:
             return "malformed answer";
         case Ending::stopped:
--- a/src/net/ending.hpp
+++ b/src/net/ending.hpp
@@ -19,7 +19,6 @@
     broken,             // reset after it
     ended_early,        // ended after it, before the last line of the answer
     crossed,            // a kept connection that the peer closed as the request came
-    idle_closed,        // ended with nothing under way
     // what we made of it
     malformed,         // an answer that cannot be read; the connection is not used again
     stopped,           // the time it was given is over
