SIGHUP re-reads the configuration and follows discovery to its new address

Now the file is read by the parser of the start, which also reads every standing order; one that cannot be read is logged and the old stays. Discovery's address moves: the old calls are dropped unheard, the new one is followed from the beginning, and the book counts its versions anew (it passed over changes with a lower version, roster/book.cpp take()). Other differences are named as needing a restart. SIGHUP before the loop runs or at the end is ignored.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include "dispatcher/outcomes.hpp"
@@ -104,6 +105,27 @@
     farewell_.set(left_at_ + kStillComing);
 }
 
+// Discovery's address is what can change in service. All else that was learned, is held or is under way stays
+// as it is, also the list of runners until the new discovery has spoken.
+void Dispatcher::reload(const std::string& path) {
+    const Micros now = net::Loop::now();
+    std::optional<Posting> fresh;
+    try {
+        fresh = Posting::read_file(path);
+    } catch (const std::exception& e) {
+        // Against a file that is missing, half written or wrong: what serves goes on as it was.
+        return log_.warning(now, "reload: ", e.what(), "; the old configuration stays");
+    }
+    for (const std::string& name : posting_.differences_for_restart(*fresh))
+        log_.warning(now, "reload: ", name, " differs, and needs a restart");
+    if (fresh->discovery.text == posting_.discovery.text) return log_.info(now, "reload: discovery stays");
+    log_.info(now, "reload: discovery moves from ", posting_.discovery.text, " to ", fresh->discovery.text);
+    posting_.discovery = fresh->discovery;
+    follower_.move(posting_.discovery);
+    book_.count_anew();
+    follower_.follow(book_.since());
+}
+
 // The last part of a restart: whoever still has a connection is told to open its next one elsewhere, and the
 // process ends once nobody waits for anything.
 void Dispatcher::see_off() {
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -26,6 +26,7 @@
     void run();       // until it has left
     void end_turn();  // settles what the turn brought; run() calls it
     void leave();     // answers what it has and what still comes, then ends
+    void reload(const std::string& path);  // takes from the file what can change in service
     std::uint16_t port() const { return server_.port(); }
 
   private:
@@ -61,7 +62,7 @@
 
     net::Loop& loop_;
     log::Log& log_;
-    const Posting posting_;
+    Posting posting_;
     const clients::Directory directory_;
     Choice choice_;
     roster::Book book_;
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "choice.hpp"
 #include "json/json.hpp"
 #include "orders/spelling.hpp"
 
@@ -113,9 +114,25 @@
     if (const auto* reporting = settings->find("reporting"))
         if (const auto* names = reporting->find("names"); names && names->get<json::List>())
             for (const json::Value& name : *names->get<json::List>()) p.report_names.push_back(scalar(name));
+    const Choice reads_every_order(p.orders, p.seed);
     return p;
 }
 
+std::vector<std::string> Posting::differences_for_restart(const Posting& other) const {
+    const auto texts = [](const peers::Neighbours& n) {
+        std::string all = n.listen ? n.listen->text : "";
+        for (const net::Address& one : n.all) all += " " + one.text;
+        return all;
+    };
+    std::vector<std::string> differ;
+    if (name != other.name) differ.emplace_back("name");
+    if (listen.text != other.listen.text) differ.emplace_back("listen");
+    if (texts(neighbours) != texts(other.neighbours)) differ.emplace_back("peers");
+    if (memory_mb != other.memory_mb || sockets != other.sockets) differ.emplace_back("limits");
+    if (orders != other.orders || report_names != other.report_names) differ.emplace_back("settings");
+    return differ;
+}
+
 Posting Posting::read_file(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw std::runtime_error("cannot read the configuration " + path);
--- a/src/dispatcher/posting.hpp
+++ b/src/dispatcher/posting.hpp
@@ -1,4 +1,4 @@
-// Where a dispatcher is posted: all that it is told at its start.
+// Where a dispatcher is posted: all that it is told at its start, and again at a reload.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +23,11 @@
     StatedOrders orders;
     std::vector<std::string> report_names;  // as runners spell them
 
-    // Throws std::runtime_error with one clear line.
+    // What another posting has otherwise that cannot change in service, in the operators' names. Runners are
+    // heard of from discovery, and a seed is new with each start, so neither counts.
+    std::vector<std::string> differences_for_restart(const Posting& other) const;
+
+    // Throws std::runtime_error with one clear line, also where the module could not go by its orders.
     static Posting read(const std::string& text);
     static Posting read_file(const std::string& path);
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr const char* kVersion = "gannethold 0.3.0";
+constexpr const char* kVersion = "gannethold 0.4.0";
 constexpr int kUsage = 2;
 
 // What the pool of buffers may take of the memory: the rest is for libevent, the module and the process.
@@ -24,12 +24,14 @@
 
 int serve(const std::string& path, log::Level level) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // before it is ready and once it ends: a reload then has nothing to change
     log::Log log(std::cerr, level);
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
     net::Loop loop(most_blocks(posting));
     dispatcher::Dispatcher dispatcher(loop, posting, log);
     const net::Signal end(loop, SIGTERM, [&] { dispatcher.leave(); });
     const net::Signal interrupt(loop, SIGINT, [&] { dispatcher.leave(); });
+    const net::Signal reload(loop, SIGHUP, [&] { dispatcher.reload(path); });
     dispatcher.run();
     return 0;
 }
@@ -37,7 +39,6 @@
 int check(const std::string& path) {
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
     const StandingOrders orders(posting.orders);
-    const Choice choice(posting.orders, posting.seed);  // reads every order, and fails on one that is wrong
     std::cout << path << " can be served: " << posting.name << " on " << posting.listen.text
               << ", discovery at " << posting.discovery.text << ", " << posting.known.entries.size()
               << " runners known, " << orders.workloads << " workloads, " << orders.customers
@@ -60,7 +61,7 @@
     places.add("command", 1).add("configuration", 1);
     const auto explain = [&](std::ostream& out) -> std::ostream& {
         return out << "Usage: gannethold COMMAND [options]\n\n"
-                      "  serve    take tasks and push them to runners, until SIGTERM\n"
+                      "  serve    take tasks and push them to runners, until SIGTERM; SIGHUP reloads\n"
                       "  check    read the configuration and say whether it can be served\n"
                       "  version  say the version\n\n"
                    << shown;
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -31,6 +31,8 @@
     std::uint32_t version() const { return version_; }
     // From where to follow: from the beginning once discovery and this book have come apart.
     std::uint32_t since() const { return apart_ ? 0 : version_; }
+    // Against another discovery that counts its versions otherwise: nothing it says is older than what is held.
+    void count_anew() { version_ = 0, apart_ = false; }
     bool empty() const { return held_.empty(); }
     const std::string& name_of(RunnerId runner) const;
 
--- a/src/roster/follower.cpp
+++ b/src/roster/follower.cpp
@@ -109,6 +109,12 @@
     ended_.push_back(std::move(call(kind)));
 }
 
+void Follower::move(const net::Address& discovery) {
+    drop(Call::Kind::watch);
+    drop(Call::Kind::list);
+    discovery_ = discovery;
+}
+
 void Follower::follow(std::uint32_t since) { begin(Call::Kind::watch, since); }
 void Follower::stop_following() { drop(Call::Kind::watch); }
 void Follower::ask() { begin(Call::Kind::list, 0); }
--- a/src/roster/follower.hpp
+++ b/src/roster/follower.hpp
@@ -55,6 +55,8 @@
 
     Follower(net::Loop& loop, const net::Address& discovery, log::Log& log, Heard heard, Failed failed);
 
+    // From now on discovery is there. What the old one has not yet said, or how it ends, is not heard.
+    void move(const net::Address& discovery);
     void follow(std::uint32_t since);
     void stop_following();
     void ask();
@@ -68,7 +70,7 @@
     void drop(Call::Kind kind);
 
     net::Loop& loop_;
-    const net::Address discovery_;
+    net::Address discovery_;
     log::Log& log_;
     Heard heard_;
     Failed failed_;
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -10,7 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <set>
@@ -206,7 +208,7 @@
                   const std::string& limits = "\"memory_mb\":64,\"sockets\":64",
                   const std::string& how = "on_request") {
         for (int i = 0; i < runners; ++i) doors.push_back(std::make_unique<Door>());
-        const std::string text =
+        text =
             "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) +
             "\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
             "},\"known\":" + list(7, "SERVING", true) +
@@ -273,6 +275,20 @@
         return taken + line(id, "\"state\":\"done\",\"result\":\"" + result + "\"") + "0\r\n\r\n";
     }
 
+    // SIGHUP with that in the file of the configuration; without a word there is no file.
+    void reload(const std::string& words) {
+        const std::string path = "reload-" + std::to_string(getpid()) + ".json";
+        if (!words.empty()) std::ofstream(path) << words;
+        dispatcher->reload(path);
+        std::remove(path.c_str());
+        dispatcher->end_turn();
+    }
+    std::string with(const std::string& old_words, const std::string& new_words) const {
+        std::string other = text;
+        return other.replace(other.find(old_words), old_words.size(), new_words);
+    }
+
+    std::string text;  // of the configuration
     std::ostringstream said;
     log::Log log{said, log::Level::debug};
     net::Loop loop{4096};
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -487,6 +487,58 @@
     CHECK(town.until([&] { return town.discovery.guests().size() == 2; }));
 }
 
+TEST_CASE("a reload follows discovery to another address, whatever the old one still says") {
+    Town town;
+    const auto watched = [](Door& door, const std::string& since) {
+        return !door.guests().empty() && door.guests()[0].has("follow=1&since=" + since + " HTTP/1.1\r\n");
+    };
+    REQUIRE(town.until([&] { return watched(town.discovery, "7"); }));
+    Wire& old = town.discovery.guests()[0];
+    old.say(Town::taken + Town::chunk(town.list(9, "SERVING", true) + "\n"));
+    Wire client = town.client();
+    client.say(Town::post("r1"));
+    Wire& runner = town.at_runner("r1");
+    Door moved, again;
+    town.reload(town.with(town.discovery.address(), moved.address()));
+    REQUIRE(town.until([&] { return watched(moved, "0"); }, 200));
+    old.say(Town::chunk(town.list(10, "DRAINING", true) + "\n"));
+    moved.guests()[0].say(Town::taken + Town::chunk(town.list(2, "SERVING", true) + "\n"));  // counts otherwise
+    town.pass(50);
+    old.hang_up();
+    runner.say(Town::done("r1"));  // what was under way, and its connections, live on
+    REQUIRE(town.until([&] { return client.has("picture"); }));
+    client.say(Town::post("r2"));
+    town.at_runner("r2").say(Town::done("r2", "second"));
+    REQUIRE(town.until([&] { return client.has("second"); }));
+    CHECK(town.doors[0]->guests().size() == 1);
+    // Any number of times, also while it leaves.
+    town.dispatcher->leave();
+    town.reload(town.with(town.discovery.address(), again.address()));
+    CHECK(town.until([&] { return watched(again, "0") && moved.guests()[0].ended(); }, 200));
+    CHECK(town.until([&] { return town.loop.stopping(); }));
+}
+
+TEST_CASE("a reload that cannot be read changes nothing, and what needs a restart is named") {
+    Town town;
+    const std::string moved = town.with(town.discovery.address(), "127.0.0.1:9");
+    REQUIRE(town.until([&] { return !town.discovery.guests().empty(); }));
+    for (const auto& [words, why] : std::vector<std::pair<std::string, std::string>>{
+             {"", "cannot read the configuration"},
+             {moved.substr(0, moved.size() / 2), "is not JSON"},
+             {town.with(town.discovery.address(), "nowhere"), "the discovery address is none: nowhere"},
+             {town.with("\"due_time_us\":600000", "\"due_time_us\":\"soon\""), "is not a number: soon"}}) {
+        town.reload(words);
+        CHECK_MESSAGE(town.said.str().find(why) != std::string::npos, town.said.str());
+        CHECK(town.said.str().ends_with("; the old configuration stays\n"));
+        town.said.str("");
+    }
+    town.reload(town.with("\"sockets\":64", "\"sockets\":65"));
+    CHECK(town.said.str().find("limits differs, and needs a restart") != std::string::npos);
+    town.pass(50);
+    CHECK_FALSE(town.discovery.guests()[0].ended());
+    CHECK(town.discovery.guests().size() == 1);
+}
+
 TEST_CASE("the whole list is asked for once, counted, chunked or to the end of the connection") {
     net::Loop loop(64);
     Door discovery;
