A broken connection is checked by a probe before its runner is set aside

The log names 19 set-asides for probes and 9 for assignments on ten broken assignments; each cost a runner 2 to 4 s and then up to 9 s of a cold one's budget. The belief (a process that died) did not match the sockets (new connects came up at once). At fault: judge() and heed(ProbeEnded) in choice.cpp took any break for a death; Link::ended in links.cpp told the break of an old connection as the answer to a probe. Ruled out: load (offered as on fleet), discovery (one runner gone). Now a break voids the last report, so that a probe is due before anything new goes there (doubt()); a second failure without an answer between sets aside as before. Where no probe can tell it is as before.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,8 +6,7 @@
 //   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is drawn as far as it is warm and sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
-//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more, not under
-//   overload
+//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more; not in overload
 //   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
@@ -23,13 +22,12 @@
 namespace {
 
 constexpr Micros kPeriod = 1'000'000;  // the design's
-constexpr Micros kRest =
-    2 * kPeriod;                // of a set-aside; up to as much again, so that not all come back at once
+constexpr Micros kRest = 2 * kPeriod;  // of a set-aside, up to twice that: not all come back at once
 constexpr int kFurther = 2;     // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
-constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more buys less than it costs
+constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
 constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
@@ -167,10 +165,8 @@
         if (!load) return;
         r.busy = static_cast<float>(load->busy);
         if (r.busy > 0) sample(r, 0);
-        if (load->held < 0) r.slots = std::max(r.slots, load->free);
-        if (load->held < 0) return;
-        // Against late reports: of one that misses what was sent long ago comes doubt, and soon none is
-        // believed.
+        if (load->held < 0) return void(r.slots = std::max(r.slots, load->free));
+        // Against late reports: of one that misses what was sent long ago comes doubt; soon none is believed.
         if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
             doubt_ = doubt_ * 31 / 32 + (load->held < r.out ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
@@ -257,6 +253,15 @@
         log_.say(now_, r.entry.runner, why);
     }
 
+    // Against breaks of single connections: one is no proof that the process died. Where a probe can tell,
+    // nothing goes to it until one has; else, or if that fails too, it is out, and cold whenever it is back.
+    void doubt(Runner& r, const char* why) {
+        r.reported_at = -1;
+        if (orders_.probes && orders_.knows_held && !blind() && !std::exchange(r.doubted, true)) return;
+        r.cold_from = now_;
+        set_aside(r, why);
+    }
+
     // ---- 3. cold -----------------------------------------------------------------------------------------
 
     double warmth(const Runner& r) const {
@@ -279,8 +284,7 @@
     bool cold_allows(const Runner& r, double cost) const {
         if (warmth(r) >= 1) return true;
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
-        const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) *
-                             static_cast<double>(orders_.cold_window);
+        const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
         // Half of an even part is ours. Of what is too large for that, one task at a time goes where nobody
         // seems to have anything; as late reports show that to all at once, only from as many as half the
@@ -399,10 +403,10 @@
             if (!t || t->over || t->held) continue;
             Leg& leg = t->legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
+            const bool movable = orders_.cancelling && workload(*t).effect != Effect::side_effecting;
             if (now_ >= t->latest_start) {
                 give_up(*t);
-            } else if (orders_.cancelling && workload(*t).effect != Effect::side_effecting &&
-                       may_follow(*t)) {
+            } else if (movable && may_follow(*t)) {
                 leg.wanted = false;
                 touched_.push_back(t->asked.task);
             } else {
@@ -456,17 +460,16 @@
         // The mean fraction and estimate, whatever it was before: it is another process by now.
         r.fraction = mean_fraction;
         r.latency.clear();
-        r.sampled = r.stirred = r.trial = false;
-        r.least = r.blame = 0;
-        r.lot = uniform(), r.aside_until = 0;
+        r.sampled = r.stirred = r.trial = r.doubted = false;
+        r.least = r.blame = 0, r.lot = uniform(), r.aside_until = 0;
         r.cold_from = e.started_at > 0 ? std::min(e.started_at, now_) : -1;
     }
 
     void heed(const TaskArrived& a) {
         ++arrivals_;
-        const auto kind_of_work = static_cast<std::size_t>(a.workload);
-        if (kind_of_work >= workloads_.size()) workloads_.resize(kind_of_work + 1);
-        Workload& w = workloads_[kind_of_work];
+        const auto place = static_cast<std::size_t>(a.workload);
+        workloads_.resize(std::max(workloads_.size(), place + 1));
+        Workload& w = workloads_[place];
         Task t;
         t.asked = a;
         // A client's repeat keeps the first try's expiry, so what is missing of the usual is its age.
@@ -532,15 +535,15 @@
     // Failures count as the longest latency, so that failing fast never looks like being fast.
     void judge(Runner& r, const Task& t, const Leg& leg, const AssignmentEnded& e) {
         Workload& w = workload(t);
-        const bool died = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
-        const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || died;
+        const bool broke = e.outcome == Outcome::reset || e.outcome == Outcome::connect_failed;
+        const bool failed = e.outcome == Outcome::error || e.outcome == Outcome::timed_out || broke;
         const double latency = static_cast<double>(e.elapsed) / t.cost;
         if (e.outcome == Outcome::finished) {
             if (!orders_.tells_start) learn_slots(r, leg, latency < 1.5 * latency_of(r));
             sample(r, latency);
             kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
-            r.trial = false;
+            r.trial = r.doubted = false;
         } else if (e.outcome == Outcome::withdrawn && !t.over) {
             // What waited would have taken so much longer.
             sample(r, latency + latency_of(r));
@@ -551,9 +554,8 @@
         }
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
-        // A process that died is cold whenever it is back, and the roster says so only later.
-        if (died) r.cold_from = now_;
-        if (died || r.blame > 0.4) set_aside(r, died ? "it cannot be reached" : "it keeps failing");
+        if (broke) doubt(r, "it cannot be reached");
+        if (r.blame > 0.4) set_aside(r, "it keeps failing");
     }
 
     void heed(const ClientLeft& left) {
@@ -569,10 +571,10 @@
         r->probing = false;
         std::erase_if(probes_out_, [&](const auto& probe) { return probe.first == e.runner; });
         if (e.outcome == Outcome::finished) {
+            r->doubted = false;
             read_report(*r, e.report);
         } else if (e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset) {
-            r->cold_from = now_;
-            set_aside(*r, "a probe cannot reach it");
+            doubt(*r, "a probe cannot reach it");
         } else {
             leave_alone(*r);
         }
@@ -675,8 +677,8 @@
     Micros wake = next_period_;
     if (!watch_.empty()) wake = std::min(wake, watch_.begin()->first);
     if (!held_.empty()) wake = std::min(wake, now_ + 4 * orders_.resolution);
-    if (orders_.asks && !following_ && !asking_)
-        wake = std::min(wake, std::max(ask_at_, now_ + orders_.resolution));
+    const Micros soonest = std::max(ask_at_, now_ + orders_.resolution);
+    if (orders_.asks && !following_ && !asking_) wake = std::min(wake, soonest);
     if (wake_set_ == 0 || wake < wake_set_) {
         wake_set_ = wake;
         out.push_back(WakeAt{wake, TimerMark{}});
@@ -684,8 +686,7 @@
     for (std::string& line : log_.taken()) out.push_back(LogLine{std::move(line)});
 }
 
-Choice::Choice(const StatedOrders& orders, std::uint64_t seed)
-    : desk_(std::make_unique<Desk>(orders, seed)) {}
+Choice::Choice(const StatedOrders& o, std::uint64_t seed) : desk_(std::make_unique<Desk>(o, seed)) {}
 Choice::~Choice() = default;
 void Choice::note(Micros now, const Event& event) { desk_->note(now, event); }
 void Choice::settle(Micros now, std::vector<Action>& out) { desk_->settle(now, out); }
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -333,6 +333,11 @@
         ending = net::Ending::crossed;
     // Where one connection broke, or none could be made, those that are kept are no surer.
     if (busy()) links_.close_idle(runner_);
+    if (state_ == State::probe && used_ && !answered_ && links_.places_[runner_].open) {
+        // Against a break that tells of an old connection and not of the runner: a probe does no harm twice.
+        state_ = State::finishing;
+        links_.probe(runner_);
+    }
     settle(ending);
     close();
 }
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -257,6 +257,25 @@
     CHECK(std::count_if(host.assigned.begin(), host.assigned.end(), is_bad) == 1);
 }
 
+TEST_CASE("a connection that breaks does not cost its runner the fleet's trust before a probe has told") {
+    FakeHost host(orders_with({{"caps.probes", "true"}}));
+    host.fleet(2, 4);
+    host.ask();
+    const RunnerId broke = host.assigned[0].runner;
+    host.end(Outcome::reset, 1000);
+    CHECK(host.assigned.size() == 2);  // to the other one
+    for (int i = 0; i < 6; ++i) host.ask();
+    CHECK(host.assigned.size() == 5);  // which has room for four; the rest wait for the probe
+    CHECK(host.count<Probe>() > 0);
+    host.tell(ProbeEnded{broke, Outcome::finished, 1000, {4, 0, 0}});
+    CHECK(host.assigned.size() == 8);
+    CHECK(host.assigned.back().runner == broke);
+    // Once the probe cannot reach it either, it is out.
+    host.end(Outcome::reset, 1000);
+    host.tell(ProbeEnded{broke, Outcome::connect_failed, 1000, {}});
+    CHECK(host.count<LogLine>() == 1);
+}
+
 TEST_CASE("when half the fleet looks bad at once, the rest is not set aside too") {
     FakeHost host;
     host.fleet(4, 4);
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -271,6 +271,20 @@
     CHECK(s.probes[2].first == Ending::stopped);
 }
 
+TEST_CASE("a probe that an old connection breaks is asked again on a new one, and only there") {
+    Street s;
+    CHECK(s.after(Town::done("7")) == Ending::done);
+    s.door.guests().back().got.clear();
+    s.links.probe(RunnerId{1});
+    s.runner().reset();
+    REQUIRE(s.until([&] { return s.door.guests().size() == 2 && s.door.guests()[1].has("GET /load"); }));
+    CHECK(s.probes.empty());
+    s.door.guests()[1].reset();
+    REQUIRE(s.until([&] { return s.probes.size() == 1; }));
+    CHECK(s.probes[0].first == Ending::broken);
+    CHECK(s.door.guests().size() == 2);
+}
+
 TEST_CASE("a task goes to a runner unchanged and its result to the client, on connections that are kept") {
     Town town;
     Wire client = town.client();
