Bad clients are bounded from the connect, and go first when descriptors are short

Read in server.cpp: a stalled request was bounded 10 s from its last byte, silence not at all; the one idle for longest went first, bad or not; an id was looked up at the head only, so a slow body could be taken twice; bytes beyond a length were taken with the request; a stalled reader held up the exit at a restart. In request.cpp and reader.cpp: headers that must be single, targets and ids with other than visible letters, blank lines without end, times of many hours and announced lengths over 64 KiB were let through (or only found while reading). Checked: each by a story on loopback.

--- a/src/clients/request.cpp
+++ b/src/clients/request.cpp
@@ -1,6 +1,7 @@
 #include "clients/request.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kLongestId = 128;
+// What two readers could take differently if it came twice.
+constexpr std::array kSingle = {"Host",        "X-Request-ID", "X-Timeout", "X-Tenant-Id",
+                                "Idempotency-Key", "X-Attrs",      "X-Retried", "Content-Type"};
 constexpr Micros kLongestPatience = 24 * 3'600'000'000LL;  // a day; more is taken for a mistake
 
 std::optional<double> number(std::string_view text) {
@@ -35,6 +39,12 @@
     return hash;
 }
 
+// Goes on to runners as it is: visible letters only, and no more than anybody needs.
+bool is_name(std::string_view text) {
+    return text.size() <= kLongestId &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
 bool read_figures(std::string_view text, Request& r) {
     while (!text.empty()) {
         const auto comma = std::min(text.find(','), text.size());
@@ -72,12 +82,18 @@
     read("workloads", workloads, [&](WorkloadId id, const std::string& at) {
         const auto effect = orders.find(at + "effect");
         if (effect != orders.end() && effect->second == "fingerprinted") fingerprinted.insert(id);
+        const auto expiry = orders.find(at + "expiry_us");
+        if (expiry == orders.end()) return;
+        const auto micros = number(expiry->second);
+        if (micros && *micros > 0 && *micros < kLongestPatience) longest[id] = static_cast<Micros>(*micros) * 64;
     });
     read("customers", customers, [](CustomerId, const std::string&) {});
 }
 
 std::variant<Request, Refused> read_request(const http::Head& head, const Directory& directory) {
     if (head.method != "POST") return Refused{405, "tasks come by POST"};
+    for (const char* const name : kSingle)
+        if (head.repeats(name)) return Refused{400, "a header that must be single is repeated"};
     Request r;
     std::string_view path = head.path().substr(1);
     const auto workload = directory.workloads.find(path.substr(0, path.find('/')));
@@ -87,7 +103,7 @@
     if (const auto last = path.rfind('/'); last != std::string_view::npos && last + 1 < path.size())
         r.key = fingerprint(path.substr(last + 1));
     r.id = head.field("X-Request-ID");
-    if (r.id.empty() || r.id.size() > kLongestId) return Refused{400, "X-Request-ID is missing or too long"};
+    if (r.id.empty() || !is_name(r.id)) return Refused{400, "X-Request-ID is missing or no id"};
     if (!directory.customers.empty()) {
         const auto customer = directory.customers.find(head.field("X-Tenant-Id"));
         if (customer == directory.customers.end()) return Refused{400, "no such tenant"};
@@ -95,8 +111,13 @@
     }
     const auto patience = span(head.field("X-Timeout"));
     if (!patience) return Refused{400, "X-Timeout is missing or no time span"};
+    // Against a time that nobody means: the task would be held, or out at a runner that hangs, as long.
+    const auto longest = directory.longest.find(r.workload);
+    if (longest != directory.longest.end() && *patience > longest->second)
+        return Refused{400, "X-Timeout is far beyond what this class waits"};
     r.patience = *patience;
     r.fingerprint = head.field("Idempotency-Key");
+    if (!is_name(r.fingerprint)) return Refused{400, "Idempotency-Key is no key"};
     // Without it a runner could not drop a repeat, so a further assignment might have its effect twice.
     if (r.fingerprint.empty() && directory.fingerprinted.contains(r.workload))
         return Refused{400, "this class needs an Idempotency-Key"};
--- a/src/clients/request.hpp
+++ b/src/clients/request.hpp
@@ -18,6 +18,7 @@
     std::map<std::string, WorkloadId, std::less<>> workloads;
     std::map<std::string, CustomerId, std::less<>> customers;
     std::set<WorkloadId> fingerprinted;
+    std::map<WorkloadId, Micros> longest;  // that a client of this workload can mean to wait
 
     explicit Directory(const StatedOrders& orders);
 };
--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <functional>
 #include <utility>
 
 #include "http/writer.hpp"
@@ -10,8 +11,11 @@
 namespace {
 
 constexpr std::size_t kMostBody = 64 * 1024;
-constexpr Micros kStalled = 10'000'000;  // a request that comes no further is given up
-constexpr Micros kLookForStalled = 2'000'000;
+// For a request to come whole, counted from the connect or, on a kept connection, from its first byte: bytes
+// that drip in win no time. At a restart a stalled one holds up the exit no longer than the second.
+constexpr Micros kPatience = 2'000'000, kPatienceLeaving = 300'000;
+constexpr Micros kLookForStalled = 100'000;
+constexpr Micros kHalfCome = 100'000;  // what has come in part for longer may go when room is short
 
 int status_of(http::Fault fault) {
     switch (fault) {
@@ -50,34 +54,51 @@
 Server::~Server() = default;
 
 void Server::accept(evutil_socket_t socket) {
-    if (sessions_.size() >= room_.sessions) make_room();
+    if (live() >= room_.sessions) make_room();
     sessions_.push_back(std::make_unique<Session>(*this, socket));
     sessions_.back()->place_ = std::prev(sessions_.end());
 }
 
-// Against running out of descriptors, with tasks in the backlog that nobody takes: of the connections that
-// stand between requests the one idle for longest goes. Its client opens another when it needs one.
+// Against running out of descriptors, with tasks in the backlog that nobody takes. First goes who has had its
+// last answer and only has to close, then who never handed in a task, silent or half said, and last the kept
+// connection that was idle for longest: its client opens another when it needs one.
 void Server::make_room() {
-    for (const auto& session : sessions_) {
-        if (session->state_ != Session::State::idle) continue;
-        session->connection_.close();
-        session->ended(net::Ending::closed);
-        return;
+    using State = Session::State;
+    const Micros now = net::Loop::now();
+    const auto told = [](const Session& s) { return s.state_ == State::closing && !s.connection_.unsent(); };
+    const auto silent = [](const Session& s) { return s.state_ == State::idle && !s.served_; };
+    const auto half_said = [now](const Session& s) {
+        return s.state_ == State::reading && !s.served_ && now - s.since_ > kHalfCome;
+    };
+    const auto idle = [](const Session& s) { return s.state_ == State::idle; };
+    for (const std::function<bool(const Session&)>& goes : {std::function<bool(const Session&)>(told),
+                                                            {silent}, {half_said}, {idle}}) {
+        for (const auto& session : sessions_) {
+            // Against closing one whose request is here but was not read yet.
+            if (!goes(*session) || (session->state_ == State::idle && session->connection_.stale())) continue;
+            session->connection_.close();
+            return session->ended(net::Ending::closed);
+        }
     }
 }
 
 // What comes beyond the room is turned away before the module sees it: never sent, so harmless to try again.
 // Against a backlog of tasks that are lost because no descriptor is left to take them.
 bool Server::full() const {
-    return waiting_ >= room_.tasks || sessions_.size() - ended_.size() > room_.sessions;
+    return waiting_ >= room_.tasks || live() > room_.sessions;
 }
 
-// Against clients that begin a request and never end it: each would hold a descriptor and a block for ever.
+// Against clients that say nothing, or begin a request and never end it: each would hold a descriptor and a
+// block for ever. One that has been served before may stand idle.
 void Server::check_stalled() {
     const Micros now = net::Loop::now();
-    for (const auto& session : sessions_)
-        if (session->state_ == Session::State::reading && now - session->last_byte_at_ > kStalled)
+    for (const auto& session : sessions_) {
+        if (now - session->since_ <= (leaving_ ? kPatienceLeaving : kPatience)) continue;
+        if (session->state_ == Session::State::reading)
             session->refuse(408, "the request came no further");
+        else if (session->state_ == Session::State::idle && (leaving_ || !session->spoke_))
+            session->state_ = Session::State::closing, session->connection_.finish();
+    }
     stalled_.set(now + kLookForStalled);
 }
 
@@ -106,7 +127,8 @@
     : server_(server),
       connection_(server.loop_, *this, socket),
       reader_(http::Kind::request, server.loop_.blocks()),
-      body_(server.loop_.blocks()) {}
+      body_(server.loop_.blocks()),
+      since_(net::Loop::now()) {}
 
 void Session::touch() {
     last_byte_at_ = net::Loop::now();
@@ -125,10 +147,10 @@
         const bool waits = state_ == State::idle;
         switch (reader_.read(bytes)) {
             case http::Found::nothing:
-                if (waits && reader_.begun()) state_ = State::reading;
+                if (waits && reader_.begun()) begin();
                 return;
             case http::Found::head:
-                state_ = State::reading;
+                if (waits) begin();
                 if (!heed_head()) return;
                 break;
             case http::Found::body:
@@ -137,15 +159,28 @@
                     return refuse(503, "no buffer left");
                 break;
             case http::Found::end:
+                // Against a length that is too small: what is behind the end is the rest of the body, or one
+                // request hides in another. A client sends one at a time here.
+                if (request_ && (!bytes.empty() || connection_.stale()))
+                    return refuse(400, "more than the request is long");
                 heed_end();
                 break;
             case http::Found::fault:
                 return refuse(status_of(reader_.fault()), "malformed request");
         }
     }
-    // More bytes while the task is out: a client sends one request at a time here, so what follows cannot be
-    // told from rubbish. The answer still goes out, and ends the connection.
-    if (state_ == State::waiting && !bytes.empty()) last_answer_ = true;
+    // The same once the task is out already. It was never what the client meant, so it is not served.
+    if (state_ == State::waiting && !bytes.empty()) {
+        set_waiting(false);
+        server_.taker_.left(task_);
+        refuse(400, "more than the request is long");
+    }
+}
+
+void Session::begin() {
+    state_ = State::reading;
+    if (spoke_) since_ = net::Loop::now();
+    spoke_ = true;
 }
 
 bool Session::heed_head() {
@@ -159,7 +194,11 @@
         return false;
     }
     request_ = std::move(std::get<Request>(read));
-    // One id twice at once would look like a second copy at the runners.
+    // Said before the body has come: nobody is to send in vain what will not be taken.
+    if (reader_.length() > kMostBody) {
+        refuse(413, "body too large");
+        return false;
+    }
     if (server_.taker_.knows(request_->id)) {
         refuse(409, "a request with this id is under way");
         return false;
@@ -177,6 +216,8 @@
         const bool ready = server_.taker_.ready() && !server_.leaving_;
         return say(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
+    // One id twice at once would look like a second copy at the runners; another may have come meanwhile.
+    if (server_.taker_.knows(request_->id)) return refuse(409, "a request with this id is under way");
     if (server_.full()) {
         server_.log_.warning(last_byte_at_, "clients: no room, turned away ", request_->id, "; ",
                              server_.waiting_, " tasks wait on ", server_.sessions_.size(), " connections");
@@ -184,6 +225,7 @@
         body_.clear();
         return say(503, "no room\n", server_.room_.stay_away);
     }
+    served_ = true;
     set_waiting(true);
     task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), last_byte_at_);
 }
@@ -230,7 +272,7 @@
     last_answer_ = true;
     reader_.restart();
     body_.clear();
-    say(status, std::string(why) + "\n");
+    say(status, std::string(why) + "\n", status == 503 ? server_.room_.stay_away : 0);
 }
 
 void Session::ended(net::Ending) {
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -55,6 +55,7 @@
 
     void accept(evutil_socket_t socket);
     void make_room();
+    std::size_t live() const { return sessions_.size() - ended_.size(); }
     bool full() const;
     void check_stalled();
 
@@ -89,6 +90,7 @@
     void heed_end();
     void say(int status, std::string_view body, Micros stay_away = 0);
     void refuse(int status, std::string_view why);
+    void begin();
     void set_waiting(bool waits);
     void touch();
 
@@ -100,7 +102,9 @@
     TaskId task_{};
     State state_ = State::idle;
     Micros last_byte_at_ = 0;
+    Micros since_;  // when it connected or, on a kept connection, when the present request began
     bool last_answer_ = false;
+    bool spoke_ = false, served_ = false;  // a request has begun on it; a task of it was taken
     Server::Sessions::iterator place_;
 };
 
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -140,7 +140,8 @@
         note(ClientLeft{id});
         answer(id, clients::Answer::abandoned, "", 0);
     }
-    if (server_.quiet()) {
+    // Against clients that go on handing in what is never whole: nobody who was taken waits by then.
+    if (server_.quiet() || now > last_minute_ + kLastMinute / 2) {
         log_.info(now, "left after ", (now - left_at_) / 1000, " ms");
         return loop_.stop();
     }
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -8,7 +8,7 @@
 namespace gannethold::http {
 namespace {
 
-constexpr std::size_t kMostTrailer = 4096;
+constexpr std::size_t kMostTrailer = 4096, kMostBlanks = 16;
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
 
@@ -19,6 +19,11 @@
     });
 }
 
+// What may stand in a target: against bytes that another reader takes for its end.
+bool is_visible(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
 // No control characters: against a value that splits a message when it is written again.
 bool is_plain(std::string_view text) {
     return std::all_of(text.begin(), text.end(), [](char c) {
@@ -56,9 +61,14 @@
     return {};
 }
 
+bool Head::repeats(std::string_view name) const {
+    return std::count_if(fields.begin(), fields.end(),
+                         [name](const Field& f) { return same_word(f.name, name); }) > 1;
+}
+
 void Reader::restart() {
     if (block_) pool_.give_back(std::exchange(block_, nullptr));
-    used_ = 0;
+    used_ = blanks_ = 0;
     state_ = State::head;
     fault_ = Fault::none;
     head_ = {};
@@ -77,9 +87,11 @@
 }
 
 Found Reader::read_head(std::string_view& bytes) {
-    // Empty lines before a message are passed over, as the standard asks.
-    while (used_ == 0 && !bytes.empty() && (bytes.front() == '\r' || bytes.front() == '\n'))
+    // Empty lines before a message are passed over, as the standard asks; but not without end.
+    while (used_ == 0 && !bytes.empty() && (bytes.front() == '\r' || bytes.front() == '\n')) {
+        if (++blanks_ > kMostBlanks) return fail(Fault::malformed);
         bytes.remove_prefix(1);
+    }
     if (bytes.empty()) return Found::nothing;
     if (!block_ && !(block_ = pool_.take())) return fail(Fault::out_of_blocks);
     const std::size_t searched = used_ < 3 ? 0 : used_ - 3;
@@ -133,8 +145,7 @@
         head_.method = line.substr(0, first);
         head_.target = line.substr(first + 1, second - first - 1);
         version = line.substr(second + 1);
-        const bool has_blank = head_.target.find_first_of(" \t") != std::string_view::npos;
-        if (!is_token(head_.method) || head_.target.empty() || head_.target.front() != '/' || has_blank)
+        if (!is_token(head_.method) || !head_.target.starts_with('/') || !is_visible(head_.target))
             return false;
     } else {
         version = line.substr(0, first);
--- a/src/http/reader.hpp
+++ b/src/http/reader.hpp
@@ -22,6 +22,7 @@
     std::vector<Field> fields;
 
     std::string_view field(std::string_view name) const;  // the first; empty where there is none
+    bool repeats(std::string_view name) const;
     std::string_view path() const { return target.substr(0, target.find('?')); }
 };
 
@@ -47,6 +48,7 @@
     std::string_view piece() const { return piece_; }
     Fault fault() const { return fault_; }
     bool begun() const { return block_ != nullptr; }
+    std::uint64_t length() const { return left_; }  // after a head: of the body, 0 if it is not counted
 
   private:
     enum class State {
@@ -82,7 +84,7 @@
     Head head_;
     std::string_view piece_;
     std::uint64_t left_ = 0;
-    std::size_t digits_ = 0, trailer_line_ = 0, trailer_bytes_ = 0;
+    std::size_t digits_ = 0, trailer_line_ = 0, trailer_bytes_ = 0, blanks_ = 0;
 };
 
 bool same_word(std::string_view a, std::string_view b);  // whatever the case of its letters
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -379,6 +379,16 @@
              {"POST /odd/k HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\n\r\n", "404"},
              {"PUT /render/k HTTP/1.1\r\n\r\n", "405"},
              {"GET / HTTP/3.0\r\n\r\n", "505"},
+             {"POST /render/\xff HTTP/1.1\r\n\r\n", "400"},
+             {std::string(100, '\n'), "400"},
+             {Town::post("b", "X-Timeout: 900m\r\nX-Timeout: 900m\r\n"), "400"},
+             {Town::post("b", "X-Timeout: 900m\r\nX-Request-ID: c\r\n"), "400"},
+             {Town::post("b c"), "400"},
+             {Town::post("b", "X-Timeout: 900m\r\nIdempotency-Key: \xc3\xa9\r\n"), "400"},
+             {Town::post("b", "X-Timeout: 36000000m\r\n"), "400"},
+             {chunked + "Content-Length: 60000000\r\n\r\n", "413"},
+             {chunked + "Content-Length: 3\r\n\r\nscene", "400"},
+             {Town::post("b") + Town::post("c"), "400"},
              {Town::post("good"), "409"}}) {
         Wire client = town.client();
         client.say(bad);
@@ -390,18 +400,80 @@
     CHECK(town.until([&] { return town.loop.blocks().out() == 0; }));
 }
 
-TEST_CASE("bytes behind an open request end the connection after its answer") {
+TEST_CASE("bytes behind an open request end it, since its length was not what the client meant") {
     Town town;
     Wire client = town.client();
     client.say(Town::post("r1"));
     Wire& runner = town.at_runner("r1");
-    client.say(Town::post("r2"));
-    town.pass(20);
-    runner.say(Town::done("r1"));
-    REQUIRE(town.until([&] { return client.ended(); }));
+    client.say("more");
+    REQUIRE(town.until([&] { return client.ended() && runner.ended(); }));
+    CHECK(client.has("HTTP/1.1 400"));
     CHECK(client.has("Connection: close\r\n"));
     CHECK(count(client.got, "HTTP/1.1") == 1);
-    CHECK_FALSE(runner.has("r2"));
+    CHECK(town.loop.blocks().out() == 0);
+}
+
+TEST_CASE("who says nothing or never comes to an end is sent away well inside three seconds") {
+    Town town;
+    Wire kept = town.client(), silent = town.client(), head = town.client(), body = town.client();
+    kept.say(Town::post("r1"));
+    town.at_runner("r1").say(Town::done("r1"));
+    head.say("POST /render/key HTTP/1.1\r\n");
+    body.say("POST /render/key HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 900m\r\nContent-Length: 99\r\n\r\n");
+    for (int i = 0; i < 24; ++i, town.pass(100)) head.say("A: b\r\n"), body.say("c");  // no byte wins time
+    CHECK(silent.ended());
+    CHECK(silent.got.empty());
+    CHECK(head.has("HTTP/1.1 408"));
+    CHECK(body.has("HTTP/1.1 408"));
+    kept.say(Town::post("r2"));  // a usual client's connection may stand idle
+    town.at_runner("r2").say(Town::done("r2", "second"));
+    CHECK(town.until([&] { return kept.has("second"); }));
+    kept.say("POST ");
+    CHECK(town.until([&] { return kept.has("HTTP/1.1 408"); }, 2400));  // from the first byte of this one
+}
+
+TEST_CASE("an error reaches a client that goes on sending") {
+    Town town;
+    Wire client = town.client();
+    client.say("POST /render/key HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\nContent-Length: 60000000\r\n\r\n");
+    for (int i = 0; i < 500; ++i) client.say(std::string(16'384, 'b')), town.turn();
+    CHECK(client.has("HTTP/1.1 413"));
+    CHECK(town.loop.blocks().out() == 0);
+}
+
+TEST_CASE("an id that comes twice is taken once, whichever body ends first") {
+    Town town;
+    Wire slow = town.client(), quick = town.client();
+    const std::string request = Town::post("r1");
+    slow.say(request.substr(0, request.size() - 1));
+    town.pass(20);
+    quick.say(request);
+    Wire& runner = town.at_runner("r1");
+    slow.say(request.substr(request.size() - 1));
+    CHECK(town.until([&] { return slow.has("HTTP/1.1 409"); }));
+    runner.say(Town::done("r1"));
+    CHECK(town.until([&] { return quick.has("picture"); }));
+}
+
+TEST_CASE("when room is short the silent and the half said go before kept connections") {
+    Town town;  // 28 for clients
+    std::vector<Wire> kept, bad;
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "k" + std::to_string(i);
+        kept.push_back(town.client());
+        kept.back().say(Town::post(id));
+        town.at_runner(id).say(Town::done(id));
+        REQUIRE(town.until([&] { return kept.back().has("picture"); }));
+    }
+    for (int i = 0; i < 18; ++i) bad.push_back(town.client()), bad.back().say(i % 2 ? "" : "POST "), town.turn();
+    town.pass(150);
+    Wire early = town.client();  // said its request before the loop turns, with twenty silent ones behind it
+    early.say(Town::post("early"));
+    for (int i = 0; i < 20; ++i) bad.push_back(town.client());
+    town.at_runner("early").say(Town::done("early", "early"));
+    CHECK(town.until([&] { return early.has("early"); }));
+    CHECK(std::none_of(kept.begin(), kept.end(), [](Wire& wire) { return wire.ended(); }));
+    CHECK(std::count_if(bad.begin(), bad.end(), [](Wire& wire) { return wire.ended(); }) >= 18);
 }
 
 TEST_CASE("idle connections make room when descriptors are short, and accepting goes on") {
@@ -636,3 +708,17 @@
     CHECK(waiting.has("Connection: close\r\n"));
     CHECK(town.until([&] { return town.loop.stopping(); }, 500));
 }
+
+TEST_CASE("neither silence nor half a request holds up a restart") {
+    Town town;
+    Wire silent = town.client(), half = town.client();
+    half.say("POST /render");
+    town.pass(20);
+    town.dispatcher->leave();
+    town.pass(500);
+    Wire late = town.client();
+    late.say("POST /render");
+    CHECK(town.until([&] { return town.loop.stopping(); }, 800));
+    CHECK(half.has("HTTP/1.1 408"));
+    CHECK(late.has("HTTP/1.1 408"));
+}
