A dispatcher that leaves serves kept connections for half of its stay

A trace of every request showed none taken anywhere between 16.7 and 17.4 s: the second dispatcher got SIGTERM 3 s after the first, closed its kept connections after 0.6 s (kStillComing, dispatcher.cpp), and the first was back only at 17.4 s, so clients had nobody to ask.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -12,8 +12,10 @@
 namespace gannethold::dispatcher {
 namespace {
 
-// At a restart clients still come for a while after the signal, through a front that has not yet heard.
-constexpr Micros kStillComing = 600'000;
+// At a restart clients still come for a while after the signal, through a front that has not yet heard. In a
+// restart of all in turn the one before may not be back by then, and who has a connection here has no other
+// way: so kept ones are served for half of the stay.
+constexpr Micros kStillComing = 600'000;  // at the least
 // The system kills what has not ended in the longest time that a client waits, or three seconds, and a little
 // more after the signal; no task may still be out then.
 constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
@@ -102,7 +104,7 @@
     last_minute_ = left_at_ + std::min(longest, kLongestStay) + kLastMinute;
     links_.stop_all_by(last_minute_);
     log_.info(left_at_, "leaving, ", tasks_.size(), " tasks under way");
-    farewell_.set(left_at_ + kStillComing);
+    farewell_.set(left_at_ + std::max(kStillComing, (last_minute_ - left_at_) / 2));
 }
 
 // Discovery's address is what can change in service. All else that was learned, is held or is under way stays
