Assignments that reports no longer name are counted lost, and no longer blind the dispatcher

On wide the misses came 64 to 65 ms after a send, just over the bound of 16 ticks: runners that stand still for a moment, answered with what they held before. At fault: read_report() in choice.cpp, which counted a standing miss anew each time and knew of no lost assignment. What stays there are side-effecting tasks whose answer never comes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -167,15 +167,17 @@
         if (r.busy > 0) sample(r, 0);
         if (load->held < 0) return void(r.slots = std::max(r.slots, load->free));
         // Against late reports: of one that misses what was sent long ago comes doubt; soon none is believed.
-        if (r.out > 0 && now_ - r.last_sent > 16 * orders_.resolution) {
-            doubt_ = doubt_ * 31 / 32 + (load->held < r.out ? 0.25 : 0);
+        // Against connections that fall silent: what it does not name for long it has not; counted once.
+        if (r.out > 0 && now_ - r.last_sent > 32 * orders_.resolution) {
+            doubt_ = doubt_ * 31 / 32 + (load->held < r.there() ? 0.25 : 0);
             if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
+            r.lost = std::max(0, r.out - static_cast<int>(load->held));
         }
-        if (load->held < r.out) return;
+        if (load->held < r.there()) return;
         r.slots = std::max(1.0, load->free + std::max(0.0, load->held - load->waiting));
-        r.others = load->held - r.out;
+        r.others = load->held - r.there();
         r.reported_at = now_;
-        seen_own_ += r.out, seen_all_ += load->held;
+        seen_own_ += r.there(), seen_all_ += load->held;
     }
 
     void sample(Runner& r, double latency) {
@@ -199,7 +201,7 @@
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
             others = std::max(others, r.others * std::exp(-age / job_seconds_ / 2));
         }
-        return r.out + others;
+        return r.there() + others;
     }
 
     double room(const Runner& r, bool stretch) const {
@@ -317,10 +319,8 @@
         for (const TaskId id : held_) {
             Task* const t = tasks_.find(id);
             if (!t || !t->held) continue;
-            if (now_ < t->latest_start)
-                order.push_back(t);
-            else
-                overload_until_ = now_ + kPeriod, give_up(*t);
+            if (now_ >= t->latest_start) overload_until_ = now_ + kPeriod, give_up(*t);
+            else order.push_back(t);
         }
         const auto rank = [this](const Task* t) {
             return std::tuple(now_ > t->due, -t->worth, -t->born, t->asked.task);
@@ -508,7 +508,7 @@
         leg->ended = true;
         leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed) read_report(*r, e.report);
-        --r->out;
+        --r->out, r->lost = std::min(r->lost - (r->lost > 0 && e.outcome != Outcome::finished), r->out);
         if (r->told) to_tell_.push_back(e.runner);
         if (r->out == 0 && crowds_table()) to_close_.push_back(e.runner);
         judge(*r, t, *leg, e);
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -141,11 +141,13 @@
     double fraction = 0, smoothed = 1, least = 0;
     Histogram latency;  // over the cost
     int out = 0, told_out = 0, peers_out = 0;
+    int lost = 0;  // of those out, what its reports have not named for long; its answers never came
     double slots = 0, others = 0, lot = 0;  // lot: drawn once a start, for who may feed it while it is cold
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
     std::vector<std::pair<Micros, double>> cold_sends;
 
+    int there() const { return out - lost; }
     // No real fleet has more kinds: against an entry that names an absurd one.
     std::size_t kind() const { return std::min(static_cast<std::size_t>(entry.kind), std::size_t{255}); }
     void learn(double prior) {
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -180,6 +180,21 @@
     CHECK(host.assigned.size() == before + 1);
 }
 
+TEST_CASE("an assignment whose connection fell silent neither blinds nor fills its runner") {
+    FakeHost host(orders_with({{"caps.probes", "true"}}));
+    host.fleet(1, 2);
+    host.ask();  // the runner is done with it, but that never came
+    host.pass(300'000);
+    for (int i = 0; i < 12; ++i, host.pass(150'000)) {
+        host.report(1, 2, 0);
+        const std::size_t before = host.assigned.size();
+        host.ask(), host.ask();
+        REQUIRE(host.assigned.size() == before + 2);  // both slots, on what was just told
+        host.end(Outcome::finished, 100'000, 0, {1, 0, 1});
+        host.end(Outcome::finished, 100'000, 1, {2, 0, 0});
+    }
+}
+
 TEST_CASE("a report that cannot be is not heard") {
     for (const double bad : {std::nan(""), -3.0, 1e30, HUGE_VAL}) {
         FakeHost host;
