--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -472,10 +472,10 @@
         Workload& w = workloads_[place];
         Task t;
         t.asked = a;
-        // A client's repeat keeps the first try's expiry, so what is missing of the usual is its age.
+        // What a repeat lacks of the usual expiry is its age; where repeats are marked, a first try has none.
         const Micros late = std::max<Micros>(0, now_ + w.expiry - a.expiry);
         if (w.least_late < 0 || late < w.least_late) w.least_late = late;
-        t.born = now_ - (late - w.least_late);
+        t.born = now_ - (a.client_repeat || !orders_.marks_repeats ? late - w.least_late : 0);
         const bool hinted = a.hint_valid && a.cost_hint > 0;
         t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
         usual_cost_ += (t.cost - usual_cost_) / 64;
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -67,7 +67,7 @@
 
 // What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
 struct StandingOrders {
-    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held;
+    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held, marks_repeats;
     int dispatchers, me, max_assignments;
     std::size_t workloads, customers;
     ZoneId zone;
@@ -83,6 +83,7 @@
         probes = stated.yes("caps.probes");
         tells = stated.yes("caps.may_tell");
         tells_start = stated.yes("trade.tells_start");
+        marks_repeats = stated.yes("clients.marks_retry");
         max_away = stated.yes("caps.retry_after") ? stated.micros("caps.max_retry_after_us", 0) : 0;
         asks = stated.word("roster.how", "pushed") == "on_request";
         by_work = stated.word("importance.by", "request") == "work";
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -326,6 +326,21 @@
     CHECK(host.count<Bounce>() == 3);
 }
 
+TEST_CASE("a first try of an impatient client is not taken for an old one, where repeats are marked") {
+    for (const bool repeat : {false, true}) {
+        FakeHost host(orders_with({{"clients.marks_retry", "true"}}));
+        host.fleet(2, 4);
+        host.ask();
+        TaskArrived hasty;
+        hasty.task = TaskId{99};
+        hasty.expiry = host.now + 600'000;
+        hasty.client_repeat = repeat;
+        host.tell(hasty);
+        CHECK(host.assigned.size() == (repeat ? 1 : 2));
+        CHECK(host.count<Bounce>() == (repeat ? 1 : 0));
+    }
+}
+
 TEST_CASE("what is worth most goes out first, the newest before the oldest") {
     FakeHost host;
     host.fleet(1, 1);
