--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -115,10 +115,6 @@
                  else
                      close();
              }),
-      rested_(links.loop_,
-              [this] {
-                  if (busy() && !begun_) connection_.stale() ? go_elsewhere() : begin();
-              }),
       connection_(links.loop_, *this, address, links.upkeep_.connect_limit) {}
 
 void Link::carry(Errand&& errand) {
@@ -126,32 +122,14 @@
     state_ = State::errand;
     since_ = net::Loop::now();
     limit_.set(errand_.stop_at);
-    if (up_) start();
+    if (up_) begin();
 }
 
 void Link::carry_probe() {
     state_ = State::probe;
     since_ = net::Loop::now();
     limit_.set(since_ + links_.upkeep_.connect_limit);
-    if (up_) start();
-}
-
-// Against runners that close right after an answer: what is written before their close has come here crosses
-// it, and counts as a task that may have run. Only after breaks were seen, for it costs a little time.
-void Link::start() {
-    const Micros free_at = used_ ? idle_since_ + links_.rest() : 0;
-    free_at > net::Loop::now() ? rested_.set(free_at) : begin();
-}
-
-// What has not begun on a connection that ended, or is a probe, which does no harm twice, goes out on another:
-// the break tells of an old connection and not of the runner.
-void Link::go_elsewhere() {
-    const bool probe = state_ == State::probe;
-    if (!links_.places_[runner_].open) return stop(net::Ending::drained_unsent, net::Ending::drained_unsent);
-    state_ = State::finishing;
-    links_.out_.erase({errand_.task, errand_.number});
-    probe ? links_.probe(runner_) : links_.assign(runner_, std::move(errand_));
-    close();
+    if (up_) begin();
 }
 
 void Link::connected() {
@@ -177,7 +155,6 @@
 void Link::bytes(std::string_view bytes) {
     // Bytes that nobody asked for: whatever answer they belong to, it is not the next one's.
     if (state_ == State::idle) return close();
-    if (busy() && !begun_) return go_elsewhere();
     answered_ = true;
     while (state_ != State::idle && state_ != State::over) {
         switch (reader_.read(bytes)) {
@@ -297,9 +274,8 @@
     Links::Place& place = links_.places_[runner_];
     if (!place.open || place.address->text != address_) return close();
     state_ = State::idle;
-    begun_ = answered_ = false;
+    begun_ = false;
     used_ = true;
-    idle_since_ = net::Loop::now();
     // Closed before the runner would: a request that crosses its close counts as one that may have run.
     limit_.set(net::Loop::now() + links_.upkeep_.keep_idle);
     place.idle.push_back(this);
@@ -337,7 +313,6 @@
     settle(net::Ending::closed);
     state_ = State::over;
     limit_.cancel();
-    rested_.cancel();
     connection_.close();
     reader_.restart();
     line_.clear();
@@ -358,9 +333,10 @@
         ending = net::Ending::crossed;
     // Where one connection broke, or none could be made, those that are kept are no surer.
     if (busy()) links_.close_idle(runner_);
-    if (used_ && !answered_) {
-        links_.saw_break();
-        if (state_ == State::probe || (busy() && !begun_)) return go_elsewhere();
+    if (state_ == State::probe && used_ && !answered_ && links_.places_[runner_].open) {
+        // Against a break that tells of an old connection and not of the runner: a probe does no harm twice.
+        state_ = State::finishing;
+        links_.probe(runner_);
     }
     settle(ending);
     close();
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -77,11 +77,6 @@
         std::vector<Link*> idle;  // the last one used stands last
     };
 
-    void saw_break() { wary_until_ = net::Loop::now() + kWary; }
-    // How long a kept connection stands before its next use.
-    Micros rest() const { return net::Loop::now() < wary_until_ ? kRest : 0; }
-    static constexpr Micros kWary = 10'000'000, kRest = 3'000;
-
     Link* open_link(RunnerId runner, Place& place);
     Link* idle_or_new(RunnerId runner);  // none: all that may be open is in use
     void forget_idle(Link& link);
@@ -94,7 +89,6 @@
     std::map<std::pair<TaskId, int>, Link*> out_;
     std::list<std::unique_ptr<Link>> links_;
     std::vector<Link*> ended_;
-    Micros wary_until_ = 0;
 };
 
 // One connection to a runner. It carries one errand or probe at a time.
@@ -118,9 +112,7 @@
     void connected() override;
     void bytes(std::string_view bytes) override;
     void ended(net::Ending ending) override;
-    void start();
     void begin();
-    void go_elsewhere();
     bool heed_head();
     bool heed_piece();
     bool heed_line(std::string_view text);
@@ -135,13 +127,12 @@
     const std::string address_;
     State state_ = State::idle;
     Errand errand_;
-    Micros since_ = 0, idle_since_ = 0;
+    Micros since_ = 0;
     bool up_ = false, begun_ = false, used_ = false, answered_ = false;
     Report report_;
     http::Reader reader_;
     net::Blocks line_;
     net::Timer limit_;  // of what is under way, or of standing idle
-    net::Timer rested_;
     net::Connection connection_;
     std::list<std::unique_ptr<Link>>::iterator place_;
 };
