--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kLongestLine = 128 * 1024;
-constexpr Micros kWary = 10'000'000;  // after a kept connection broke under what was sent on it
 constexpr Micros kFinishing = 500'000;  // for the end of an answer whose last line has come
 constexpr std::string_view kProbeHead = "GET /load HTTP/1.1\r\nHost: runner\r\n\r\n";
 constexpr std::string_view kHealthHead = "GET /healthz HTTP/1.1\r\nHost: runner\r\n\r\n";
@@ -36,9 +35,6 @@
 }
 
 void Links::assign(RunnerId runner, Errand&& errand) {
-    // Against kept connections that are dead without a sign: what is reset there may have run, and is lost if it
-    // must not run twice. A new one costs a handshake.
-    if (net::Loop::now() < wary_until_) close_idle(runner);
     Link* const link = idle_or_new(runner);
     if (!link)
         return sender_.errand_ended(
@@ -334,7 +330,7 @@
             heed_line(text);
     }
     if ((ending == net::Ending::ended_early || ending == net::Ending::broken) && used_ && !answered_)
-        ending = net::Ending::crossed, links_.wary_until_ = net::Loop::now() + kWary;
+        ending = net::Ending::crossed;
     // Where one connection broke, or none could be made, those that are kept are no surer.
     if (busy()) links_.close_idle(runner_);
     if (state_ == State::probe && used_ && !answered_ && links_.places_[runner_].open) {
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -89,7 +89,6 @@
     std::map<std::pair<TaskId, int>, Link*> out_;
     std::list<std::unique_ptr<Link>> links_;
     std::vector<Link*> ended_;
-    Micros wary_until_ = 0;  // so long kept connections carry probes only
 };
 
 // One connection to a runner. It carries one errand or probe at a time.
