A late repeat gets a slot that is free now instead of a bounce on arrival

A bounce tells the client to stay away for 2 s; its repeat is then past due time and latest_start when it comes, and sorted_held() bounced it in the same turn whether or not a runner was idle, until its tries were spent. At fault: heed(TaskArrived) in choice.cpp. Where late answers earn a part, what comes late now has eight ticks to find a slot that is free; it still ranks behind all that can be in time, and is answered at once otherwise.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,10 +90,8 @@
             for (Runner& r : runners_)
                 if (&kinds_[r.kind()] == &k) reckon(r);
         }
-        for (const std::size_t i : runners_.sampled) {
-            runners_[i].learn(kinds_[runners_[i].kind()].smoothed);
-            reckon(runners_[i]);
-        }
+        for (const std::size_t i : runners_.sampled)
+            runners_[i].learn(kinds_[runners_[i].kind()].smoothed), reckon(runners_[i]);
     }
 
     // The marginal delay, and in Newton's spirit (paper, section 5) each runner's own second derivative to
@@ -484,7 +482,9 @@
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
         // Against a queue in which all are late: what was never sent waits past its due time only a little.
+        // Where late answers earn, who comes late, as those told to stay away do, gets a slot if one is free.
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
+        if (w.tardy > 0) t.latest_start = std::max(t.latest_start, now_ + kPatience * orders_.resolution);
         t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
         // Against one customer's surge: beyond our part, as of all the work in hand, of its allowance.
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -341,6 +341,23 @@
     }
 }
 
+TEST_CASE("a late repeat gets a slot that is free now where late answers earn, and else its answer at once") {
+    for (const bool free : {true, false}) {
+        FakeHost host(orders_with({{"workloads.0.tardy_importance", "0.4"}, {"clients.marks_retry", "true"}}));
+        host.fleet(1, 1);
+        host.ask();
+        if (free) host.end(Outcome::finished, 300'000, 0, {1, 0, 0});
+        TaskArrived late;
+        late.task = TaskId{99};
+        late.expiry = host.now + 2'500'000;
+        late.client_repeat = true;
+        host.tell(late);
+        CHECK(host.assigned.size() == (free ? 2 : 1));
+        host.pass(20'000);
+        CHECK(host.count<Bounce>() == (free ? 0 : 1));
+    }
+}
+
 TEST_CASE("what is worth most goes out first, the newest before the oldest") {
     FakeHost host;
     host.fleet(1, 1);
