--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -198,6 +198,9 @@
         const bool off = latency > 0 && (latency > 3 * r.smoothed || 3 * latency < r.smoothed);
         if (r.told_of && (r.contradictions = off ? r.contradictions + 1 : 0) > 1) {
             r.latency.clear(), r.told_of = false, r.least = 0;
+            // Its share was handed on with it: from there the step alone needs many periods.
+            runners_.share(r).fraction = 1.0 / std::max(1, runners_.ready);
+            runners_.rescale();
         }
         r.latency.add(latency);
         r.stirred = true;
@@ -672,9 +675,10 @@
     void emit(std::vector<Action>& out);
 
   public:
-    Lore lore() const {
+    Lore lore(std::size_t from, std::size_t most) const {
         Lore lore;
-        for (std::size_t i = 0; i < runners_.size(); ++i)
+        lore.places = runners_.size();
+        for (std::size_t i = from; i < runners_.size() && i - from < most; ++i)
             if (const Runner& r = runners_[i]; r.ready)
                 lore.runners.push_back({r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction});
         for (std::size_t k = 0; k < kinds_.size(); ++k)
@@ -782,7 +786,7 @@
 
 std::map<RunnerId, double> Choice::fractions() const { return desk_->fractions(); }
 std::vector<RunnerView> Choice::runners() const { return desk_->runners(); }
-Lore Choice::lore() const { return desk_->lore(); }
+Lore Choice::lore(std::size_t from, std::size_t most) const { return desk_->lore(from, most); }
 void Choice::believe(const Lore& lore) { desk_->believe(lore); }
 
 }  // namespace gannethold
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -37,7 +37,8 @@
     std::vector<RunnerView> runners() const;
     // What was learned, for the one after; and what the one before had learned, aged by whoever kept it. Heard once,
     // after the list that was held; nothing of it makes a runner ready, warm or well.
-    Lore lore() const;
+    // Of the runners in so many places from that one on: all of them at once would hold up a loop.
+    Lore lore(std::size_t from = 0, std::size_t most = static_cast<std::size_t>(-1)) const;
     void believe(const Lore& lore);
 
   private:
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -94,7 +94,7 @@
     json::Object tell_drain() const;
     void heard_anew(const std::string& runner);
     // What is kept over a restart; in remembering.cpp.
-    keepsake::Record remember() const;
+    keepsake::Keeper::Part remember(std::size_t from, std::size_t most) const;
     void recall(const keepsake::Custom& custom);
     json::Object tell_keepsake() const;
     void keep_failure(const Task& task, const runners::ErrandEnded& ended);
--- a/src/dispatcher/remembering.cpp
+++ b/src/dispatcher/remembering.cpp
@@ -23,11 +23,13 @@
 
 }  // namespace
 
-keepsake::Record Dispatcher::remember() const {
-    keepsake::Record record;
+keepsake::Keeper::Part Dispatcher::remember(std::size_t from, std::size_t most) const {
+    keepsake::Keeper::Part part;
+    keepsake::Record& record = part.record;
     record.written_ms = unix_ms();
     record.dispatcher = posting_.name;
-    const Lore lore = choice_.lore();
+    const Lore lore = choice_.lore(from, most);
+    if (lore.places > from && lore.places - from > most) part.next = from + most;
     record.own_part = lore.own_part, record.usual_cost = lore.usual_cost;
     for (const RunnerLore& r : lore.runners) {
         const std::string& name = book_.name_of(r.runner);
@@ -36,6 +38,7 @@
         record.runners.push_back({name, entry->kind, entry->zone, entry->address ? entry->address->text : "", entry->started_ms,
                                   bins_of(r.latency), r.least, r.slots, r.fraction});
     }
+    if (from > 0) return part;  // the rest stands in the first
     for (const KindLore& k : lore.kinds) {
         const auto place = static_cast<std::size_t>(k.kind);
         // What no list of kinds names shares the place behind the last.
@@ -46,12 +49,16 @@
     const Micros now = net::Loop::now();
     for (const auto& [runner, hold] : holds_.all())
         record.holds.push_back({runner, hold.by, hold.why, record.written_ms - (now - hold.since) / 1000});
-    return record;
+    return part;
 }
 
 void Dispatcher::recall(const keepsake::Custom& custom) {
     const keepsake::Shelf shelf(custom.folder, posting_.name);
-    keeper_ = std::make_unique<keepsake::Keeper>(loop_, shelf, custom.every, [this] { return remember(); });
+    keeper_ = std::make_unique<keepsake::Keeper>(
+        loop_, shelf, custom.every, [this](std::size_t from, std::size_t most) { return remember(from, most); },
+        [this](const std::string& line, bool good) {
+            good ? log_.info(net::Loop::now(), line) : log_.warning(net::Loop::now(), line);
+        });
     const keepsake::Shelf::Found found = shelf.take();
     const Micros now = net::Loop::now();
     for (const std::string& why : found.passed_over) log_.warning(now, "keepsake: passed over ", why);
--- a/src/keepsake/record.cpp
+++ b/src/keepsake/record.cpp
@@ -12,9 +12,10 @@
 using nlohmann::json;
 
 constexpr char kMagic[8] = {'G', 'N', 'H', 'K', 'E', 'E', 'P', '\n'};
-constexpr std::size_t kHead = sizeof kMagic + 4 + 8 + 4;
-constexpr std::size_t kLongest = std::size_t{256} << 20;
+constexpr std::size_t kHead = kHeadBytes;
+static_assert(kHead == sizeof kMagic + 4 + 8 + 4);
 constexpr std::size_t kMostBins = 256;
+constexpr int kDeepest = 8;  // ours has three levels
 
 void put(std::string& out, std::uint64_t value, int bytes) {
     for (int i = 0; i < bytes; ++i) out.push_back(static_cast<char>(value >> (8 * i)));
@@ -55,6 +56,27 @@
     }
     return all;
 }
+// Against a body of brackets only: the reader of the library goes down into each, as far as the stack lasts.
+class Depth final : public nlohmann::json_sax<json> {
+  public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return ++level_ <= kDeepest; }
+    bool key(string_t&) override { return true; }
+    bool end_object() override { return --level_, true; }
+    bool start_array(std::size_t) override { return ++level_ <= kDeepest; }
+    bool end_array() override { return --level_, true; }
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+  private:
+    int level_ = 0;
+};
+
 const json& list(const json& from, const char* name) {
     static const json none = json::array();
     const auto found = from.find(name);
@@ -79,20 +101,34 @@
     json::to_cbor(all, body);
     std::string head(kMagic, sizeof kMagic);
     put(head, kForm, 4);
-    put(head, body.size(), 8);
-    const std::uint32_t sum = checksum(head, body);
-    put(head, sum, 4);
-    return head + body;
+    head.resize(kHead);
+    return sealed(head + body);
+}
+
+std::string sealed(std::string bytes) {
+    if (bytes.size() < kHead) return bytes;
+    const std::string body = bytes.substr(kHead);
+    bytes.resize(sizeof kMagic + 4);
+    put(bytes, body.size(), 8);
+    put(bytes, checksum(bytes, body), 4);
+    return bytes + body;
+}
+
+std::uint32_t form_of(const std::string& head) {
+    if (head.size() < kHead || std::memcmp(head.data(), kMagic, sizeof kMagic) != 0) return 0;
+    return static_cast<std::uint32_t>(take(head, sizeof kMagic, 4));
 }
 
 Record read(const std::string& bytes) {
     if (bytes.size() < kHead || std::memcmp(bytes.data(), kMagic, sizeof kMagic) != 0) throw Unreadable("no keepsake, or cut in its head");
     const std::uint64_t form = take(bytes, sizeof kMagic, 4), length = take(bytes, sizeof kMagic + 4, 8);
     if (form > kForm) throw Unreadable("of form " + std::to_string(form) + ", which is newer than " + std::to_string(kForm));
-    if (length > kLongest || bytes.size() != kHead + length)
+    if (length > kLongestFile || bytes.size() != kHead + length)
         throw Unreadable("it should be " + std::to_string(kHead + length) + " bytes and is " + std::to_string(bytes.size()));
     const std::string body = bytes.substr(kHead);
     if (checksum(bytes.substr(0, kHead - 4), body) != take(bytes, kHead - 4, 4)) throw Unreadable("its checksum is wrong");
+    Depth depth;
+    if (!json::sax_parse(body, &depth, json::input_format_t::cbor)) throw Unreadable("its body cannot be read");
     const json all = json::from_cbor(body, true, false);
     if (all.is_discarded() || !all.is_object()) throw Unreadable("its body cannot be read");
     Record r;
--- a/src/keepsake/record.hpp
+++ b/src/keepsake/record.hpp
@@ -44,6 +44,8 @@
 };
 
 inline constexpr std::uint32_t kForm = 1;  // a file of a greater one cannot be read
+inline constexpr std::size_t kHeadBytes = 24;
+inline constexpr std::size_t kLongestFile = (std::size_t{256} << 20) + kHeadBytes;
 
 // Why a file is not believed, in one line.
 class Unreadable : public std::runtime_error {
@@ -53,5 +55,9 @@
 
 std::string spell(const Record& record);
 Record read(const std::string& bytes);  // throws Unreadable
+// Of a file's first bytes; 0: it is no keepsake, or its head is cut.
+std::uint32_t form_of(const std::string& head);
+// The same bytes with the length and checksum that belong to them: for tests, whose bodies are to be looked into.
+std::string sealed(std::string bytes);
 
 }  // namespace gannethold::keepsake
--- a/src/lore.hpp
+++ b/src/lore.hpp
@@ -2,6 +2,7 @@
 // a runner ready, warm or well.
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "histogram.hpp"
@@ -21,6 +22,7 @@
 };
 struct Lore {
     std::vector<RunnerLore> runners;
+    std::size_t places = 0;  // that runners have, ready or not
     std::vector<KindLore> kinds;
     std::vector<Histogram> workloads;  // in their order; over the due time
     double own_part = 0;               // of all traffic; 0: not known
