--- a/rehearsal/day/day.cpp
+++ b/rehearsal/day/day.cpp
@@ -171,6 +171,7 @@
     d.words = s.yes("words", false);
     d.on_request = s.one_of("roster", {"on-request", "pushed"}, "on-request") == "on-request";
     d.keepsake = s.yes("keepsake", false);
+    d.poisoned = s.yes("poisoned", false);
     d.assignments = static_cast<int>(s.whole("assignments", 3, 1, 16));
     d.resolution = millis(s, "resolution_ms", 1, 0.05, 1e3);
     d.connect_limit = millis(s, "connect_limit_ms", 250, 1);
--- a/rehearsal/day/day.hpp
+++ b/rehearsal/day/day.hpp
@@ -57,6 +57,7 @@
     std::vector<std::string> reports;  // as runners spell them; none: no reports
     bool probes = false, words = false, on_request = true;
     bool keepsake = false;  // what is learned outlives a restart
+    bool poisoned = false;  // and comes back the wrong way round: the quick are believed slow
     int assignments = 3;
     Micros resolution = 1'000, connect_limit = 250'000, longest_away = 2'000'000;
 };
--- a/rehearsal/main.cpp
+++ b/rehearsal/main.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "ceiling/ceiling.hpp"
+#include "ceiling/keeping.hpp"
 #include "day/day.hpp"
 #include "results/report.hpp"
 #include "sheets/sheet.hpp"
@@ -31,7 +32,7 @@
 volatile std::sig_atomic_t interrupted = 0;
 
 struct Wishes {
-    std::string command, lane = "virtual", out, program, listen = "127.0.0.1:5000";
+    std::string command, lane = "virtual", out, program, listen = "127.0.0.1:5000", keepsake;
     std::vector<std::string> words, policies;
     std::size_t seeds = 0;
     std::uint64_t seed = 0;
@@ -112,6 +113,12 @@
     return play_on_sockets(day, seed, {wishes.program.empty() ? beside_us("gannethold") : wishes.program, folder, stop});
 }
 
+Day with_keepsake(Day day, const std::string& how) {
+    if (how != "" && how != "on" && how != "off" && how != "poisoned") throw options::error("--keepsake is on, off or poisoned, not " + how);
+    if (!how.empty()) day.dispatchers.keepsake = how != "off", day.dispatchers.poisoned = how == "poisoned";
+    return day;
+}
+
 int run(const Wishes& wishes) {
     if (wishes.words.empty()) throw options::error("run needs a day");
     if (wishes.lane != "virtual" && wishes.lane != "sockets") throw options::error("no such lane: " + wishes.lane);
@@ -123,7 +130,7 @@
     if (wishes.lane == "sockets" && policies != std::vector<std::string>{"own"})
         throw options::error("baselines play in virtual time only; on sockets it is the real dispatcher");
     std::vector<Day> days;
-    for (const std::string& name : wishes.words) days.push_back(find_day(name));
+    for (const std::string& name : wishes.words) days.push_back(with_keepsake(find_day(name), wishes.keepsake));
     if (!wishes.out.empty()) files::create_directories(wishes.out);
     const Workplace workplace;
     std::vector<Result> results;
@@ -227,6 +234,23 @@
     return kGood;
 }
 
+int keep(const Wishes& wishes) {
+    const int kills = wishes.words.empty() ? 500 : std::atoi(wishes.words[0].c_str());
+    const Workplace workplace;
+    files::create_directories(workplace.path);
+    std::cout << std::fixed << std::setprecision(2) << " runners     file MB   told ms  longest turn us  start ms  start with 50 left ms\n";
+    for (const std::size_t runners : {100, 1'000, 10'000}) {
+        const KeepingFigures f = measure_keeping(workplace.path, runners, 50);
+        std::cout << std::setw(8) << runners << std::setw(12) << f.file_mb << std::setw(10) << f.took_ms << std::setw(17) << f.longest_turn_us
+                  << std::setw(10) << f.start_ms << std::setw(23) << f.start_with_few_ms << '\n'
+                  << std::flush;
+    }
+    const KillFigures k = kill_in_writes(workplace.path, kills, [] { return interrupted != 0; });
+    std::cout << k.kills << " kills, " << k.in_write << " of them in the middle of a write: " << k.whole << " times a whole generation was read, "
+              << k.none << " times none, " << k.torn << " times anything else\n";
+    return k.torn == 0 ? kGood : kBad;
+}
+
 int ceiling(const Wishes& wishes) {
     const Workplace workplace;
     const std::string program = wishes.program.empty() ? beside_us("gannethold") : wishes.program;
@@ -270,6 +294,7 @@
         ("policy", options::value(&wishes.policies)->composing(), "own (default), a baseline, or all; may stand several times")
         ("out", options::value(&wishes.out), "a folder for results and report")
         ("program", options::value(&wishes.program), "the dispatcher (default: gannethold beside this program)")
+        ("keepsake", options::value(&wishes.keepsake), "run: on, off or poisoned, whatever the day says")
         ("listen", options::value(&wishes.listen), "hold: where the dispatcher listens");
     options::options_description all;
     all.add(shown).add_options()("words", options::value<std::vector<std::string>>());
@@ -286,6 +311,7 @@
                "  report DIR    table and report.html of a folder of results\n"
                "  ceiling       what one dispatcher can take at most, on sockets (ceiling small: four runners only;\n"
                "                ceiling reports, ceiling silent: only runners that report, or that do not)\n"
+               "  keepsake [N]  what keeping 10,000 runners costs, and N kills in the middle of a write (500)\n"
                "  cost          what one decision costs, by runners and by tasks held\n\n"
             << shown
             << "\nExit status: 0 goals and rules held, 1 not, 2 wrong use, 3 void (the stand-ins ran late), 130 interrupted.\n";
@@ -310,6 +336,7 @@
         if (wishes.command == "compare") return compare(wishes);
         if (wishes.command == "report") return report(wishes);
         if (wishes.command == "cost") return cost();
+        if (wishes.command == "keepsake") return keep(wishes);
         if (wishes.command == "ceiling") return ceiling(wishes);
         throw options::error("no such command: " + wishes.command);
     } catch (const options::error& e) {
--- a/rehearsal/results/json_report.cpp
+++ b/rehearsal/results/json_report.cpp
@@ -72,6 +72,12 @@
     o["worth"] = real(r.worth);
     o["p50_us"] = whole(static_cast<std::uint64_t>(r.p50)), o["p99_us"] = whole(static_cast<std::uint64_t>(r.p99));
     o["p999_us"] = whole(static_cast<std::uint64_t>(r.p999)), o["most_us"] = whole(static_cast<std::uint64_t>(r.most));
+    if (r.aftermath.at >= 0) {
+        Object after;
+        after["at_us"] = whole(static_cast<std::uint64_t>(r.aftermath.at)), after["in_time"] = real(r.aftermath.in_time);
+        after["p99_us"] = whole(static_cast<std::uint64_t>(r.aftermath.p99)), after["steady_s"] = real(r.aftermath.steady_s);
+        o["aftermath"] = Value(std::move(after));
+    }
     List seconds;
     for (const Second& s : r.seconds) {
         Object one;
@@ -139,6 +145,9 @@
     r.connections = count(v, "connections");
     r.worth = v.number("worth").value_or(0);
     r.p50 = static_cast<Micros>(count(v, "p50_us")), r.p99 = static_cast<Micros>(count(v, "p99_us"));
+    if (const Value* const after = v.find("aftermath"))
+        r.aftermath = {static_cast<Micros>(count(*after, "at_us")), after->number("in_time").value_or(0),
+                       static_cast<Micros>(count(*after, "p99_us")), after->number("steady_s").value_or(0)};
     r.p999 = static_cast<Micros>(count(v, "p999_us")), r.most = static_cast<Micros>(count(v, "most_us"));
     for (const Value& one : list(v, "seconds")) {
         Second s;
--- a/rehearsal/results/table.cpp
+++ b/rehearsal/results/table.cpp
@@ -38,14 +38,18 @@
 struct Measure {
     const char* name;
     double (*of)(const Result&);
+    bool restarts = false;  // means something only on days that restart dispatchers
 };
-constexpr std::array<Measure, 6> kMeasures{{
+constexpr std::array<Measure, 9> kMeasures{{
     {"worth", [](const Result& r) { return r.worth; }},
     {"in time", [](const Result& r) { return r.share(r.in_time); }},
     {"bounced", [](const Result& r) { return r.share(r.bounced); }},
     {"abandoned or lost", [](const Result& r) { return r.share(r.abandoned + r.lost); }},
     {"p50 ms", [](const Result& r) { return ms(r.p50); }},
     {"p99 ms", [](const Result& r) { return ms(r.p99); }},
+    {"30 s: in time", [](const Result& r) { return r.aftermath.in_time; }, true},
+    {"30 s: p99 ms", [](const Result& r) { return ms(r.aftermath.p99); }, true},
+    {"steady after s", [](const Result& r) { return r.aftermath.steady_s; }, true},
 }};
 
 }  // namespace
@@ -76,6 +80,10 @@
         for (const std::string& m : r.missed) out << at << "goal missed: " << m << '\n';
         if (!r.void_because.empty()) out << at << "void, no verdict: " << r.void_because << '\n';
         if (!r.cut_short.empty()) out << at << r.cut_short << '\n';
+        if (r.aftermath.at >= 0)
+            out << at << "from the first restart on, 30 s at most: " << std::fixed << std::setprecision(1) << 100 * r.aftermath.in_time
+                << "% in time, p99 " << ms(r.aftermath.p99) << " ms; steady " << std::setprecision(0) << r.aftermath.steady_s << " s after the last\n";
+        out.unsetf(std::ios::floatfield);
         if (r.toppled > 0) out << at << r.toppled << " cold runners fell over\n";
     }
 }
@@ -106,6 +114,7 @@
             continue;
         }
         for (const Measure& m : kMeasures) {
+            if (m.restarts && pairs.front().first->aftermath.at < 0) continue;
             std::vector<double> differences, of_a, of_b;
             for (const auto& [one, other] : pairs) {
                 of_a.push_back(m.of(*one)), of_b.push_back(m.of(*other));
--- a/rehearsal/results/tally.cpp
+++ b/rehearsal/results/tally.cpp
@@ -63,8 +63,39 @@
     s.fractions = std::move(fractions);
 }
 
+Aftermath Tally::aftermath() const {
+    Aftermath a;
+    Micros last = 0;
+    for (const FaultPlan& f : day_.faults) {
+        if (f.kind != FaultKind::restart && f.kind != FaultKind::kill) continue;
+        if (a.at < 0 || f.at < a.at) a.at = f.at;
+        const auto struck = f.on == "all" ? day_.dispatchers.count : 1;
+        last = std::max(last, f.at + f.apart * static_cast<Micros>(struck - 1));
+    }
+    if (a.at < 0) return a;
+    const auto place = [](Micros at) { return static_cast<std::size_t>(at / 1'000'000); };
+    const auto share = [&](std::size_t from, std::size_t to) {
+        std::uint64_t offered = 0, in_time = 0;
+        for (std::size_t i = from; i < std::min(to, result_.seconds.size()); ++i)
+            offered += result_.seconds[i].offered, in_time += result_.seconds[i].in_time;
+        return offered > 0 ? static_cast<double>(in_time) / static_cast<double>(offered) : 1;
+    };
+    const std::size_t end = std::min(result_.seconds.size(), place(a.at) + 30);
+    a.in_time = share(place(a.at), end);
+    Latencies all;
+    for (std::size_t i = place(a.at); i < end; ++i) all.add(each_[i]);
+    a.p99 = all.at(0.99);
+    const double before = share(place(day_.warm), place(a.at));
+    std::size_t steady = place(last);
+    while (steady + 3 <= result_.seconds.size() && share(steady, steady + 3) < before - 0.02) ++steady;
+    a.steady_s = static_cast<double>(std::min(steady, result_.seconds.size()) - place(last));
+    return a;
+}
+
 Result Tally::finish(const Judge& judge) {
+    const Aftermath after = aftermath();
     Result r = std::move(result_);
+    r.aftermath = after;
     r.p50 = all_.at(0.5), r.p99 = all_.at(0.99), r.p999 = all_.at(0.999), r.most = all_.most();
     for (std::size_t i = 0; i < r.seconds.size(); ++i)
         r.seconds[i].p50 = each_[i].at(0.5), r.seconds[i].p99 = each_[i].at(0.99);
--- a/rehearsal/results/tally.hpp
+++ b/rehearsal/results/tally.hpp
@@ -24,6 +24,14 @@
     std::uint64_t offered = 0, in_time = 0;
 };
 
+// How it went from the first of a day's restarts and kills of dispatchers on, for half a minute at the most.
+struct Aftermath {
+    Micros at = -1;        // -1: the day has none
+    double in_time = 0;    // the share of all asked for
+    Micros p99 = 0;
+    double steady_s = 0;   // from the last of them until three seconds in a row were as good as those before, less 2%; or to the end
+};
+
 // One rehearsal of one day with one seed.
 struct Result {
     std::string day, lane, policy;
@@ -36,6 +44,7 @@
     std::vector<Shade> shades;
     std::vector<std::string> runners;
     std::map<std::string, WorkloadCount> workloads;
+    Aftermath aftermath;
     std::array<std::size_t, 5> broken{};
     std::vector<Breach> breaches;
     std::vector<std::string> missed;  // goals
@@ -62,6 +71,7 @@
 
   private:
     Second& second_of(Micros at);
+    Aftermath aftermath() const;
 
     const Day& day_;
     Result result_;
--- a/rehearsal/sockets/lane.cpp
+++ b/rehearsal/sockets/lane.cpp
@@ -14,6 +14,8 @@
 
 #include "control/caller.hpp"
 #include "control/desk.hpp"
+#include "keepsake/shelf.hpp"
+#include "model/poison.hpp"
 #include "sockets/callers_stand_in.hpp"
 #include "sockets/child.hpp"
 #include "sockets/claim.hpp"
@@ -175,8 +177,18 @@
                                                        discovery_->listing(d, all));
         std::filesystem::rename(path(d, ".new"), path(d, ".json"));
     }
+    void poison(std::size_t d) {
+        const keepsake::Shelf shelf(premises_.folder, "d-" + std::to_string(d + 1));
+        auto found = shelf.take();
+        if (!found.record) return;
+        const auto slow = [](const auto& one) { return middle_bin(one.latency); };
+        put_wrong_way_round(found.record->runners, slow, [](keepsake::KeptRunner& a, keepsake::KeptRunner& b) { swap_beliefs(a, b); });
+        put_wrong_way_round(found.record->kinds, slow, [](keepsake::KeptKind& a, keepsake::KeptKind& b) { std::swap(a.latency, b.latency); });
+        shelf.put(keepsake::spell(*found.record));
+    }
     void start(std::size_t d) {
         write_posting(d);
+        if (day_.dispatchers.poisoned) poison(d);
         Dispatcher& one = dispatchers_[d];
         one.leaving = one.killed = false;
         std::ofstream(path(d, ".toml")) << "[control]\nsocket = \"" << path(d, ".sock") << "\"\n[drain]\nfront_notices_s = "
--- a/rehearsal/virtual/world.cpp
+++ b/rehearsal/virtual/world.cpp
@@ -8,6 +8,7 @@
 
 #include "dispatcher/posting.hpp"
 #include "keepsake/ageing.hpp"
+#include "model/poison.hpp"
 
 namespace gannethold::rehearsal {
 namespace {
@@ -571,6 +572,10 @@
     for (RunnerLore& r : nodes_[d].kept->runners) cap(r.latency);
     for (KindLore& k : nodes_[d].kept->kinds) cap(k.latency);
     for (Histogram& h : nodes_[d].kept->workloads) cap(h);
+    if (!day_.dispatchers.poisoned) return;
+    const auto slow = [](const auto& one) { return middle_bin(one.latency.bins()); };
+    put_wrong_way_round(nodes_[d].kept->runners, slow, [](RunnerLore& a, RunnerLore& b) { swap_beliefs(a, b); });
+    put_wrong_way_round(nodes_[d].kept->kinds, slow, [](KindLore& a, KindLore& b) { std::swap(a.latency, b.latency); });
 }
 
 void World::restart(std::size_t d) {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -226,6 +226,7 @@
     }
 
     double room(const Runner& r, bool stretch) const {
+        if (r.entry.pulls) return r.slots - r.out;
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(r.slots + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
@@ -233,14 +234,14 @@
     }
 
     bool fresh(const Runner& r) const {
-        if (!orders_.probes || !orders_.knows_held || blind()) return true;
+        if (!orders_.probes || !orders_.knows_held || blind() || r.entry.pulls) return true;
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
     // Where nobody reports what a runner holds, its slots show in what starts, or ends, without a wait. One
     // more may be tried a period later, and at once where the one before was as quick as the quickest.
     void learn_slots(Runner& r, const Leg& leg, bool quick, bool quickest) {
-        if (orders_.knows_held) return;
+        if (orders_.knows_held || r.entry.pulls) return;
         if (quickest && leg.crowd > r.slots) r.grow_at = now_;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
@@ -258,7 +259,7 @@
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
         if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
-        if (!workload(task).runs_on(r.entry.kind)) return false;
+        if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
         return effect_allows(r, task) && cold_allows(r, cold_cost(r, task));
@@ -365,7 +366,7 @@
 
     void place_held() {
         if (held_.empty()) return;
-        // Against a long queue gone through in vain for each event: with no runner open none of it can go out.
+        // Against a long queue gone through in vain for each event: with no runner open none can go out.
         const auto open = [this](const Runner& r) { return is_open(r, true); };
         if (now_ < next_give_up_ && std::none_of(runners_.begin(), runners_.end(), open)) return;
         looked_ = false;
@@ -464,16 +465,17 @@
     // ---- events ------------------------------------------------------------------------------------------
 
     void heed(const RosterNews& news) {
-        asking_ = false;
+        const bool told = news.scope != RosterScope::guests;
+        asking_ = asking_ && !told;
         if (news.scope == RosterScope::failed) {
             following_ = false;
             ask_at_ = now_ + static_cast<Micros>(static_cast<double>(ask_wait_) * (0.5 + uniform()));
             ask_wait_ = std::min(ask_wait_ * 2, orders_.must_ask / 4);
             return;
         }
-        if (news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kPeriod / 4;
+        if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kPeriod / 4;
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
-        if (news.scope != RosterScope::changes) runners_.keep_only(news.entries);
+        if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries);
         const double mean = 1.0 / std::max(1, runners_.count_ready());
         for (const RosterEntry& e : news.entries)
             if (Runner* r = runners_.find(e.runner)) enter(*r, e, mean);
@@ -484,7 +486,7 @@
     // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
     // would cost too much, the runners of the own circle, into which peers and runners fall by their numbers.
     bool near(const RosterEntry& e) const {
-        if (circles_ == 1) return e.zone == orders_.zone || !(orders_.knows_held || words_);
+        if (circles_ == 1) return e.pulls || e.zone == orders_.zone || !(orders_.knows_held || words_);
         return static_cast<std::uint32_t>(e.runner) * 2654435761U % static_cast<std::uint32_t>(circles_) ==
                static_cast<std::uint32_t>(orders_.me % circles_);
     }
@@ -632,6 +634,10 @@
         }
     }
 
+    void heed(const RoomTold& told) {
+        if (Runner* r = runners_.find(told.runner)) r->slots = told.slots;
+    }
+
     void heed(const PeerSaid& said) {
         const auto words = read_words(said.words);
         if (!words || !words_ || static_cast<int>(said.from) >= orders_.dispatchers) return;
@@ -680,9 +686,11 @@
         lore.places = runners_.size();
         for (std::size_t i = from; i < runners_.size() && i - from < most; ++i)
             if (const Runner& r = runners_[i]; r.ready)
-                lore.runners.push_back({r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction});
+                lore.runners.push_back(
+                    {r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction});
         for (std::size_t k = 0; k < kinds_.size(); ++k)
-            lore.kinds.push_back({KindId(static_cast<std::uint32_t>(k)), kinds_[k].latency, kinds_[k].weight});
+            lore.kinds.push_back(
+                {KindId(static_cast<std::uint32_t>(k)), kinds_[k].latency, kinds_[k].weight});
         for (const Workload& w : workloads_) lore.workloads.push_back(w.latency);
         lore.own_part = view_, lore.usual_cost = usual_cost_;
         return lore;
--- a/src/clients/request.hpp
+++ b/src/clients/request.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "fronts/front.hpp"
 #include "http/reader.hpp"
 #include "net/block_pool.hpp"
 #include "types.hpp"
@@ -23,16 +24,7 @@
     explicit Directory(const StatedOrders& orders);
 };
 
-struct Request {
-    std::string id, fingerprint, method, target, content_type;
-    WorkloadId workload{};
-    CustomerId customer{};
-    std::uint64_t key = 0;
-    Micros patience = 0;  // how long the client waits, from when it sent the request
-    Micros cost_hint = 0;
-    double slots = 1, memory = 0;
-    bool repeat = false;
-};
+using Request = fronts::Handed;
 
 struct Refused {
     int status;
--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -254,7 +254,7 @@
     task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), last_byte_at_);
 }
 
-void Session::answer(Answer answer, std::string_view result, Micros stay_away) {
+void Session::answer(TaskId, Answer answer, std::string_view result, Micros stay_away) {
     if (state_ != State::waiting) return;
     set_waiting(false);
     switch (answer) {
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -15,19 +15,8 @@
 
 class Session;
 
-enum class Answer { finished, bounced, abandoned };
-
-// Who takes the tasks.
-class Taker {
-  public:
-    virtual TaskId take(Session& session, Request&& request, net::Blocks&& body, Micros came_at) = 0;
-    virtual void left(TaskId task) = 0;
-    virtual bool knows(const std::string& request_id) const = 0;
-    virtual bool ready() const = 0;
-
-  protected:
-    ~Taker() = default;
-};
+using fronts::Answer;
+using fronts::Taker;
 
 // How much the server may have open, and for how long it sends away who comes beyond that.
 struct Room {
@@ -87,12 +76,12 @@
 };
 
 // One client's connection. It carries one request at a time.
-class Session final : public net::Connection::Owner {
+class Session final : public net::Connection::Owner, public fronts::Asker {
   public:
     Session(Server& server, evutil_socket_t socket);
 
     // The final answer to the task under way; stay_away goes along with a bounce.
-    void answer(Answer answer, std::string_view result, Micros stay_away);
+    void answer(TaskId task, Answer answer, std::string_view result, Micros stay_away) override;
 
   private:
     friend class Server;
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -15,7 +15,7 @@
 namespace gannethold::control {
 namespace {
 
-constexpr const char* kCommands[] = {"status", "runners", "tasks", "failures", "drain", "undrain", "hold", "release", "follow"};
+constexpr const char* kCommands[] = {"status", "runners", "tasks", "failures", "drain", "undrain", "hold", "release", "kick", "follow"};
 constexpr int kLookEvery = 200'000;  // microseconds
 constexpr int kBar = 30;
 
@@ -35,6 +35,7 @@
     if (e.deadline_s) o["deadline_s"] = number(*e.deadline_s);
     if (e.ticket) o["ticket"] = json::Value(json::Number{std::to_string(*e.ticket)});
     if (e.after) o["after"] = json::Value(json::Number{std::to_string(*e.after)});
+    if (e.command == "kick") o["job"] = json::Value(json::Number{e.argument});
     if (e.command == "hold" || e.command == "release") o["runner"] = json::Value(e.argument);
     return o;
 }
@@ -97,6 +98,10 @@
             std::cerr << "gannethold: " << e.command << " needs the name of a runner (gannethold runners shows them)\n";
             return kUsage;
         }
+        if (e.command == "kick" && (e.argument.empty() || e.argument.find_first_not_of("0123456789") != std::string::npos)) {
+            std::cerr << "gannethold: kick needs the number of a job\n";
+            return kUsage;
+        }
         if (e.command == "drain" && !e.deadline_s) {
             std::cerr << "gannethold: drain needs --deadline SECONDS\n";
             return kUsage;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -28,25 +28,31 @@
 std::size_t for_tasks(std::size_t sockets) { return sockets > kOwnSockets + 5 ? sockets - kOwnSockets : 5; }
 std::size_t for_runners(std::size_t sockets) { return for_tasks(sockets) * 2 / 5; }
 
-clients::Room room(const Posting& posting) {
+clients::Room room(const Posting& posting, std::size_t sockets) {
     const Stated stated(posting.orders);
     clients::Room r;
-    r.sessions = for_tasks(posting.sockets) - for_runners(posting.sockets);
+    r.sessions = for_tasks(sockets) - for_runners(sockets);
     r.tasks = static_cast<std::size_t>(std::max(1.0, stated.number("caps.max_open", 1e6)));
     if (stated.yes("caps.retry_after")) r.stay_away = stated.micros("caps.max_retry_after_us", 0);
     return r;
 }
 
-runners::Upkeep upkeep(const Posting& posting) {
+runners::Upkeep upkeep(const Posting& posting, std::size_t sockets) {
     const Stated stated(posting.orders);
     runners::Upkeep u;
     u.connect_limit = std::max<Micros>(1'000, stated.micros("caps.connect_timeout_us", u.connect_limit));
     // A margin for a runner that counts from before its answer reached us.
     u.keep_idle = stated.micros("caps.keepalive_us", 10'000'000) * 3 / 4;
-    u.most_links = for_runners(posting.sockets);
+    u.most_links = for_runners(sockets);
     return u;
 }
 
+// What the connections of the other front leave.
+std::size_t sockets_left(const Posting& posting, const beanstalk::Furnishing& tubes) {
+    const std::size_t theirs = tubes.entrances.empty() ? 0 : tubes.connections + tubes.entrances.size();
+    return posting.sockets > theirs ? posting.sockets - theirs : 1;
+}
+
 template <class... Ts>
 struct Match : Ts... {
     using Ts::operator()...;
@@ -59,7 +65,10 @@
       log_(log),
       posting_(posting),
       directory_(posting_.orders),
-      choice_(posting_.orders, posting_.seed),
+      tubes_(extras.tubes),
+      orders_(posting_.orders),
+      tube_workloads_(tubes_.entrances.empty() ? beanstalk::Workloads{} : beanstalk::add_workloads(orders_, tubes_.trade)),
+      choice_(orders_, posting_.seed),
       book_(Stated(posting_.orders).words("zones"), Stated(posting_.orders).words("kinds"), log),
       follower_(
           loop, posting_.discovery, log,
@@ -71,15 +80,17 @@
                   wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
-      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_)),
+      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_, sockets_left(posting_, tubes_))),
       post_(loop, posting_.neighbours,
             [this](PeerId from, std::string_view words) {
                 note(PeerSaid{from, std::string(words)});
             }),
-      server_(loop, posting_.listen, directory_, *this, room(posting_), log),
+      server_(loop, posting_.listen, directory_, *this, room(posting_, sockets_left(posting_, tubes_)), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { look_at_drain(); }),
       drain_(extras.manners) {
+    if (!tubes_.entrances.empty())
+        pullers_ = std::make_unique<beanstalk::Server>(loop, tubes_.entrances, tubes_.connections, tubes_.trade, tube_workloads_.places, *this, log);
     if (extras.desk) desk_ = std::make_unique<control::Desk>(loop, *extras.desk, *this, log);
     heard(posting_.known, RosterScope::remembered);
     if (!extras.keepsake.folder.empty()) recall(extras.keepsake);
@@ -106,6 +117,7 @@
     }
     last_minute_ = left_at + std::min(longest, kLongestStay) + kLastMinute;
     links_.stop_all_by(last_minute_);
+    if (pullers_) pullers_->exchange().stop_all_by(last_minute_);
     log_.info(left_at, "leaving, ", log::as("tasks", tasks_.size()), " tasks under way");
     drain_.leave(left_at, last_minute_, left_at + std::max(kStillComing, (last_minute_ - left_at) / 2));
     look_at_drain();
@@ -136,7 +148,12 @@
 // Carries out what the drain wants now: of the front, of the connections, and of whoever still waits.
 void Dispatcher::look_at_drain() {
     const Micros now = net::Loop::now();
-    const drain::Wanted wanted = drain_.look(now, {server_.waiting(), server_.busy()});
+    const drain::Wanted wanted = drain_.look(now, {unanswered(), server_.busy() + (pullers_ && !pullers_->quiet())});
+    if (pullers_) {
+        pullers_->exchange().turn_away(wanted.turns_away || drain_.leaves());
+        pullers_->exchange().hand_out(drain_.phase() == drain::Phase::serving || (drain_.phase() == drain::Phase::draining && !wanted.last_call));
+        if (wanted.last_answers && drain_.leaves()) pullers_->leave();
+    }
     if (!server_.leaving()) server_.bear({wanted.healthy, wanted.turns_away, wanted.last_answers});
     if (wanted.last_answers && drain_.leaves()) {
         if (!server_.leaving()) server_.leave();
@@ -151,7 +168,7 @@
     if (wanted.last_call) note(LastCall{});
     if (drain_.phase() != told_phase_) {
         told_phase_ = drain_.phase();
-        log_.info(now, "drain: ", log::as("phase", drain::name_of(told_phase_)), ", ", log::as("tasks", server_.waiting()), " tasks wait");
+        log_.info(now, "drain: ", log::as("phase", drain::name_of(told_phase_)), ", ", log::as("tasks", unanswered()), " tasks wait");
         publish("drain", tell_drain());
     }
     if (wanted.exits) {
@@ -177,20 +194,25 @@
     if (!news) return false;
     holds_.lay_over(*news, book_);
     for (const auto& seat : news->seats) links_.seat(seat.runner, seat.address, seat.open, seat.restarted);
+    if (pullers_)
+        for (RosterEntry& e : news->for_module.entries) e.serves = tube_workloads_.for_pushed;
+    guests_.lay_over(news->for_module, holds_, book_);
     note(news->for_module);
     return true;
 }
 
-TaskId Dispatcher::take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
-                        Micros came_at) {
+TaskId Dispatcher::take(fronts::Asker& asker, fronts::Handed&& request, net::Blocks&& body, Micros came_at) {
     const TaskId id{++tasks_taken_};
-    auto head = http::Writer::request(request.method, request.target);
-    head.field("Host", "runner").field("X-Request-ID", request.id);
-    if (!request.fingerprint.empty()) head.field("Idempotency-Key", request.fingerprint);
-    if (!request.content_type.empty()) head.field("Content-Type", request.content_type);
-    head.length(body.size());
-    std::string lines = head.head();
-    lines.resize(lines.size() - 2);  // the empty line comes after the time it has
+    std::string lines;
+    if (request.pushable) {
+        auto head = http::Writer::request(request.method, request.target);
+        head.field("Host", "runner").field("X-Request-ID", request.id);
+        if (!request.fingerprint.empty()) head.field("Idempotency-Key", request.fingerprint);
+        if (!request.content_type.empty()) head.field("Content-Type", request.content_type);
+        head.length(body.size());
+        lines = head.head();
+        lines.resize(lines.size() - 2);  // the empty line comes after the time it has
+    }
 
     TaskArrived arrived;
     arrived.task = id;
@@ -204,7 +226,7 @@
     arrived.memory = request.memory;
     arrived.client_repeat = request.repeat;
     ids_.insert(request.id);
-    tasks_.emplace(id, Task{&session, std::move(request.id), std::move(lines), std::move(body), arrived.expiry,
+    tasks_.emplace(id, Task{&asker, std::move(request.id), std::move(lines), std::move(body), arrived.expiry,
                             request.workload, came_at});
     note(arrived);
     return id;
@@ -213,7 +235,7 @@
 void Dispatcher::left(TaskId id) {
     const auto task = tasks_.find(id);
     if (task == tasks_.end()) return;
-    end_session(task);
+    end_asking(task);
     note(ClientLeft{id});
     forget_if_over(task);
 }
@@ -237,9 +259,9 @@
     e.outcome = outcome_of(ended.ending);
     e.report = std::move(ended.report);
     // The first result goes to the client by itself.
-    if (e.outcome == Outcome::finished && task->second.session)
+    if (e.outcome == Outcome::finished && task->second.asker)
         answer(ended.task, clients::Answer::finished, ended.result, 0);
-    e.settled = !task->second.session;
+    e.settled = !task->second.asker;
     note(e);
     forget_if_over(task);
 }
@@ -256,26 +278,32 @@
 
 void Dispatcher::end_turn() {
     if (drain_.phase() != drain::Phase::serving) look_at_drain();
+    if (pullers_) pullers_->look();
     // What carrying out brings at once, such as an assignment that is moot, is a batch of its own.
     while (std::exchange(noted_, false)) {
         actions_.clear();
         choice_.settle(net::Loop::now(), actions_);
         for (const Action& action : std::exchange(actions_, {})) carry_out(action);
+        if (pullers_) pullers_->look();
     }
     links_.sweep();
     server_.sweep();
     follower_.sweep();
     if (desk_) desk_->sweep();
+    if (pullers_) pullers_->sweep();
 }
 
 void Dispatcher::carry_out(const Action& action) {
     std::visit(Match{[&](const Assign& a) { assign(a); },
                      [&](const Bounce& a) { answer(a.task, clients::Answer::bounced, "", a.stay_away); },
                      [&](const Abandon& a) { answer(a.task, clients::Answer::abandoned, "", 0); },
-                     [&](const Withdraw& a) { links_.withdraw(a.task, a.assignment); },
+                     [&](const Withdraw& a) {
+                         links_.withdraw(a.task, a.assignment);
+                         if (pullers_) pullers_->exchange().withdraw(a.task, a.assignment);
+                     },
                      [&](const WakeAt& a) { wakes_.emplace(a.at, a.mark), set_wake(); },
-                     [&](const Probe& a) { links_.probe(a.runner); },
-                     [&](const CloseIdle& a) { links_.close_idle(a.runner); },
+                     [&](const Probe& a) { port_of(a.runner).probe(a.runner); },
+                     [&](const CloseIdle& a) { port_of(a.runner).close_idle(a.runner); },
                      [&](const TellPeers& a) { post_.tell_all(a.words); },
                      [&](const TellPeer& a) { post_.tell(a.to, a.words); },
                      [&](const LogLine& a) {
@@ -310,31 +338,33 @@
     Micros stop_at = wanted.stop_at > 0 ? std::min(wanted.stop_at, task->second.expiry) : task->second.expiry;
     // At a restart nothing may still be out when the process is killed, whatever time its task has left.
     if (drain_.leaves()) stop_at = std::min(stop_at, last_minute_);
-    if (!task->second.session || stop_at <= net::Loop::now()) {
+    if (!task->second.asker || stop_at <= net::Loop::now()) {
         errand_ended({wanted.task, number, wanted.runner, net::Ending::stopped_unsent, 0, {}, {}});
         return;
     }
-    links_.assign(wanted.runner, {wanted.task, number, task->second.request_id, task->second.head,
+    runners::Port& port = port_of(wanted.runner);
+    if (pullers_ && &port == &links_) pullers_->exchange().went_elsewhere(wanted.task);
+    port.assign(wanted.runner, {wanted.task, number, task->second.request_id, task->second.head,
                                   &task->second.body, stop_at});
 }
 
 void Dispatcher::answer(TaskId id, clients::Answer answer, std::string_view result, Micros stay_away) {
     const auto task = tasks_.find(id);
-    if (task == tasks_.end() || !task->second.session) return;
-    clients::Session* const session = task->second.session;
+    if (task == tasks_.end() || !task->second.asker) return;
+    fronts::Asker* const asker = task->second.asker;
     ++answered_[static_cast<std::size_t>(answer)];
-    end_session(task);
-    session->answer(answer, result, stay_away);
+    end_asking(task);
+    asker->answer(id, answer, result, stay_away);
     if (answer != clients::Answer::finished) forget_if_over(task);
 }
 
-void Dispatcher::end_session(Tasks::iterator task) {
-    task->second.session = nullptr;
+void Dispatcher::end_asking(Tasks::iterator task) {
+    task->second.asker = nullptr;
     ids_.erase(task->second.request_id);
 }
 
 void Dispatcher::forget_if_over(Tasks::iterator task) {
-    if (!task->second.session && task->second.out == 0) tasks_.erase(task);
+    if (!task->second.asker && task->second.out == 0) tasks_.erase(task);
 }
 
 void Dispatcher::set_wake() {
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -11,6 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "beanstalk/places.hpp"
+#include "beanstalk/server.hpp"
 #include "choice.hpp"
 #include "clients/server.hpp"
 #include "control/desk.hpp"
@@ -20,6 +22,7 @@
 #include "log/log.hpp"
 #include "roster/book.hpp"
 #include "roster/follower.hpp"
+#include "roster/guests.hpp"
 #include "roster/holds.hpp"
 #include "runners/links.hpp"
 
@@ -30,9 +33,10 @@
     std::optional<control::Furniture> desk;  // none: no control socket
     drain::Manners manners;
     keepsake::Custom keepsake;  // without a folder nothing is kept
+    beanstalk::Furnishing tubes;  // without an entrance it is off
 };
 
-class Dispatcher final : public clients::Taker, public runners::Sender, public control::Office {
+class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House {
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log, const Extras& extras = {});
 
@@ -41,10 +45,12 @@
     void leave();     // answers what it has and what still comes, then ends
     void reload(const std::string& path);  // takes from the file what can change in service
     std::uint16_t port() const { return server_.port(); }
+    const beanstalk::Server* pullers() const { return pullers_.get(); }
+    const keepsake::Kept* kept() const { return keeper_ ? &keeper_->kept() : nullptr; }
 
   private:
     struct Task {
-        clients::Session* session = nullptr;  // none once answered, or the client has left
+        fronts::Asker* asker = nullptr;  // none once answered, or whoever asked has left
         std::string request_id, head;
         net::Blocks body;
         Micros expiry = 0;
@@ -60,8 +66,7 @@
     };
     using Tasks = std::unordered_map<TaskId, Task>;
 
-    TaskId take(clients::Session& session, clients::Request&& request, net::Blocks&& body,
-                Micros came_at) override;
+    TaskId take(fronts::Asker& asker, fronts::Handed&& handed, net::Blocks&& body, Micros came_at) override;
     void left(TaskId task) override;
     bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
     bool ready() const override { return !book_.empty(); }
@@ -69,12 +74,25 @@
     void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) override;
     void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) override;
 
+    // What the front with tubes asks; in pulling.cpp.
+    TaskId hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan, WorkloadId workload) override;
+    void take_back(TaskId task) override { left(task); }
+    RunnerId worker_joins(const beanstalk::Entrance& by, const Serves& serves, bool cold) override;
+    void worker_serves(RunnerId worker, const Serves& serves) override;
+    void worker_leaves(RunnerId worker) override;
+    void worker_room(RunnerId worker, double slots) override { note(RoomTold{worker, slots}); }
+    void probe_ended(RunnerId worker) override { probe_ended(worker, net::Ending::done, 0, {}); }
+    runners::Port& port_of(RunnerId runner);
+    std::size_t unanswered() const;
+    json::Object tell_tubes() const;
+    json::Object kick(const json::Value& request, const std::string& by);
+
     bool heard(const roster::Listing& listing, RosterScope scope);
     void note(const Event& event);
     void carry_out(const Action& action);
     void assign(const Assign& wanted);
     void answer(TaskId task, clients::Answer answer, std::string_view result, Micros stay_away);
-    void end_session(Tasks::iterator task);
+    void end_asking(Tasks::iterator task);
     void forget_if_over(Tasks::iterator task);
     std::string with_names(const std::string& text) const;
     void set_wake();
@@ -105,6 +123,9 @@
     log::Log& log_;
     Posting posting_;
     const clients::Directory directory_;
+    beanstalk::Furnishing tubes_;
+    StatedOrders orders_;  // those of the posting, and the tubes as workloads
+    const beanstalk::Workloads tube_workloads_;
     Choice choice_;
     roster::Book book_;
     roster::Follower follower_;
@@ -121,12 +142,14 @@
     std::uint64_t tasks_taken_ = 0;
     drain::Drain drain_;
     roster::Holds holds_;
+    roster::Guests guests_;
     std::deque<Failure> failures_;  // the newest last
     std::uint64_t failed_ = 0, answered_[3] = {0, 0, 0};
     std::size_t idle_at_closing_ = 0;
     bool closing_ = false;
     drain::Phase told_phase_ = drain::Phase::serving;
     std::unique_ptr<control::Desk> desk_;
+    std::unique_ptr<beanstalk::Server> pullers_;
     std::unique_ptr<keepsake::Keeper> keeper_;
     std::string recalled_ = "nothing is kept";
     Micros last_minute_ = 0;
--- a/src/dispatcher/office.cpp
+++ b/src/dispatcher/office.cpp
@@ -55,7 +55,8 @@
     static const std::string unknown = "unknown";
     for (const auto& [name, one] : directory_.workloads)
         if (one == id) return name;
-    return unknown;
+    const auto tube = tube_workloads_.names.find(id);
+    return tube == tube_workloads_.names.end() ? unknown : tube->second;
 }
 
 void Dispatcher::publish(const char* what, Object more) {
@@ -82,6 +83,7 @@
     if (what == "drain") return order_drain(request, whose(request, by));
     if (what == "undrain") return undo_drain(request, whose(request, by));
     if (what == "hold") return hold(request, whose(request, by));
+    if (what == "kick") return kick(request, whose(request, by));
     if (what == "release") return release(request, whose(request, by));
     throw control::Refused("\"" + what + "\" is not known here");
 }
@@ -90,7 +92,7 @@
     const Micros now = net::Loop::now();
     Object o;
     o["phase"] = Value(std::string(drain::name_of(drain_.phase())));
-    o["tasks_left"] = whole(server_.waiting());
+    o["tasks_left"] = whole(unanswered());
     if (const auto deadline = drain_.deadline()) {
         o["deadline_in_ms"] = millis(*deadline - now);
         o["for_ms"] = millis(now - drain_.since());
@@ -99,7 +101,7 @@
     Object left;
     std::map<WorkloadId, std::size_t> by_workload;
     for (const auto& [id, task] : tasks_)
-        if (task.session) ++by_workload[task.workload];
+        if (task.asker) ++by_workload[task.workload];
     for (const auto& [id, n] : by_workload) left[workload_name(id)] = whole(n);
     o["left_by_workload"] = Value(std::move(left));
     return o;
@@ -116,7 +118,7 @@
     o["ready"] = whole(std::count_if(runners.begin(), runners.end(), [](const RunnerView& r) { return r.ready; }));
     o["aside"] = whole(std::count_if(runners.begin(), runners.end(), [now](const RunnerView& r) { return r.ready && now < r.aside_until; }));
     o["held"] = whole(holds_.all().size());
-    o["tasks"] = whole(server_.waiting());
+    o["tasks"] = whole(unanswered());
     o["out"] = whole(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.out > 0; }));
     o["connections"] = whole(server_.sessions());
     o["taken"] = whole(tasks_taken_);
@@ -125,6 +127,7 @@
     o["abandoned"] = whole(answered_[2]);
     o["failed_assignments"] = whole(failed_);
     o["roster_version"] = whole(book_.version());
+    if (pullers_) o["tubes"] = Value(tell_tubes());
     o["keepsake"] = Value(tell_keepsake());
     if (desk_) o["seq"] = whole(desk_->published());
     return o;
@@ -191,7 +194,7 @@
     };
     std::map<std::string, Row> rows;
     for (const auto& [id, task] : tasks_) {
-        if (!task.session) continue;
+        if (!task.asker) continue;
         Row& row = rows[workload_name(task.workload)];
         ++(task.out > 0 ? row.out : row.waiting);
         const Micros age = now - task.taken_at;
@@ -253,8 +256,12 @@
 
 // Tells the module and the connections what is held of that runner, as the holds now are.
 void Dispatcher::heard_anew(const std::string& runner) {
+    for (const auto& [id, entry] : guests_.all())
+        if (book_.name_of(id) == runner) return note(guests_.news(entry, holds_, book_));
     auto news = book_.present(runner);
     if (!news) return;
+    if (pullers_)
+        for (RosterEntry& e : news->for_module.entries) e.serves = tube_workloads_.for_pushed;
     holds_.lay_over(*news, book_);
     for (const auto& seat : news->seats) links_.seat(seat.runner, seat.address, seat.open, seat.restarted);
     note(news->for_module);
@@ -262,7 +269,8 @@
 
 Object Dispatcher::hold(const Value& request, const std::string& by) {
     const std::string& runner = runner_in(request);
-    if (!book_.present(runner)) throw control::Refused("no runner " + runner + " was ever listed");
+    const bool works_here = std::any_of(guests_.all().begin(), guests_.all().end(), [&](const auto& g) { return book_.name_of(g.first) == runner; });
+    if (!works_here && !book_.present(runner)) throw control::Refused("no runner " + runner + " was ever listed");
     const std::string* const why = request.text("why");
     if (!holds_.add(runner, {net::Loop::now(), by, why ? why->substr(0, 200) : ""}))
         throw control::Refused(runner + " is held already, by " + holds_.all().at(runner).by);
--- /dev/null
+++ b/src/dispatcher/pulling.cpp
@@ -0,0 +1,87 @@
+// Workers that ask for tasks, and the jobs that the front with tubes hands in.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "dispatcher/dispatcher.hpp"
+
+namespace gannethold::dispatcher {
+
+using json::Number;
+using json::Object;
+using json::Value;
+
+runners::Port& Dispatcher::port_of(RunnerId runner) {
+    if (pullers_ && guests_.has(runner)) return pullers_->exchange();
+    return links_;
+}
+
+// Answers that somebody waits for, and jobs that are in somebody's hands. What waits in a tube is not among them: a drain
+// leaves it there.
+std::size_t Dispatcher::unanswered() const {
+    if (!pullers_) return server_.waiting();
+    const fronts::Asker* const jobs = &pullers_->exchange();
+    return server_.waiting() + static_cast<std::size_t>(std::count_if(tasks_.begin(), tasks_.end(), [jobs](const auto& t) {
+               return t.second.asker == jobs && t.second.out > 0;
+           }));
+}
+
+TaskId Dispatcher::hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan, WorkloadId workload) {
+    fronts::Handed handed;
+    const std::string number = std::to_string(static_cast<std::uint64_t>(job.id));
+    handed.id = "job-" + posting_.name + "-" + number;
+    handed.method = "POST";
+    // A runner over HTTP knows the shared workload by its name, and else the tube's.
+    handed.target = "/" + (plan.workload.empty() ? tube : plan.workload) + "/" + number;
+    handed.workload = workload;
+    handed.customer = CustomerId{std::numeric_limits<std::uint32_t>::max()};  // nobody's allowance
+    handed.patience = plan.expiry;
+    handed.pushable = plan.pushed > 0 || !plan.workload.empty();
+    net::Blocks body(loop_.blocks());
+    // No buffer is left: it stays in its tube.
+    if (handed.pushable && !body.append(job.body)) return TaskId{};
+    return take(pullers_->exchange(), std::move(handed), std::move(body), net::Loop::now());
+}
+
+RunnerId Dispatcher::worker_joins(const beanstalk::Entrance& by, const Serves& serves, bool cold) {
+    const RosterEntry entry = guests_.joins(book_, by.kind, by.zone, serves, cold ? net::Loop::now() : 0);
+    note(guests_.news(entry, holds_, book_));
+    return entry.runner;
+}
+
+void Dispatcher::worker_serves(RunnerId worker, const Serves& serves) { note(guests_.news(guests_.serves(worker, serves), holds_, book_)); }
+
+void Dispatcher::worker_leaves(RunnerId worker) { note(guests_.news(guests_.leaves(worker), holds_, book_)); }
+
+Object Dispatcher::tell_tubes() const {
+    const beanstalk::Exchange& x = pullers_->exchange();
+    const auto whole = [](auto n) { return Value(Number{std::to_string(n)}); };
+    Object all;
+    all["connections"] = whole(x.sessions());
+    all["workers"] = whole(guests_.all().size());
+    all["in_hands"] = whole(x.tasks_out());
+    all["jobs"] = whole(x.queue().size());
+    all["bytes"] = whole(x.queue().bytes());
+    json::List tubes;
+    x.queue().each_tube([&](queue::TubeId, const queue::Tube& t) {
+        Object o;
+        o["tube"] = Value(t.name);
+        o["ready"] = whole(t.ready.size()), o["delayed"] = whole(t.delayed.size()), o["handed"] = whole(t.handed);
+        o["buried"] = whole(t.buried.size()), o["may_have_run"] = whole(t.withheld.size());
+        tubes.push_back(Value(std::move(o)));
+    });
+    all["tubes"] = Value(std::move(tubes));
+    return all;
+}
+
+// The explicit word that a job that may have run may run again.
+Object Dispatcher::kick(const Value& request, const std::string& by) {
+    if (!pullers_) throw control::Refused("there are no tubes here");
+    const auto job = request.number("job");
+    if (!job || !(*job >= 1 && *job < 1e15)) throw control::Refused("which job? \"job\" is missing or no number");
+    if (!pullers_->exchange().kick_for_good(static_cast<std::uint64_t>(*job))) throw control::Refused("no buried job has that number");
+    log_.info(net::Loop::now(), "control: job ", log::as("job", static_cast<std::uint64_t>(*job)), " may run again, by ", log::as("by", by));
+    return {{"job", Value(Number{std::to_string(static_cast<std::uint64_t>(*job))})}};
+}
+
+}  // namespace gannethold::dispatcher
--- /dev/null
+++ b/src/fronts/front.hpp
@@ -0,0 +1,50 @@
+// What every front and the dispatcher say to each other, whatever protocol the front speaks: tasks in, endings out.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "net/block_pool.hpp"
+#include "types.hpp"
+
+namespace gannethold::fronts {
+
+// The one type for a task's final answer.
+enum class Answer { finished, bounced, abandoned };
+
+// A task as it is handed in.
+struct Handed {
+    std::string id, fingerprint, method, target, content_type;
+    WorkloadId workload{};
+    CustomerId customer{};
+    std::uint64_t key = 0;
+    Micros patience = 0;  // how long whoever asks waits, from when the task had come whole
+    Micros cost_hint = 0;
+    double slots = 1, memory = 0;
+    bool repeat = false;
+    bool pushable = true;  // whether a runner that is spoken to over HTTP may get it: it needs a head and a body then
+};
+
+// Who handed tasks in and hears how they end. Called once for each, also from inside a call to the Taker.
+class Asker {
+  public:
+    // stay_away: after a bounce, when to come back; 0 where nothing is said.
+    virtual void answer(TaskId task, Answer answer, std::string_view result, Micros stay_away) = 0;
+
+  protected:
+    ~Asker() = default;
+};
+
+// Who takes the tasks.
+class Taker {
+  public:
+    virtual TaskId take(Asker& asker, Handed&& handed, net::Blocks&& body, Micros came_at) = 0;
+    virtual void left(TaskId task) = 0;  // nobody waits for it any more
+    virtual bool knows(const std::string& request_id) const = 0;
+    virtual bool ready() const = 0;
+
+  protected:
+    ~Taker() = default;
+};
+
+}  // namespace gannethold::fronts
--- a/src/house/house_rules.cpp
+++ b/src/house/house_rules.cpp
@@ -5,6 +5,47 @@
 namespace gannethold::house {
 namespace {
 
+beanstalk::TubePlan read_plan(const sheets::Sheet& s) {
+    beanstalk::TubePlan p;
+    p.effect = s.one_of("effect", {"side-effecting", "idempotent"}, p.effect);
+    p.due = static_cast<Micros>(s.number("due_s", 60, 0.001, 30 * 86'400) * 1e6);
+    p.expiry = static_cast<Micros>(s.number("expiry_s", 3'600, 0.01, 30 * 86'400) * 1e6);
+    if (p.expiry < p.due) s.wrong("expiry_s", "is shorter than due_s: everything would be given up before it is late");
+    p.importance = s.number("importance", 1, 0.001, 1e6);
+    p.pushed = static_cast<std::size_t>(s.whole("pushed", 0, 0, 100'000));
+    return p;
+}
+
+beanstalk::Furnishing read_tubes(const sheets::Sheet& s) {
+    beanstalk::Furnishing f;
+    const auto enter = [&](const sheets::Sheet& from, const std::string& name, const std::string& text, const std::string& kind, const std::string& zone) {
+        const auto at = net::Address::read(text);
+        if (!at) from.wrong(name, "is no address: \"" + text + "\"");
+        f.entrances.push_back({*at, kind, zone});
+    };
+    for (const std::string& text : s.words("listen")) enter(s, "listen", text, "", "");
+    for (const sheets::Sheet& e : s.tables("entrance")) enter(e, "address", e.word("address", ""), e.word("kind", ""), e.word("zone", ""));
+    f.connections = static_cast<std::size_t>(s.whole("connections", 64, 1, 100'000));
+    beanstalk::Trade& t = f.trade;
+    t.longest_body = static_cast<std::size_t>(s.whole("longest_job", 65'535, 1, 64 << 20));
+    t.bounds.jobs = static_cast<std::size_t>(s.whole("most_jobs", 1'000'000, 1, 100'000'000));
+    t.bounds.bytes = static_cast<std::size_t>(s.number("most_mb", 16, 0.01, 1e6) * 1048576);
+    t.other_tubes = static_cast<std::size_t>(s.whole("other_tubes", 16, 0, 200));
+    t.bounds.tubes = 256;
+    t.cold = s.yes("cold", true);
+    t.otherwise = read_plan(s.table("other"));
+    for (const sheets::Sheet& one : s.tables("tube")) {
+        beanstalk::TubePlan p = read_plan(one);
+        p.name = one.word("name", "");
+        p.workload = one.word("workload", "");
+        if (p.name.empty()) one.wrong("name", "is missing: which tube?");
+        if (!p.workload.empty() && (one.has("effect") || one.has("due_s") || one.has("expiry_s") || one.has("importance")))
+            one.wrong("workload", "says all of effect, times and importance; they cannot stand beside it");
+        t.tubes.push_back(std::move(p));
+    }
+    return f;
+}
+
 HouseRules take(const sheets::Sheet& sheet) {
     HouseRules rules;
     const sheets::Sheet log = sheet.table("log");
@@ -16,6 +57,7 @@
     const sheets::Sheet drain = sheet.table("drain");
     rules.drain.front_notices = static_cast<Micros>(drain.number("front_notices_s", 2, 0, 600) * 1e6);
     rules.drain.closing_takes = static_cast<Micros>(drain.number("closing_takes_s", 2, 0, 600) * 1e6);
+    rules.tubes = read_tubes(sheet.table("beanstalk"));
     const sheets::Sheet keepsake = sheet.table("keepsake");
     rules.keepsake.folder = keepsake.word("folder", "");
     rules.keepsake.every = static_cast<Micros>(keepsake.number("every_s", 30, 0.1, 86'400) * 1e6);
--- a/src/house/house_rules.hpp
+++ b/src/house/house_rules.hpp
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "beanstalk/server.hpp"
 #include "control/desk.hpp"
 #include "drain/drain.hpp"
 #include "keepsake/keeper.hpp"
@@ -15,6 +16,7 @@
     log::Form log_form = log::Form::plain;
     control::Furniture control;  // an empty path: no control socket
     drain::Manners drain;
+    beanstalk::Furnishing tubes;  // without an entrance it is off
     keepsake::Custom keepsake;   // an empty folder: nothing is kept
 
     // Throws sheets::SheetError: one line with file, line and name.
--- a/src/keepsake/keeper.cpp
+++ b/src/keepsake/keeper.cpp
@@ -17,8 +17,7 @@
 
 Keeper::Keeper(net::Loop& loop, const Shelf& shelf, Micros every, std::function<Part(std::size_t, std::size_t)> part,
                std::function<void(const std::string&, bool)> heard)
-    : loop_(loop),
-      shelf_(shelf),
+    : shelf_(shelf),
       every_(every),
       part_(std::move(part)),
       heard_(std::move(heard)),
--- a/src/keepsake/keeper.hpp
+++ b/src/keepsake/keeper.hpp
@@ -57,7 +57,6 @@
     void succeeded();
     void failed(const std::string& why);
 
-    net::Loop& loop_;
     const Shelf shelf_;
     const Micros every_;
     const std::function<Part(std::size_t, std::size_t)> part_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,6 +45,7 @@
     if (!rules.control.path.empty()) extras.desk = rules.control;
     extras.manners = rules.drain;
     extras.keepsake = rules.keepsake;
+    extras.tubes = rules.tubes;
     dispatcher::Dispatcher dispatcher(loop, posting, log, extras);
     const net::Signal end(loop, SIGTERM, [&] { dispatcher.leave(); });
     const net::Signal interrupt(loop, SIGINT, [&] { dispatcher.leave(); });
@@ -57,8 +58,12 @@
 }
 
 int check(const std::string& path, const std::string& operators_path) {
-    house::HouseRules::read_file(operators_path);
+    house::HouseRules rules = house::HouseRules::read_file(operators_path);
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
+    if (!rules.tubes.entrances.empty()) {
+        StatedOrders all = posting.orders;
+        beanstalk::add_workloads(all, rules.tubes.trade);
+    }
     const StandingOrders orders(posting.orders);
     std::cout << path << " can be served: " << posting.name << " on " << posting.listen.text
               << ", discovery at " << posting.discovery.text << ", " << posting.known.entries.size()
@@ -104,6 +109,7 @@
                       "  drain    answer all that it has by a deadline, and take nothing after\n"
                       "  undrain  take that back\n"
                       "  hold RUNNER, release RUNNER        send nothing new there, and again\n"
+                      "  kick JOB  let a job that may have run run again (gannethold status shows how many there are)\n"
                       "  follow   what changes, as it changes\n"
                       "  keepsake show|verify FILE          what is kept over a restart, and what of it is believed now\n\n"
                    << shown << '\n'
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -103,6 +103,8 @@
     return stream_ && evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
 }
 
+std::size_t Connection::unsent_bytes() const { return stream_ ? evbuffer_get_length(bufferevent_get_output(stream_.get())) : 0; }
+
 bool Connection::stale() const {
     char next;
     if (!stream_) return true;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -36,6 +36,7 @@
     bool write(std::string_view bytes);  // false once the pool is empty
     void write(Blocks&& bytes);
     bool unsent() const;  // whether bytes are left that the system has not taken
+    std::size_t unsent_bytes() const;
     // Whether the peer has ended it, or said something unasked, that the loop has not come to yet.
     bool stale() const;
     // Ends at once, without a word to the owner.
--- a/src/roster/book.cpp
+++ b/src/roster/book.cpp
@@ -31,6 +31,14 @@
     return RunnerId{hash};
 }
 
+RosterEntry Book::guest(const std::string& name, const std::string& kind, const std::string& zone) {
+    RosterEntry e;
+    const auto known = std::find_if(names_.begin(), names_.end(), [&](const auto& one) { return one.second == name; });
+    e.runner = known == names_.end() ? number_for(name) : known->first;
+    e.zone = place_in<ZoneId>(zones_, zone), e.kind = place_in<KindId>(kinds_, kind);
+    return e;
+}
+
 const std::string& Book::name_of(RunnerId runner) const {
     static const std::string unknown = "unknown";
     const auto found = names_.find(runner);
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -47,6 +47,8 @@
     }
     const std::vector<std::string>& kinds() const { return kinds_; }
     const std::string& name_of(RunnerId runner) const;
+    // An entry of that name for one that no list names, ready and of that kind and place.
+    RosterEntry guest(const std::string& name, const std::string& kind, const std::string& zone);
 
   private:
     struct Held {
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -10,41 +10,11 @@
 
 #include "http/reader.hpp"
 #include "net/connection.hpp"
+#include "runners/port.hpp"
 #include "runners/words.hpp"
 
 namespace gannethold::runners {
 
-// One assignment on its way to a runner.
-struct Errand {
-    TaskId task{};
-    int number = 0;
-    std::string request_id;
-    std::string head;                   // of the request, without the time it has and the empty line
-    const net::Blocks* body = nullptr;  // kept by the sender until the errand has ended
-    Micros stop_at = 0;
-};
-
-struct ErrandEnded {
-    TaskId task{};
-    int number = 0;
-    RunnerId runner{};
-    net::Ending ending{};
-    Micros elapsed = 0;
-    Report report;
-    std::string result;
-};
-
-// Who hears of it; also from inside a call to Links, so it must only take note.
-class Sender {
-  public:
-    virtual void errand_ended(ErrandEnded&& ended) = 0;
-    virtual void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) = 0;
-    virtual void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) = 0;
-
-  protected:
-    ~Sender() = default;
-};
-
 // How connections to runners are made and kept.
 struct Upkeep {
     Micros connect_limit = 1'000'000;
@@ -54,18 +24,18 @@
 
 class Link;
 
-class Links {
+class Links final : public Port {
   public:
     Links(net::Loop& loop, Sender& sender, Reports reports, Upkeep upkeep);
     ~Links();
 
     // What the roster says. A runner that is not open gets nothing that has not begun to be written.
     void seat(RunnerId runner, const net::Address& address, bool open, bool restarted = false);
-    void assign(RunnerId runner, Errand&& errand);
-    void withdraw(TaskId task, int number);
-    void probe(RunnerId runner);
-    void stop_all_by(Micros at);  // no assignment that is out now may be out longer
-    void close_idle(RunnerId runner);
+    void assign(RunnerId runner, Errand&& errand) override;
+    void withdraw(TaskId task, int number) override;
+    void probe(RunnerId runner) override;
+    void stop_all_by(Micros at) override;
+    void close_idle(RunnerId runner) override;
     void sweep();
     std::size_t size() const { return links_.size(); }
 
--- /dev/null
+++ b/src/runners/port.hpp
@@ -0,0 +1,55 @@
+// The ways by which assignments reach runners: one that is spoken to is pushed them, one that asks is handed them.
+#pragma once
+
+#include <string>
+
+#include "net/block_pool.hpp"
+#include "net/ending.hpp"
+#include "types.hpp"
+
+namespace gannethold::runners {
+
+// One assignment on its way to a runner.
+struct Errand {
+    TaskId task{};
+    int number = 0;
+    std::string request_id;
+    std::string head;                   // of the request over HTTP, without the time it has and the empty line
+    const net::Blocks* body = nullptr;  // kept by the sender until the errand has ended
+    Micros stop_at = 0;
+};
+
+struct ErrandEnded {
+    TaskId task{};
+    int number = 0;
+    RunnerId runner{};
+    net::Ending ending{};
+    Micros elapsed = 0;
+    Report report;
+    std::string result;
+};
+
+// Who hears of it; also from inside a call to a port, so it must only take note.
+class Sender {
+  public:
+    virtual void errand_ended(ErrandEnded&& ended) = 0;
+    virtual void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) = 0;
+    virtual void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) = 0;
+
+  protected:
+    ~Sender() = default;
+};
+
+class Port {
+  public:
+    virtual void assign(RunnerId runner, Errand&& errand) = 0;
+    virtual void withdraw(TaskId task, int number) = 0;  // nothing where it is not out by this port
+    virtual void probe(RunnerId runner) = 0;
+    virtual void close_idle(RunnerId runner) = 0;
+    virtual void stop_all_by(Micros at) = 0;  // no assignment that is out now may be out longer
+
+  protected:
+    ~Port() = default;
+};
+
+}  // namespace gannethold::runners
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -1,6 +1,7 @@
 // The words that the core and every front share: ids, events that come in, actions that go out.
 #pragma once
 
+#include <bitset>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -24,8 +25,11 @@
 // Names and values as the operators state them; the module reads what it needs where it needs it.
 using StatedOrders = std::map<std::string, std::string>;
 
+// Of which workloads a runner takes tasks, by their places; beyond the last of these it takes any.
+using Serves = std::bitset<256>;
+
 enum class RunnerState { ready, draining, gone };
-enum class RosterScope { failed, complete, remembered, changes };
+enum class RosterScope { failed, complete, remembered, changes, guests };  // guests: changes that no list told
 enum class Outcome { finished, error, full, timed_out, connect_failed, reset, withdrawn, moot };
 enum class Stage { begun, progress };
 
@@ -41,6 +45,11 @@
     RunnerState state = RunnerState::ready;
     double share = 1;
     Micros started_at = 0;  // 0: long ago
+    Serves serves = Serves().set();
+    bool takes(WorkloadId w) const {
+        return static_cast<std::size_t>(w) >= serves.size() || serves[static_cast<std::size_t>(w)];
+    }
+    bool pulls = false;     // it asks for tasks: it has room when it says so, and no probe can tell more
 };
 
 // Load as a runner tells it, in the order of the names in "reports.names".
@@ -93,6 +102,11 @@
     Micros elapsed = 0;
     Report report;
 };
+// A runner that pulls: what it holds and how many it asks for, together.
+struct RoomTold {
+    RunnerId runner{};
+    double slots = 0;
+};
 struct PeerSaid {
     PeerId from{};
     std::string words;
@@ -109,7 +123,7 @@
 struct LastCall {};
 
 using Event = std::variant<RosterNews, TaskArrived, StreamBegun, AssignmentEnded, ClientLeft, TimerDue,
-                           ProbeEnded, PeerSaid, Progress, LastCall>;
+                           ProbeEnded, PeerSaid, Progress, LastCall, RoomTold>;
 
 struct Assign {
     TaskId task{};
