--- a/rehearsal/main.cpp
+++ b/rehearsal/main.cpp
@@ -17,6 +17,8 @@
 #include "results/report.hpp"
 #include "sheets/sheet.hpp"
 #include "sockets/lane.hpp"
+#include "tubes/bench.hpp"
+#include "tubes/mixed.hpp"
 #include "virtual/cost.hpp"
 #include "virtual/world.hpp"
 
@@ -251,6 +253,52 @@
     return k.torn == 0 ? kGood : kBad;
 }
 
+int tubes(const Wishes& wishes) {
+    const Workplace workplace;
+    files::create_directories(workplace.path);
+    const std::string program = wishes.program.empty() ? beside_us("gannethold") : wishes.program;
+    std::cout << std::fixed << std::setprecision(1) << "  conns   rounds/s   cpu us   p50 us   p99 us  p99.9 us    MB\n";
+    for (const std::size_t connections : {1, 16, 256}) {
+        if (interrupted) return kInterrupted;
+        const TubeFigures f = measure_tubes(connections, 4'000'000, program, workplace.path);
+        std::cout << std::setw(7) << f.connections << std::setw(11) << f.rounds_a_second << std::setw(9) << f.cpu_us_a_round << std::setw(9) << f.p50
+                  << std::setw(9) << f.p99 << std::setw(10) << f.p999 << std::setw(6) << f.memory_mb << '\n'
+                  << std::flush;
+    }
+    std::cout << "   jobs waiting   bytes a job   put us   due us a job   longest turn us\n";
+    for (const std::size_t jobs : {100'000, 1'000'000}) {
+        const QueueFigures q = measure_queue(jobs);
+        std::cout << std::setw(15) << q.jobs << std::setw(14) << q.bytes_a_job << std::setprecision(2) << std::setw(9) << q.put_us << std::setw(15)
+                  << q.due_us << std::setprecision(1) << std::setw(18) << q.longest_turn_us << '\n'
+                  << std::flush;
+    }
+    return kGood;
+}
+
+int mixed(const Wishes& wishes) {
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t s = 1; s <= std::max<std::size_t>(1, wishes.seeds); ++s) seeds.push_back(wishes.seed > 0 ? wishes.seed : s);
+    bool good = true;
+    std::cout << "  seed  put  refused   done buried  left  hands  back  late  crashes hangs breaks   tasks   200   503   502  by workers  broken\n";
+    for (const std::uint64_t seed : seeds) {
+        const Workplace workplace;
+        files::create_directories(workplace.path);
+        MixedPlan plan;
+        plan.seed = seed;
+        const MixedResult r = play_mixed(plan, wishes.program.empty() ? beside_us("gannethold") : wishes.program, workplace.path, [] { return interrupted != 0; });
+        std::cout << std::setw(6) << seed << std::setw(5) << r.put << std::setw(9) << r.put_refused << std::setw(7) << r.jobs_done << std::setw(7) << r.jobs_buried
+                  << std::setw(6) << r.jobs_left << std::setw(7) << r.handed_out << std::setw(6) << r.released << std::setw(6) << r.late_words << std::setw(9)
+                  << r.worker_crashes << std::setw(6) << r.worker_hangs << std::setw(7) << r.runner_breaks << std::setw(8) << r.tasks << std::setw(6) << r.answered[0]
+                  << std::setw(6) << r.answered[1] << std::setw(6) << r.answered[2] << std::setw(12) << r.tasks_by_workers << std::setw(8) << r.broken.size() << '\n'
+                  << std::flush;
+        for (const std::string& b : r.broken) std::cout << "    " << b << '\n';
+        if (!r.trouble.empty()) std::cout << "    no verdict: " << r.trouble << '\n';
+        good = good && r.broken.empty() && r.trouble.empty();
+        if (interrupted) return kInterrupted;
+    }
+    return good ? kGood : kBad;
+}
+
 int ceiling(const Wishes& wishes) {
     const Workplace workplace;
     const std::string program = wishes.program.empty() ? beside_us("gannethold") : wishes.program;
@@ -312,6 +360,8 @@
                "  ceiling       what one dispatcher can take at most, on sockets (ceiling small: four runners only;\n"
                "                ceiling reports, ceiling silent: only runners that report, or that do not)\n"
                "  keepsake [N]  what keeping 10,000 runners costs, and N kills in the middle of a write (500)\n"
+               "  mixed         a day of both protocols on one dispatcher, with crashes, hangs and a drain (--seeds N)\n"
+               "  tubes         what the front with tubes can take at most, and what a waiting job costs\n"
                "  cost          what one decision costs, by runners and by tasks held\n\n"
             << shown
             << "\nExit status: 0 goals and rules held, 1 not, 2 wrong use, 3 void (the stand-ins ran late), 130 interrupted.\n";
@@ -337,6 +387,8 @@
         if (wishes.command == "report") return report(wishes);
         if (wishes.command == "cost") return cost();
         if (wishes.command == "keepsake") return keep(wishes);
+        if (wishes.command == "tubes") return tubes(wishes);
+        if (wishes.command == "mixed") return mixed(wishes);
         if (wishes.command == "ceiling") return ceiling(wishes);
         throw options::error("no such command: " + wishes.command);
     } catch (const options::error& e) {
--- a/src/beanstalk/exchange.cpp
+++ b/src/beanstalk/exchange.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
+constexpr Micros kLeastWait = 10'000;            // of a reserve: the module gives jobs at the end of a turn, and this is one
 constexpr Micros kAskingTakes = kSecond;       // for a job asked for by its number
 constexpr Micros kLongestAway = kSecond;       // of a job that was bounced: a worker may come free at any time
 constexpr std::size_t kDueInOneGo = 2'000;     // against 100,000 that are due at once and hold up the loop
@@ -184,7 +185,7 @@
             return say(s, "USING " + c.tube + "\r\n");
         }
         case Verb::reserve: return reserve(now, s, 0);
-        case Verb::reserve_with_timeout: return reserve(now, s, now + micros(c.seconds));
+        case Verb::reserve_with_timeout: return reserve(now, s, now + std::max(kLeastWait, micros(c.seconds)));
         case Verb::reserve_job: return reserve_job(now, s, JobId{c.id});
         case Verb::remove: return remove(now, s, JobId{c.id});
         case Verb::release: return release(now, s, c);
@@ -407,6 +408,11 @@
     --s.held;
     tell_room(s);
     floor_.errand_ended({held.errand.task, held.errand.number, held.worker, ending, now_ - held.since, {}, {}});
+    // A harmless job whose worker is lost or late lies in its tube again, and goes to whoever asks next, also to the same
+    // one. Of any other the module says what becomes of it.
+    const bool unsure = ending == net::Ending::stopped || ending == net::Ending::broken;
+    Job* const job = unsure && held.of_queue ? queue_.find(id) : nullptr;
+    if (job && job->task == held.errand.task && of(job->tube).plan->harmless() && !held_of_.contains(job->task)) back(id);
 }
 
 void Exchange::withdraw(TaskId task, int number) {
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -150,7 +150,8 @@
     const Micros now = net::Loop::now();
     const drain::Wanted wanted = drain_.look(now, {unanswered(), server_.busy() + (pullers_ && !pullers_->quiet())});
     if (pullers_) {
-        pullers_->exchange().turn_away(wanted.turns_away || drain_.leaves());
+        // A producer keeps its job, and needs no front to be told: from the order on, and at a restart once others are told.
+        pullers_->exchange().turn_away(drain_.leaves() ? wanted.last_answers : drain_.phase() != drain::Phase::serving);
         pullers_->exchange().hand_out(drain_.phase() == drain::Phase::serving || (drain_.phase() == drain::Phase::draining && !wanted.last_call));
         if (wanted.last_answers && drain_.leaves()) pullers_->leave();
     }
--- /dev/null
+++ b/tests/hall.hpp
@@ -0,0 +1,190 @@
+// An exchange and a decision module without a socket between them, in virtual time: what a dispatcher does with both, and
+// a count of who ran what.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "beanstalk/exchange.hpp"
+#include "beanstalk/places.hpp"
+#include "beanstalk/replies.hpp"
+#include "helpers.hpp"
+
+namespace gannethold::beanstalk {
+
+class Hall final : public Floor {
+  public:
+    explicit Hall(Trade trade = {}, std::uint64_t seed = 1)
+        : orders_(plain_orders()), trade_(std::move(trade)), workloads_(add_workloads(orders_, trade_)), choice(orders_, seed),
+          exchange(trade_, workloads_.places, *this) {}
+
+    static Trade trade(const std::string& effect, bool cold = false) {
+        Trade t;
+        t.cold = cold;
+        t.otherwise.effect = effect;
+        return t;
+    }
+
+    SessionId connect() {
+        const SessionId id{++sessions_};
+        said[id];
+        exchange.opened(now, id);
+        settle();
+        return id;
+    }
+    void hang_up(SessionId id) {
+        exchange.closed(now, id);
+        settle();
+    }
+    // What the session hears at once, or has heard since it last spoke.
+    std::string ask(SessionId id, const std::string& words) {
+        said[id].clear();
+        Reader reader(trade_.longest_body);
+        const std::string bytes = words + "\r\n";
+        std::string_view left = bytes;
+        for (Found found; !left.empty() && (found = reader.read(left)) != Found::nothing;)
+            exchange.heard(now, id, found, std::move(reader.command()));
+        settle();
+        return said[id];
+    }
+    void pass(Micros span) {
+        const Micros until = now + span;
+        for (;;) {
+            Micros next = until;
+            if (!wakes_.empty()) next = std::min(next, *wakes_.begin());
+            if (look_at_ > 0) next = std::min(next, look_at_);
+            now = std::max(now, next);
+            bool due = false;
+            while (!wakes_.empty() && *wakes_.begin() <= now) wakes_.erase(wakes_.begin()), due = true;
+            if (due) choice.note(now, TimerDue{});
+            settle();
+            if (now >= until) return;
+        }
+    }
+    void settle() {
+        for (int turn = 0; turn < 50; ++turn) {
+            look_at_ = exchange.pass(now);
+            std::vector<Action> out;
+            choice.settle(now, out);
+            if (out.empty()) return;
+            for (const Action& a : out) {
+                if (const auto* w = std::get_if<WakeAt>(&a)) wakes_.insert(w->at);
+                if (const auto* s = std::get_if<Assign>(&a)) assign(*s);
+                if (const auto* b = std::get_if<Bounce>(&a)) answer(b->task, fronts::Answer::bounced, b->stay_away);
+                if (const auto* b = std::get_if<Abandon>(&a)) answer(b->task, fronts::Answer::abandoned, 0);
+                if (const auto* w = std::get_if<Withdraw>(&a)) exchange.withdraw(w->task, w->assignment);
+                if (const auto* p = std::get_if<Probe>(&a)) exchange.probe(p->runner);
+            }
+        }
+    }
+    // Of a "RESERVED n ..." or "INSERTED n".
+    static std::uint64_t number(const std::string& words) {
+        const auto space = words.find(' ');
+        return space == std::string::npos ? 0 : std::strtoull(words.c_str() + space, nullptr, 10);
+    }
+    std::string state(std::uint64_t job) {
+        if (!watcher_) watcher_ = connect();
+        const std::string all = ask(*watcher_, "stats-job " + std::to_string(job));
+        const auto at = all.find("state: ");
+        return at == std::string::npos ? "none" : all.substr(at + 7, all.find('\n', at) - at - 7);
+    }
+
+    // ---- Floor ----
+    void say(SessionId to, std::string&& words) override {
+        if (words.starts_with("RESERVED ")) {
+            // By what the worker is told, and not by what the exchange holds: the body names the job for good.
+            const std::string body = words.substr(words.find('\n') + 1, words.size() - words.find('\n') - 3);
+            ++runs[body];
+            last_number[body] = number(words);
+        }
+        said[to] += words;
+    }
+    void close(SessionId session) override { exchange.closed(now, session); }
+    TaskId hand_in(const queue::Job& job, const std::string&, const TubePlan& plan, WorkloadId workload) override {
+        TaskArrived a;
+        a.task = TaskId{++tasks_};
+        a.workload = workload, a.customer = CustomerId{UINT32_MAX}, a.expiry = now + plan.expiry;
+        tasks[a.task] = {job.id, a.expiry, 0, true};
+        choice.note(now, a);
+        return a.task;
+    }
+    void take_back(TaskId task) override {
+        if (!tasks[task].waits) return;
+        tasks[task].waits = false;
+        choice.note(now, ClientLeft{task});
+    }
+    RunnerId worker_joins(SessionId, const Serves& serves, bool cold) override {
+        RosterEntry e;
+        e.runner = RunnerId{++workers_}, e.serves = serves, e.pulls = true, e.started_at = cold ? now : 0;
+        entries[e.runner] = e;
+        choice.note(now, RosterNews{RosterScope::guests, 0, {e}});
+        return e.runner;
+    }
+    void worker_serves(RunnerId worker, const Serves& serves) override {
+        entries[worker].serves = serves;
+        choice.note(now, RosterNews{RosterScope::guests, 0, {entries[worker]}});
+    }
+    void worker_leaves(RunnerId worker) override { state_of(worker, RunnerState::gone); }
+    void state_of(RunnerId worker, RunnerState state) {
+        entries[worker].state = state;
+        choice.note(now, RosterNews{RosterScope::guests, 0, {entries[worker]}});
+    }
+    void worker_room(RunnerId worker, double slots) override { choice.note(now, RoomTold{worker, slots}); }
+    void errand_ended(runners::ErrandEnded&& e) override {
+        const bool finished = e.ending == net::Ending::done;
+        if (finished) answer(e.task, fronts::Answer::finished, 0);
+        const Outcome outcome = finished                                    ? Outcome::finished
+                                : e.ending == net::Ending::handed_back      ? Outcome::full
+                                : e.ending == net::Ending::stopped_unsent   ? Outcome::moot
+                                : e.ending == net::Ending::withdrawn        ? Outcome::withdrawn
+                                : e.ending == net::Ending::stopped          ? Outcome::timed_out
+                                : e.ending == net::Ending::failed           ? Outcome::error
+                                                                            : Outcome::reset;
+        choice.note(now, AssignmentEnded{e.task, !tasks[e.task].waits, 0, e.elapsed, e.runner, e.number, outcome, {}});
+    }
+    void probe_ended(RunnerId worker) override { choice.note(now, ProbeEnded{worker, Outcome::finished, 0, {}}); }
+
+    struct Task {
+        queue::JobId job{};
+        Micros expiry = 0;
+        int assignments = 0;
+        bool waits = false;
+    };
+    Micros now = 10'000'000;
+    std::map<SessionId, std::string> said;
+    std::map<std::string, int> runs;                     // by body
+    std::map<std::string, std::uint64_t> last_number;
+    std::map<TaskId, Task> tasks;
+    std::map<RunnerId, RosterEntry> entries;
+    int answers_twice = 0, answers_late = 0;
+
+  private:
+    void assign(const Assign& wanted) {
+        Task& t = tasks[wanted.task];
+        exchange.assign(wanted.runner, {wanted.task, t.assignments++, "", "", nullptr, wanted.stop_at > 0 ? std::min(wanted.stop_at, t.expiry) : t.expiry});
+    }
+    void answer(TaskId task, fronts::Answer answer, Micros stay_away) {
+        Task& t = tasks[task];
+        answers_twice += !t.waits;
+        answers_late += now > t.expiry;
+        if (!std::exchange(t.waits, false)) return;
+        exchange.answer(task, answer, "", stay_away);
+    }
+
+    StatedOrders orders_;
+    Trade trade_;
+    Workloads workloads_;
+    std::multiset<Micros> wakes_;
+    Micros look_at_ = 0;
+    std::uint64_t sessions_ = 0, tasks_ = 0;
+    std::uint32_t workers_ = 0;
+    std::optional<SessionId> watcher_;
+
+  public:
+    Choice choice;
+    Exchange exchange;
+};
+
+}  // namespace gannethold::beanstalk
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -8,8 +8,10 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <deque>
 #include <fstream>
@@ -133,6 +135,14 @@
         REQUIRE(connect(socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
         return Wire(socket);
     }
+    static Wire to_path(const std::string& path) {
+        sockaddr_un at{};
+        at.sun_family = AF_UNIX;
+        std::copy(path.begin(), path.end(), at.sun_path);
+        const int socket = ::socket(AF_UNIX, SOCK_STREAM, 0);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        return Wire(socket);
+    }
     Wire(Wire&& other) noexcept : got(std::move(other.got)), socket_(std::exchange(other.socket_, -1)) {}
     ~Wire() { hang_up(); }
 
--- a/tests/keepsake_stories.cpp
+++ b/tests/keepsake_stories.cpp
@@ -1,7 +1,6 @@
 // What is kept over a restart: whole or nothing, aged, and never against the rule on cold runners.
 #include "helpers.hpp"
 
-#include <sys/un.h>
 #include <sys/wait.h>
 
 #include <chrono>
@@ -428,12 +427,7 @@
     extras.keepsake.folder = folder.path;
     extras.keepsake.every = 100'000;
     const auto ask = [&](Town& t, const std::string& what) {
-        sockaddr_un at{};
-        at.sun_family = AF_UNIX;
-        std::copy(extras.desk->path.begin(), extras.desk->path.end(), at.sun_path);
-        const int one = ::socket(AF_UNIX, SOCK_STREAM, 0);
-        REQUIRE(connect(one, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
-        Wire wire(one);
+        Wire wire = Wire::to_path(extras.desk->path);
         wire.say("{\"v\":1," + what + "}\n");
         REQUIRE(t.until([&] { return wire.has("\n"); }));
         return json::read(wire.got.substr(0, wire.got.find('\n')));
