--- a/src/beanstalk/exchange.cpp
+++ b/src/beanstalk/exchange.cpp
@@ -151,10 +151,14 @@
     tell_room(s);
 }
 
-void Exchange::tell_room(const Session& s) {
+void Exchange::tell_room(const Session& s) const {
     if (s.joined) floor_.worker_room(s.worker, static_cast<double>(s.held + (s.waiting ? 1 : 0)));
 }
 
+void Exchange::remind(RunnerId worker) const {
+    if (const auto found = workers_.find(worker); found != workers_.end()) tell_room(sessions_.at(found->second));
+}
+
 void Exchange::heard(Micros now, SessionId id, Found found, Command&& command) {
     pass(now);
     const auto session = sessions_.find(id);
--- a/src/beanstalk/exchange.hpp
+++ b/src/beanstalk/exchange.hpp
@@ -96,6 +96,8 @@
     // An operator's word that a job that may have run may run again. False: there is no such buried job.
     bool kick_for_good(std::uint64_t id);
 
+    // Tells the room of a worker again: who was held back or away is forgotten in the meantime.
+    void remind(RunnerId worker) const;
     // A task that was a job is on its way to a runner that is pushed to: from now on it is in somebody's hands.
     void went_elsewhere(TaskId task);
 
@@ -173,7 +175,7 @@
     void regroup(Session& s);
     Serves serves(const Session& s) const;
     void set_waiting(Session& s, bool waits);
-    void tell_room(const Session& s);
+    void tell_room(const Session& s) const;
     void stir(queue::TubeId tube);
     void fill(Group& group);
     void fill_stirred();
--- a/src/dispatcher/office.cpp
+++ b/src/dispatcher/office.cpp
@@ -257,7 +257,10 @@
 // Tells the module and the connections what is held of that runner, as the holds now are.
 void Dispatcher::heard_anew(const std::string& runner) {
     for (const auto& [id, entry] : guests_.all())
-        if (book_.name_of(id) == runner) return note(guests_.news(entry, holds_, book_));
+        if (book_.name_of(id) == runner) {
+            note(guests_.news(entry, holds_, book_));
+            return pullers_->exchange().remind(id);
+        }
     auto news = book_.present(runner);
     if (!news) return;
     if (pullers_)
--- a/tests/beanstalk_stories.cpp
+++ b/tests/beanstalk_stories.cpp
@@ -418,3 +418,105 @@
         CHECK(put_jobs.size() > 200);
     }
 }
+
+TEST_CASE("every command and every error word, as the protocol's page has them") {
+    Hall hall(Hall::trade("idempotent"));
+    const SessionId a = hall.connect();
+    const auto says = [&](const std::string& words, const std::string& wanted) { CHECK_MESSAGE(hall.ask(a, words) == wanted, words); };
+    const auto yaml = [&](const std::string& words, const std::string& part) {
+        const std::string got = hall.ask(a, words);
+        REQUIRE(got.starts_with("OK "));
+        const auto end = got.find("\r\n");
+        CHECK(std::stoul(got.substr(3)) == got.size() - end - 4);
+        CHECK(got.substr(end + 2).starts_with("---\n"));
+        CHECK_MESSAGE(got.find(part) != std::string::npos, words, ": ", got);
+    };
+    says("use paint", "USING paint\r\n");
+    says("list-tube-used", "USING paint\r\n");
+    says("watch paint", "WATCHING 2\r\n");
+    says("watch paint", "WATCHING 2\r\n");
+    says("ignore default", "WATCHING 1\r\n");
+    says("ignore paint", "NOT_IGNORED\r\n");
+    yaml("list-tubes", "\n- default\n- paint\n");
+    yaml("list-tubes-watched", "---\n- paint\n");
+    says("peek-ready", "NOT_FOUND\r\n");
+    says("peek-delayed", "NOT_FOUND\r\n");
+    says("peek-buried", "NOT_FOUND\r\n");
+    says("put 9 0 60 2\r\nhi", "INSERTED 1\r\n");
+    says("put 2000 30 60 2\r\nyo", "INSERTED 2\r\n");
+    says("put 1 0 60 2\r\nhi!", "EXPECTED_CRLF\r\n");
+    says("put 1 0 60 70000\r\n" + std::string(70'000, 'x'), "JOB_TOO_BIG\r\n");
+    says("put 1 0 60", "BAD_FORMAT\r\n");
+    says("paint", "UNKNOWN_COMMAND\r\n");
+    says("peek 1", "FOUND 1 2\r\nhi\r\n");
+    says("peek 3", "NOT_FOUND\r\n");
+    says("peek-ready", "FOUND 1 2\r\nhi\r\n");
+    says("peek-delayed", "FOUND 2 2\r\nyo\r\n");
+    yaml("stats-tube paint", "current-jobs-urgent: 1\ncurrent-jobs-ready: 1\ncurrent-jobs-reserved: 0\ncurrent-jobs-delayed: 1\ncurrent-jobs-buried: 0\ntotal-jobs: 2\n");
+    says("stats-tube none", "NOT_FOUND\r\n");
+    says("reserve", "RESERVED 1 2\r\nhi\r\n");
+    yaml("stats-job 1", "id: 1\ntube: \"paint\"\nstate: reserved\npri: 9\nage: 0\ndelay: 0\nttr: 60\ntime-left: 60\n");
+    says("stats-job 3", "NOT_FOUND\r\n");
+    says("touch 1", "TOUCHED\r\n");
+    says("touch 2", "NOT_FOUND\r\n");
+    says("release 1 4 0", "RELEASED\r\n");
+    says("release 1 4 0", "NOT_FOUND\r\n");
+    says("reserve-job 1", "RESERVED 1 2\r\nhi\r\n");
+    says("bury 1 5", "BURIED\r\n");
+    says("bury 1 5", "NOT_FOUND\r\n");
+    says("peek-buried", "FOUND 1 2\r\nhi\r\n");
+    yaml("stats-job 1", "reserves: 2\ntimeouts: 0\nreleases: 1\nburies: 1\nkicks: 0\n");
+    says("kick 5", "KICKED 1\r\n");
+    says("kick 5", "KICKED 1\r\n");  // nothing is buried any more, so the delayed one
+    says("kick-job 1", "NOT_FOUND\r\n");
+    says("delete 1", "DELETED\r\n");
+    says("delete 1", "NOT_FOUND\r\n");
+    says("pause-tube paint 1", "PAUSED\r\n");
+    says("pause-tube none 1", "NOT_FOUND\r\n");
+    hall.ask(a, "reserve-with-timeout 0");
+    hall.pass(20'000);
+    CHECK(hall.said[a] == "TIMED_OUT\r\n");
+    hall.pass(kSecond);
+    says("reserve-with-timeout 0", "RESERVED 2 2\r\nyo\r\n");
+    says("bury 2 1", "BURIED\r\n");
+    says("kick-job 2", "KICKED\r\n");
+    yaml("stats", "current-jobs-ready: 1\n");
+    yaml("stats", "cmd-put: 2\n");
+    hall.ask(a, "quit");
+    CHECK(hall.exchange.sessions() == 0);
+}
+
+TEST_CASE("a worker back on a new connection while its old one stands silent: the job is in one pair of hands at a time") {
+    Hall hall(Hall::trade("side-effecting"));
+    const SessionId producer = hall.connect(), old_one = hall.connect();
+    const auto job = std::to_string(Hall::number(hall.ask(producer, put("view", "1 0 3"))));
+    hall.ask(old_one, "reserve");
+    const SessionId new_one = hall.connect();
+    hall.ask(new_one, "reserve-with-timeout 1");
+    CHECK(hall.ask(producer, "delete " + job) == "NOT_FOUND\r\n");
+    hall.pass(2 * kSecond);
+    CHECK(hall.ask(new_one, "delete " + job) == "NOT_FOUND\r\n");
+    CHECK(hall.ask(new_one, "reserve-job " + job) == "NOT_FOUND\r\n");
+    hall.pass(10 * kSecond);
+    CHECK(hall.runs["view"] == 1);
+    CHECK(hall.state(std::stoull(job)) == "buried");
+}
+
+TEST_CASE("a worker that an operator holds back and that says nothing: its job ends by its time, and it gets no other") {
+    Hall hall(Hall::trade("side-effecting"));
+    const SessionId producer = hall.connect(), one = hall.connect();
+    const auto job = Hall::number(hall.ask(producer, put("a", "1 0 3")));
+    hall.ask(one, "reserve");
+    for (const auto& [id, entry] : hall.entries) hall.state_of(id, RunnerState::draining);
+    hall.ask(producer, put("b"));
+    hall.ask(one, "reserve");
+    hall.pass(10 * kSecond);
+    CHECK(hall.state(job) == "buried");
+    CHECK(hall.said[one] == "DEADLINE_SOON\r\n");
+    hall.ask(one, "reserve");
+    hall.pass(10 * kSecond);
+    CHECK(hall.runs["b"] == 0);
+    for (const auto& [id, entry] : hall.entries) hall.state_of(id, RunnerState::ready);
+    hall.pass(kSecond);
+    CHECK(hall.runs["b"] == 1);
+}
--- a/tests/hall.hpp
+++ b/tests/hall.hpp
@@ -130,6 +130,7 @@
     void state_of(RunnerId worker, RunnerState state) {
         entries[worker].state = state;
         choice.note(now, RosterNews{RosterScope::guests, 0, {entries[worker]}});
+        exchange.remind(worker);
     }
     void worker_room(RunnerId worker, double slots) override { choice.note(now, RoomTold{worker, slots}); }
     void errand_ended(runners::ErrandEnded&& e) override {
