--- a/src/beanstalk/exchange.cpp
+++ b/src/beanstalk/exchange.cpp
@@ -236,6 +236,7 @@
     const Micros run = std::max(trade_.least_run, micros(c.run_s));
     const auto id = queue_.put(now, s.used, c.priority, micros(c.delay_s), run, std::move(c.body));
     if (!id) return say(s, "OUT_OF_MEMORY\r\n");
+    ++total_jobs_;
     // Said only now that it is held; what a restart loses of it is in the page.
     say(s, with_id("INSERTED", number(*id)));
     if (c.delay_s > 0) due(now + micros(c.delay_s));
@@ -767,10 +768,10 @@
 }
 
 void Exchange::tell_stats(Micros now, Session& s) {
-    std::uint64_t urgent = 0, ready = entered_.size(), delayed = 0, buried = 0, handed = 0, tubes = 0, total = 0;
+    std::uint64_t urgent = 0, ready = entered_.size(), delayed = 0, buried = 0, handed = 0, tubes = 0;
     queue_.each_tube([&](TubeId, const Tube& t) {
         urgent += t.urgent, ready += t.ready.size(), delayed += t.delayed.size(), buried += t.buried.size() + t.withheld.size();
-        handed += t.handed, total += t.total, ++tubes;
+        handed += t.handed, ++tubes;
     });
     std::uint64_t producers = 0, workers = 0, waiting = 0;
     for (const auto& [id, one] : sessions_) producers += one.puts, workers += one.joined, waiting += one.waiting;
@@ -782,7 +783,7 @@
                          Verb::bury, Verb::kick, Verb::kick_job, Verb::touch, Verb::stats, Verb::stats_job, Verb::stats_tube,
                          Verb::list_tubes, Verb::list_tube_used, Verb::list_tubes_watched, Verb::pause_tube})
         out.pair("cmd-" + std::string(name_of(v)), counts_[static_cast<std::size_t>(v)]);
-    out.pair("job-timeouts", timeouts_).pair("total-jobs", total).pair("max-job-size", trade_.longest_body);
+    out.pair("job-timeouts", timeouts_).pair("total-jobs", total_jobs_).pair("max-job-size", trade_.longest_body);
     out.pair("current-tubes", tubes).pair("current-connections", sessions_.size()).pair("current-producers", producers);
     out.pair("current-workers", workers).pair("current-waiting", waiting).pair("total-connections", total_sessions_);
     out.text("version", "gannethold").bare("draining", turns_away_ ? "true" : "false");
--- a/src/beanstalk/exchange.hpp
+++ b/src/beanstalk/exchange.hpp
@@ -213,7 +213,7 @@
     std::set<std::pair<Micros, Grip>> limits_, nearly_;  // when time is over, and when it soon is
     std::set<std::pair<Micros, SessionId>> waits_;
     std::uint64_t counts_[32] = {};  // of commands, by verb
-    std::uint64_t timeouts_ = 0, total_sessions_ = 0;
+    std::uint64_t timeouts_ = 0, total_sessions_ = 0, total_jobs_ = 0;
     Micros now_ = 0, begun_ = -1, next_change_ = 0;  // next_change_: of the queue; 0: none
     bool turns_away_ = false, hands_out_ = true;
 };
--- a/src/beanstalk/server.cpp
+++ b/src/beanstalk/server.cpp
@@ -49,7 +49,8 @@
     void ended(net::Ending) override { close(); }
     void say(std::string&& words) {
         if (over_) return;
-        if (!connection_.write(words)) return close();
+        // Against a session that goes while the exchange is still busy with it: ended in the next look.
+        if (!connection_.write(words)) return server_.end_soon(id_);
         // Its reserve is over: what came meanwhile may be read, in the next turn.
         if (!unread_.empty() && !obeying_) server_.again_.push_back(id_), server_.wake_.set(net::Loop::now());
     }
@@ -134,10 +135,11 @@
 }
 
 void Server::look() {
+    for (const SessionId id : std::exchange(doomed_, {})) close(id);
     for (const SessionId id : std::exchange(again_, {}))
         if (const auto found = sessions_.find(id); found != sessions_.end()) found->second->obey();
     const Micros next = exchange_.pass(net::Loop::now());
-    if (!again_.empty()) wake_.set(net::Loop::now());
+    if (!again_.empty() || !doomed_.empty()) wake_.set(net::Loop::now());
     else if (next > 0) wake_.set(next);
 }
 
@@ -157,6 +159,11 @@
            std::none_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return s.second->owed(); });
 }
 
+void Server::end_soon(SessionId id) {
+    doomed_.push_back(id);
+    wake_.set(net::Loop::now());
+}
+
 void Server::sweep() {
     for (const SessionId id : std::exchange(ended_, {})) sessions_.erase(id);
 }
--- a/src/beanstalk/server.hpp
+++ b/src/beanstalk/server.hpp
@@ -70,6 +70,7 @@
     void accept(std::size_t door, evutil_socket_t socket);
     bool make_room();
     void check_stalled();
+    void end_soon(SessionId id);
 
     void say(SessionId to, std::string&& words) override;
     void close(SessionId session) override;
@@ -91,7 +92,7 @@
     std::uint64_t opened_ = 0;
     bool leaving_ = false;
     std::unordered_map<SessionId, std::unique_ptr<Session>> sessions_;
-    std::vector<SessionId> ended_, again_;  // again_: whose bytes can be read on
+    std::vector<SessionId> ended_, again_, doomed_;  // again_: whose bytes can be read on; doomed_: whose answer found no buffer
     Exchange exchange_;
     std::vector<Door> doors_;
     net::Timer wake_, stalled_;
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -36,6 +36,9 @@
     beanstalk::Furnishing tubes;  // without an entrance it is off
 };
 
+// Throws std::runtime_error with one line where the tubes would leave too few descriptors to everybody else.
+void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes);
+
 class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House {
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log, const Extras& extras = {});
--- a/src/dispatcher/pulling.cpp
+++ b/src/dispatcher/pulling.cpp
@@ -51,7 +51,19 @@
 
 void Dispatcher::worker_serves(RunnerId worker, const Serves& serves) { note(guests_.news(guests_.serves(worker, serves), holds_, book_)); }
 
-void Dispatcher::worker_leaves(RunnerId worker) { note(guests_.news(guests_.leaves(worker), holds_, book_)); }
+void Dispatcher::worker_leaves(RunnerId worker) {
+    note(guests_.news(guests_.leaves(worker), holds_, book_));
+    // Against a stranger held for its name: the next one to come may be given it.
+    const std::string& name = book_.name_of(worker);
+    if (holds_.remove(name)) log_.info(net::Loop::now(), "control: released ", log::as("runner", name), ", which has gone");
+}
+
+void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes) {
+    constexpr std::size_t kForTheRest = 32;
+    if (!tubes.entrances.empty() && tubes.connections + tubes.entrances.size() + kForTheRest > posting.sockets)
+        throw std::runtime_error("beanstalk.connections: " + std::to_string(tubes.connections) + " of " + std::to_string(posting.sockets) +
+                                 " sockets leave too few for runners and other clients");
+}
 
 Object Dispatcher::tell_tubes() const {
     const beanstalk::Exchange& x = pullers_->exchange();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,6 +40,7 @@
     const house::HouseRules rules = house::HouseRules::read_file(operators_path);
     log::Log log(std::cerr, level, rules.log_form);
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
+    dispatcher::must_fit(posting, rules.tubes);
     net::Loop loop(most_blocks(posting));
     dispatcher::Extras extras;
     if (!rules.control.path.empty()) extras.desk = rules.control;
@@ -61,6 +62,7 @@
     house::HouseRules rules = house::HouseRules::read_file(operators_path);
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
     if (!rules.tubes.entrances.empty()) {
+        dispatcher::must_fit(posting, rules.tubes);
         StatedOrders all = posting.orders;
         beanstalk::add_workloads(all, rules.tubes.trade);
     }
--- a/tests/clients/as_they_are.cjs
+++ b/tests/clients/as_they_are.cjs
@@ -90,5 +90,6 @@
 jackd().then(fivebeans).then(() => {
   clearTimeout(overdue);
   console.log('jackd and fivebeans work as they are');
+  console.log('2 passed, 0 failed');
   process.exit(0);
 }, e => { console.error(e); process.exit(1); });
