Retries of what may have run join the first or hear its end, never a second run

A task with effects whose answer was lost ran again with its client's retry. Where the operators' file says repeats.remember, a bounded record (src/storms/run_book) knows what is out, may have run or has ended by its Idempotency-Key; a retry joins what is out, takes the place of a first client that has gone, or hears the result or 502 at once. Off by default.

--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -88,7 +88,10 @@
       server_(loop, posting_.listen, directory_, *this, room(posting_, sockets_left(posting_, tubes_)), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { look_at_drain(); }),
-      drain_(extras.manners) {
+      drain_(extras.manners),
+      recollection_(extras.recollection),
+      run_book_(extras.recollection),
+      joined_timer_(loop, [this] { answer_owed(); }) {
     if (!tubes_.entrances.empty())
         pullers_ = std::make_unique<beanstalk::Server>(loop, tubes_.entrances, tubes_.connections, tubes_.trade, tube_workloads_.places, *this, log);
     if (extras.desk) desk_ = std::make_unique<control::Desk>(loop, *extras.desk, *this, log);
@@ -204,6 +207,7 @@
 
 TaskId Dispatcher::take(fronts::Asker& asker, fronts::Handed&& request, net::Blocks&& body, Micros came_at) {
     const TaskId id{++tasks_taken_};
+    if (recollection_.on && take_as_repeat(id, asker, request, came_at + request.patience)) return id;
     std::string lines;
     if (request.pushable) {
         auto head = http::Writer::request(request.method, request.target);
@@ -226,16 +230,27 @@
     arrived.slots = request.slots;
     arrived.memory = request.memory;
     arrived.client_repeat = request.repeat;
+    std::string sign = recollection_.on ? sign_of(request) : "";
+    if (!sign.empty()) run_book_.began(net::Loop::now(), sign, id);
     ids_.insert(request.id);
     tasks_.emplace(id, Task{&asker, std::move(request.id), std::move(lines), std::move(body), arrived.expiry,
-                            request.workload, came_at});
+                            request.workload, came_at, 0, 0, false, std::move(sign)});
     note(arrived);
     return id;
 }
 
 void Dispatcher::left(TaskId id) {
+    if (left_joined(id)) return;
+    if (const auto first = stands_for_.find(id); first != stands_for_.end()) {
+        const TaskId stood_for = first->second;
+        stands_for_.erase(first);
+        return left(stood_for);
+    }
     const auto task = tasks_.find(id);
-    if (task == tasks_.end()) return;
+    if (task == tasks_.end() || pass_on(task)) return;
+    // Nobody waits any more, and what is out is withdrawn: how far it came nobody will hear.
+    if (const Task& t = task->second; !t.sign.empty())
+        t.out > 0 || t.ran ? run_book_.may_have_run(net::Loop::now(), t.sign, id) : run_book_.never_ran(t.sign, id);
     end_asking(task);
     note(ClientLeft{id});
     forget_if_over(task);
@@ -259,6 +274,7 @@
     e.assignment = ended.number;
     e.outcome = outcome_of(ended.ending);
     e.report = std::move(ended.report);
+    task->second.ran = task->second.ran || !proves_never_ran(e.outcome);
     // The first result goes to the client by itself.
     if (e.outcome == Outcome::finished && task->second.asker)
         answer(ended.task, clients::Answer::finished, ended.result, 0);
@@ -279,6 +295,7 @@
 
 void Dispatcher::end_turn() {
     if (drain_.phase() != drain::Phase::serving) look_at_drain();
+    if (!owed_.empty()) answer_owed();
     if (pullers_) pullers_->look();
     // What carrying out brings at once, such as an assignment that is moot, is a batch of its own.
     while (std::exchange(noted_, false)) {
@@ -354,8 +371,10 @@
     if (task == tasks_.end() || !task->second.asker) return;
     fronts::Asker* const asker = task->second.asker;
     ++answered_[static_cast<std::size_t>(answer)];
+    note_end(id, task->second, answer, result);
     end_asking(task);
     asker->answer(id, answer, result, stay_away);
+    answer_joined(id, answer, result, stay_away);
     if (answer != clients::Answer::finished) forget_if_over(task);
 }
 
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,7 @@
 #include "roster/guests.hpp"
 #include "roster/holds.hpp"
 #include "runners/links.hpp"
+#include "storms/run_book.hpp"
 
 namespace gannethold::dispatcher {
 
@@ -33,6 +35,7 @@
     std::optional<control::Furniture> desk;  // none: no control socket
     drain::Manners manners;
     keepsake::Custom keepsake;  // without a folder nothing is kept
+    storms::Recollection recollection;  // off: a retry of what may have run is a task like any other
     beanstalk::Furnishing tubes;  // without an entrance it is off
 };
 
@@ -60,6 +63,15 @@
         WorkloadId workload{};
         Micros taken_at = 0;
         int assignments = 0, out = 0;
+        bool ran = false;  // it may have, somewhere
+        std::string sign;  // by which a retry of it is known; empty: by nothing
+    };
+    // A retry that waits for the end of the task that it repeats.
+    struct Joined {
+        fronts::Asker* asker = nullptr;
+        TaskId first{};
+        Micros expiry = 0;
+        std::string request_id;
     };
     struct Failure {
         Micros at = 0;
@@ -102,6 +114,16 @@
     void wake();
     void look_at_drain();
 
+    // Retries of what may have run; in repeating.cpp.
+    std::string sign_of(const fronts::Handed& handed) const;
+    bool take_as_repeat(TaskId id, fronts::Asker& asker, const fronts::Handed& handed, Micros expiry);
+    bool left_joined(TaskId id);
+    bool pass_on(Tasks::iterator task);
+    void answer_joined(TaskId first, fronts::Answer answer, std::string_view result, Micros stay_away);
+    void note_end(TaskId id, const Task& task, fronts::Answer answer, std::string_view result);
+    void answer_owed();
+    json::Object tell_repeats() const;
+
     // The control socket's requests; in office.cpp.
     json::Object answer(const std::string& what, const json::Value& request, const std::string& by) override;
     json::Object tell_status() const;
@@ -151,6 +173,15 @@
     std::size_t idle_at_closing_ = 0;
     bool closing_ = false;
     drain::Phase told_phase_ = drain::Phase::serving;
+    const storms::Recollection recollection_;
+    storms::RunBook run_book_;
+    std::unordered_map<TaskId, Joined> joined_;
+    std::unordered_map<TaskId, std::vector<TaskId>> joined_to_;
+    std::unordered_map<TaskId, TaskId> stands_for_;  // a retry that has taken the place of whoever asked first
+    std::vector<std::tuple<TaskId, fronts::Answer, std::string>> owed_;
+    std::set<std::pair<Micros, TaskId>> joined_until_;
+    std::uint64_t joins_ = 0, told_ends_ = 0;
+    net::Timer joined_timer_;
     std::unique_ptr<control::Desk> desk_;
     std::unique_ptr<beanstalk::Server> pullers_;
     std::unique_ptr<keepsake::Keeper> keeper_;
--- a/src/dispatcher/office.cpp
+++ b/src/dispatcher/office.cpp
@@ -127,6 +127,7 @@
     o["abandoned"] = whole(answered_[2]);
     o["failed_assignments"] = whole(failed_);
     o["roster_version"] = whole(book_.version());
+    if (recollection_.on) o["repeats"] = Value(tell_repeats());
     if (pullers_) o["tubes"] = Value(tell_tubes());
     o["keepsake"] = Value(tell_keepsake());
     if (desk_) o["seq"] = whole(desk_->published());
--- a/src/house/house_rules.cpp
+++ b/src/house/house_rules.cpp
@@ -57,6 +57,13 @@
     const sheets::Sheet drain = sheet.table("drain");
     rules.drain.front_notices = static_cast<Micros>(drain.number("front_notices_s", 2, 0, 600) * 1e6);
     rules.drain.closing_takes = static_cast<Micros>(drain.number("closing_takes_s", 2, 0, 600) * 1e6);
+    const sheets::Sheet repeats = sheet.table("repeats");
+    rules.recollection.on = repeats.yes("remember", false);
+    rules.recollection.by_path = repeats.yes("by_path", false);
+    rules.recollection.keep = static_cast<Micros>(repeats.number("keep_s", 600, 0.1, 86'400) * 1e6);
+    rules.recollection.most = static_cast<std::size_t>(repeats.whole("most", 10'000, 1, 100'000'000));
+    rules.recollection.most_bytes = static_cast<std::size_t>(repeats.number("most_mb", 4, 0.001, 1e6) * 1048576);
+    rules.recollection.longest_result = static_cast<std::size_t>(repeats.whole("longest_result", 8'192, 0, 1 << 20));
     rules.tubes = read_tubes(sheet.table("beanstalk"));
     const sheets::Sheet keepsake = sheet.table("keepsake");
     rules.keepsake.folder = keepsake.word("folder", "");
--- a/src/house/house_rules.hpp
+++ b/src/house/house_rules.hpp
@@ -9,6 +9,7 @@
 #include "drain/drain.hpp"
 #include "keepsake/keeper.hpp"
 #include "log/log.hpp"
+#include "storms/run_book.hpp"
 
 namespace gannethold::house {
 
@@ -16,6 +17,7 @@
     log::Form log_form = log::Form::plain;
     control::Furniture control;  // an empty path: no control socket
     drain::Manners drain;
+    storms::Recollection recollection;
     beanstalk::Furnishing tubes;  // without an entrance it is off
     keepsake::Custom keepsake;   // an empty folder: nothing is kept
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -46,6 +46,7 @@
     if (!rules.control.path.empty()) extras.desk = rules.control;
     extras.manners = rules.drain;
     extras.keepsake = rules.keepsake;
+    extras.recollection = rules.recollection;
     extras.tubes = rules.tubes;
     dispatcher::Dispatcher dispatcher(loop, posting, log, extras);
     const net::Signal end(loop, SIGTERM, [&] { dispatcher.leave(); });
