--- a/rehearsal/tubes/mixed.cpp
+++ b/rehearsal/tubes/mixed.cpp
@@ -74,7 +74,7 @@
         std::string body;
         std::size_t tube = 0;
         int handed = 0, released = 0, deleted = 0, by_runner = 0, buried = 0;
-        std::string state;  // at the end; empty: not there any more
+        std::string state = {};  // at the end; empty: not there any more
     };
     struct Task {
         int answers = 0, handed = 0;
