--- a/tests/tube_stories.cpp
+++ b/tests/tube_stories.cpp
@@ -175,7 +175,7 @@
     REQUIRE(t.until([&] { return good.has("USING jobs\r\n"); }));
     // Silent ones beyond all room: the oldest of them go, and whoever has something to say is let in.
     std::vector<Wire> silent;
-    for (int i = 0; i < 120; ++i) {
+    for (int i = 0; i < 500; ++i) {
         silent.push_back(tube_client(t));
         t.turn();
     }
