--- a/src/beanstalk/places.cpp
+++ b/src/beanstalk/places.cpp
@@ -52,6 +52,8 @@
         all.places.chosen[effect] = add(chosen, "tube (by number)");
     }
     orders["workloads.count"] = std::to_string(count);
+    // Workloads that come with later orders stand behind the tubes, and are pushed like those before them.
+    for (std::size_t i = count; i < all.for_pushed.size(); ++i) all.for_pushed.set(i);
     return all;
 }
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,7 +40,7 @@
   public:
     Desk(const StatedOrders& stated, std::uint64_t seed)
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
-        for (std::size_t i = 0; i < orders_.workloads; ++i) workloads_.emplace_back(Stated(stated), i);
+        workloads_ = Workload::restated({}, Stated(stated), orders_.workloads, {});
         view_ = 1.0 / orders_.dispatchers;
         words_ = orders_.tells && orders_.dispatchers > 1;
         if (words_) circles_ = 1 + (orders_.dispatchers - 2) / orders_.peers_worth(kWordsWorth);
@@ -62,7 +62,7 @@
     }
 
   private:
-    const StandingOrders orders_;
+    StandingOrders orders_;
     std::ranlux24_base chance_;
     std::vector<Workload> workloads_;
     std::map<CustomerId, Customer> customers_;
@@ -457,8 +457,7 @@
 
     bool may_follow(const Task& task) {
         if (now_ < overload_until_ || task.streaming || now_ >= task.latest_start) return false;
-        if (static_cast<int>(task.legs.size()) >= std::min(orders_.max_assignments, 1 + kFurther))
-            return false;
+        if (static_cast<int>(task.legs.size()) >= task.most_legs) return false;
         return workload(task).effect != Effect::side_effecting || task.all_legs(&Leg::never_ran);
     }
 
@@ -514,6 +513,7 @@
         Workload& w = workloads_[place];
         Task t;
         t.asked = a;
+        t.most_legs = std::min(orders_.max_assignments, 1 + kFurther);
         // What a repeat lacks of the usual expiry is its age; where repeats are marked, a first try has none.
         const Micros late = std::max<Micros>(0, now_ + w.expiry - a.expiry);
         if (w.least_late < 0 || late < w.least_late) w.least_late = late;
@@ -614,6 +614,12 @@
 
     void heed(const TimerDue&) { wake_set_ = 0; }
 
+    // What is open keeps its workload's terms, which stay in their place, and its number of assignments.
+    void heed(const OrdersRestated& o) {
+        orders_ = StandingOrders(o.orders);
+        workloads_ = Workload::restated(workloads_, Stated(o.orders), orders_.workloads, o.learn_from);
+    }
+
     void heed(const LastCall&) {
         for (auto& [id, t] : tasks_.all())
             if (!t.over) give_up(t);
--- a/src/clients/request.cpp
+++ b/src/clients/request.cpp
@@ -68,18 +68,19 @@
 
 }  // namespace
 
-Directory::Directory(const StatedOrders& orders) {
-    const auto read = [&orders](const std::string& list, auto& into, auto each) {
+Directory::Directory(const StatedOrders& orders, const std::vector<WorkloadId>& places) {
+    const auto read = [&orders](const std::string& list, auto& into, auto place, auto each) {
         for (unsigned i = 0;; ++i) {
             const std::string at = list + "." + std::to_string(i) + ".";
             const auto name = orders.find(at + "name");
             if (name == orders.end()) return;
-            const auto id = static_cast<typename std::decay_t<decltype(into)>::mapped_type>(i);
+            const auto id = static_cast<typename std::decay_t<decltype(into)>::mapped_type>(place(i));
             into.emplace(name->second, id);
             each(id, at);
         }
     };
-    read("workloads", workloads, [&](WorkloadId id, const std::string& at) {
+    const auto moved = [&](unsigned i) { return i < places.size() ? static_cast<unsigned>(places[i]) : i; };
+    read("workloads", workloads, moved, [&](WorkloadId id, const std::string& at) {
         const auto effect = orders.find(at + "effect");
         if (effect != orders.end() && effect->second == "fingerprinted") fingerprinted.insert(id);
         const auto expiry = orders.find(at + "expiry_us");
@@ -87,7 +88,7 @@
         const auto micros = number(expiry->second);
         if (micros && *micros > 0 && *micros < kLongestPatience) longest[id] = static_cast<Micros>(*micros) * 64;
     });
-    read("customers", customers, [](CustomerId, const std::string&) {});
+    read("customers", customers, [](unsigned i) { return i; }, [](CustomerId, const std::string&) {});
 }
 
 std::variant<Request, Refused> read_request(const http::Head& head, const Directory& directory) {
--- a/src/clients/request.hpp
+++ b/src/clients/request.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "fronts/front.hpp"
 #include "http/reader.hpp"
@@ -21,7 +22,8 @@
     std::set<WorkloadId> fingerprinted;
     std::map<WorkloadId, Micros> longest;  // that a client of this workload can mean to wait
 
-    explicit Directory(const StatedOrders& orders);
+    // places: where the workloads stand in the module, in the orders' order; none: as they stand there.
+    explicit Directory(const StatedOrders& orders, const std::vector<WorkloadId>& places = {});
 };
 
 using Request = fronts::Handed;
--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-Server::Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker, Room room,
+Server::Server(net::Loop& loop, const net::Door& door, const Directory& directory, Taker& taker, Room room,
                log::Log& log)
     : loop_(loop),
       directory_(directory),
@@ -46,7 +46,7 @@
       room_(room),
       log_(log),
       listener_(
-          loop, at, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
+          loop, door, [this](evutil_socket_t socket) { accept(socket); }, [this] { make_room(); }),
       stalled_(loop, [this] { check_stalled(); }) {
     stalled_.set(net::Loop::now() + kLookForStalled);
 }
@@ -238,22 +238,25 @@
     // One id twice at once would look like a second copy at the runners; another may have come meanwhile.
     if (server_.taker_.knows(request_->id)) return refuse(409, "a request with this id is under way");
     if (server_.bearing_.turns_away) {
-        last_answer_ = true;
-        body_.clear();
-        return say(503, "drained\n", server_.room_.stay_away);
+        return turn_away("drained\n");
     }
     if (server_.full()) {
         server_.log_.warning(last_byte_at_, "clients: no room, turned away ", log::as("request", request_->id), "; ",
                              server_.waiting_, " tasks wait on ", server_.sessions_.size(), " connections");
-        last_answer_ = true;
-        body_.clear();
-        return say(503, "no room\n", server_.room_.stay_away);
+        return turn_away("no room\n");
     }
     served_ = true;
     set_waiting(true);
     task_ = server_.taker_.take(*this, std::move(*request_), std::move(body_), last_byte_at_);
 }
 
+void Session::turn_away(std::string_view why) {
+    last_answer_ = true;
+    body_.clear();
+    server_.taker_.turned_away(request_->workload);
+    say(503, why, server_.room_.stay_away);
+}
+
 void Session::answer(TaskId, Answer answer, std::string_view result, Micros stay_away) {
     if (state_ != State::waiting) return;
     set_waiting(false);
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -33,12 +33,16 @@
 
 class Server {
   public:
-    Server(net::Loop& loop, const net::Address& at, const Directory& directory, Taker& taker, Room room,
+    Server(net::Loop& loop, const net::Door& door, const Directory& directory, Taker& taker, Room room,
            log::Log& log);
     ~Server();
 
+    // Who has connected is served on; who has not yet been let in is another's.
+    void stop_accepting() { listener_.stop(); }
     // From now on answers end their connections, and idle ones are closed.
     void leave();
+    // For those who come from now on; the number of connections stays.
+    void restate(std::size_t tasks, Micros stay_away) { room_.tasks = tasks, room_.stay_away = stay_away; }
     void bear(const Bearing& bearing) { bearing_ = bearing; }
     // Closes idle connections, the longest idle first, until no more than that many stand open. One that has yet
     // to hand in its first task is left alone.
@@ -64,7 +68,7 @@
     net::Loop& loop_;
     const Directory& directory_;
     Taker& taker_;
-    const Room room_;
+    Room room_;
     log::Log& log_;
     std::size_t waiting_ = 0;  // tasks that a client waits for
     bool leaving_ = false;
@@ -93,6 +97,7 @@
     void heed_end();
     void say(int status, std::string_view body, Micros stay_away = 0);
     void refuse(int status, std::string_view why);
+    void turn_away(std::string_view why);
     void begin();
     void set_waiting(bool waits);
     void touch();
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -19,6 +19,8 @@
 // The system kills what has not ended in the longest time that a client waits, or three seconds, and a little
 // more after the signal; no task may still be out then.
 constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
+// Where another accepts from the same socket, idle connections are closed over so long: not all come anew at once.
+constexpr Micros kHandingOver = 400'000;
 constexpr Micros kFollowAgain = 500'000;
 
 // Descriptors: ten are the process's own and discovery's, a few are for clients that are turned away. A task
@@ -47,12 +49,19 @@
     return u;
 }
 
-// What the connections of the other front leave.
+// What the connections of the other front and of operators' programs leave.
 std::size_t sockets_left(const Posting& posting, const beanstalk::Furnishing& tubes) {
-    const std::size_t theirs = tubes.entrances.empty() ? 0 : tubes.connections + tubes.entrances.size();
+    const std::size_t theirs = (tubes.entrances.empty() ? 0 : tubes.connections + tubes.entrances.size()) +
+                               (posting.window ? window::Window::kDescriptors : 0);
     return posting.sockets > theirs ? posting.sockets - theirs : 1;
 }
 
+orders::Terms with_tubes(const Posting& posting, beanstalk::Furnishing& tubes, beanstalk::Workloads& tube_workloads) {
+    StatedOrders all = posting.orders;
+    if (!tubes.entrances.empty()) tube_workloads = beanstalk::add_workloads(all, tubes.trade);
+    return orders::Terms(all, posting.workloads());
+}
+
 template <class... Ts>
 struct Match : Ts... {
     using Ts::operator()...;
@@ -66,9 +75,8 @@
       posting_(posting),
       directory_(posting_.orders),
       tubes_(extras.tubes),
-      orders_(posting_.orders),
-      tube_workloads_(tubes_.entrances.empty() ? beanstalk::Workloads{} : beanstalk::add_workloads(orders_, tubes_.trade)),
-      choice_(orders_, posting_.seed),
+      terms_(with_tubes(posting_, tubes_, tube_workloads_)),
+      choice_(terms_.stated(), posting_.seed),
       book_(Stated(posting_.orders).words("zones"), Stated(posting_.orders).words("kinds"), log),
       follower_(
           loop, posting_.discovery, log,
@@ -85,7 +93,7 @@
             [this](PeerId from, std::string_view words) {
                 note(PeerSaid{from, std::string(words)});
             }),
-      server_(loop, posting_.listen, directory_, *this, room(posting_, sockets_left(posting_, tubes_)), log),
+      server_(loop, net::Door(posting_.listen, posting_.inherited), directory_, *this, room(posting_, sockets_left(posting_, tubes_)), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { look_at_drain(); }),
       drain_(extras.manners),
@@ -95,6 +103,8 @@
     if (!tubes_.entrances.empty())
         pullers_ = std::make_unique<beanstalk::Server>(loop, tubes_.entrances, tubes_.connections, tubes_.trade, tube_workloads_.places, *this, log);
     if (extras.desk) desk_ = std::make_unique<control::Desk>(loop, *extras.desk, *this, log);
+    if (posting_.window) window_ = std::make_unique<window::Window>(loop, *posting_.window, *this, log);
+    for (const auto& [name, id] : directory_.workloads) tally_.open(name);
     heard(posting_.known, RosterScope::remembered);
     if (!extras.keepsake.folder.empty()) recall(extras.keepsake);
     // Where changes come by themselves the module never asks, so the watch is ours to open.
@@ -116,38 +126,81 @@
     for (const auto& [name, id] : directory_.workloads) {
         const std::string expiry =
             "workloads." + std::to_string(static_cast<std::uint32_t>(id)) + ".expiry_us";
-        longest = std::max(longest, Stated(posting_.orders).micros(expiry, kLongestStay));
+        longest = std::max(longest, Stated(terms_.stated()).micros(expiry, kLongestStay));
     }
     last_minute_ = left_at + std::min(longest, kLongestStay) + kLastMinute;
     links_.stop_all_by(last_minute_);
     if (pullers_) pullers_->exchange().stop_all_by(last_minute_);
     log_.info(left_at, "leaving, ", log::as("tasks", tasks_.size()), " tasks under way");
-    drain_.leave(left_at, last_minute_, left_at + std::max(kStillComing, (last_minute_ - left_at) / 2));
+    if (posting_.inherited) {
+        // The socket outlives this process, and who else has it accepts. What waits in its queue is theirs to take; so is
+        // whoever has a connection here, told so by the end of their answer or, idle, of the connection.
+        server_.stop_accepting();
+        drain_.leave(left_at, last_minute_, left_at, kHandingOver);
+    } else {
+        drain_.leave(left_at, last_minute_, left_at + std::max(kStillComing, (last_minute_ - left_at) / 2));
+    }
     look_at_drain();
 }
 
-// Discovery's address is what can change in service. All else that was learned, is held or is under way stays
-// as it is, also the list of runners until the new discovery has spoken.
+// What can change in service: discovery's address and the settings, but for what stands in differences_for_restart. All
+// else that was learned, is held or is under way stays as it is, also the list of runners until the new discovery has spoken.
 void Dispatcher::reload(const std::string& path) {
     const Micros now = net::Loop::now();
-    std::optional<Posting> fresh;
+    Posting fresh;
+    orders::Terms::Change change;
     try {
         fresh = Posting::read_file(path);
+        fresh.must_state_all_of(posting_);
+        for (const std::string& name : posting_.differences_for_restart(fresh))
+            log_.warning(now, "reload: ", log::as("setting", name), " differs, and needs a restart");
+        fresh.keep_until_restart(posting_);
+        if (fresh.orders != posting_.orders) change = terms_.restate(now, fresh.orders, [this](WorkloadId place) { return open(place); });
     } catch (const std::exception& e) {
-        // Against a file that is missing, half written or wrong: what serves goes on as it was.
+        // Against a file that is missing, half written or wrong: what serves goes on as it was, whole.
+        tally_.reloaded(false);
         return log_.warning(now, "reload: ", e.what(), "; the old configuration stays");
     }
-    for (const std::string& name : posting_.differences_for_restart(*fresh))
-        log_.warning(now, "reload: ", log::as("setting", name), " differs, and needs a restart");
-    if (fresh->discovery.text == posting_.discovery.text) return log_.info(now, "reload: discovery stays");
+    tally_.reloaded(true);
+    if (fresh.orders != posting_.orders)
+        restate(fresh, change);
+    else
+        log_.info(now, "reload: the settings stay");
+    if (fresh.discovery.text == posting_.discovery.text) return log_.info(now, "reload: discovery stays");
     log_.info(now, "reload: discovery moves from ", log::as("from", posting_.discovery.text), " to ",
-              log::as("to", fresh->discovery.text));
-    posting_.discovery = fresh->discovery;
+              log::as("to", fresh.discovery.text));
+    posting_.discovery = fresh.discovery;
     follower_.move(posting_.discovery);
     book_.count_anew();
     follower_.follow(book_.since());
 }
 
+bool Dispatcher::open(WorkloadId place) const {
+    // A tube that shares a workload shares the terms that it had at the start.
+    const auto& named = tube_workloads_.places.named;
+    return std::any_of(named.begin(), named.end(), [place](const auto& tube) { return tube.second == place; }) ||
+           std::any_of(tasks_.begin(), tasks_.end(), [place](const auto& task) { return task.second.workload == place; });
+}
+
+// Who is under way goes on by the old terms, whoever comes from now on by the new.
+void Dispatcher::restate(const Posting& fresh, const orders::Terms::Change& change) {
+    const Micros now = net::Loop::now();
+    posting_.orders = fresh.orders, posting_.stated = fresh.stated;
+    directory_ = clients::Directory(posting_.orders, terms_.places());
+    for (const auto& [name, id] : directory_.workloads) tally_.open(name);
+    const clients::Room r = room(posting_, posting_.sockets);
+    server_.restate(r.tasks, r.stay_away);
+    links_.restate(upkeep(posting_, posting_.sockets));
+    note(OrdersRestated{terms_.stated(), change.learn_from});
+    const auto list = [](const std::vector<std::string>& names) {
+        std::string all;
+        for (const std::string& name : names) all += (all.empty() ? "" : ", ") + name;
+        return all.empty() ? std::string("none") : all;
+    };
+    log_.info(now, "reload: new settings; workloads added: ", log::as("added", list(change.added)),
+              "; dropped: ", log::as("dropped", list(change.dropped)), "; changed: ", log::as("changed", list(change.changed)));
+}
+
 // Carries out what the drain wants now: of the front, of the connections, and of whoever still waits.
 void Dispatcher::look_at_drain() {
     const Micros now = net::Loop::now();
@@ -158,8 +211,9 @@
         pullers_->exchange().hand_out(drain_.phase() == drain::Phase::serving || (drain_.phase() == drain::Phase::draining && !wanted.last_call));
         if (wanted.last_answers && drain_.leaves()) pullers_->leave();
     }
+    healthy_ = wanted.healthy;
     if (!server_.leaving()) server_.bear({wanted.healthy, wanted.turns_away, wanted.last_answers});
-    if (wanted.last_answers && drain_.leaves()) {
+    if (wanted.last_answers && drain_.leaves() && wanted.idle_to_keep <= 0) {
         if (!server_.leaving()) server_.leave();
     } else if (wanted.last_answers) {
         if (!std::exchange(closing_, true)) idle_at_closing_ = server_.idle();
@@ -308,6 +362,7 @@
     server_.sweep();
     follower_.sweep();
     if (desk_) desk_->sweep();
+    if (window_) window_->sweep();
     if (pullers_) pullers_->sweep();
 }
 
@@ -370,7 +425,7 @@
     const auto task = tasks_.find(id);
     if (task == tasks_.end() || !task->second.asker) return;
     fronts::Asker* const asker = task->second.asker;
-    ++answered_[static_cast<std::size_t>(answer)];
+    tally_.ended(workload_name(task->second.workload), answer);
     note_end(id, task->second, answer, result);
     end_asking(task);
     asker->answer(id, answer, result, stay_away);
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -19,14 +19,17 @@
 #include "control/desk.hpp"
 #include "dispatcher/posting.hpp"
 #include "drain/drain.hpp"
+#include "figures/tally.hpp"
 #include "keepsake/keeper.hpp"
 #include "log/log.hpp"
+#include "orders/terms.hpp"
 #include "roster/book.hpp"
 #include "roster/follower.hpp"
 #include "roster/guests.hpp"
 #include "roster/holds.hpp"
 #include "runners/links.hpp"
 #include "storms/run_book.hpp"
+#include "window/window.hpp"
 
 namespace gannethold::dispatcher {
 
@@ -42,7 +45,7 @@
 // Throws std::runtime_error with one line where the tubes would leave too few descriptors to everybody else.
 void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes);
 
-class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House {
+class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House, public window::Clerk {
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log, const Extras& extras = {});
 
@@ -51,6 +54,8 @@
     void leave();     // answers what it has and what still comes, then ends
     void reload(const std::string& path);  // takes from the file what can change in service
     std::uint16_t port() const { return server_.port(); }
+    std::uint16_t window_port() const { return window_ ? window_->port() : 0; }
+    const figures::Tally& tally() const { return tally_; }
     const beanstalk::Server* pullers() const { return pullers_.get(); }
     const keepsake::Kept* kept() const { return keeper_ ? &keeper_->kept() : nullptr; }
 
@@ -72,6 +77,7 @@
         TaskId first{};
         Micros expiry = 0;
         std::string request_id;
+        WorkloadId workload{};
     };
     struct Failure {
         Micros at = 0;
@@ -85,7 +91,9 @@
     void left(TaskId task) override;
     bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
     bool ready() const override { return !book_.empty(); }
+    void turned_away(WorkloadId workload) override { tally_.ended(workload_name(workload), fronts::Answer::bounced); }
     void errand_ended(runners::ErrandEnded&& ended) override;
+    void written_whole() override { tally_.written_whole(); }
     void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) override;
     void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) override;
 
@@ -113,6 +121,8 @@
     void set_wake();
     void wake();
     void look_at_drain();
+    bool open(WorkloadId place) const;  // whether anything still goes by its terms
+    void restate(const Posting& fresh, const orders::Terms::Change& change);
 
     // Retries of what may have run; in repeating.cpp.
     std::string sign_of(const fronts::Handed& handed) const;
@@ -136,6 +146,9 @@
     json::Object release(const json::Value& request, const std::string& by);
     json::Object tell_drain() const;
     void heard_anew(const std::string& runner);
+    // What operators' programs call; in calling.cpp.
+    window::Reply heed(window::Call call) override;
+    figures::Present present() const;
     // What is kept over a restart; in remembering.cpp.
     keepsake::Keeper::Part remember(std::size_t from, std::size_t most) const;
     void recall(const keepsake::Custom& custom);
@@ -147,10 +160,10 @@
     net::Loop& loop_;
     log::Log& log_;
     Posting posting_;
-    const clients::Directory directory_;
+    clients::Directory directory_;
     beanstalk::Furnishing tubes_;
-    StatedOrders orders_;  // those of the posting, and the tubes as workloads
-    const beanstalk::Workloads tube_workloads_;
+    beanstalk::Workloads tube_workloads_;
+    orders::Terms terms_;  // of the posting's workloads, and of the tubes as workloads
     Choice choice_;
     roster::Book book_;
     roster::Follower follower_;
@@ -169,9 +182,10 @@
     roster::Holds holds_;
     roster::Guests guests_;
     std::deque<Failure> failures_;  // the newest last
-    std::uint64_t failed_ = 0, answered_[3] = {0, 0, 0};
+    std::uint64_t failed_ = 0;
+    figures::Tally tally_;
     std::size_t idle_at_closing_ = 0;
-    bool closing_ = false;
+    bool closing_ = false, healthy_ = true;
     drain::Phase told_phase_ = drain::Phase::serving;
     const storms::Recollection recollection_;
     storms::RunBook run_book_;
@@ -183,6 +197,7 @@
     std::uint64_t joins_ = 0, told_ends_ = 0;
     net::Timer joined_timer_;
     std::unique_ptr<control::Desk> desk_;
+    std::unique_ptr<window::Window> window_;
     std::unique_ptr<beanstalk::Server> pullers_;
     std::unique_ptr<keepsake::Keeper> keeper_;
     std::string recalled_ = "nothing is kept";
--- a/src/dispatcher/office.cpp
+++ b/src/dispatcher/office.cpp
@@ -52,11 +52,8 @@
 }  // namespace
 
 const std::string& Dispatcher::workload_name(WorkloadId id) const {
-    static const std::string unknown = "unknown";
-    for (const auto& [name, one] : directory_.workloads)
-        if (one == id) return name;
     const auto tube = tube_workloads_.names.find(id);
-    return tube == tube_workloads_.names.end() ? unknown : tube->second;
+    return tube == tube_workloads_.names.end() ? terms_.name_of(id) : tube->second;
 }
 
 void Dispatcher::publish(const char* what, Object more) {
@@ -122,9 +119,10 @@
     o["out"] = whole(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.out > 0; }));
     o["connections"] = whole(server_.sessions());
     o["taken"] = whole(tasks_taken_);
-    o["finished"] = whole(answered_[0]);
-    o["bounced"] = whole(answered_[1]);
-    o["abandoned"] = whole(answered_[2]);
+    const figures::Ends ends = tally_.all();
+    o["finished"] = whole(ends.finished);
+    o["bounced"] = whole(ends.bounced);
+    o["abandoned"] = whole(ends.abandoned);
     o["failed_assignments"] = whole(failed_);
     o["roster_version"] = whole(book_.version());
     if (recollection_.on) o["repeats"] = Value(tell_repeats());
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -8,10 +8,15 @@
 #include "choice.hpp"
 #include "json/json.hpp"
 #include "orders/spelling.hpp"
+#include "standing_orders.hpp"
 
 namespace gannethold::dispatcher {
 namespace {
 
+// Numbers of zones, kinds, peers and reported values are in use all over, and so is the way by which the list comes.
+constexpr const char* kUntilRestart[] = {"dispatchers",   "kinds",      "me",   "caps.may_tell", "reports.how",
+                                         "reports.names", "roster.how", "zone", "zones"};
+
 std::string scalar(const json::Value& value) {
     if (const auto* text = value.get<std::string>()) {
         std::string flat = *text;
@@ -79,6 +84,42 @@
     return n;
 }
 
+// What no default can stand for.
+constexpr const char* kStatedOfWorkloads[] = {"name", "effect", "due_time_us", "expiry_us"};
+constexpr double kLongest = 30.0 * 86'400e6;  // microseconds; what is longer is a mistake
+
+void collect_names(const std::string& under, const json::Value& value, int depth, std::set<std::string>& names) {
+    const auto* const object = value.get<json::Object>();
+    if (!object || depth == 0) return;
+    for (const auto& [name, item] : *object) {
+        names.insert(under + name);
+        if (under.empty() ? name == "settings" : true) collect_names(under + name + ".", item, depth - 1, names);
+    }
+}
+
+[[noreturn]] void wrong(const std::string& what) { throw std::runtime_error("the configuration " + what); }
+
+// Against a file that is short of something or has nonsense in it, before any of it is believed.
+void must_make_sense(const Posting& p) {
+    const Stated orders(p.orders);
+    const double attempts = orders.number("caps.max_assignments", 1);
+    if (!(attempts >= 1 && attempts < 1e6)) wrong("allows no assignment: caps.max_assignments");
+    const std::size_t n = p.workloads();
+    if (n == 0) wrong("has no workloads");
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < n; ++i) {
+        const std::string at = "workloads." + std::to_string(i) + ".";
+        for (const char* const name : kStatedOfWorkloads)
+            if (orders.word(at + name, "").empty()) wrong("is short of settings." + at + name);
+        if (!names.insert(orders.word(at + "name", "")).second) wrong("names a workload twice: " + orders.word(at + "name", ""));
+        const std::string effect = orders.word(at + "effect", "");
+        if (effect != "idempotent" && effect != "fingerprinted" && effect != "side-effecting")
+            wrong("knows an effect that is none: settings." + at + "effect is " + effect);
+        for (const char* const time : {"due_time_us", "expiry_us"})
+            if (const double t = orders.number(at + time, 0); !(t >= 1 && t <= kLongest)) wrong("has a time that cannot be: settings." + at + time);
+    }
+}
+
 }  // namespace
 
 Posting Posting::read(const std::string& text) {
@@ -92,6 +133,7 @@
     if (const auto* name = all.text("name")) p.name = *name;
     p.listen = address(all, "listen");
     p.discovery = address(all, "discovery");
+    if (all.find("admin")) p.window = address(all, "admin");
     p.neighbours = read_neighbours(all);
     if (const auto* seed = all.text("seed")) {
         const auto [end, wrong] = std::from_chars(seed->data(), seed->data() + seed->size(), p.seed, 16);
@@ -114,6 +156,8 @@
     if (const auto* reporting = settings->find("reporting"))
         if (const auto* names = reporting->find("names"); names && names->get<json::List>())
             for (const json::Value& name : *names->get<json::List>()) p.report_names.push_back(scalar(name));
+    collect_names("", all, 3, p.stated);
+    must_make_sense(p);
     const Choice reads_every_order(p.orders, p.seed);
     return p;
 }
@@ -127,12 +171,34 @@
     std::vector<std::string> differ;
     if (name != other.name) differ.emplace_back("name");
     if (listen.text != other.listen.text) differ.emplace_back("listen");
+    if ((window ? window->text : "") != (other.window ? other.window->text : "")) differ.emplace_back("admin");
     if (texts(neighbours) != texts(other.neighbours)) differ.emplace_back("peers");
     if (memory_mb != other.memory_mb || sockets != other.sockets) differ.emplace_back("limits");
-    if (orders != other.orders || report_names != other.report_names) differ.emplace_back("settings");
+    for (const char* const name : kUntilRestart)
+        if (Stated(orders).word(name, "") != Stated(other.orders).word(name, "")) differ.push_back(std::string("settings: ") + name);
     return differ;
 }
 
+void Posting::must_state_all_of(const Posting& in_force) const {
+    for (const std::string& name : in_force.stated)
+        if (!stated.contains(name)) wrong("is short of " + name + ", which the one in force states");
+}
+
+void Posting::keep_until_restart(const Posting& in_force) {
+    for (const char* const name : kUntilRestart) {
+        const auto kept = in_force.orders.find(name);
+        if (kept == in_force.orders.end())
+            orders.erase(name);
+        else
+            orders[name] = kept->second;
+    }
+    report_names = in_force.report_names;
+}
+
+std::size_t Posting::workloads() const {
+    return static_cast<std::size_t>(std::clamp(Stated(orders).number("workloads.count", 0), 0.0, 1e4));
+}
+
 Posting Posting::read_file(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw std::runtime_error("cannot read the configuration " + path);
--- a/src/dispatcher/repeating.cpp
+++ b/src/dispatcher/repeating.cpp
@@ -14,7 +14,7 @@
 // Empty: a retry of it could not be told from another task, or would do no harm.
 std::string Dispatcher::sign_of(const fronts::Handed& handed) const {
     const std::string at = "workloads." + std::to_string(static_cast<std::uint32_t>(handed.workload)) + ".effect";
-    if (const auto effect = orders_.find(at); effect != orders_.end() && effect->second == "idempotent") return "";
+    if (const auto effect = terms_.stated().find(at); effect != terms_.stated().end() && effect->second == "idempotent") return "";
     const std::string whose = std::to_string(static_cast<std::uint32_t>(handed.workload)) + "/" + std::to_string(static_cast<std::uint32_t>(handed.customer)) + "/";
     if (!handed.fingerprint.empty()) return whose + "k" + handed.fingerprint;
     return recollection_.by_path && handed.key != 0 ? whose + "p" + std::to_string(handed.key) : "";
@@ -27,7 +27,7 @@
     if (sign.empty()) return false;
     const auto known = run_book_.find(net::Loop::now(), sign);
     if (!known) return false;
-    Joined one{&asker, known->task, expiry, handed.id};
+    Joined one{&asker, known->task, expiry, handed.id, handed.workload};
     ids_.insert(handed.id);
     if (known->state == storms::RunState::out) {
         ++joins_;
@@ -90,8 +90,9 @@
     if (others == joined_to_.end()) return;
     for (const TaskId id : std::vector<TaskId>(others->second)) {
         fronts::Asker* const asker = joined_.at(id).asker;
+        const WorkloadId workload = joined_.at(id).workload;
         left_joined(id);
-        ++answered_[static_cast<std::size_t>(answer)];
+        tally_.ended(workload_name(workload), answer);
         asker->answer(id, answer, result, stay_away);
     }
 }
@@ -105,8 +106,9 @@
         const auto one = joined_.find(id);
         if (one == joined_.end()) continue;
         fronts::Asker* const asker = one->second.asker;
+        const WorkloadId workload = one->second.workload;
         left_joined(id);
-        ++answered_[static_cast<std::size_t>(answer)];
+        tally_.ended(workload_name(workload), answer);
         asker->answer(id, answer, result, 0);
     }
     if (!joined_until_.empty()) joined_timer_.set(joined_until_.begin()->first);
--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -30,7 +30,7 @@
     return {false, ticket_, "the order of " + by_ + " stands, ticket " + std::to_string(ticket_)};
 }
 
-Ruling Drain::order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by) {
+Ruling Drain::order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by, const Pace* pace) {
     if (leaves()) return {false, 0, "the dispatcher is leaving for good"};
     if (deadline > now + manners_.longest) return {false, ticket_, "the deadline is more than a day away"};
     if (ordered_ && ticket != ticket_) return refused();
@@ -39,6 +39,7 @@
         ordered_ = true;
         ++ticket_;
         since_ = now;
+        pace_ = pace ? *pace : manners_;
         phase_ = Phase::draining;
     }
     by_ = by;
@@ -59,7 +60,7 @@
     return {true, ticket_, ""};
 }
 
-void Drain::leave(Micros now, Micros deadline, Micros closing_from) {
+void Drain::leave(Micros now, Micros deadline, Micros closing_from, Micros closing_takes) {
     if (leaves()) return;
     // Under an order that is already in force the time for the front to notice has been given.
     const bool noticed = ordered_ && now >= this->closing_from();
@@ -68,6 +69,7 @@
     deadline_ = ordered_ ? std::min(deadline_, deadline) : deadline;
     ordered_ = false;
     since_ = now;
+    leave_closing_takes_ = closing_takes;
     leave_closing_from_ = noticed ? now : closing_from;
     called_ = false;
 }
@@ -81,7 +83,7 @@
 // time must do.
 Micros Drain::closing_from() const {
     if (phase_ == Phase::leaving) return leave_closing_from_;
-    return since_ + std::min(manners_.front_notices, std::max<Micros>(0, deadline_ - since_) / 2);
+    return since_ + std::min(pace_.front_notices, std::max<Micros>(0, deadline_ - since_) / 2);
 }
 
 Wanted Drain::look(Micros now, const Left& left) {
@@ -94,25 +96,29 @@
     w.healthy = phase_ == Phase::leaving ? !closing : false;
     w.last_answers = closing;
     if (closing) {
-        const Micros takes = phase_ == Phase::leaving ? 0 : std::min(manners_.closing_takes, std::max<Micros>(0, deadline_ - from) / 2);
+        const Micros takes = phase_ == Phase::leaving ? leave_closing_takes_ : std::min(pace_.closing_takes, std::max<Micros>(0, deadline_ - from) / 2);
         w.idle_to_keep = takes > 0 ? std::max(0.0, 1 - static_cast<double>(now - from) / static_cast<double>(takes)) : 0;
     }
     const bool over = now >= deadline_;
     // Whoever comes after the deadline finds nobody who may still answer in time.
-    w.turns_away = over;
+    const Micros takes_until = phase_ != Phase::leaving && pace_.takes_for > 0 ? since_ + pace_.takes_for : deadline_;
+    w.turns_away = over || now >= takes_until;
     if (over && !called_) w.last_call = called_ = true;
     if (phase_ == Phase::leaving) {
-        w.exits = (closing && left.tasks == 0 && left.busy == 0) || now >= std::max(deadline_, since_) + kAfterCall;
+        w.exits = (closing && w.idle_to_keep <= 0 && left.tasks == 0 && left.busy == 0) || now >= std::max(deadline_, since_) + kAfterCall;
         if (w.exits) phase_ = Phase::gone;
     } else {
         // Empty before the deadline it is drained too, as long as nobody comes.
-        phase_ = left.tasks == 0 && left.busy == 0 && (over || (closing && w.idle_to_keep <= 0)) ? Phase::drained : Phase::draining;
+        // Once it is, a front that asks for its health does not make it drain again.
+        const bool quiet = left.tasks == 0 && (left.busy == 0 || phase_ == Phase::drained);
+        phase_ = quiet && (over || (closing && w.idle_to_keep <= 0)) ? Phase::drained : Phase::draining;
     }
     const Micros next = !closing                                              ? from
                         : w.idle_to_keep > 0 || phase_ == Phase::leaving      ? now + kPace
+                        : now < takes_until                                   ? takes_until
                         : !over                                               ? deadline_
                                                                               : 0;
-    w.wake_at = next > 0 && !over ? std::min(next, deadline_) : next;
+    w.wake_at = next > 0 && !over ? std::min({next, deadline_, takes_until > now ? takes_until : deadline_}) : next;
     return w;
 }
 
--- a/src/drain/drain.hpp
+++ b/src/drain/drain.hpp
@@ -21,12 +21,21 @@
 enum class Phase { serving, draining, drained, leaving, gone };
 const char* name_of(Phase phase);
 
-// How long each step of leaving takes; microseconds.
-struct Manners {
+// How fast clients are sent away; microseconds.
+struct Pace {
     // A front still sends clients for so long after /healthz began to say 503.
     Micros front_notices = 2'000'000;
     // Idle connections are closed over so long a time from then on, so that not all open new ones at once.
     Micros closing_takes = 2'000'000;
+    // So long after the order whoever still comes is bounced before it is taken; 0: only from the deadline on.
+    Micros takes_for = 0;
+};
+
+// How long each step of leaving takes; microseconds.
+struct Manners : Pace {
+    // Where the front asks often and a caller counts on the dispatcher being empty soon: an order given at the window.
+    // Half of the time after which nothing may be held is for closing, so that what crosses it is answered in the rest.
+    Pace brisk{400'000, 800'000, 1'700'000};
     // Who asks for longer than this may not: an order forgotten would hold a dispatcher back for ever.
     Micros longest = 24 * 3'600'000'000LL;
 };
@@ -56,19 +65,22 @@
 
 class Drain {
   public:
-    explicit Drain(Manners manners) : manners_(manners) {}
+    explicit Drain(Manners manners) : manners_(manners), pace_(manners) {}
 
     // deadline: by when all must be answered; one that is past means at once. ticket: of the order to be changed,
     // 0 for a new one. by: who gives it, for whoever comes second.
-    Ruling order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by);
+    // pace: none for the usual one; of an order that is changed it stays as it was.
+    Ruling order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by, const Pace* pace = nullptr);
     // Takes back the order. Without a ticket only the one who gave it may.
     Ruling undo(Micros now, std::uint64_t ticket, const std::string& by);
-    // A signal: stays longest until then, and sends nobody away before `closing_from`.
-    void leave(Micros now, Micros deadline, Micros closing_from);
+    // A signal: stays longest until then, and sends nobody away before `closing_from`; from then on idle connections are
+    // closed over `closing_takes`.
+    void leave(Micros now, Micros deadline, Micros closing_from, Micros closing_takes = 0);
 
     Wanted look(Micros now, const Left& left);
 
     Phase phase() const { return phase_; }
+    const Manners& manners() const { return manners_; }
     std::optional<Micros> deadline() const;  // of the order or the signal in force
     Micros since() const { return since_; }
     std::uint64_t ticket() const { return ordered_ ? ticket_ : 0; }
@@ -80,11 +92,12 @@
     Micros closing_from() const;
 
     Manners manners_;
+    Pace pace_;  // of the order in force
     Phase phase_ = Phase::serving;
     bool ordered_ = false, called_ = false;
     std::uint64_t ticket_ = 0;
     std::string by_;
-    Micros since_ = 0, deadline_ = 0, leave_closing_from_ = 0;
+    Micros since_ = 0, deadline_ = 0, leave_closing_from_ = 0, leave_closing_takes_ = 0;
 };
 
 }  // namespace gannethold::drain
--- a/src/fronts/front.hpp
+++ b/src/fronts/front.hpp
@@ -42,6 +42,8 @@
     virtual void left(TaskId task) = 0;  // nobody waits for it any more
     virtual bool knows(const std::string& request_id) const = 0;
     virtual bool ready() const = 0;
+    // Who was bounced at the door, before it was taken.
+    virtual void turned_away(WorkloadId workload) = 0;
 
   protected:
     ~Taker() = default;
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -35,7 +35,7 @@
         importance = orders.number(at + "importance", 1);
         tardy = orders.number(at + "tardy_importance", 0);
         stretch = orders.number(at + "aim_stretch", orders.number_in("trade.class_stretch", place, 0));
-        kind = static_cast<int>(orders.number_in("trade.class_kind", place, -1));
+        kind = static_cast<int>(orders.number(at + "machine_kind", orders.number_in("trade.class_kind", place, -1)));
     }
 
     bool repeats_anywhere() const {
@@ -56,6 +56,20 @@
     Histogram latency;       // over the due time
     Micros least_late = -1;  // what a first try's age looks like, where a try has less than the expiry
     double typical() const { return latency.mean(1) * static_cast<double>(due); }
+
+    // All of them by other orders. What was learned goes along where it still says the same: it is kept over the due time.
+    static std::vector<Workload> restated(const std::vector<Workload>& before, const Stated& orders, std::size_t count,
+                                          const std::vector<WorkloadId>& learn_from) {
+        std::vector<Workload> all;
+        for (std::size_t i = 0; i < count; ++i) {
+            Workload& w = all.emplace_back(orders, i);
+            const auto from = i < learn_from.size() ? static_cast<std::size_t>(learn_from[i]) : before.size();
+            if (from >= before.size() || before[from].due != w.due) continue;
+            w.latency = before[from].latency;
+            if (before[from].expiry == w.expiry) w.least_late = before[from].least_late;
+        }
+        return all;
+    }
 };
 
 struct Customer {
@@ -87,6 +101,7 @@
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
+    int most_legs = 1;  // by the orders under which it came
     bool held = true, over = false, streaming = false, surplus = false;
     Verdict verdict = Verdict::none;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,8 +1,10 @@
 // The command line: serve, check, version.
 #include <boost/program_options.hpp>
 
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <iostream>
 #include <string>
 
@@ -25,6 +27,21 @@
     return posting.memory_mb * 1024 * 1024 / 2 / net::BlockPool::kBytes;
 }
 
+// What the platform says in the environment beside the configuration. Throws std::runtime_error with one line.
+void heed_environment(dispatcher::Posting& posting) {
+    if (const char* const at = std::getenv("RELAY_ADMIN"); at && *at && !posting.window) {
+        posting.window = net::Address::read(at);
+        if (!posting.window) throw std::runtime_error(std::string("RELAY_ADMIN is no address: ") + at);
+    }
+    if (const char* const door = std::getenv("RELAY_ACCEPT_FD"); door && *door) {
+        int descriptor = -1;
+        const char* const end = door + std::strlen(door);
+        if (const auto [read, wrong] = std::from_chars(door, end, descriptor); wrong != std::errc() || read != end || descriptor < 0)
+            throw std::runtime_error(std::string("RELAY_ACCEPT_FD is no descriptor: ") + door);
+        posting.inherited = descriptor;
+    }
+}
+
 // Like the platform's configuration: a file that cannot be read changes nothing.
 void reload_house_rules(const std::string& path, log::Log& log) {
     try {
@@ -39,7 +56,8 @@
     std::signal(SIGHUP, SIG_IGN);  // before it is ready and once it ends: a reload then has nothing to change
     const house::HouseRules rules = house::HouseRules::read_file(operators_path);
     log::Log log(std::cerr, level, rules.log_form);
-    const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
+    dispatcher::Posting posting = dispatcher::Posting::read_file(path);
+    heed_environment(posting);
     dispatcher::must_fit(posting, rules.tubes);
     net::Loop loop(most_blocks(posting));
     dispatcher::Extras extras;
@@ -59,9 +77,10 @@
     return 0;
 }
 
-int check(const std::string& path, const std::string& operators_path) {
+int check(const std::string& path, const std::string& operators_path, const std::string& in_force) {
     house::HouseRules rules = house::HouseRules::read_file(operators_path);
     const dispatcher::Posting posting = dispatcher::Posting::read_file(path);
+    if (!in_force.empty()) posting.must_state_all_of(dispatcher::Posting::read_file(in_force));
     if (!rules.tubes.entrances.empty()) {
         dispatcher::must_fit(posting, rules.tubes);
         StatedOrders all = posting.orders;
@@ -78,13 +97,14 @@
 }  // namespace
 
 int main(int count, char** words) {
-    std::string command, operators_path, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "",
+    std::string command, operators_path, in_force, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "",
                                          level = "info";
     control::Errand errand;
     options::options_description shown("Options");
     shown.add_options()("help,h", "say this")("configuration,c", options::value(&path),
                                               "the configuration, as JSON (default: $RELAY_CONFIG)")(
         "operator,o", options::value(&operators_path), "the operators' own file, as TOML (default: none)")(
+        "in-force", options::value(&in_force), "check: refuse all that SIGHUP refuses where that file is in force")(
         "log-level,l", options::value(&level), "least level that is logged: debug, info, warning or error");
     options::options_description asked("To a running dispatcher");
     asked.add_options()("socket,s", options::value(&errand.socket),
@@ -149,7 +169,7 @@
         // The path may stand behind the command, without its name.
         if (!errand.argument.empty()) path = errand.argument;
         if (path.empty()) throw options::error("no configuration given, and RELAY_CONFIG is not set");
-        if (command == "check") return check(path, operators_path);
+        if (command == "check") return check(path, operators_path, in_force);
         return serve(path, operators_path, static_cast<log::Level>(found - std::begin(levels)));
     } catch (const options::error& e) {
         std::cerr << "gannethold: " << e.what() << "\n\n";
--- a/src/net/ending.cpp
+++ b/src/net/ending.cpp
@@ -46,4 +46,31 @@
     return "unknown";
 }
 
+bool written_whole(Ending ending) {
+    switch (ending) {
+        case Ending::done:
+        case Ending::failed:
+        case Ending::handed_back:
+        case Ending::lost:
+        case Ending::broken:
+        case Ending::ended_early:
+        case Ending::crossed:
+        case Ending::malformed:
+        case Ending::stopped:
+        case Ending::withdrawn:
+            return true;
+        case Ending::refused:
+        case Ending::unreachable:
+        case Ending::connect_timed_out:
+        case Ending::out_of_sockets:
+        case Ending::broken_unsent:
+        case Ending::stopped_unsent:
+        case Ending::withdrawn_unsent:
+        case Ending::drained_unsent:
+        case Ending::closed:
+            return false;
+    }
+    return false;
+}
+
 }  // namespace gannethold::net
--- a/src/net/ending.hpp
+++ b/src/net/ending.hpp
@@ -30,5 +30,7 @@
 };
 
 const char* name_of(Ending ending);
+// Whether the last byte of the request was given to the system before it ended so.
+bool written_whole(Ending ending);
 
 }  // namespace gannethold::net
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -45,6 +45,13 @@
         const auto found = held_.find(id);
         return found == held_.end() ? std::nullopt : std::optional(found->second.runner);
     }
+    // Those in the list, ready or draining, and what else `is` says of them.
+    template <class Is>
+    std::size_t count_listed(Is is) const {
+        std::size_t n = 0;
+        for (const auto& [id, held] : held_) n += held.entry.state != RunnerState::gone && is(held.runner);
+        return n;
+    }
     const std::vector<std::string>& kinds() const { return kinds_; }
     const std::string& name_of(RunnerId runner) const;
     // An entry of that name for one that no list names, ready and of that kind and place.
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -137,8 +137,14 @@
     if (busy()) begin();
 }
 
+void Link::all_written() {
+    if (state_ != State::errand || !begun_ || std::exchange(told_written_, true)) return;
+    links_.sender_.written_whole();
+}
+
 void Link::begin() {
     begun_ = true;
+    told_written_ = false;
     answered_ = false;
     if (state_ == State::probe) {
         connection_.write(links_.reports_.wanted() ? kProbeHead : kHealthHead);
@@ -284,6 +290,7 @@
 // The one end of an errand or probe; what still comes on the connection is only read to its end.
 void Link::settle(net::Ending ending, Report&& report, std::string&& result) {
     if (!busy()) return;
+    if (net::written_whole(ending)) all_written();  // where its end is read before the loop says so
     const bool probe = state_ == State::probe;
     state_ = State::finishing;
     limit_.set(net::Loop::now() + kFinishing);
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -36,6 +36,8 @@
     void probe(RunnerId runner) override;
     void stop_all_by(Micros at) override;
     void close_idle(RunnerId runner) override;
+    // For connections made, or kept, from now on; the number of them stays.
+    void restate(const Upkeep& upkeep) { upkeep_.connect_limit = upkeep.connect_limit, upkeep_.keep_idle = upkeep.keep_idle; }
     void sweep();
     std::size_t size() const { return links_.size(); }
 
@@ -54,7 +56,7 @@
     net::Loop& loop_;
     Sender& sender_;
     const Reports reports_;
-    const Upkeep upkeep_;
+    Upkeep upkeep_;
     std::map<RunnerId, Place> places_;
     std::map<std::pair<TaskId, int>, Link*> out_;
     std::list<std::unique_ptr<Link>> links_;
@@ -80,6 +82,7 @@
 
     bool busy() const { return state_ == State::errand || state_ == State::probe; }
     void connected() override;
+    void all_written() override;
     void bytes(std::string_view bytes) override;
     void ended(net::Ending ending) override;
     void begin();
@@ -98,7 +101,7 @@
     State state_ = State::idle;
     Errand errand_;
     Micros since_ = 0;
-    bool up_ = false, begun_ = false, used_ = false, answered_ = false;
+    bool up_ = false, begun_ = false, used_ = false, answered_ = false, told_written_ = false;
     Report report_;
     http::Reader reader_;
     net::Blocks line_;
--- a/src/runners/port.hpp
+++ b/src/runners/port.hpp
@@ -33,6 +33,7 @@
 class Sender {
   public:
     virtual void errand_ended(ErrandEnded&& ended) = 0;
+    virtual void written_whole() = 0;  // the last byte of an assignment was given to the system
     virtual void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) = 0;
     virtual void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) = 0;
 
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -119,11 +119,17 @@
     Stage stage{};
 };
 
+// Other orders in service. A workload keeps its place as long as its terms; what is open goes on under those it came by.
+struct OrdersRestated {
+    StatedOrders orders;
+    std::vector<WorkloadId> learn_from;  // by place: whose learning it takes over; one that is none: nobody's
+};
+
 // Whoever still waits is to have a final answer now: the dispatcher will not be there to give it later.
 struct LastCall {};
 
 using Event = std::variant<RosterNews, TaskArrived, StreamBegun, AssignmentEnded, ClientLeft, TimerDue,
-                           ProbeEnded, PeerSaid, Progress, LastCall, RoomTold>;
+                           ProbeEnded, PeerSaid, Progress, LastCall, RoomTold, OrdersRestated>;
 
 struct Assign {
     TaskId task{};
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -229,11 +229,11 @@
     explicit Town(int runners = 1, const std::string& workload = "pure", const std::string& caps = "",
                   const std::string& limits = "\"memory_mb\":64,\"sockets\":64",
                   const std::string& how = "on_request", const std::string& expiry = "900000",
-                  const dispatcher::Extras& extras = {}) {
+                  const dispatcher::Extras& extras = {}, const std::string& beside = "") {
         for (int i = 0; i < runners; ++i) doors.push_back(std::make_unique<Door>());
         text =
             "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) +
-            "\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
+            "\"," + beside + "\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
             "},\"known\":" + list(7, "SERVING", true) +
             ",\"settings\":{\"balancers\":1,\"registry_mode\":\"" + how + "\",\"resolution_us\":1000,"
             "\"reporting\":{\"names\":[\"x0\",\"q\",\"rif\"]},\"specifics\":{\"report_x0\":\"free slots\"},"
@@ -267,6 +267,19 @@
     }
     void pass(int milliseconds) { until([] { return false; }, milliseconds); }
 
+    // With a second address, at which operators' programs call.
+    static std::string with_window() { return "\"admin\":\"127.0.0.1:" + std::to_string(Door(-1).port) + "\","; }
+    Wire caller(const std::string& words = "") const {
+        Wire wire = Wire::to(dispatcher->window_port());
+        wire.say(words);
+        return wire;
+    }
+    // What that call is answered, all of it.
+    std::string call(const std::string& method, const std::string& path) {
+        Wire wire = caller(method + " " + path + " HTTP/1.1\r\nHost: n0\r\nContent-Length: 0\r\n\r\n");
+        until([&] { return wire.ended(); }, 1000);
+        return wire.got;
+    }
     Wire client() const { return Wire::to(dispatcher->port()); }
     static std::string post(const std::string& id, const std::string& more = "X-Timeout: 900m\r\n",
                             const std::string& body = "scene") {
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -17,6 +17,7 @@
 struct Street : runners::Sender {
     Street() : links(loop, *this, runners::Reports({"rif"}), {100'000, 200'000, 4}) { seat(true); }
     void errand_ended(runners::ErrandEnded&& e) override { ended.push_back(std::move(e)); }
+    void written_whole() override { ++written; }
     void progressed(TaskId, int, RunnerId, Stage, double share) override { shares.push_back(share); }
     void probe_ended(RunnerId, Ending ending, Micros, Report&& report) override {
         probes.emplace_back(ending, report);
@@ -55,6 +56,7 @@
         return ended.back().ending;
     }
 
+    int written = 0;
     net::Loop loop{256};
     Door door;
     runners::Links links;
@@ -108,6 +110,7 @@
     s.runner().reset();
     REQUIRE(s.until([&] { return s.links.size() == 0; }));
     CHECK(s.ended.back().ending == Ending::crossed);
+    CHECK(s.written == static_cast<int>(s.ended.size()));
     CHECK(s.loop.blocks().out() == 0);
 }
 
@@ -163,6 +166,7 @@
     s.assign();
     REQUIRE(s.until([&] { return s.ended.size() == 6; }));
     CHECK(s.ended.back().ending == Ending::refused);
+    CHECK(s.written == 2);
     // A peer that takes nothing and then resets, with most of a message still here.
     struct Far : net::Connection::Owner {
         void connected() override { up = true; }
--- /dev/null
+++ b/tests/terms_stories.cpp
@@ -0,0 +1,187 @@
+// New settings in service: the terms of workloads over changes, the module's part in it, and reloads on sockets.
+#include "helpers.hpp"
+#include "orders/terms.hpp"
+
+using namespace gannethold;
+using orders::Terms;
+
+namespace {
+
+using Rows = std::vector<std::pair<std::string, std::string>>;  // name, effect
+
+StatedOrders stated(const Rows& rows, const std::string& attempts = "3") {
+    StatedOrders all{{"workloads.count", std::to_string(rows.size())}, {"caps.max_assignments", attempts}, {"caps.cancelling", "true"},
+                     {"rules.fall_multiple", "400"}, {"reports.names", "free_slots,waiting,held"}, {"trade.class_stretch", "1.5,2.5"}};
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const std::string at = "workloads." + std::to_string(i) + ".";
+        all[at + "name"] = rows[i].first, all[at + "effect"] = rows[i].second;
+        all[at + "due_time_us"] = "1000000", all[at + "expiry_us"] = "5000000";
+    }
+    return all;
+}
+const auto none_open = [](WorkloadId) { return false; };
+constexpr Micros kSecond = 1'000'000;
+
+}  // namespace
+
+TEST_CASE("what keeps its terms keeps its place, wherever it stands; what changes them gets another") {
+    Terms terms(stated({{"a", "idempotent"}, {"b", "side-effecting"}}), 2);
+    // Stretches go by the order in the file, so they are terms of those that stood there.
+    StatedOrders moved = stated({{"b", "side-effecting"}, {"a", "idempotent"}, {"c", "idempotent"}});
+    moved["trade.class_stretch"] = "2.5,1.5,1.5";
+    auto change = terms.restate(kSecond, moved, none_open);
+    CHECK(terms.places() == std::vector{WorkloadId{1}, WorkloadId{0}, WorkloadId{2}});
+    CHECK(change.added == std::vector<std::string>{"c"});
+    CHECK((change.dropped.empty() && change.changed.empty()));
+    moved["workloads.1.effect"] = "side-effecting";
+    change = terms.restate(2 * kSecond, moved, none_open);
+    CHECK(terms.places() == std::vector{WorkloadId{1}, WorkloadId{3}, WorkloadId{2}});
+    CHECK(change.changed == std::vector<std::string>{"a"});
+    CHECK(change.learn_from.at(3) == WorkloadId{0});
+    CHECK(terms.stated().at("workloads.0.effect") == "idempotent");
+    CHECK(terms.stated().at("workloads.3.effect") == "side-effecting");
+    CHECK(terms.stated().at("workloads.3.aim_stretch") == "1.5");
+    CHECK(terms.name_of(WorkloadId{3}) == "a");
+}
+
+TEST_CASE("a workload that comes back as it was is the one it was, and one that comes otherwise is another") {
+    Terms terms(stated({{"a", "idempotent"}, {"b", "idempotent"}}), 2);
+    const auto open = [](WorkloadId place) { return place == WorkloadId{1}; };
+    CHECK(terms.restate(0, stated({{"a", "idempotent"}}), open).dropped == std::vector<std::string>{"b"});
+    terms.restate(kSecond, stated({{"a", "idempotent"}, {"b", "idempotent"}}), open);
+    CHECK(terms.places().at(1) == WorkloadId{1});
+    // Never the place of one that is open, or only just was.
+    terms.restate(2 * kSecond, stated({{"a", "idempotent"}, {"b", "side-effecting"}}), open);
+    CHECK(terms.places().at(1) == WorkloadId{2});
+    terms.restate(100 * kSecond, stated({{"a", "idempotent"}, {"b", "fingerprinted"}}), open);
+    CHECK(terms.places().at(1) == WorkloadId{3});
+    terms.restate(101 * kSecond, stated({{"a", "side-effecting"}, {"b", "fingerprinted"}}), none_open);
+    CHECK(terms.places() == std::vector{WorkloadId{1}, WorkloadId{3}});  // at rest since 2 s
+}
+
+TEST_CASE("changes for ever stay within their places, and one too many changes nothing") {
+    Terms terms(stated({{"a", "idempotent"}}), 1);
+    for (int i = 1; i <= 1'000; ++i) {
+        StatedOrders next = stated({{"a", "idempotent"}});
+        next["workloads.0.due_time_us"] = std::to_string(1'000'000 + i);
+        terms.restate(i * 11 * kSecond, next, none_open);
+    }
+    CHECK(terms.stated().at("workloads.count") == "2");
+    const auto all_open = [](WorkloadId) { return true; };
+    StatedOrders next;
+    bool refused = false;
+    for (int i = 0; i < 300 && !refused; ++i) {
+        next = stated({{"a", "idempotent"}});
+        next["workloads.0.importance"] = std::to_string(i + 2);
+        const StatedOrders before = terms.stated();
+        try {
+            terms.restate(20'000 * kSecond, next, all_open);
+        } catch (const std::runtime_error&) {
+            refused = true;
+            CHECK(terms.stated() == before);
+        }
+    }
+    CHECK(refused);
+}
+
+TEST_CASE("tubes keep their places behind the configuration's workloads") {
+    Terms terms(stated({{"a", "idempotent"}, {"tube", "side-effecting"}}), 1);
+    terms.restate(0, stated({{"a", "side-effecting"}, {"b", "idempotent"}}), none_open);
+    CHECK(terms.places() == std::vector{WorkloadId{2}, WorkloadId{3}});
+    CHECK(terms.stated().at("workloads.1.name") == "tube");
+}
+
+TEST_CASE("the module: what is open keeps the effect and the assignments under which it came") {
+    Terms terms(stated({{"a", "idempotent"}}), 1);
+    FakeHost host(terms.stated());
+    host.fleet(4, 4);
+    const TaskId before = host.ask();
+    const auto change = terms.restate(host.now, stated({{"a", "side-effecting"}}, "1"), none_open);
+    host.tell(OrdersRestated{terms.stated(), change.learn_from});
+    const unsigned place = static_cast<unsigned>(terms.places().at(0));
+    CHECK(place == 1);
+    host.end(Outcome::reset);  // it may have run, and may run again
+    REQUIRE(host.assigned.size() == 2);
+    CHECK(host.assigned[1].task == before);
+    host.end(Outcome::finished);
+    const TaskId after = host.ask(place);
+    host.end(Outcome::reset);
+    CHECK(host.assigned.size() == 3);
+    CHECK(host.answers.at(after) == 1);
+    // One attempt only, even where nothing ran.
+    const TaskId one = host.ask(place);
+    host.end(Outcome::connect_failed);
+    CHECK(std::count_if(host.assigned.begin(), host.assigned.end(), [&](const Assign& a) { return a.task == one; }) == 1);
+    CHECK(host.answers.at(one) == 1);
+}
+
+TEST_CASE("on sockets: a new workload is served by its own rules, open tasks by the old, a dropped one is not known") {
+    Town town(3, "pure", "", "\"memory_mb\":64,\"sockets\":64");
+    Wire open = town.client();
+    open.say(Town::post("o"));
+    Wire& runner = town.at_runner("o");
+    const std::string two = town.with("\"importance\":1}]", "\"importance\":1},{\"name\":\"proof\",\"effect\":\"token\",\"due_time_us\":600000,"
+                                                            "\"expiry_us\":700000,\"importance\":2}]");
+    town.reload(two);
+    CHECK(town.said.str().find("workloads added: proof; dropped: none; changed: none") != std::string::npos);
+    Wire proof = town.client();
+    const auto post = [](const std::string& id, const std::string& more) {
+        std::string words = Town::post(id, "X-Timeout: 700m\r\n" + more);
+        return words.replace(words.find("/render/"), 8, "/proof/");
+    };
+    proof.say(post("p", "Idempotency-Key: k1\r\n"));
+    town.at_runner("p").say(Town::done("p", "proof"));
+    CHECK(town.until([&] { return proof.has("proof"); }));
+    Wire keyless = town.client();
+    keyless.say(post("q", ""));
+    CHECK(town.until([&] { return keyless.has("400"); }));
+    // The first is dropped while one of it is open.
+    const auto from = two.find("{\"name\":\"render\""), to = two.find("{\"name\":\"proof\"");
+    town.reload(two.substr(0, from) + two.substr(to));
+    CHECK(town.said.str().find("dropped: render") != std::string::npos);
+    runner.say(Town::done("o", "late"));
+    CHECK(town.until([&] { return open.has("late"); }));
+    Wire unknown = town.client();
+    unknown.say(Town::post("u"));
+    CHECK(town.until([&] { return unknown.has("404"); }));
+    const auto& ends = town.dispatcher->tally().ends();
+    CHECK(ends.at("render").finished == 1);
+    CHECK(ends.at("proof").finished == 1);
+    CHECK(town.dispatcher->tally().reloads_taken() == 2);
+}
+
+TEST_CASE("a file that is short of something, or has nonsense in it, changes nothing at all") {
+    Town town(1, "pure", "", "\"memory_mb\":64,\"sockets\":64");
+    const auto without = [&](const std::string& words) { return town.with(words, ""); };
+    std::uint64_t refused = 0;
+    for (const auto& [words, why] : std::vector<std::pair<std::string, std::string>>{
+             {" ", "is not JSON"},
+             {town.text.substr(0, town.text.size() - 3), "is not JSON"},
+             {without("\"name\":\"n0\","), "is short of name"},
+             {without("\"seed\":\"2a\","), "is short of seed"},
+             {without(",\"rules\":{\"fall_multiple\":400}"), "is short of settings.rules"},
+             {without("\"registry_mode\":\"on_request\","), "is short of settings.registry_mode, which the one in force states"},
+             {without("\"cancelling\":true,"), "is short of settings.caps.cancelling"},
+             {without("\"max_assignments\":3,"), "is short of settings.caps.max_assignments"},
+             {without("\"effect\":\"pure\","), "is short of settings.workloads.0.effect"},
+             {without(",\"expiry_us\":900000"), "is short of settings.workloads.0.expiry_us"},
+             {town.with("\"expiry_us\":900000", "\"expiry_us\":0"), "has a time that cannot be: settings.workloads.0.expiry_us"},
+             {town.with("\"expiry_us\":900000", "\"expiry_us\":-5"), "has a time that cannot be"},
+             {town.with("\"max_assignments\":3", "\"max_assignments\":0"), "allows no assignment"},
+             {town.with("\"effect\":\"pure\"", "\"effect\":\"purple\""), "knows an effect that is none"}}) {
+        town.said.str("");
+        // Another address of discovery in the same file must not be believed either.
+        const std::string moved = "127.0.0.1:9", at = town.discovery.address();
+        std::string file = words;
+        if (const auto found = file.find(at); found != std::string::npos) file.replace(found, at.size(), moved);
+        town.reload(file);
+        CHECK_MESSAGE(town.said.str().find(why) != std::string::npos, why << ": " << town.said.str());
+        CHECK(town.said.str().find("discovery moves") == std::string::npos);
+        CHECK(town.dispatcher->tally().reloads_turned_down() == ++refused);
+    }
+    CHECK(town.dispatcher->tally().reloads_taken() == 0);
+    Wire client = town.client();
+    client.say(Town::post("s"));
+    town.at_runner("s").say(Town::done("s"));
+    CHECK(town.until([&] { return client.has("picture"); }));
+}
