Handover at an upgrade: the old process tells the new one its list, troubles and learning

Need: two processes are one dispatcher while an upgrade lasts.

Design: src/handover/, a Unix-domain socket in $TMPDIR, only where the listening socket was inherited. The new process asks there, hears list, whom the old one avoids or takes for cold, and its learning (a keepsake's record), and puts its own socket in the place. The line stays: while it stands both hold half of descriptors and buffers, its end says the other is gone, whichever it is and however. What discovery says to the new one itself counts from then on. Cold budgets need no words: each process takes half of an even part at most. Not taken: files in $TMPDIR with locks. They go stale, must be written all the time since nobody says when an upgrade begins, and tell the old one nothing of the new one. Not taken: handing connections over (SCM_RIGHTS), since requests half read would have to go along. Passed over, each in a story: a dead process's socket, a plain file, a foreign or silent speaker, one cut off, no folder.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -693,7 +693,8 @@
         for (std::size_t i = from; i < runners_.size() && i - from < most; ++i)
             if (const Runner& r = runners_[i]; r.ready)
                 lore.runners.push_back(
-                    {r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction});
+                    {r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction,
+                     std::max<Micros>(0, r.aside_until - now_), warmth(r) < 1 ? now_ - r.cold_from : -1});
         for (std::size_t k = 0; k < kinds_.size(); ++k)
             lore.kinds.push_back(
                 {KindId(static_cast<std::uint32_t>(k)), kinds_[k].latency, kinds_[k].weight});
@@ -717,6 +718,8 @@
             Runner* const r = runners_.find(told.runner);
             if (!r || !r->ready) continue;
             r->told_of = true;
+            r->aside_until = std::max(r->aside_until, now_ + told.aside_for);
+            if (told.cold_for >= 0) r->cold_from = std::max(r->cold_from, now_ - told.cold_for);
             // A cold one is held to its start's budget, in which its slots count: those must show anew.
             if (warmth(*r) >= 1) r->slots = std::max(r->slots, told.slots);
             runners_.share(*r).fraction = told.fraction > 0 ? told.fraction : mean;
--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -82,6 +82,11 @@
     }
 }
 
+void Server::restate(const Room& room) {
+    room_ = room;
+    for (std::size_t before = live() + 1; live() > room_.sessions && live() < before;) before = live(), make_room();
+}
+
 // What comes beyond the room is turned away before the module sees it: never sent, so harmless to try again.
 // Against a backlog of tasks that are lost because no descriptor is left to take them.
 bool Server::full() const {
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -41,8 +41,8 @@
     void stop_accepting() { listener_.stop(); }
     // From now on answers end their connections, and idle ones are closed.
     void leave();
-    // For those who come from now on; the number of connections stays.
-    void restate(std::size_t tasks, Micros stay_away) { room_.tasks = tasks, room_.stay_away = stay_away; }
+    // From now on. With less room idle connections go until the rest fit, or none is idle.
+    void restate(const Room& room);
     void bear(const Bearing& bearing) { bearing_ = bearing; }
     // Closes idle connections, the longest idle first, until no more than that many stand open. One that has yet
     // to hand in its first task is left alone.
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -50,10 +50,11 @@
 }
 
 // What the connections of the other front and of operators' programs leave.
-std::size_t sockets_left(const Posting& posting, const beanstalk::Furnishing& tubes) {
+std::size_t sockets_left(const Posting& posting, const beanstalk::Furnishing& tubes, std::size_t own) {
     const std::size_t theirs = (tubes.entrances.empty() ? 0 : tubes.connections + tubes.entrances.size()) +
-                               (posting.window ? window::Window::kDescriptors : 0);
-    return posting.sockets > theirs ? posting.sockets - theirs : 1;
+                               (posting.window ? window::Window::kDescriptors : 0) +
+                               (posting.heirloom.empty() ? 0 : handover::Passage::kDescriptors);
+    return own > theirs ? own - theirs : 1;
 }
 
 orders::Terms with_tubes(const Posting& posting, beanstalk::Furnishing& tubes, beanstalk::Workloads& tube_workloads) {
@@ -81,6 +82,7 @@
       follower_(
           loop, posting_.discovery, log,
           [this](const roster::Listing& l) {
+              list_is_own_ = true;
               return heard(l, l.full ? RosterScope::complete : RosterScope::changes);
           },
           [this] {
@@ -88,12 +90,12 @@
                   wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
-      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_, sockets_left(posting_, tubes_))),
+      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_, sockets_left(posting_, tubes_, posting_.sockets))),
       post_(loop, posting_.neighbours,
             [this](PeerId from, std::string_view words) {
                 note(PeerSaid{from, std::string(words)});
             }),
-      server_(loop, net::Door(posting_.listen, posting_.inherited), directory_, *this, room(posting_, sockets_left(posting_, tubes_)), log),
+      server_(loop, net::Door(posting_.listen, posting_.inherited), directory_, *this, room(posting_, sockets_left(posting_, tubes_, posting_.sockets)), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { look_at_drain(); }),
       drain_(extras.manners),
@@ -106,6 +108,8 @@
     if (posting_.window) window_ = std::make_unique<window::Window>(loop, *posting_.window, *this, log);
     for (const auto& [name, id] : directory_.workloads) tally_.open(name);
     heard(posting_.known, RosterScope::remembered);
+    all_blocks_ = loop.blocks().most();
+    if (!posting_.heirloom.empty()) passage_ = std::make_unique<handover::Passage>(loop, posting_.heirloom, posting_.name, *this, log);
     if (!extras.keepsake.folder.empty()) recall(extras.keepsake);
     // Where changes come by themselves the module never asks, so the watch is ours to open.
     follows_by_itself_ = Stated(posting_.orders).word("roster.how", "pushed") != "on_request";
@@ -182,15 +186,20 @@
            std::any_of(tasks_.begin(), tasks_.end(), [place](const auto& task) { return task.second.workload == place; });
 }
 
+// What the connections of each kind may take, of what this process may hold for now.
+void Dispatcher::share_out() {
+    const std::size_t sockets = sockets_left(posting_, tubes_, own_part(posting_.sockets));
+    server_.restate(room(posting_, sockets));
+    links_.restate(upkeep(posting_, sockets));
+}
+
 // Who is under way goes on by the old terms, whoever comes from now on by the new.
 void Dispatcher::restate(const Posting& fresh, const orders::Terms::Change& change) {
     const Micros now = net::Loop::now();
     posting_.orders = fresh.orders, posting_.stated = fresh.stated;
     directory_ = clients::Directory(posting_.orders, terms_.places());
     for (const auto& [name, id] : directory_.workloads) tally_.open(name);
-    const clients::Room r = room(posting_, posting_.sockets);
-    server_.restate(r.tasks, r.stay_away);
-    links_.restate(upkeep(posting_, posting_.sockets));
+    share_out();
     note(OrdersRestated{terms_.stated(), change.learn_from});
     const auto list = [](const std::vector<std::string>& names) {
         std::string all;
@@ -256,6 +265,7 @@
         for (RosterEntry& e : news->for_module.entries) e.serves = tube_workloads_.for_pushed;
     guests_.lay_over(news->for_module, holds_, book_);
     note(news->for_module);
+    if (passage_ && passage_->has_heirs()) passage_->tell({handover::Kind::list, roster::spell(book_.held())});
     return true;
 }
 
@@ -363,6 +373,7 @@
     follower_.sweep();
     if (desk_) desk_->sweep();
     if (window_) window_->sweep();
+    if (passage_) passage_->sweep();
     if (pullers_) pullers_->sweep();
 }
 
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "dispatcher/posting.hpp"
 #include "drain/drain.hpp"
 #include "figures/tally.hpp"
+#include "handover/passage.hpp"
 #include "keepsake/keeper.hpp"
 #include "log/log.hpp"
 #include "orders/terms.hpp"
@@ -45,7 +46,7 @@
 // Throws std::runtime_error with one line where the tubes would leave too few descriptors to everybody else.
 void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes);
 
-class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House, public window::Clerk {
+class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House, public window::Clerk, public handover::Party {
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log, const Extras& extras = {});
 
@@ -90,7 +91,7 @@
     TaskId take(fronts::Asker& asker, fronts::Handed&& handed, net::Blocks&& body, Micros came_at) override;
     void left(TaskId task) override;
     bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
-    bool ready() const override { return !book_.empty(); }
+    bool ready() const override { return !book_.empty() && (!passage_ || passage_->settled()); }
     void turned_away(WorkloadId workload) override { tally_.ended(workload_name(workload), fronts::Answer::bounced); }
     void errand_ended(runners::ErrandEnded&& ended) override;
     void written_whole() override { tally_.written_whole(); }
@@ -123,6 +124,7 @@
     void look_at_drain();
     bool open(WorkloadId place) const;  // whether anything still goes by its terms
     void restate(const Posting& fresh, const orders::Terms::Change& change);
+    void share_out();
 
     // Retries of what may have run; in repeating.cpp.
     std::string sign_of(const fronts::Handed& handed) const;
@@ -149,9 +151,15 @@
     // What operators' programs call; in calling.cpp.
     window::Reply heed(window::Call call) override;
     figures::Present present() const;
+    // Between an old and a new one at an upgrade; in handing_over.cpp.
+    std::vector<handover::Word> hand_over() override;
+    void handed(const handover::Word& word) override;
+    void company(std::size_t others) override;
+    std::size_t own_part(std::size_t of) const { return std::max<std::size_t>(1, of / (1 + others_)); }
     // What is kept over a restart; in remembering.cpp.
     keepsake::Keeper::Part remember(std::size_t from, std::size_t most) const;
     void recall(const keepsake::Custom& custom);
+    std::size_t take_over(const keepsake::Record& record, const keepsake::Prudence& prudence, const handover::Troubles& troubles);
     json::Object tell_keepsake() const;
     void keep_failure(const Task& task, const runners::ErrandEnded& ended);
     const std::string& workload_name(WorkloadId id) const;
@@ -196,6 +204,11 @@
     std::set<std::pair<Micros, TaskId>> joined_until_;
     std::uint64_t joins_ = 0, told_ends_ = 0;
     net::Timer joined_timer_;
+    std::size_t others_ = 0;     // of this name, that live beside this one
+    std::size_t all_blocks_ = 0;
+    bool list_is_own_ = false;   // discovery has spoken to this one itself
+    handover::Troubles troubles_;
+    std::unique_ptr<handover::Passage> passage_;
     std::unique_ptr<control::Desk> desk_;
     std::unique_ptr<window::Window> window_;
     std::unique_ptr<beanstalk::Server> pullers_;
--- /dev/null
+++ b/src/dispatcher/handing_over.cpp
@@ -0,0 +1,57 @@
+// What an old dispatcher hands to the new one at an upgrade, and what the new one does with it. Both live for a while: they
+// share the limits evenly, and each keeps the rules by itself, since the budgets for cold runners leave half of an even part.
+#include "dispatcher/dispatcher.hpp"
+
+namespace gannethold::dispatcher {
+
+std::vector<handover::Word> Dispatcher::hand_over() {
+    handover::Troubles troubles;
+    for (const RunnerLore& r : choice_.lore().runners)
+        if (r.aside_for > 0 || r.cold_for >= 0) troubles[book_.name_of(r.runner)] = {r.aside_for, r.cold_for};
+    return {{handover::Kind::list, roster::spell(book_.held())},
+            {handover::Kind::troubles, handover::spell(troubles)},
+            {handover::Kind::learned, keepsake::spell(remember(0, static_cast<std::size_t>(-1)).record)}};
+}
+
+void Dispatcher::handed(const handover::Word& word) {
+    const Micros now = net::Loop::now();
+    switch (word.kind) {
+        case handover::Kind::list: {
+            // Against a discovery that is slow or down: the old one may know of drains that this one does not. What discovery
+            // has said to this one itself is newer.
+            if (list_is_own_) return;
+            std::optional<roster::Listing> listing;
+            try {
+                listing = roster::read_listing(json::read(word.body));
+            } catch (const json::Malformed&) {
+            }
+            if (!listing) return log_.warning(now, "handover: the list cannot be read");
+            heard(*listing, RosterScope::remembered);
+            return;
+        }
+        case handover::Kind::troubles:
+            troubles_ = handover::read_troubles(word.body);
+            return;
+        case handover::Kind::learned:
+            try {
+                const std::size_t believed = take_over(keepsake::read(word.body), {}, std::exchange(troubles_, {}));
+                log_.info(now, "handover: what was learned of ", log::as("runners", believed), " runners goes on");
+            } catch (const keepsake::Unreadable& e) {
+                log_.warning(now, "handover: what was learned cannot be read: ", e.what());
+            }
+            return;
+        case handover::Kind::greeting:
+        case handover::Kind::done:
+            return;
+    }
+}
+
+void Dispatcher::company(std::size_t others) {
+    if (others == others_) return;
+    others_ = others;
+    log_.info(net::Loop::now(), "handover: ", log::as("others", others), " of this name beside this one; limits are shared");
+    loop_.blocks().bound(own_part(all_blocks_));
+    share_out();
+}
+
+}  // namespace gannethold::dispatcher
--- a/src/dispatcher/posting.hpp
+++ b/src/dispatcher/posting.hpp
@@ -19,6 +19,7 @@
     std::string name;
     net::Address listen, discovery;
     std::optional<int> inherited;         // the clients' listening socket, where the platform holds it
+    std::string heirloom;                 // the folder that it shares with the one before and the one after; empty: none
     std::optional<net::Address> window;  // where operators' programs call; none: nothing listens
     peers::Neighbours neighbours;
     std::uint64_t seed = 0;
--- a/src/dispatcher/remembering.cpp
+++ b/src/dispatcher/remembering.cpp
@@ -44,8 +44,13 @@
         // What no list of kinds names shares the place behind the last.
         record.kinds.push_back({place < book_.kinds().size() ? book_.kinds()[place] : "", bins_of(k.latency), k.weight});
     }
-    for (std::size_t i = 0; i < lore.workloads.size(); ++i)
-        record.workloads.push_back({workload_name(WorkloadId(static_cast<std::uint32_t>(i))), bins_of(lore.workloads[i])});
+    for (std::size_t i = 0; i < lore.workloads.size(); ++i) {
+        const WorkloadId id{static_cast<std::uint32_t>(i)};
+        // Of a name that has changed its terms the present ones count.
+        const auto in_force = directory_.workloads.find(workload_name(id));
+        if (in_force == directory_.workloads.end() || in_force->second == id)
+            record.workloads.push_back({workload_name(id), bins_of(lore.workloads[i])});
+    }
     const Micros now = net::Loop::now();
     for (const auto& [runner, hold] : holds_.all())
         record.holds.push_back({runner, hold.by, hold.why, record.written_ms - (now - hold.since) / 1000});
@@ -67,8 +72,18 @@
         return log_.info(now, "keepsake: ", recalled_);
     }
     const keepsake::Record& record = *found.record;
+    const std::size_t believed = take_over(record, custom.prudence, {});
+    const double left = keepsake::weight_left(record.written_ms, unix_ms(), custom.prudence);
+    recalled_ = std::to_string(believed) + " of " + std::to_string(record.runners.size()) + " runners believed, at " +
+                std::to_string(static_cast<int>(left * 100 + 0.5)) + "%";
+    log_.info(now, "keepsake: ", log::as("file", found.file), ", ", recalled_, ", ", log::as("holds", record.holds.size()), " holds");
+}
+
+// How many runners' lore was believed. troubles: of those that are told by one that lives.
+std::size_t Dispatcher::take_over(const keepsake::Record& record, const keepsake::Prudence& prudence, const handover::Troubles& troubles) {
+    const Micros now = net::Loop::now();
     const std::int64_t wall = unix_ms();
-    const double left = keepsake::weight_left(record.written_ms, wall, custom.prudence);
+    const double left = keepsake::weight_left(record.written_ms, wall, prudence);
     Lore lore;
     for (const keepsake::KeptRunner& kept : record.runners) {
         const roster::Entry* const entry = book_.entry(kept.name);
@@ -78,27 +93,27 @@
             kept, {entry->kind, entry->zone, entry->address ? entry->address->text : "", entry->started_ms}, left);
         if (part <= 0) continue;
         const double mean = 1.0 / static_cast<double>(std::max<std::size_t>(1, record.runners.size()));
-        lore.runners.push_back({*number, histogram_of(kept.latency, part, custom.prudence.most_samples), kept.least,
+        lore.runners.push_back({*number, histogram_of(kept.latency, part, prudence.most_samples), kept.least,
                                 1 + (std::max(1.0, kept.slots) - 1) * part, kept.fraction * part + mean * (1 - part)});
+        if (const auto trouble = troubles.find(kept.name); trouble != troubles.end())
+            lore.runners.back().aside_for = trouble->second.aside_for, lore.runners.back().cold_for = trouble->second.cold_for;
     }
     for (const keepsake::KeptKind& kept : record.kinds) {
         const auto place = std::find(book_.kinds().begin(), book_.kinds().end(), kept.name) - book_.kinds().begin();
         if (kept.name.empty() && place != static_cast<std::ptrdiff_t>(book_.kinds().size())) continue;
-        const Histogram h = histogram_of(kept.latency, left, custom.prudence.most_samples);
+        const Histogram h = histogram_of(kept.latency, left, prudence.most_samples);
         if (h.weight() > 0) lore.kinds.push_back({KindId(static_cast<std::uint32_t>(place)), h, h.weight()});
     }
     lore.workloads.resize(directory_.workloads.size());
     for (const keepsake::KeptWorkload& kept : record.workloads)
-        if (const auto id = directory_.workloads.find(kept.name); id != directory_.workloads.end())
-            lore.workloads[static_cast<std::size_t>(id->second)] = histogram_of(kept.latency, left, custom.prudence.most_samples);
+        if (const auto id = directory_.workloads.find(kept.name); id != directory_.workloads.end() && static_cast<std::size_t>(id->second) < lore.workloads.size())
+            lore.workloads[static_cast<std::size_t>(id->second)] = histogram_of(kept.latency, left, prudence.most_samples);
     if (left > 0) lore.own_part = record.own_part, lore.usual_cost = record.usual_cost;
     if (left > 0) choice_.believe(lore);
     // An operator's order does not fade: whoever was held back is, until somebody releases it.
     for (const keepsake::KeptHold& kept : record.holds)
         if (holds_.add(kept.runner, {now - std::max<std::int64_t>(0, wall - kept.since_ms) * 1000, kept.by, kept.why})) heard_anew(kept.runner);
-    recalled_ = std::to_string(lore.runners.size()) + " of " + std::to_string(record.runners.size()) + " runners believed, at " +
-                std::to_string(static_cast<int>(left * 100 + 0.5)) + "%";
-    log_.info(now, "keepsake: ", log::as("file", found.file), ", ", recalled_, ", ", log::as("holds", record.holds.size()), " holds");
+    return lore.runners.size();
 }
 
 json::Object Dispatcher::tell_keepsake() const {
--- a/src/lore.hpp
+++ b/src/lore.hpp
@@ -14,6 +14,8 @@
     RunnerId runner{};
     Histogram latency;  // over the cost
     double least = 0, slots = 0, fraction = 0;
+    // Told only between two that live at once: to what is kept for later they mean nothing.
+    Micros aside_for = 0, cold_for = -1;  // 0: it is not set aside; -1: it is warm
 };
 struct KindLore {
     KindId kind{};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -39,6 +39,7 @@
         if (const auto [read, wrong] = std::from_chars(door, end, descriptor); wrong != std::errc() || read != end || descriptor < 0)
             throw std::runtime_error(std::string("RELAY_ACCEPT_FD is no descriptor: ") + door);
         posting.inherited = descriptor;
+        if (const char* const folder = std::getenv("TMPDIR"); folder && *folder) posting.heirloom = folder;
     }
 }
 
--- a/src/net/block_pool.hpp
+++ b/src/net/block_pool.hpp
@@ -20,14 +20,16 @@
     BlockPool(const BlockPool&) = delete;
     BlockPool& operator=(const BlockPool&) = delete;
 
+    void bound(std::size_t most) { most_ = most; }  // from now on; what is out beyond it comes back in its time
     char* take();  // nullptr once all are out
     void give_back(char* block);
     std::size_t out() const { return out_; }
+    std::size_t most() const { return most_; }
     // So few are left that they are kept for answers: what is new must wait outside.
     bool scarce() const { return out_ > most_ / 4 * 3; }
 
   private:
-    const std::size_t most_;
+    std::size_t most_;
     std::size_t out_ = 0;
     std::vector<char*> spare_;
 };
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -36,6 +36,13 @@
     // Against another discovery that counts its versions otherwise: nothing it says is older than what is held.
     void count_anew() { version_ = 0, apart_ = false; }
     bool empty() const { return held_.empty(); }
+    // All that is held, for another dispatcher.
+    Listing held() const {
+        Listing all{version_, true, {}};
+        for (const auto& [id, one] : held_)
+            if (one.entry.state != RunnerState::gone) all.entries.push_back(one.entry);
+        return all;
+    }
     // What was last said of that one; none: it was never in a list.
     const Entry* entry(const std::string& id) const {
         const auto found = held_.find(id);
--- a/src/roster/listing.cpp
+++ b/src/roster/listing.cpp
@@ -20,8 +20,37 @@
     return value >= least && value <= most ? value : least;
 }
 
+const char* word_for(RunnerState state) {
+    switch (state) {
+        case RunnerState::ready:
+            return "SERVING";
+        case RunnerState::draining:
+            return "DRAINING";
+        case RunnerState::gone:
+            return "DELETED";
+    }
+    return "DELETED";
+}
+
 }  // namespace
 
+std::string spell(const Listing& listing) {
+    const auto whole = [](auto n) { return json::Value(json::Number{std::to_string(n)}); };
+    json::List servers;
+    for (const Entry& e : listing.entries) {
+        json::Object o;
+        o["id"] = json::Value(e.id), o["addr"] = json::Value(e.address ? e.address->text : "");
+        o["zone"] = json::Value(e.zone), o["kind"] = json::Value(e.kind), o["cell"] = whole(e.group);
+        o["state"] = json::Value(std::string(word_for(e.state.value_or(RunnerState::gone))));
+        o["weight"] = whole(e.share), o["started_ms"] = whole(e.started_ms);
+        servers.push_back(json::Value(std::move(o)));
+    }
+    json::Object all;
+    all["version"] = whole(listing.version), all["full"] = json::Value(listing.full);
+    all["servers"] = json::Value(std::move(servers));
+    return json::write(json::Value(std::move(all)));
+}
+
 std::optional<Listing> read_listing(const json::Value& said) {
     Listing listing;
     const json::Value* const servers = said.find("servers");
--- a/src/roster/listing.hpp
+++ b/src/roster/listing.hpp
@@ -31,6 +31,8 @@
     std::vector<Entry> entries;
 };
 
+// In discovery's own form, for another dispatcher.
+std::string spell(const Listing& listing);
 std::optional<Listing> read_listing(const json::Value& said);
 
 }  // namespace gannethold::roster
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -77,19 +77,26 @@
         return link;
     }
     if (links_.size() - ended_.size() >= upkeep_.most_links) {
-        // Short of descriptors: a connection that stands idle, to whomever, goes first.
-        for (auto& [id, other] : places_) {
-            if (other.idle.empty()) continue;
-            Link* const oldest = other.idle.front();
-            other.idle.erase(other.idle.begin());
-            oldest->close();
-            return open_link(runner, place);
-        }
-        return nullptr;
+        return close_an_idle_one() ? open_link(runner, place) : nullptr;
     }
     return open_link(runner, place);
 }
 
+// Short of descriptors: a connection that stands idle, to whomever, goes first.
+bool Links::close_an_idle_one() {
+    for (auto& [id, other] : places_) {
+        if (other.idle.empty()) continue;
+        other.idle.front()->close();
+        return true;
+    }
+    return false;
+}
+
+void Links::restate(const Upkeep& upkeep) {
+    upkeep_ = upkeep;
+    while (links_.size() - ended_.size() > upkeep_.most_links && close_an_idle_one()) {}
+}
+
 Link* Links::open_link(RunnerId runner, Place& place) {
     links_.push_back(std::make_unique<Link>(*this, runner, place.address.value_or(net::Address{})));
     links_.back()->place_ = std::prev(links_.end());
--- a/src/runners/links.hpp
+++ b/src/runners/links.hpp
@@ -36,8 +36,8 @@
     void probe(RunnerId runner) override;
     void stop_all_by(Micros at) override;
     void close_idle(RunnerId runner) override;
-    // For connections made, or kept, from now on; the number of them stays.
-    void restate(const Upkeep& upkeep) { upkeep_.connect_limit = upkeep.connect_limit, upkeep_.keep_idle = upkeep.keep_idle; }
+    // For connections made, or kept, from now on. With fewer of them idle ones go until the rest fit.
+    void restate(const Upkeep& upkeep);
     void sweep();
     std::size_t size() const { return links_.size(); }
 
@@ -51,6 +51,7 @@
 
     Link* open_link(RunnerId runner, Place& place);
     Link* idle_or_new(RunnerId runner);  // none: all that may be open is in use
+    bool close_an_idle_one();
     void forget_idle(Link& link);
 
     net::Loop& loop_;
--- a/tests/upgrade_stories.cpp
+++ b/tests/upgrade_stories.cpp
@@ -1,4 +1,7 @@
 // Upgrades: an old and a new dispatcher on one listening socket that neither of them owns.
+#include <sys/stat.h>
+
+#include "handover/words.hpp"
 #include "helpers.hpp"
 
 using namespace gannethold;
@@ -11,6 +14,7 @@
     std::unique_ptr<dispatcher::Dispatcher> start(const std::string& text) {
         dispatcher::Posting posting = dispatcher::Posting::read(text);
         posting.inherited = dup(socket);
+        posting.heirloom = folder;
         auto one = std::make_unique<dispatcher::Dispatcher>(town->loop, posting, town->log);
         one->end_turn();
         return one;
@@ -43,10 +47,28 @@
         return *at;
     }
     ~Platform() {
+        elder.reset(), heir.reset();
+        if (!folder.empty()) unlink(path().c_str()), unlink((path() + ".new").c_str()), rmdir(folder.c_str());
         if (socket >= 0) close(socket);
     }
 
+    // A folder that both share, as $TMPDIR is.
+    void share() {
+        char name[] = "upgrade-XXXXXX";
+        REQUIRE(mkdtemp(name));
+        folder = name;
+    }
+    std::string path() const { return folder + "/gannethold-n0"; }
+    bool said(const std::string& words) const { return town->said.str().find(words) != std::string::npos; }
+    bool healthy() {
+        Wire front = Wire::to(port);
+        front.say("GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+        until([&] { return front.has("\r\n\r\n"); }, 500);
+        return front.got.starts_with("HTTP/1.1 200");
+    }
+
     std::unique_ptr<Town> town;
+    std::string folder;
     int socket = -1;
     std::uint16_t port = 0;
     std::unique_ptr<dispatcher::Dispatcher> elder, heir;
@@ -106,3 +128,148 @@
     p.at_runner("c").say(Town::done("c"));
     CHECK(p.until([&] { return client.has("picture"); }));
 }
+
+TEST_CASE("words of a handover are read at any split, unknown ones passed over, and foreign bytes end it") {
+    using namespace handover;
+    const std::string all = spell(Word{Kind::list, "a\nb"}) + "rumours 3\nxyz" + spell(Word{Kind::done, ""});
+    for (std::size_t at = 0; at <= all.size(); ++at) {
+        Reader reader;
+        std::vector<Word> words;
+        for (const std::string& part : {all.substr(0, at), all.substr(at)}) {
+            REQUIRE(reader.feed(part));
+            while (auto word = reader.next()) words.push_back(*word);
+        }
+        REQUIRE(words.size() == 2);
+        CHECK(words[0].body == "a\nb");
+        CHECK(words[1].kind == Kind::done);
+    }
+    for (const std::string& foreign : std::vector<std::string>{"HTTP/1.1 200 OK\r\n\r\n", "list -1\n", "list 99999999999\n", "\n", std::string(60, 'x')}) {
+        Reader reader;
+        reader.feed(foreign);
+        CHECK_FALSE(reader.next());
+        CHECK_FALSE(reader.feed("more"));
+    }
+    const Troubles told = read_troubles(spell(Troubles{{"s-0", {5, -1}}, {"s-1", {0, 7}}}));
+    CHECK(told.at("s-0").aside_for == 5);
+    CHECK(told.at("s-0").cold_for == -1);
+    CHECK(told.at("s-1").cold_for == 7);
+    CHECK(read_troubles("{\"s\":{\"aside_us\":-3,\"cold_us\":1e300}}").at("s").aside_for == 0);
+    CHECK(read_troubles("[").empty());
+    CHECK_FALSE(read_greeting("{\"v\":1}"));
+}
+
+TEST_CASE("a drain that only the old one heard of is kept by the new one, with discovery silent") {
+    Platform p;
+    p.begin();
+    p.share();
+    p.elder = p.start(p.town->text);
+    Door& discovery = p.town->discovery;
+    // The watches of the town's own dispatcher and of the old one; whoever asks later hears nothing.
+    REQUIRE(p.until([&] { return discovery.guests().size() == 2; }));
+    const std::string list = p.town->list(9, "DRAINING", true);
+    const auto second = list.find("{\"id\":\"s-1\"");  // the first drains, the others serve
+    std::string rest = list.substr(second);
+    for (auto at = rest.find("DRAINING"); at != std::string::npos; at = rest.find("DRAINING")) rest.replace(at, 8, "SERVING");
+    for (Wire& watch : discovery.guests()) watch.say(Town::taken + Town::chunk(list.substr(0, second) + rest + "\n"));
+    p.until([] { return false; }, 50);
+    p.heir = p.start(p.town->text);  // whose configuration says that all serve
+    REQUIRE(p.until([&] { return p.said("handover: heard what the old dispatcher knows"); }));
+    CHECK(p.said("runners goes on"));
+    p.elder->leave();
+    std::vector<Wire> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(Wire::to(p.port));
+        clients.back().say(Town::post("d" + std::to_string(i)));
+        p.at_runner("d" + std::to_string(i));
+    }
+    for (Wire& wire : p.town->doors[0]->guests()) CHECK_FALSE(wire.has("POST "));
+    // What the old one hears while both live goes over as well.
+    discovery.guests()[1].say(Town::chunk(list + "\n"));
+    p.until([] { return false; }, 50);
+    clients.push_back(Wire::to(p.port));
+    clients.back().say(Town::post("late"));
+    p.until([] { return false; }, 50);
+    for (const auto& door : p.town->doors)
+        for (Wire& wire : door->guests()) CHECK_FALSE(wire.has("X-Request-ID: late"));
+}
+
+TEST_CASE("both share the limits as long as both live, whichever goes, and a third finds whoever is left") {
+    Platform p;
+    p.begin();
+    p.share();
+    const std::string alone = "0 of this name", beside = "1 of this name";
+    p.elder = p.start(p.town->text);
+    CHECK(p.healthy());
+    p.heir = p.start(p.town->text);
+    REQUIRE(p.until([&] { return p.said(beside); }));
+    p.town->said.str("");
+    p.heir.reset();  // before it was ready, as far as anybody knows
+    REQUIRE(p.until([&] { return p.said("the new dispatcher is gone") && p.said(alone); }));
+    p.heir = p.start(p.town->text);
+    REQUIRE(p.until([&] { return p.said("told a new dispatcher") && p.said(beside); }));
+    p.town->said.str("");
+    p.elder.reset();  // killed
+    REQUIRE(p.until([&] { return p.said("the old dispatcher is gone") && p.said(alone); }));
+    CHECK(p.healthy());
+    // A second upgrade, from the new one on; in another second, for whose lines the log has room again.
+    p.until([] { return false; }, 1000);
+    p.elder = std::move(p.heir);
+    p.heir = p.start(p.town->text);
+    CHECK(p.until([&] { return p.said("heard what the old dispatcher knows"); }));
+}
+
+TEST_CASE("what lies in the shared folder otherwise is passed over, and serving begins all the same") {
+    SUBCASE("the socket of a dead process") {
+        Platform p;
+        p.begin();
+        p.share();
+        const int dead = ::socket(AF_UNIX, SOCK_STREAM, 0);
+        sockaddr_un at{};
+        at.sun_family = AF_UNIX;
+        p.path().copy(at.sun_path, sizeof at.sun_path - 1);
+        REQUIRE(bind(dead, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        close(dead);
+        p.elder = p.start(p.town->text);
+        CHECK(p.healthy());
+        p.heir = p.start(p.town->text);
+        CHECK(p.until([&] { return p.said("heard what the old dispatcher knows"); }));
+    }
+    SUBCASE("a plain file") {
+        Platform p;
+        p.begin();
+        p.share();
+        std::ofstream(p.path()) << "list 5\nhello";
+        p.elder = p.start(p.town->text);
+        CHECK(p.healthy());
+    }
+    SUBCASE("no folder at all") {
+        Platform p;
+        p.begin();
+        p.folder = "no/such/folder";
+        p.elder = p.start(p.town->text);
+        CHECK(p.healthy());
+        CHECK(p.said("an upgrade will begin from the configuration"));
+        p.folder.clear();
+    }
+}
+
+TEST_CASE("a foreign speaker, one cut off and one of another form keep nobody from serving") {
+    for (const std::string words : {"", "greeting 24\n{\"v\":1,\"name\":\"other\"}", "greeting 20\n{\"v\":1,\"name\":\"n0\"}list 9\n{\"version\"",
+                                    "what is this?", "greeting 21\n{\"v\":99,\"name\":\"n0\"}"}) {
+        CAPTURE(words);
+        Platform p;
+        p.begin();
+        p.share();
+        const int foreign = ::socket(AF_UNIX, SOCK_STREAM, 0);
+        sockaddr_un at{};
+        at.sun_family = AF_UNIX;
+        p.path().copy(at.sun_path, sizeof at.sun_path - 1);
+        REQUIRE(bind(foreign, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(listen(foreign, 4) == 0);
+        p.elder = p.start(p.town->text);
+        Wire wire(accept(foreign, nullptr, nullptr));
+        wire.say(words);
+        CHECK(p.until([&] { return p.healthy(); }, 1500));
+        close(foreign);
+    }
+}
