Calls for the list back off by the size of the fleet; only draining binds where stated

Seen: from 15 s on half of all tasks bounced, four of ten runners in use. Logged each call to discovery in a copy of the tree: after the first second none of 48 dispatchers was served again until the end, 323 calls ended with 503, after 2.0 s or at once. Discovery goes through calls in turn, also those nobody waits for any more, so 48 that come again after 0.25 to 2.5 s keep it at work in vain. At fault: `ask_wait_` of 0.25 s and its cap of a quarter of must_ask, whatever the fleet, and no spread of the first call.

Change: first_wait() grows with the dispatchers (16 a second of it), the first call after a start is spread over it, and the cap grows beyond eight dispatchers. Fleets of up to four ask as before. Not taken: waits without a cap, which would leave an outage of 30 s unmended for as long again; polling instead of watching, measured above.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,7 +41,7 @@
     Desk(const StatedOrders& stated, std::uint64_t seed)
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
         workloads_ = Workload::restated({}, Stated(stated), orders_.workloads, {});
-        view_ = 1.0 / orders_.dispatchers;
+        view_ = 1.0 / orders_.dispatchers, ask_wait_ = first_wait();
         words_ = orders_.tells && orders_.dispatchers > 1;
         if (words_) circles_ = 1 + (orders_.dispatchers - 2) / orders_.peers_worth(kWordsWorth);
     }
@@ -67,6 +67,7 @@
     std::vector<Workload> workloads_;
     std::map<CustomerId, Customer> customers_;
     Fleet runners_;
+    std::map<RunnerId, Micros> drained_;  // where only draining binds, and by which start
     std::vector<Kind> kinds_;
     TaskBook tasks_;
     std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
@@ -77,7 +78,7 @@
     PeerBook peers_;
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
-    Micros ask_at_ = 0, ask_wait_ = kPeriod / 4, late_reports_until_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
@@ -275,6 +276,8 @@
         if (2 * aside >= runners_.ready) return;
         r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
         r.trial = true;
+        // No list will tell that it is back: of one that is called gone its own failure is enough.
+        if (r.unlisted) r.ready = r.unlisted = false, runners_.leave_out(r), reckon(r);
         if (r.told) to_tell_.push_back(r.entry.runner);
         log_.say(now_, r.entry.runner, why);
     }
@@ -469,19 +472,29 @@
         if (news.scope == RosterScope::failed) {
             following_ = false;
             ask_at_ = now_ + static_cast<Micros>(static_cast<double>(ask_wait_) * (0.5 + uniform()));
-            ask_wait_ = std::min(ask_wait_ * 2, orders_.must_ask / 4);
+            ask_wait_ = std::min(ask_wait_ * 2, orders_.must_ask / 4 * std::max(1, orders_.dispatchers / 8));
             return;
         }
-        if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = kPeriod / 4;
+        if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = first_wait();
+        if (news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
+            ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
-        if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries);
+        if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries, !orders_.only_draining);
         const double mean = 1.0 / std::max(1, runners_.count_ready());
-        for (const RosterEntry& e : news.entries)
+        for (const RosterEntry& e : news.entries) {
+            if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
             if (Runner* r = runners_.find(e.runner)) enter(*r, e, mean);
+        }
         runners_.lay_out();
         for (const Runner& r : runners_) reckon(r);
     }
 
+    // Against a herd that keeps discovery at work on calls that nobody waits for any more: it goes through all in
+    // turn, and who is turned away and calls again sooner than a whole fleet is served puts that off for ever.
+    Micros first_wait() const {
+        return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, std::max(kPeriod, orders_.must_ask) / 4);
+    }
+
     // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
     // would cost too much, the runners of the own circle, into which peers and runners fall by their numbers.
     bool near(const RosterEntry& e) const {
@@ -491,9 +504,15 @@
     }
 
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
+        // Against a list that is wrong, where only draining binds: what it calls gone goes on by its own answers,
+        // and what it called draining stays so until it starts again, whatever an older list then says.
+        r.unlisted = orders_.only_draining && r.ready && e.state == RunnerState::gone;
+        if (r.unlisted) return;
+        const auto drained = drained_.find(e.runner);
+        const bool bound = drained != drained_.end() && e.started_at <= drained->second;
         const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
-        r.ready = e.state == RunnerState::ready;
+        r.ready = e.state == RunnerState::ready && !bound;
         r.told = words_ && (circles_ == 1 || r.near);
         if (r.kind() >= kinds_.size()) kinds_.resize(r.kind() + 1);
         if (!r.ready || !started) return;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -78,7 +78,8 @@
       tubes_(extras.tubes),
       terms_(with_tubes(posting_, tubes_, tube_workloads_)),
       choice_(terms_.stated(), posting_.seed),
-      book_(Stated(posting_.orders).words("zones"), Stated(posting_.orders).words("kinds"), log),
+      book_(Stated(posting_.orders).words("zones"), Stated(posting_.orders).words("kinds"), log,
+            !Stated(posting_.orders).yes("rules.only_draining_binds")),
       follower_(
           loop, posting_.discovery, log,
           [this](const roster::Listing& l) {
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -15,7 +15,7 @@
 
 // Numbers of zones, kinds, peers and reported values are in use all over, and so is the way by which the list comes.
 constexpr const char* kUntilRestart[] = {"dispatchers",   "kinds",      "me",   "caps.may_tell", "reports.how",
-                                         "reports.names", "roster.how", "zone", "zones"};
+                                         "reports.names", "roster.how", "rules.only_draining_binds", "zone", "zones"};
 
 std::string scalar(const json::Value& value) {
     if (const auto* text = value.get<std::string>()) {
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -63,13 +63,16 @@
         count_near();
     }
 
-    // What a complete list does not name is not ready any more.
-    void keep_only(const std::vector<RosterEntry>& entries) {
+    // What a complete list does not name is not ready any more or, where that does not bind, unlisted.
+    void keep_only(const std::vector<RosterEntry>& entries, bool binds) {
         std::vector<RunnerId> listed;
         for (const RosterEntry& e : entries) listed.push_back(e.runner);
         std::sort(listed.begin(), listed.end());
-        for (Runner& r : runners_)
-            r.ready = r.ready && std::binary_search(listed.begin(), listed.end(), r.entry.runner);
+        for (Runner& r : runners_) {
+            const bool named = std::binary_search(listed.begin(), listed.end(), r.entry.runner);
+            r.unlisted = !binds && r.ready && (r.unlisted || !named);
+            r.ready = r.ready && (named || !binds);
+        }
     }
 
     // The split table anew after a change of the list; what is not ready has no share.
@@ -84,6 +87,13 @@
         rescale();
     }
 
+    // One that is not ready any more, between two lists.
+    void leave_out(const Runner& r) {
+        share(r).fraction = 0;
+        --ready;
+        rescale();
+    }
+
     void rescale() {
         double sum = 0;
         for (const Share& s : table) sum += s.fraction;
--- a/src/roster/book.cpp
+++ b/src/roster/book.cpp
@@ -90,13 +90,14 @@
         news.for_module.entries.push_back({held.runner, place_in<ZoneId>(zones_, e.zone),
                                            place_in<KindId>(kinds_, e.kind), GroupId{e.group}, *e.state,
                                            e.share, held.started_at});
-        if (address) news.seats.push_back({held.runner, *address, *e.state == RunnerState::ready, restarted});
+        if (address && (gone_binds_ || *e.state != RunnerState::gone))
+            news.seats.push_back({held.runner, *address, *e.state == RunnerState::ready, restarted});
     }
     if (scope == RosterScope::changes) return news;
     for (auto& [id, held] : held_) {
         if (listed.contains(id) || held.entry.state == RunnerState::gone) continue;
         held.entry.state = RunnerState::gone;
-        if (held.entry.address) news.seats.push_back({held.runner, *held.entry.address, false, false});
+        if (held.entry.address && gone_binds_) news.seats.push_back({held.runner, *held.entry.address, false, false});
     }
     return news;
 }
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -12,8 +12,10 @@
 
 class Book {
   public:
-    Book(std::vector<std::string> zones, std::vector<std::string> kinds, log::Log& log)
-        : zones_(std::move(zones)), kinds_(std::move(kinds)), log_(log) {}
+    // gone_binds: whether connections to a runner that is called gone, or left out, are given up. Where they are not, the
+    // module goes on by the runner's own answers.
+    Book(std::vector<std::string> zones, std::vector<std::string> kinds, log::Log& log, bool gone_binds = true)
+        : zones_(std::move(zones)), kinds_(std::move(kinds)), log_(log), gone_binds_(gone_binds) {}
 
     struct Seat {
         RunnerId runner{};
@@ -74,6 +76,7 @@
 
     const std::vector<std::string> zones_, kinds_;
     log::Log& log_;
+    const bool gone_binds_;
     std::map<std::string, Held> held_;  // once in a list, a runner stays known
     std::map<RunnerId, std::string> names_;
     std::uint32_t version_ = 0;
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -67,7 +67,7 @@
 
 // What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
 struct StandingOrders {
-    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held, marks_repeats;
+    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held, marks_repeats, only_draining;
     int dispatchers, me, max_assignments;
     std::size_t workloads, customers;
     ZoneId zone;
@@ -85,6 +85,7 @@
         tells_start = stated.yes("trade.tells_start");
         marks_repeats = stated.yes("clients.marks_retry");
         max_away = stated.yes("caps.retry_after") ? stated.micros("caps.max_retry_after_us", 0) : 0;
+        only_draining = stated.yes("rules.only_draining_binds");
         asks = stated.word("roster.how", "pushed") == "on_request";
         by_work = stated.word("importance.by", "request") == "work";
         dispatchers = std::max(1, static_cast<int>(stated.number("dispatchers", 1)));
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -572,3 +572,81 @@
     CHECK(host.now - began < 100'000);
     CHECK(host.assigned.size() == 30);
 }
+
+TEST_CASE("where only draining binds, what a list calls gone goes on by its own answers, and a drain holds until a start") {
+    StatedOrders orders = plain_orders();
+    orders["rules.only_draining_binds"] = "true";
+    FakeHost host(orders);
+    const auto sent_to = [&](unsigned id) {
+        for (int i = 0; i < 60; ++i) {
+            host.ask();
+            const RunnerId to = host.assigned.back().runner;
+            host.end(Outcome::finished, 300'000, 0, {9, 0, 0});
+            if (to == RunnerId{id}) return true;
+        }
+        return false;
+    };
+    host.fleet(3, 9);
+    host.fleet({FakeHost::entry(1)});  // a wrong list: two that live are left out
+    CHECK(sent_to(2));
+    host.fleet({FakeHost::entry(3, RunnerState::gone)}, RosterScope::changes);
+    CHECK(sent_to(3));
+    host.fleet({FakeHost::entry(2, RunnerState::draining)}, RosterScope::changes);
+    CHECK_FALSE(sent_to(2));
+    host.fleet({FakeHost::entry(1)});
+    CHECK_FALSE(sent_to(2));  // dropped after its drain
+    host.fleet(FakeHost::entries(3));
+    CHECK_FALSE(sent_to(2));  // an old list come back
+    RosterEntry again = FakeHost::entry(2);
+    again.started_at = host.now;
+    host.fleet({again}, RosterScope::changes);
+    host.report(2, 9, 0);
+    host.pass(40'000'000);
+    CHECK(sent_to(2));
+    // Of one that is called gone its own failure is believed, and no trial follows.
+    host.fleet({FakeHost::entry(3, RunnerState::gone)}, RosterScope::changes);
+    host.report(1, 0, 9), host.report(2, 0, 9);  // the others are full
+    host.ask();
+    CHECK(host.assigned.back().runner == RunnerId{3});
+    host.end(Outcome::connect_failed);
+    host.report(1, 9, 0);
+    host.pass(6'000'000);
+    CHECK_FALSE(sent_to(3));
+    orders["rules.only_draining_binds"] = "perhaps";
+    CHECK_THROWS_WITH(Choice(orders, 1), "standing order rules.only_draining_binds is neither true nor false: perhaps");
+}
+
+TEST_CASE("a large fleet spreads its first calls for the list and waits longer after each failure; a small one asks at once") {
+    // When each of a fleet first asks, and when again after failures in a row, from its start.
+    const auto asks = [](int dispatchers, std::uint64_t seed) {
+        StatedOrders orders = plain_orders();
+        orders["roster.how"] = "on_request", orders["rules.must_ask_in_us"] = "10000000";
+        orders["dispatchers"] = std::to_string(dispatchers);
+        FakeHost host(orders, seed);
+        const Micros from = host.now;
+        host.fleet(FakeHost::entries(4), RosterScope::remembered);
+        std::vector<Micros> at;
+        for (int i = 0; i < 20'000 && at.size() < 7; ++i) {
+            if (host.count<FollowRoster>() > static_cast<int>(at.size())) {
+                at.push_back(host.now - from);
+                host.tell(RosterNews{RosterScope::failed, 0, {}});
+            }
+            host.pass(20'000);
+        }
+        REQUIRE(at.size() == 7);
+        return at;
+    };
+    CHECK(asks(3, 1).front() == 0);
+    CHECK(asks(3, 1).back() - asks(3, 1)[5] <= 3'800'000);
+    std::set<Micros> first;
+    Micros longest = 0;
+    for (std::uint64_t seed = 1; seed <= 48; ++seed) {
+        const auto at = asks(48, seed);
+        first.insert(at.front() / 100'000);
+        CHECK(at.front() <= 2'500'000);
+        CHECK(at[1] - at[0] >= 1'250'000);
+        longest = std::max(longest, at.back() - at[5]);
+    }
+    CHECK(first.size() >= 16);  // tenths of a second
+    CHECK(longest > 10'000'000);
+}
--- a/tests/upgrade_stories.cpp
+++ b/tests/upgrade_stories.cpp
@@ -273,3 +273,36 @@
         close(foreign);
     }
 }
+
+TEST_CASE("sent away in the middle of an upgrade, the old one tells its own clients and the new one serves") {
+    Platform p;
+    p.begin();
+    p.share();
+    const auto with = [&](const std::string& window) {
+        std::string text = p.town->text;
+        return text.replace(text.find("\"discovery\""), 11, window + "\"discovery\"");
+    };
+    p.elder = p.start(with(Town::with_window()));
+    Wire kept = Wire::to(p.port);
+    kept.say(Town::post("k"));
+    p.at_runner("k").say(Town::done("k"));
+    REQUIRE(p.until([&] { return kept.has("picture"); }));
+    p.heir = p.start(with(Town::with_window()));
+    const auto call = [&](const dispatcher::Dispatcher& at, const std::string& line) {
+        Wire wire = Wire::to(at.window_port());
+        wire.say(line + " HTTP/1.1\r\nHost: n\r\n\r\n");
+        p.until([&] { return wire.ended(); }, 1000);
+        return wire.got.substr(0, 12);
+    };
+    CHECK(call(*p.elder, "POST /control/out-of-service") == "HTTP/1.1 200");
+    CHECK(call(*p.elder, "GET /control/ready") == "HTTP/1.1 503");
+    REQUIRE(p.until([&] { return call(*p.heir, "GET /control/ready") == "HTTP/1.1 200"; }));
+    p.elder->leave();
+    CHECK(call(*p.elder, "POST /control/in-service") == "HTTP/1.1 409");
+    CHECK(p.until([&] { return kept.ended(); }, 1500));
+    Wire next = Wire::to(p.port);
+    next.say(Town::post("n"));
+    p.at_runner("n").say(Town::done("n"));
+    CHECK(p.until([&] { return next.has("picture"); }));
+    CHECK(p.until([&] { return p.town->loop.stopping(); }, 4000));
+}
