--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -176,14 +176,7 @@
         if (!load) return;
         r.busy = static_cast<float>(load->busy);
         if (r.busy > 0) sample(r, 0);
-        // Against sending to what others have filled: with no word on what it holds, free slots and our own
-        // are ours for now. One that tells of none is left alone for a while: no answer will come from it.
-        if (load->held < 0 && load->free >= 0) {
-            if (load->free < 1) leave_alone(r);
-            r.slots = std::max(1.0, load->free + r.there() - (ended ? 1 : 0) + r.extra);
-        }
-        if (load->memory >= 0) r.memory = load->memory + r.taken;
-        if (load->held < 0) return;
+        if (load->held < 0) return void(r.slots = std::max(r.slots, load->free));
         // One that counts it never misses just one; late news misses any number.
         if (ended && load->held < r.there()) ++(load->held + 1 < r.there() ? missing_more_ : missing_one_);
         if (ended && missing_one_ > 32 * (missing_more_ + 1)) ++load->held;
@@ -230,7 +223,7 @@
             const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
             others = std::max(others, r.others * std::exp(-age / job_seconds_ / 2));
         }
-        return r.there() + r.extra + others;
+        return r.there() + others;
     }
 
     double room(const Runner& r, bool stretch) const {
@@ -238,7 +231,7 @@
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(r.slots + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
-        return slots + (stretch && !orders_.knows_free && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
+        return slots + (stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
     }
 
     bool fresh(const Runner& r) const {
@@ -249,7 +242,7 @@
     // Where nobody reports what a runner holds, its slots show in what starts, or ends, without a wait. One
     // more may be tried a period later, and at once where the one before was as quick as the quickest.
     void learn_slots(Runner& r, const Leg& leg, bool quick, bool quickest) {
-        if (orders_.knows_free || r.entry.pulls) return;
+        if (orders_.knows_held || r.entry.pulls) return;
         if (quickest && leg.crowd > r.slots) r.grow_at = now_;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
@@ -267,7 +260,6 @@
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
         if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
-        if (r.memory >= 0 && task.asked.memory > r.memory - r.taken) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
@@ -417,7 +409,7 @@
 
     void send(Task& task, Runner& r) {
         task.held = false;
-        ++r.out, r.extra += task.asked.slots - 1, r.taken += task.asked.memory;
+        ++r.out;
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
@@ -487,8 +479,7 @@
         if (news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
             ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
-        if (told && news.scope != RosterScope::changes)
-            runners_.keep_only(news.entries, !orders_.only_draining);
+        if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries, !orders_.only_draining);
         const double mean = 1.0 / std::max(1, runners_.count_ready());
         for (const RosterEntry& e : news.entries) {
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
@@ -498,11 +489,10 @@
         for (const Runner& r : runners_) reckon(r);
     }
 
-    // Against a herd that keeps discovery at work on calls that nobody waits for any more: it takes all in
-    // turn, and who calls again sooner than a whole fleet is served puts that off for ever.
+    // Against a herd that keeps discovery at work on calls that nobody waits for any more: it goes through all in
+    // turn, and who is turned away and calls again sooner than a whole fleet is served puts that off for ever.
     Micros first_wait() const {
-        const Micros most = std::max(kPeriod, orders_.must_ask) / 4;
-        return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, most);
+        return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, std::max(kPeriod, orders_.must_ask) / 4);
     }
 
     // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
@@ -514,7 +504,7 @@
     }
 
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
-        // Against a list that is wrong, where only draining binds: what it calls gone goes on by its answers,
+        // Against a list that is wrong, where only draining binds: what it calls gone goes on by its own answers,
         // and what it called draining stays so until it starts again, whatever an older list then says.
         r.unlisted = orders_.only_draining && r.ready && e.state == RunnerState::gone;
         if (r.unlisted) return;
@@ -580,7 +570,6 @@
         Task& t = *tasks_.find(e.task);
         leg->ended = true;
         leg->never_ran = proves_never_ran(e.outcome);
-        r->extra -= t.asked.slots - 1, r->taken -= t.asked.memory;
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
         --r->out, r->lost = std::min(r->lost - (r->lost > 0 && e.outcome != Outcome::finished), r->out);
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -161,7 +161,6 @@
     Histogram latency;  // over the cost
     int out = 0, told_out = 0, peers_out = 0;
     int lost = 0;  // of those out, what its reports have not named for long; its answers never came
-    double extra = 0, taken = 0, memory = -1;  // slots beyond one each and memory of those out; all that is ours, -1: untold
     double slots = 0, others = 0, lot = 0;  // lot: drawn once a start, for who may feed it while it is cold
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
@@ -209,7 +208,7 @@
 
 // A report read by the names that the standing orders give its values.
 struct Load {
-    double free = -1, held = -1, waiting = 0, busy = 0, memory = -1;
+    double free = -1, held = -1, waiting = 0, busy = 0;
 
     // Against broken or lying runners: a report with a value that cannot be is not heard at all.
     static std::optional<Load> read(const std::vector<std::string>& names, const Report& report) {
@@ -220,7 +219,6 @@
             if (names[i] == "free_slots") load.free = std::round(report[i]);
             if (names[i] == "held") load.held = std::round(report[i]);
             if (names[i] == "waiting") load.waiting = std::round(report[i]);
-            if (names[i] == "free_memory") load.memory = report[i];
             if (names[i] == "busy") load.busy = std::min(report[i], 1.0);
         }
         return load;
