--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -476,7 +476,7 @@
             return;
         }
         if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = first_wait();
-        if (news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
+        if (orders_.asks && news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
             ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries, !orders_.only_draining);
