--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -479,7 +479,8 @@
         if (orders_.asks && news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
             ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
-        if (told && news.scope != RosterScope::changes) runners_.keep_only(news.entries, !orders_.only_draining);
+        if (told && news.scope != RosterScope::changes)
+            runners_.keep_only(news.entries, !orders_.only_draining);
         const double mean = 1.0 / std::max(1, runners_.count_ready());
         for (const RosterEntry& e : news.entries) {
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
@@ -489,10 +490,11 @@
         for (const Runner& r : runners_) reckon(r);
     }
 
-    // Against a herd that keeps discovery at work on calls that nobody waits for any more: it goes through all in
-    // turn, and who is turned away and calls again sooner than a whole fleet is served puts that off for ever.
+    // Against a herd that keeps discovery at work on calls that nobody waits for any more: it takes all in
+    // turn, and who calls again sooner than a whole fleet is served puts that off for ever.
     Micros first_wait() const {
-        return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, std::max(kPeriod, orders_.must_ask) / 4);
+        const Micros most = std::max(kPeriod, orders_.must_ask) / 4;
+        return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, most);
     }
 
     // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
@@ -504,7 +506,7 @@
     }
 
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
-        // Against a list that is wrong, where only draining binds: what it calls gone goes on by its own answers,
+        // Against a list that is wrong, where only draining binds: what it calls gone goes on by its answers,
         // and what it called draining stays so until it starts again, whatever an older list then says.
         r.unlisted = orders_.only_draining && r.ready && e.state == RunnerState::gone;
         if (r.unlisted) return;
