--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -315,12 +315,22 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
-        // Half of an even part is ours. Of what is too large for that, one task at a time goes where nobody
-        // seems to have anything; as late reports show that to all at once, only from as many as half the
-        // whole feeds.
+        // Half of an even part is ours. What is too large for that goes by turns, in each window from as many
+        // dispatchers as half of the whole feeds: any span as long meets two windows, so never more than it all.
         return sent + cost <= whole / 2 / orders_.dispatchers ||
-               (sent == 0 && crowd(r) < 0.5 && cost <= whole / 4 &&
-                r.lot * cost * orders_.dispatchers <= whole / 2);
+               (sent == 0 && turn(r) * cost <= whole / 2 && cost <= whole / 2);
+    }
+
+    // Our place in the line of all dispatchers for a cold runner, the first at 0 and each a draw further on. It
+    // counts from the start that all are told of, so all agree who is first, and changes with each window.
+    double turn(const Runner& r) const {
+        const auto window = static_cast<std::uint64_t>((now_ - r.cold_from) / orders_.cold_window);
+        std::uint64_t lot = (static_cast<std::uint64_t>(r.entry.runner) << 32 | window) * 0x9E3779B97F4A7C15;
+        lot = (lot ^ lot >> 31) * 0xBF58476D1CE4E5B9;
+        const auto all = static_cast<std::uint64_t>(orders_.dispatchers);
+        return static_cast<double>((lot >> 40) % all + static_cast<std::uint64_t>(orders_.me)) -
+               ((lot >> 40) % all + static_cast<std::uint64_t>(orders_.me) >= all ? orders_.dispatchers : 0) +
+               static_cast<double>(lot >> 8 & 0xFFFF) / 0x10000;
     }
 
     // ---- 4. holding --------------------------------------------------------------------------------------
