--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -89,6 +89,8 @@
     // Of a runner without samples of its own its kind's are the best guess: in a large fleet most have none.
     double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[r.kind()].smoothed; }
 
+    double slots_of(const Runner& r) const { return std::max(1.0, r.slots > 0 ? r.slots : kinds_[r.kind()].slots); }
+
     // ---- the design --------------------------------------------------------------------------------------
 
     // The smoothed latency, with the kind's as its prior; only what has changed is reckoned anew.
@@ -189,6 +191,8 @@
         }
         if (load->held < r.there()) return;
         r.slots = std::max(1.0, load->free + std::max(0.0, load->held - load->waiting));
+        Kind& kind = kinds_[r.kind()];
+        kind.slots += (r.slots - kind.slots) / (kind.slots > 0 ? 16 : 1);
         r.others = load->held - r.there();
         r.reported_at = now_;
         seen_own_ += r.there(), seen_all_ += load->held;
@@ -313,7 +317,7 @@
     bool cold_allows(const Runner& r, double cost) const {
         if (warmth(r) >= 1) return true;
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
-        const double whole = orders_.fall_multiple * warmth(r) * std::max(1.0, r.slots) * orders_.cold_window;
+        const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
         // Half of an even part is ours. What is too large for that goes by turns, in each window from as many
         // dispatchers as half of the whole feeds: any span as long meets two windows, so never more than it all.
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -194,7 +194,7 @@
 struct Kind {
     Histogram latency;
     bool stirred = false;
-    double smoothed = 1, weight = 0;
+    double smoothed = 1, weight = 0, slots = 0;  // slots: as reports tell them, 0 before any has
 
     void add(double value) {
         latency.add(value);
