--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -78,7 +78,7 @@
     PeerBook peers_;
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
-    Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0, late_ask_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
@@ -263,7 +263,9 @@
     }
 
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
-        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + least_room(r)) return false;
+        // Against late ones that take the slot for which others wait elsewhere in time: they leave one free.
+        const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
+        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + spare + least_room(r)) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
@@ -369,8 +371,9 @@
         for (const TaskId id : held_) {
             Task* const t = tasks_.find(id);
             if (!t || !t->held) continue;
+            if (!t->overdue && now_ >= t->spare_from) overload_until_ = now_ + kPeriod, t->overdue = true;
             if (now_ >= t->latest_start) overload_until_ = now_ + kPeriod, give_up(*t);
-            else order.push_back(t), next_give_up_ = std::min(next_give_up_, t->latest_start);
+            else order.push_back(t), next_give_up_ = std::min(next_give_up_, t->overdue ? t->latest_start : t->spare_from);
         }
         std::make_heap(order.begin(), order.end(), [this](auto* a, auto* b) { return goes_after(a, b); });
         return order;
@@ -378,7 +381,7 @@
 
     void hold(const Task& task) {
         held_.push_back(task.asked.task);
-        next_give_up_ = std::min(next_give_up_, task.latest_start);
+        next_give_up_ = std::min(next_give_up_, task.spare_from);
     }
 
     void place_held() {
@@ -410,6 +413,8 @@
             if (r) t.drawn = r->entry.runner;
             // Probes cost, and of all who wait for a slot, here and elsewhere, the newest should find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
+            if (t.overdue && now_ < late_ask_) continue;
+            if (t.overdue) late_ask_ = now_ + kPatience * orders_.resolution;
             t.ask_after = now_ + (now_ - t.born) / 16;
             ask(*r), ++probing;
         }
@@ -564,7 +569,9 @@
         // Where late answers earn, who comes late, as those told to stay away do, gets a slot if one is free.
         t.latest_start = t.due + static_cast<Micros>(w.tardy * static_cast<double>(w.due));
         if (w.tardy > 0) t.latest_start = std::max(t.latest_start, now_ + kPatience * orders_.resolution);
-        t.latest_start = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
+        t.latest_start = t.spare_from = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
+        if (w.tardy > 0)
+            t.latest_start = std::max(t.latest_start, a.expiry - static_cast<Micros>(2 * t.cost));
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
         // Against one customer's surge: beyond our part, as of all the work in hand, of its allowance.
         const auto who = static_cast<std::size_t>(a.customer);
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -98,11 +98,12 @@
 struct Task {
     TaskArrived asked;
     Micros born = 0, due = 0, latest_start = 0, stay_away = 0, ask_after = 0;
+    Micros spare_from = 0;  // from here on too late to be in time: it takes only what others leave
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
     int most_legs = 1;  // by the orders under which it came
-    bool held = true, over = false, streaming = false, surplus = false;
+    bool held = true, over = false, streaming = false, surplus = false, overdue = false;
     Verdict verdict = Verdict::none;
 
     bool all_legs(bool Leg::*is) const {
