--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -322,9 +322,11 @@
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
         // Half of an even part is ours. What is too large for that goes by turns, in each window from as many
-        // dispatchers as half of the whole feeds: any span as long meets two windows, so never more than it all.
-        return sent + cost <= whole / 2 / orders_.dispatchers ||
-               (sent == 0 && turn(r) * cost <= whole / 2 && cost <= whole / 2);
+        // dispatchers as the whole feeds, and where it holds no more than the start of another window leaves.
+        if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
+        const double part = blind() ? whole / 2 : whole;
+        return sent == 0 && cost <= whole / 2 && turn(r) * cost <= part &&
+               (crowd(r) + 1) * cost <= whole * (1 - 1 / orders_.fall_multiple);
     }
 
     // Our place in the line of all dispatchers for a cold runner, the first at 0 and each a draw further on. It
