--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -325,8 +325,7 @@
         // dispatchers as the whole feeds, and where it holds no more than the start of another window leaves.
         if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
         const double part = blind() ? whole / 2 : whole;
-        return sent == 0 && cost <= whole / 2 && turn(r) * cost <= part &&
-               (crowd(r) + 1) * cost <= whole * (1 - 1 / orders_.fall_multiple);
+        return sent == 0 && cost <= whole / 2 && turn(r) * cost <= part;
     }
 
     // Our place in the line of all dispatchers for a cold runner, the first at 0 and each a draw further on. It
