--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -127,11 +127,8 @@
         while (table[best].marginal != least) best = (best + 1) % table.size();
         // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
         const double x = std::max({rate_, kFewJobs, runners_.ready / 4.0}) * job_seconds_;
-        // Against shares that run to whoever was lucky: a period in which hardly a task went to each runner is
-        // worth no more than that part of a share.
-        const double most = std::min(0.5, std::max(rate_, kFewJobs) / std::max(1, runners_.ready));
         for (Share& s : table) {
-            const double move = std::min(s.fraction * most, s.eta * (s.marginal - least) / x);
+            const double move = std::min(s.fraction / 2, s.eta * (s.marginal - least) / x);
             s.fraction -= move;
             moved += move;
         }
