One failure that loses a task sets a runner aside, for long where traffic is thin

Change: where a failure loses the task and the next sample is further away than a rest, one failure is enough and the rest lasts until the runner would be sent a task again, 16 s at most. Fleets of a few dispatchers have samples sooner and stay as they were.

What is left, one error for each pair, no dispatcher can save alone.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -274,13 +274,13 @@
 
     // ---- 2. health ---------------------------------------------------------------------------------------
 
-    void set_aside(Runner& r, const char* why) {
+    void set_aside(Runner& r, const char* why, Micros rest = kRest) {
         if (now_ < r.aside_until) return;
         int aside = 0;
         for (const Runner& other : runners_) aside += other.ready && now_ < other.aside_until;
         // If half the fleet looks bad at once, it is our view that is bad.
         if (2 * aside >= runners_.ready) return;
-        r.aside_until = now_ + kRest + static_cast<Micros>(uniform() * static_cast<double>(kRest));
+        r.aside_until = now_ + rest + static_cast<Micros>(uniform() * static_cast<double>(rest));
         r.trial = true;
         // No list will tell that it is back: of one that is called gone its own failure is enough.
         if (r.unlisted) r.ready = r.unlisted = false, runners_.leave_out(r), reckon(r);
@@ -288,6 +288,13 @@
         log_.say(now_, r.entry.runner, why);
     }
 
+    // Against a hundred who each try a bad runner anew every few seconds: the rest lasts until it would be sent a
+    // task again anyway. To leave out one that is well costs one of so many little.
+    Micros usual_rest() const {
+        const double next = runners_.ready / std::max(rate_, kFewJobs / 4) * 1e6;
+        return std::clamp(static_cast<Micros>(next), kRest, 8 * kRest);
+    }
+
     // Against breaks of single connections: one is no proof that the process died. Where a probe can tell,
     // nothing goes to it until one has; else, or if that fails too, it is out, and cold whenever it is back.
     void doubt(Runner& r, const char* why) {
@@ -647,7 +654,9 @@
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
         if (broke) doubt(r, "it cannot be reached");
-        if (r.blame > 0.4) set_aside(r, "it keeps failing");
+        // Where a failure loses the task and the next sample is long away, one failure has to do.
+        const Micros rest = broke || w.repeats_anywhere() ? kRest : usual_rest();
+        if (r.blame > (rest > kRest ? 0.2 : 0.4)) set_aside(r, "it keeps failing", rest);
     }
 
     void heed(const ClientLeft& left) {
