--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,7 +31,6 @@
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
 constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
-constexpr int kHome = 12;
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
@@ -81,7 +80,7 @@
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
     Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0, late_ask_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
-    int periods_ = 0, arrivals_ = 0, circles_ = 1, zone_size_ = 0;
+    int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
@@ -158,12 +157,12 @@
         }
         double sum = 0;
         able_.clear();
-        for (const int far : {0, 1, 2}) {
+        for (const bool near : {true, false}) {
             for (Runner* r : open_)
-                if (tier(*r) == far && may_take(*r, task, stretch))
+                if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
             // Against a surge that floods every queue: what is far beyond goes only where room is known.
-            if (!able_.empty() || (far > 0 && task.surplus && circles_ > 1 && now_ < overload_until_)) break;
+            if (!able_.empty() || (task.surplus && circles_ > 1 && now_ < overload_until_)) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
@@ -506,8 +505,6 @@
         if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = first_wait();
         if (orders_.asks && news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
             ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
-        const auto here = [this](const RosterEntry& e) { return e.state == RunnerState::ready && own_zone(e); };
-        if (news.scope != RosterScope::changes) zone_size_ = static_cast<int>(std::count_if(news.entries.begin(), news.entries.end(), here));
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (told && news.scope != RosterScope::changes)
             runners_.keep_only(news.entries, !orders_.only_draining);
@@ -530,19 +527,10 @@
     // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
     // would cost too much, the runners of the own circle, into which peers and runners fall by their numbers.
     bool near(const RosterEntry& e) const {
-        if (circles_ == 1) return e.pulls || (own_zone(e) && home(e));
+        if (circles_ == 1) return e.pulls || e.zone == orders_.zone || !(orders_.knows_held || words_);
         return static_cast<std::uint32_t>(e.runner) * 2654435761U % static_cast<std::uint32_t>(circles_) ==
                static_cast<std::uint32_t>(orders_.me % circles_);
     }
-    bool own_zone(const RosterEntry& e) const { return e.zone == orders_.zone || !(orders_.knows_held || words_); }
-    int tier(const Runner& r) const { return r.near ? 0 : circles_ == 1 && own_zone(r.entry) ? 1 : 2; }
-
-    // Against a fleet in which nobody meets anybody twice: of many runners some are home, by lots that stay.
-    bool home(const RosterEntry& e) const {
-        std::uint64_t lot = (static_cast<std::uint64_t>(e.runner) << 32 | static_cast<std::uint64_t>(orders_.me)) * 0x9E3779B97F4A7C15;
-        lot = (lot ^ lot >> 31) * 0xBF58476D1CE4E5B9;
-        return !orders_.knows_held || zone_size_ * static_cast<double>(lot >> 40) / 0x1000000 < kHome;
-    }
 
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
         // Against a list that is wrong, where only draining binds: what it calls gone goes on by its answers,
