--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -82,7 +82,7 @@
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
-    double alarm_ = 0, seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
+    double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
@@ -148,8 +148,7 @@
             while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
-            if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch) && (!fresh(r) || trusted(r, task)))
-                return &r;
+            if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
         if (!std::exchange(looked_, true)) {
             open_.clear();
@@ -296,13 +295,6 @@
         return std::clamp(static_cast<Micros>(next), kRest, 8 * kRest);
     }
 
-    // Against runners that fail at once and so always show room: once a task was lost to one, who shows more of it
-    // than the last slot is taken the more seldom the emptier it is. What others hold there speaks for it.
-    bool trusted(const Runner& r, const Task& task) {
-        if (alarm_ < 1.0 / 64 || !orders_.knows_held || blind() || workload(task).repeats_anywhere()) return true;
-        return uniform() * (slots_of(r) - 0.75) <= crowd(r) + 0.25;
-    }
-
     // Against breaks of single connections: one is no proof that the process died. Where a probe can tell,
     // nothing goes to it until one has; else, or if that fails too, it is out, and cold whenever it is back.
     void doubt(Runner& r, const char* why) {
@@ -417,7 +409,7 @@
             held_.push_back(t.asked.task);
             if (looked_ && open_.empty()) continue;
             Runner* r = t.drawn ? runners_.find(*t.drawn) : nullptr;
-            if (!r || !may_take(*r, t) || !trusted(*r, t)) r = draw(t);
+            if (!r || !may_take(*r, t)) r = draw(t);
             if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
             t.drawn.reset();
             if (r && fresh(*r)) {
@@ -659,8 +651,6 @@
         } else if (e.outcome == Outcome::full || (failed && e.outcome != Outcome::connect_failed)) {
             sample(r, static_cast<double>(w.expiry) / t.cost);
         }
-        if (e.outcome == Outcome::error && !w.repeats_anywhere()) alarm_ += 1.0 / 32;
-        if (e.outcome == Outcome::finished) alarm_ -= alarm_ / 32;
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
         if (broke) doubt(r, "it cannot be reached");
