--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -422,7 +422,7 @@
             // Probes cost, and of all who wait for a slot, here and elsewhere, the newest should find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
             if (t.overdue && now_ < late_ask_) continue;
-            if (t.overdue) late_ask_ = now_ + kPatience * orders_.resolution;
+            if (t.overdue) late_ask_ = now_ + kPeriod / 8;
             t.ask_after = now_ + (now_ - t.born) / 16;
             ask(*r), ++probing;
         }
