--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -89,7 +89,9 @@
     // Of a runner without samples of its own its kind's are the best guess: in a large fleet most have none.
     double latency_of(const Runner& r) const { return r.sampled ? r.smoothed : kinds_[r.kind()].smoothed; }
 
-    double slots_of(const Runner& r) const { return std::max(1.0, r.slots > 0 ? r.slots : kinds_[r.kind()].slots); }
+    double slots_of(const Runner& r) const {
+        return std::max(1.0, r.slots > 0 ? r.slots : kinds_[r.kind()].slots);
+    }
 
     // ---- the design --------------------------------------------------------------------------------------
 
@@ -265,7 +267,8 @@
     bool may_take(const Runner& r, const Task& task, bool stretch = false) {
         // Against late ones that take the slot for which others wait elsewhere in time: they leave one free.
         const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
-        if (!is_open(r, stretch) || room(r, stretch) < task.asked.slots - 1 + spare + least_room(r)) return false;
+        const double wanted = task.asked.slots - 1 + spare + least_room(r);
+        if (!is_open(r, stretch) || room(r, stretch) < wanted) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
@@ -288,8 +291,8 @@
         log_.say(now_, r.entry.runner, why);
     }
 
-    // Against a hundred who each try a bad runner anew every few seconds: the rest lasts until it would be sent a
-    // task again anyway. To leave out one that is well costs one of so many little.
+    // Against a hundred who each try a bad runner anew every few seconds: it rests until it would be sent
+    // a task again anyway. To leave out one that is well costs one of so many little.
     Micros usual_rest() const {
         const double next = runners_.ready / std::max(rate_, kFewJobs / 4) * 1e6;
         return std::clamp(static_cast<Micros>(next), kRest, 8 * kRest);
@@ -328,23 +331,32 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
-        // Half of an even part is ours. What is too large for that goes by turns, in each window from as many
-        // dispatchers as the whole feeds, and where it holds no more than the start of another window leaves.
+        // Half of an even part is ours. What is too large for that goes by turns, to as many in a window as
+        // the whole feeds, while what it holds, what a window may end of that and renew, and half a task more
+        // fit into the whole, since some are heavy. Reports that are not believed leave half of it.
         if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
-        const double part = blind() ? whole / 2 : whole;
-        return sent == 0 && cost <= whole / 2 && turn(r) * cost <= part;
-    }
-
-    // Our place in the line of all dispatchers for a cold runner, the first at 0 and each a draw further on. It
-    // counts from the start that all are told of, so all agree who is first, and changes with each window.
-    double turn(const Runner& r) const {
-        const auto window = static_cast<std::uint64_t>((now_ - r.cold_from) / orders_.cold_window);
-        std::uint64_t lot = (static_cast<std::uint64_t>(r.entry.runner) << 32 | window) * 0x9E3779B97F4A7C15;
-        lot = (lot ^ lot >> 31) * 0xBF58476D1CE4E5B9;
-        const auto all = static_cast<std::uint64_t>(orders_.dispatchers);
-        return static_cast<double>((lot >> 40) % all + static_cast<std::uint64_t>(orders_.me)) -
-               ((lot >> 40) % all + static_cast<std::uint64_t>(orders_.me) >= all ? orders_.dispatchers : 0) +
-               static_cast<double>(lot >> 8 & 0xFFFF) / 0x10000;
+        const double held = crowd(r) + 1, renewed = warmth(r) * held * orders_.cold_window;
+        return sent == 0 && (held + 0.5) * cost + renewed <= whole &&
+               its_turn(r, (blind() ? whole / 2 : whole) / cost);
+    }
+
+    // Whether we stand among the first in the line of all dispatchers for a cold runner. It is drawn anew in
+    // each window from what all know, so all agree on it, and begins with the start that all are told of.
+    // Against all of them at the stroke of a window they have it one by one, each for a window's length.
+    bool its_turn(const Runner& r, double first) const {
+        const Micros age = std::max<Micros>(0, now_ - r.cold_from), window = age / orders_.cold_window;
+        const auto place = [&](Micros of) {
+            const auto all = static_cast<std::uint64_t>(orders_.dispatchers);
+            std::uint64_t lot = static_cast<std::uint64_t>(r.entry.runner) << 32;
+            lot = (lot | static_cast<std::uint64_t>(of)) * 0x9E3779B97F4A7C15;
+            lot = (lot ^ lot >> 31) * 0xBF58476D1CE4E5B9;
+            return static_cast<double>(((lot >> 40) + static_cast<std::uint64_t>(orders_.me)) % all) +
+                   static_cast<double>(lot >> 8 & 0xFFFF) / 0x10000;
+        };
+        const double gone =
+            static_cast<double>(age % orders_.cold_window) / static_cast<double>(orders_.cold_window);
+        const double before = window > 0 ? place(window - 1) : HUGE_VAL;
+        return place(window) <= first * gone || (before <= first && before > first * gone);
     }
 
     // ---- 4. holding --------------------------------------------------------------------------------------
@@ -381,12 +393,14 @@
             if (!t || !t->held) continue;
             if (!t->overdue && now_ >= t->spare_from) overload_until_ = now_ + kPeriod, t->overdue = true;
             if (now_ >= t->latest_start) overload_until_ = now_ + kPeriod, give_up(*t);
-            else order.push_back(t), next_give_up_ = std::min(next_give_up_, t->overdue ? t->latest_start : t->spare_from);
+            else order.push_back(t), next_give_up_ = std::min(next_give_up_, next_look(*t));
         }
         std::make_heap(order.begin(), order.end(), [this](auto* a, auto* b) { return goes_after(a, b); });
         return order;
     }
 
+    static Micros next_look(const Task& task) { return task.overdue ? task.latest_start : task.spare_from; }
+
     void hold(const Task& task) {
         held_.push_back(task.asked.task);
         next_give_up_ = std::min(next_give_up_, task.spare_from);
@@ -550,7 +564,7 @@
         r.latency.clear();
         if (r.told_of) r.slots = 0;
         r.sampled = r.stirred = r.trial = r.doubted = r.told_of = false;
-        r.least = r.blame = 0, r.lot = uniform(), r.aside_until = 0;
+        r.least = r.blame = 0, r.aside_until = 0;
         r.cold_from = e.started_at > 0 ? std::min(e.started_at, now_) : -1;
     }
 
