--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -587,8 +587,8 @@
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
-        // Against a queue in which all are late: past its due time a task waits only where that earns, for what
-        // others leave. Who comes late, as those told to stay away do, first gets a slot if one is free.
+        // Against a queue in which all are late: past its due time a task waits only where that earns, and
+        // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
         t.latest_start = t.due;
         if (w.tardy > 0) t.latest_start = std::max(t.latest_start, now_ + kPatience * orders_.resolution);
         t.latest_start = t.spare_from = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
