--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -487,7 +487,7 @@
             if (!t || t->over || t->held) continue;
             Leg& leg = t->legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
-            const bool movable = orders_.cancelling && workload(*t).effect != Effect::side_effecting;
+            const bool movable = orders_.knows_held && orders_.cancelling && workload(*t).effect != Effect::side_effecting;
             if (now_ >= t->latest_start) {
                 give_up(*t);
             } else if (movable && may_follow(*t)) {
@@ -586,7 +586,7 @@
         t.due = t.born + w.due;
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
-        if (hinted) t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
+        t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
         // Against a queue in which all are late: past its due time a task waits only where that earns, and
         // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
         t.latest_start = t.due;
