--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -488,13 +488,13 @@
             Leg& leg = t->legs.back();
             if (leg.begun || leg.ended || !leg.wanted) continue;
             const bool movable = orders_.knows_held && orders_.cancelling && workload(*t).effect != Effect::side_effecting;
-            if (now_ >= t->latest_start) {
+            if (now_ >= t->last_hope) {
                 give_up(*t);
             } else if (movable && may_follow(*t)) {
                 leg.wanted = false;
                 touched_.push_back(t->asked.task);
             } else {
-                watch_.emplace(t->latest_start, t->asked.task);
+                watch_.emplace(t->last_hope, t->asked.task);
             }
         }
     }
@@ -586,6 +586,9 @@
         t.due = t.born + w.due;
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
+        t.last_hope = a.expiry - 4 * orders_.resolution;
+        if (w.tardy <= 0) t.last_hope = std::min(t.last_hope, t.due + static_cast<Micros>(
+            std::max(0.0, w.stretch - 1) / std::max(1.0, w.stretch) * static_cast<double>(t.last_hope - t.due)));
         t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
         // Against a queue in which all are late: past its due time a task waits only where that earns, and
         // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -97,7 +97,7 @@
 
 struct Task {
     TaskArrived asked;
-    Micros born = 0, due = 0, latest_start = 0, stay_away = 0, ask_after = 0;
+    Micros born = 0, due = 0, latest_start = 0, last_hope = 0, stay_away = 0, ask_after = 0;
     Micros spare_from = 0;  // from here on too late to be in time: it takes only what others leave
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
