--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -522,10 +522,15 @@
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (told && news.scope != RosterScope::changes)
             runners_.keep_only(news.entries, !orders_.only_draining);
-        const double mean = 1.0 / std::max(1, runners_.count_ready());
+        // What the list says of their sizes is the first guess at the fractions; where it says nothing all are alike.
+        double sizes = 0;
+        for (const Runner& r : runners_) sizes += r.ready ? r.entry.share : 0;
+        for (const RosterEntry& e : news.entries)
+            if (const Runner* r = runners_.find(e.runner); r && !r->ready && e.state == RunnerState::ready)
+                sizes += e.share;
         for (const RosterEntry& e : news.entries) {
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
-            if (Runner* r = runners_.find(e.runner)) enter(*r, e, mean);
+            if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : 1);
         }
         runners_.lay_out();
         for (const Runner& r : runners_) reckon(r);
