--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -147,7 +147,7 @@
         for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < tries; ++n) {
             double at = uniform() * runners_.near_sum;
             std::size_t i = n < kDraws ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(span));
-            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
+            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction * runners_[i].part) >= 0) ++i;
             Runner& r = runners_[i];
             // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
@@ -235,7 +235,7 @@
     double room(const Runner& r, bool stretch) const {
         if (r.entry.pulls) return r.slots - r.out;
         if (now_ < r.full_until) return 0;
-        const double slots = r.trial ? 1 : std::max(1.0, std::floor(r.slots + 0.5));
+        const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
         return slots + (stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
     }
@@ -251,6 +251,7 @@
         if (orders_.knows_held || r.entry.pulls) return;
         if (quickest && leg.crowd > r.slots) r.grow_at = now_;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
+        if (quick) kinds_[r.kind()].slots = std::max(kinds_[r.kind()].slots, r.slots);
         if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
     }
 
@@ -532,10 +533,31 @@
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
             if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : 1);
         }
+        if (homes()) settle_homes();
         runners_.lay_out();
         for (const Runner& r : runners_) reckon(r);
     }
 
+    // Where nothing but own sendings tells what a runner holds, and it has few dispatchers to itself.
+    bool homes() const { return !orders_.knows_held && !words_ && orders_.dispatchers > 1; }
+
+    // All work out the same: the runners in the order of their numbers, as long as their sizes, cut into as many
+    // equal parts as there are dispatchers. What lies in our part is near: there most of what is held is ours.
+    void settle_homes() {
+        double whole = 0, at = 0;
+        std::map<RunnerId, Runner*> row;
+        for (Runner& r : runners_)
+            if (r.ready) row[r.entry.runner] = &r, whole += r.entry.share;
+        const double mine = whole / orders_.dispatchers, from = mine * orders_.me;
+        for (Runner& r : runners_) r.near = false;
+        for (auto& [id, r] : row) {
+            const double ours = std::min(at + r->entry.share, from + mine) - std::max(at, from);
+            r->part = ours / std::max(1e-9, r->entry.share), r->near = ours > 0;
+            at += r->entry.share;
+        }
+        runners_.order();
+    }
+
     // Against a herd that keeps discovery at work on calls that nobody waits for any more: it takes all in
     // turn, and who calls again sooner than a whole fleet is served puts that off for ever.
     Micros first_wait() const {
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -55,11 +55,17 @@
             joined.back().near = is_near(e);
         }
         runners_.insert(runners_.end(), joined.begin(), joined.end());
+        order();
+        const auto twice = [](const Runner& a, const Runner& b) { return a.entry.runner == b.entry.runner; };
+        runners_.erase(std::unique(runners_.begin(), runners_.end(), twice), runners_.end());
+        count_near();
+    }
+
+    // The near ones first; by whoever has changed which they are.
+    void order() {
         const auto rank = [](const Runner& r) { return std::pair(!r.near, r.entry.runner); };
         std::sort(runners_.begin(), runners_.end(),
                   [&](const Runner& a, const Runner& b) { return rank(a) < rank(b); });
-        const auto twice = [](const Runner& a, const Runner& b) { return a.entry.runner == b.entry.runner; };
-        runners_.erase(std::unique(runners_.begin(), runners_.end(), twice), runners_.end());
         count_near();
     }
 
@@ -99,7 +105,7 @@
         for (const Share& s : table) sum += s.fraction;
         for (Share& s : table) s.fraction = sum > 0 ? s.fraction / sum : 0;
         near_sum = 0;
-        for (std::size_t i = 0; i < near_; ++i) near_sum += table[i].fraction;
+        for (std::size_t i = 0; i < near_; ++i) near_sum += table[i].fraction * runners_[i].part;
     }
 
     std::map<RunnerId, double> shares() const {
