--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -82,6 +82,9 @@
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
+    int far_out_ = 0;
+    double far_most_ = 8;
+    Micros far_next_ = 0;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
@@ -270,12 +273,19 @@
         const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
         const double wanted = task.asked.slots - 1 + spare + least_room(r);
         if (!is_open(r, stretch) || room(r, stretch) < wanted) return false;
+        if (homes() && !r.near && !may_roam()) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
         return effect_allows(r, task) && cold_allows(r, cold_cost(r, task));
     }
 
+    // Against overload in which all send to where none sees room: as many may be out beyond the own part as
+    // began in time there lately, and one a period in any case.
+    bool may_roam() const { return far_out_ < far_most_ || now_ >= far_next_; }
+
+    void learn_roaming(bool in_time) { far_most_ = std::clamp(in_time ? far_most_ + 0.5 : far_most_ * 0.75, 0.1, 32.0); }
+
     // ---- 2. health ---------------------------------------------------------------------------------------
 
     void set_aside(Runner& r, const char* why, Micros rest = kRest) {
@@ -455,6 +465,7 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
+        if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
@@ -644,6 +655,8 @@
         if (!r || !leg || leg->ended) return;
         Task& t = *tasks_.find(e.task);
         leg->ended = true;
+        far_out_ -= leg->far;
+        if (leg->far && e.outcome == Outcome::full) learn_roaming(false);
         leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
@@ -753,6 +766,7 @@
         Leg* leg = tasks_.leg(p.task, p.assignment);
         if (!r || !leg || p.stage != Stage::begun) return;
         leg->begun = true;
+        if (leg->far) learn_roaming(now_ - leg->sent_at < workload(*tasks_.find(p.task)).due);
         const auto waited = static_cast<double>(now_ - leg->sent_at);
         learn_slots(*r, *leg, waited < job_seconds_ * 2e5, waited < job_seconds_ * 5e4);
     }
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -92,6 +92,7 @@
     RunnerId runner{};
     Micros sent_at = 0;
     double crowd = 0;  // what the runner then held, this one included
+    bool far = false;  // beyond the own part of the fleet
     bool sent = false, wanted = true, begun = false, ended = false, withdrawing = false, never_ran = false;
 };
 
