--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -55,7 +55,7 @@
         std::vector<RunnerView> all;
         for (std::size_t i = 0; i < runners_.size(); ++i) {
             const Runner& r = runners_[i];
-            all.push_back({r.entry.runner, r.ready, r.trial, r.doubted, runners_.table[i].fraction, r.slots,
+            all.push_back({r.entry.runner, r.ready, r.trial, r.doubted, runners_.table[i].fraction, slots_of(r),
                            room(r, false), warmth(r), r.out, r.reported_at, r.aside_until});
         }
         return all;
@@ -240,7 +240,8 @@
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
-        return slots + (stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at ? 1 : 0) - crowd(r);
+        const bool grow = (stretch || (homes() && r.near)) && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
+        return slots + grow - crowd(r);
     }
 
     bool fresh(const Runner& r) const {
@@ -248,14 +249,15 @@
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
-    // Where nobody reports what a runner holds, its slots show in what starts, or ends, without a wait. One
-    // more may be tried a period later, and at once where the one before was as quick as the quickest.
-    void learn_slots(Runner& r, const Leg& leg, bool quick, bool quickest) {
+    // Where nobody reports what a runner holds, its kind's slots show in what begins, or ends, without a wait: as
+    // many as we had there when a fifth of those last sent did. One more is tried once a period.
+    void learn_slots(const Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
-        if (quickest && leg.crowd > r.slots) r.grow_at = now_;
-        if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd);
-        if (quick) kinds_[r.kind()].slots = std::max(kinds_[r.kind()].slots, r.slots);
-        if (!quick && leg.crowd <= r.slots) r.slots = std::max(1.0, r.slots - 0.5);
+        Kind& kind = kinds_[r.kind()];
+        auto& quick_at = kind.quick_at;
+        const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
+        quick_at[n] += ((quick ? 1 : 0) - quick_at[n]) / 8;
+        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > 0.2;) ++kind.slots;
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
@@ -263,7 +265,7 @@
 
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
-        return r.ready && now_ >= r.aside_until &&
+        return r.ready && now_ >= r.aside_until && (r.near || may_roam()) &&
                !(r.probing && now_ - r.probed_at > kPatience * orders_.resolution) &&
                room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * latency_of(r));
     }
@@ -273,7 +275,6 @@
         const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
         const double wanted = task.asked.slots - 1 + spare + least_room(r);
         if (!is_open(r, stretch) || room(r, stretch) < wanted) return false;
-        if (homes() && !r.near && !may_roam()) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
@@ -282,7 +283,7 @@
 
     // Against overload in which all send to where none sees room: as many may be out beyond the own part as
     // began in time there lately, and one a period in any case.
-    bool may_roam() const { return far_out_ < far_most_ || now_ >= far_next_; }
+    bool may_roam() const { return !homes() || far_out_ < far_most_ || now_ >= far_next_; }
 
     void learn_roaming(bool in_time) { far_most_ = std::clamp(in_time ? far_most_ + 0.5 : far_most_ * 0.75, 0.1, 32.0); }
 
@@ -435,7 +436,7 @@
             if (looked_ && open_.empty()) continue;
             Runner* r = t.drawn ? runners_.find(*t.drawn) : nullptr;
             if (!r || !may_take(*r, t)) r = draw(t);
-            if (!r && !orders_.knows_held && (r = draw(t, true))) r->grow_at = now_ + kPeriod;
+            if (!r && !orders_.knows_held) r = draw(t, true);
             t.drawn.reset();
             if (r && fresh(*r)) {
                 held_.pop_back();
@@ -465,6 +466,7 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
+        if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
         if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
@@ -694,8 +696,7 @@
             // What is shorter than we can tell apart was no wait.
             const bool instant = e.elapsed <= 2 * orders_.resolution;
             if (!orders_.tells_start)
-                learn_slots(r, leg, instant || latency < 1.5 * latency_of(r),
-                            instant || latency < 1.2 * r.least);
+                learn_slots(r, leg, instant || latency < 1.2 * r.least);
             sample(r, latency);
             kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
@@ -768,7 +769,7 @@
         leg->begun = true;
         if (leg->far) learn_roaming(now_ - leg->sent_at < workload(*tasks_.find(p.task)).due);
         const auto waited = static_cast<double>(now_ - leg->sent_at);
-        learn_slots(*r, *leg, waited < job_seconds_ * 2e5, waited < job_seconds_ * 5e4);
+        learn_slots(*r, *leg, waited < job_seconds_ * 5e4);
     }
 
     // ---- settling ----------------------------------------------------------------------------------------
