Home slots count while they begin at once as often as what is sent beyond

Seen: the text before sent a second task home at any load because a fifth began at once there, while at 0.65 load half of those sent beyond do.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -83,7 +83,7 @@
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
     int far_out_ = 0;
-    double far_most_ = 8;
+    double far_most_ = 8, roam_quick_ = 0.5;
     Micros far_next_ = 0;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
@@ -253,11 +253,12 @@
     // many as we had there when a fifth of those last sent did. One more is tried once a period.
     void learn_slots(const Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
+        if (leg.far) return void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
         Kind& kind = kinds_[r.kind()];
         auto& quick_at = kind.quick_at;
         const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
         quick_at[n] += ((quick ? 1 : 0) - quick_at[n]) / 8;
-        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > 0.2;) ++kind.slots;
+        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > std::max(0.2, roam_quick_);) ++kind.slots;
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
@@ -466,7 +467,7 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
-        if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
+        if (crowd(r) > slots_of(r)) r.grow_at = now_ + 4 * kPeriod;
         if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
