--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -240,7 +240,7 @@
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
-        const bool grow = (stretch || (homes() && r.near)) && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
+        const bool grow = stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
         return slots + grow - crowd(r);
     }
 
@@ -467,7 +467,7 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
-        if (crowd(r) > slots_of(r)) r.grow_at = now_ + 4 * kPeriod;
+        if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
         if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
         if (orders_.tells_start) watch_.emplace(now_ + kPatience * orders_.resolution, task.asked.task);
         count_cold(r, cold_cost(r, task));
