--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -506,7 +506,7 @@
             const bool movable = orders_.cancelling && workload(*t).effect != Effect::side_effecting;
             if (now_ >= t->last_hope) {
                 give_up(*t);
-            } else if (movable && moves_ >= 1 && may_follow(*t)) {
+            } else if (movable && orders_.parallel && moves_ >= 1 && may_follow(*t)) {
                 Runner* const other = orders_.parallel ? draw(*t) : nullptr;
                 if (other) send(*t, *other), --moves_;
                 else if (!orders_.parallel) leg.wanted = false, touched_.push_back(t->asked.task), --moves_;
@@ -518,7 +518,7 @@
     }
 
     Micros patience(const Task& task) const {
-        return std::max(kPatience * orders_.resolution, (task.due - task.born) / 4);
+        return std::max(kPatience * orders_.resolution, (task.due - task.born) / 2);
     }
 
     bool may_follow(const Task& task) {
@@ -666,7 +666,7 @@
         Task& t = *tasks_.find(e.task);
         leg->ended = true;
         far_out_ -= leg->far;
-        if (leg->far && e.outcome == Outcome::full) learn_roaming(false);
+        if (leg->far && !leg->begun && e.outcome != Outcome::finished) learn_roaming(false);
         leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
