--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -83,7 +83,7 @@
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
     int far_out_ = 0;
-    double moves_ = 0, far_most_ = 8, roam_quick_ = 0.5;
+    double far_most_ = 8, roam_quick_ = 0.5;
     Micros far_next_ = 0;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
@@ -469,7 +469,7 @@
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
         if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
         if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
-        if (orders_.tells_start) watch_.emplace(now_ + patience(task), task.asked.task);
+        if (orders_.tells_start) watch_.emplace(task.last_hope, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
     }
@@ -493,34 +493,18 @@
         return true;
     }
 
-    // Where runners tell when a task begins, one that waits there goes elsewhere, or is given up once it can
-    // not begin in time: against queues in which a free runner next door is not seen and all is late.
+    // Where runners tell when a task begins, one that waits there is given up once it can not begin in time.
+    // It is not moved: nothing tells whether a withdrawal stops it, and added work made all later than it saved.
     void watch() {
-        looked_ = false;
         while (!watch_.empty() && watch_.begin()->first <= now_) {
             Task* const t = tasks_.find(watch_.begin()->second);
             watch_.erase(watch_.begin());
             if (!t || t->over || t->held) continue;
-            Leg& leg = t->legs.back();
-            if (leg.begun || leg.ended || !leg.wanted) continue;
-            const bool movable = orders_.cancelling && workload(*t).effect != Effect::side_effecting;
-            if (now_ >= t->last_hope) {
-                give_up(*t);
-            } else if (movable && orders_.parallel && moves_ >= 1 && may_follow(*t)) {
-                Runner* const other = orders_.parallel ? draw(*t) : nullptr;
-                if (other) send(*t, *other), --moves_;
-                else if (!orders_.parallel) leg.wanted = false, touched_.push_back(t->asked.task), --moves_;
-                else watch_.emplace(std::min(t->last_hope, now_ + patience(*t)), t->asked.task);
-            } else {
-                watch_.emplace(movable ? std::min(t->last_hope, now_ + patience(*t)) : t->last_hope, t->asked.task);
-            }
+            const Leg& leg = t->legs.back();
+            if (!leg.begun && !leg.ended) give_up(*t);
         }
     }
 
-    Micros patience(const Task& task) const {
-        return std::max(kPatience * orders_.resolution, (task.due - task.born) / 2);
-    }
-
     bool may_follow(const Task& task) {
         if (now_ < overload_until_ || task.streaming || now_ >= task.latest_start) return false;
         if (static_cast<int>(task.legs.size()) >= task.most_legs) return false;
@@ -617,7 +601,7 @@
     }
 
     void heed(const TaskArrived& a) {
-        ++arrivals_, moves_ = std::min(8.0, moves_ + 0.1);
+        ++arrivals_;
         const auto place = static_cast<std::size_t>(a.workload);
         workloads_.resize(std::max(workloads_.size(), place + 1));
         Workload& w = workloads_[place];
@@ -679,7 +663,7 @@
             t.latest_start = std::max(t.latest_start, t.asked.expiry - static_cast<Micros>(2 * t.cost));
         if (e.settled) {
             if (!t.over) close(t);
-        } else if (!t.over && !t.held && t.all_legs(&Leg::ended) && may_follow(t)) {
+        } else if (!t.over && !t.held && may_follow(t)) {
             t.held = true;
             hold(t);
         } else if (!t.over && !t.held && t.all_legs(&Leg::ended)) {
@@ -775,9 +759,6 @@
         Leg* leg = tasks_.leg(p.task, p.assignment);
         if (!r || !leg || p.stage != Stage::begun) return;
         leg->begun = true;
-        Task& t = *tasks_.find(p.task);
-        for (Leg& other : t.legs) other.wanted = other.wanted && (other.begun || &other == leg);
-        touched_.push_back(p.task);
         if (leg->far) learn_roaming(now_ - leg->sent_at < workload(*tasks_.find(p.task)).due);
         const auto waited = static_cast<double>(now_ - leg->sent_at);
         learn_slots(*r, *leg, waited < job_seconds_ * 5e4);
