--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -83,7 +83,7 @@
     int periods_ = 0, arrivals_ = 0, circles_ = 1;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
     int far_out_ = 0;
-    double far_most_ = 8, roam_quick_ = 0.5;
+    double usual_marginal_ = HUGE_VAL, far_most_ = 8, roam_quick_ = 0.5;
     Micros far_next_ = 0;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
@@ -128,6 +128,10 @@
         double least = HUGE_VAL, moved = 0;
         for (const Share& s : table) least = std::min(least, s.marginal);
         if (least == HUGE_VAL) return;
+        double logs = 0, n = 0;
+        for (const Share& s : table)
+            if (s.marginal < HUGE_VAL) logs += std::log2(s.marginal), ++n;
+        usual_marginal_ = std::exp2(logs / n);
         auto best = static_cast<std::size_t>(uniform() * static_cast<double>(table.size()));
         while (table[best].marginal != least) best = (best + 1) % table.size();
         // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
@@ -152,6 +156,7 @@
             std::size_t i = n < kDraws ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(span));
             while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction * runners_[i].part) >= 0) ++i;
             Runner& r = runners_[i];
+            if (homes() && runners_.table[i].marginal > 2 * usual_marginal_) continue;
             // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
             if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
         }
