--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -281,6 +281,7 @@
         const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
         const double wanted = task.asked.slots - 1 + spare + least_room(r);
         if (!is_open(r, stretch) || room(r, stretch) < wanted) return false;
+        if (homes() && !r.near && now_ < task.born + (task.due - task.born) / 8) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
