--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -243,7 +243,7 @@
     double room(const Runner& r, bool stretch) const {
         if (r.entry.pulls) return r.slots - r.out;
         if (now_ < r.full_until) return 0;
-        const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
+        const double slots = r.trial ? 1 : std::max(1.0, std::floor((homes() && r.near ? 2 * r.part : slots_of(r)) + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
         const bool grow = stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
         return slots + grow - crowd(r);
@@ -281,7 +281,6 @@
         const double spare = now_ >= task.spare_from ? std::min(1.0, slots_of(r) - 1) : 0;
         const double wanted = task.asked.slots - 1 + spare + least_room(r);
         if (!is_open(r, stretch) || room(r, stretch) < wanted) return false;
-        if (homes() && !r.near && now_ < task.born + (task.due - task.born) / 8) return false;
         if (!workload(task).runs_on(r.entry.kind) || !r.entry.takes(task.asked.workload)) return false;
         for (const Leg& leg : task.legs)
             if (leg.runner == r.entry.runner && !leg.never_ran) return false;
