--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -243,7 +243,7 @@
     double room(const Runner& r, bool stretch) const {
         if (r.entry.pulls) return r.slots - r.out;
         if (now_ < r.full_until) return 0;
-        const double slots = r.trial ? 1 : std::max(1.0, std::floor((homes() && r.near ? 2 * r.part : slots_of(r)) + 0.5));
+        const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
         if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
         const bool grow = stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
         return slots + grow - crowd(r);
