--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,6 +31,7 @@
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
 constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
+constexpr double kParts = 2;
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
@@ -154,7 +155,7 @@
         for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < tries; ++n) {
             double at = uniform() * runners_.near_sum;
             std::size_t i = n < kDraws ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(span));
-            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction * runners_[i].part) >= 0) ++i;
+            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             if (homes() && runners_.table[i].marginal > 2 * usual_marginal_) continue;
             // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
@@ -551,8 +552,8 @@
     // Where nothing but own sendings tells what a runner holds, and it has few dispatchers to itself.
     bool homes() const { return !orders_.knows_held && !words_ && orders_.dispatchers > 1; }
 
-    // All work out the same: the runners in the order of their numbers, as long as their sizes, cut into as many
-    // equal parts as there are dispatchers. What lies in our part is near: there most of what is held is ours.
+    // All work out the same: the runners in the order of their numbers, as long as their sizes, in a ring. Our part
+    // is as long as gives each runner to two of us, since each has one task there; near is whose middle lies in it.
     void settle_homes() {
         double whole = 0, at = 0;
         std::map<RunnerId, Runner*> row;
@@ -561,8 +562,8 @@
         const double mine = whole / orders_.dispatchers, from = mine * orders_.me;
         for (Runner& r : runners_) r.near = false;
         for (auto& [id, r] : row) {
-            const double ours = std::min(at + r->entry.share, from + mine) - std::max(at, from);
-            r->part = ours / std::max(1e-9, r->entry.share), r->near = ours > 0;
+            const double middle = at + r->entry.share / 2, after = middle - from + (middle < from ? whole : 0);
+            r->near = after < kParts * mine || (at <= from && from < at + r->entry.share);
             at += r->entry.share;
         }
         runners_.order();
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -105,7 +105,7 @@
         for (const Share& s : table) sum += s.fraction;
         for (Share& s : table) s.fraction = sum > 0 ? s.fraction / sum : 0;
         near_sum = 0;
-        for (std::size_t i = 0; i < near_; ++i) near_sum += table[i].fraction * runners_[i].part;
+        for (std::size_t i = 0; i < near_; ++i) near_sum += table[i].fraction;
     }
 
     std::map<RunnerId, double> shares() const {
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -161,7 +161,6 @@
     int contradictions = 0;                 // by live samples in a row
     float blame = 0, busy = 0;
     double fraction = 0, smoothed = 1, least = 0;
-    double part = 1;  // of it that is ours, where it is near
     Histogram latency;  // over the cost
     int out = 0, told_out = 0, peers_out = 0;
     int lost = 0;  // of those out, what its reports have not named for long; its answers never came
