--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -259,7 +259,7 @@
     // many as we had there when a fifth of those last sent did. One more is tried once a period.
     void learn_slots(const Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
-        if (leg.far) return void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
+        if (leg.far) return learn_roaming(quick), void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
         Kind& kind = kinds_[r.kind()];
         auto& quick_at = kind.quick_at;
         const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
@@ -292,7 +292,7 @@
     // began in time there lately, and one a period in any case.
     bool may_roam() const { return !homes() || far_out_ < far_most_ || now_ >= far_next_; }
 
-    void learn_roaming(bool in_time) { far_most_ = std::clamp(in_time ? far_most_ + 0.5 : far_most_ * 0.75, 0.1, 32.0); }
+    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.5 : far_most_ * 0.8, 0.1, 32.0); }
 
     // ---- 2. health ---------------------------------------------------------------------------------------
 
@@ -474,7 +474,7 @@
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
         if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
-        if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + kPeriod;
+        if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + 4 * kPeriod;
         if (orders_.tells_start) watch_.emplace(task.last_hope, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
@@ -765,8 +765,7 @@
         Leg* leg = tasks_.leg(p.task, p.assignment);
         if (!r || !leg || p.stage != Stage::begun) return;
         leg->begun = true;
-        if (leg->far) learn_roaming(now_ - leg->sent_at < workload(*tasks_.find(p.task)).due);
-        const auto waited = static_cast<double>(now_ - leg->sent_at);
+                const auto waited = static_cast<double>(now_ - leg->sent_at);
         learn_slots(*r, *leg, waited < job_seconds_ * 5e4);
     }
 
