--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -259,7 +259,7 @@
     // many as we had there when a fifth of those last sent did. One more is tried once a period.
     void learn_slots(const Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
-        if (leg.far) return learn_roaming(quick), void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
+        if (leg.far) return void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
         Kind& kind = kinds_[r.kind()];
         auto& quick_at = kind.quick_at;
         const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
@@ -292,7 +292,7 @@
     // began in time there lately, and one a period in any case.
     bool may_roam() const { return !homes() || far_out_ < far_most_ || now_ >= far_next_; }
 
-    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.5 : far_most_ * 0.8, 0.1, 32.0); }
+    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 0.1, 32.0); }
 
     // ---- 2. health ---------------------------------------------------------------------------------------
 
@@ -767,6 +767,7 @@
         leg->begun = true;
                 const auto waited = static_cast<double>(now_ - leg->sent_at);
         learn_slots(*r, *leg, waited < job_seconds_ * 5e4);
+        if (leg->far) learn_roaming(waited < job_seconds_ * 2e5);
     }
 
     // ---- settling ----------------------------------------------------------------------------------------
