--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,7 +30,7 @@
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
-constexpr double kTable = 64;         // connections that a runner may be thought to take without harm
+constexpr double kTable = 16;         // connections that a runner may be thought to take without harm
 constexpr double kParts = 2;
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
@@ -662,7 +662,7 @@
             read_report(*r, e.report, true);
         --r->out, r->lost = std::min(r->lost - (r->lost > 0 && e.outcome != Outcome::finished), r->out);
         if (r->told) to_tell_.push_back(e.runner);
-        if (r->out == 0 && crowds_table()) to_close_.push_back(e.runner);
+        if (r->out == 0 && crowds_table(*r)) to_close_.push_back(e.runner);
         judge(*r, t, *leg, e);
         // What was sent in vain may still earn what a late answer does.
         if (workload(t).tardy > 0 && !e.settled)
@@ -679,9 +679,9 @@
     }
 
     // Against hundreds who each keep a connection that they hardly use again: a runner takes only so many.
-    bool crowds_table() const {
+    bool crowds_table(const Runner& r) const {
         const double uses = rate_ * orders_.keepalive_s / std::max(1, runners_.ready);
-        return periods_ > 0 && uses < 1 && uses * orders_.dispatchers > kTable;
+        return periods_ > 0 && uses < 2 && uses * orders_.dispatchers > kTable && !(homes() && r.near);
     }
 
     // Failures count as the longest latency, so that failing fast never looks like being fast.
