--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -473,7 +473,7 @@
         if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
-        if (crowd(r) > slots_of(r)) r.grow_at = now_ + kPeriod;
+        if (crowd(r) > slots_of(r)) r.grow_at = now_ + 16 * kPeriod;
         if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + 4 * kPeriod;
         if (orders_.tells_start) watch_.emplace(task.last_hope, task.asked.task);
         count_cold(r, cold_cost(r, task));
