--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -350,6 +350,10 @@
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
         if (words_) return r.told && sent + cost <= whole * 0.6;
+        // Those who have it near share it evenly; one that holds nothing of ours may have a task by itself.
+        if (homes())
+            return r.near && (sent + cost <= whole * 0.6 / kParts ||
+                              (sent == 0 && r.out == 0 && cost * kParts <= whole));
         // Half of an even part is ours. What is too large for that goes by turns, to as many in a window as
         // the whole feeds, while what it holds, what a window may end of that and renew, and half a task more
         // fit into the whole, since some are heavy. Reports that are not believed leave half of it.
