--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,7 +31,7 @@
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
 constexpr double kTable = 16;         // connections that a runner may be thought to take without harm
-constexpr double kParts = 2;
+constexpr double kParts = 2, kReach = 24;
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
@@ -272,7 +272,7 @@
 
     // A probe unanswered for long tells as much as one that finds no room.
     bool is_open(const Runner& r, bool stretch) const {
-        return r.ready && now_ >= r.aside_until && (r.near || may_roam()) &&
+        return r.ready && now_ >= r.aside_until && (r.near || (r.in_reach && may_roam())) &&
                !(r.probing && now_ - r.probed_at > kPatience * orders_.resolution) &&
                room(r, stretch) >= least_room(r) && cold_allows(r, usual_cost_ * latency_of(r));
     }
@@ -568,6 +568,7 @@
         for (auto& [id, r] : row) {
             const double middle = at + r->entry.share / 2, after = middle - from + (middle < from ? whole : 0);
             r->near = after < kParts * mine || (at <= from && from < at + r->entry.share);
+            r->in_reach = r->near || after < kReach * mine;
             at += r->entry.share;
         }
         runners_.order();
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -153,7 +153,7 @@
 
 struct Runner {
     RosterEntry entry;
-    bool ready = false, near = false, told = false, probing = false, want_probe = false, trial = false;
+    bool ready = false, near = false, in_reach = true, told = false, probing = false, want_probe = false, trial = false;
     bool unlisted = false;                  // called gone, or left out of a list, where that does not bind
     bool sampled = false, stirred = false;  // has samples of its own; has new ones
     bool doubted = false;                   // a connection to it broke, and it has not answered since
