--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -17,7 +17,8 @@
 #include <set>
 #include <tuple>
 
-#include "peer_book.hpp"
+#include "fleet.hpp"
+#include "lore.hpp"
 
 namespace gannethold {
 namespace {
@@ -29,9 +30,8 @@
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
-constexpr double kWordsWorth = 0.01;  // of all service, for words to all peers; more costs more than it buys
 constexpr double kTable = 16;         // connections that a runner may be thought to take without harm
-constexpr double kParts = 2, kReach = 24;
+constexpr double kParts = 2, kReach = 12;
 constexpr int kDraws = 6;             // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
@@ -43,8 +43,6 @@
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
         workloads_ = Workload::restated({}, Stated(stated), orders_.workloads, {});
         view_ = 1.0 / orders_.dispatchers, ask_wait_ = first_wait();
-        words_ = orders_.tells && orders_.dispatchers > 1;
-        if (words_) circles_ = 1 + (orders_.dispatchers - 2) / orders_.peers_worth(kWordsWorth);
     }
     void note(Micros now, const Event& event) {
         now_ = now;
@@ -73,19 +71,17 @@
     TaskBook tasks_;
     std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
-    std::vector<RunnerId> to_probe_, to_tell_, to_close_;
+    std::vector<RunnerId> to_probe_, to_close_;
     std::vector<std::pair<RunnerId, Micros>> probes_out_;
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
-    PeerBook peers_;
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
     Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0, late_ask_ = 0;
-    bool following_ = false, asking_ = false, period_over_ = false, looked_ = false, words_ = false;
-    int periods_ = 0, arrivals_ = 0, circles_ = 1;
+    bool following_ = false, asking_ = false, period_over_ = false, looked_ = false;
+    int periods_ = 0, arrivals_ = 0;
     double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
     int far_out_ = 0;
-    double usual_marginal_ = HUGE_VAL, far_most_ = 8, roam_quick_ = 0.5;
-    Micros far_next_ = 0;
+    double usual_marginal_ = HUGE_VAL, far_most_ = 8;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
@@ -158,8 +154,8 @@
             while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             if (homes() && runners_.table[i].marginal > 2 * usual_marginal_) continue;
-            // Against all who draw it unseen: where no words tell, a cold one counts as far as it is warm.
-            if ((r.told || uniform() <= warmth(r)) && may_take(r, task, stretch)) return &r;
+            // Against all who draw it unseen: a cold one counts as far as it is warm.
+            if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
         }
         if (!std::exchange(looked_, true)) {
             open_.clear();
@@ -172,8 +168,7 @@
             for (Runner* r : open_)
                 if (r->near == near && may_take(*r, task, stretch))
                     able_.push_back(r), sum += runners_.share(*r).fraction * warmth(*r);
-            // Against a surge that floods every queue: what is far beyond goes only where room is known.
-            if (!able_.empty() || (task.surplus && circles_ > 1 && now_ < overload_until_)) break;
+            if (!able_.empty()) break;
         }
         double at = uniform() * sum;
         for (Runner* r : able_)
@@ -232,13 +227,10 @@
     bool blind() const { return orders_.knows_held && now_ < late_reports_until_; }
 
     double crowd(const Runner& r) const {
-        double others = r.peers_out;
-        if (orders_.knows_held && r.reported_at >= 0) {
-            // What others had there runs off unseen; without this a full runner would stay full for ever.
-            const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
-            others = std::max(others, r.others * std::exp(-age / job_seconds_ / 2));
-        }
-        return r.there() + others;
+        if (!orders_.knows_held || r.reported_at < 0) return r.there();
+        // What others had there runs off unseen; without this a full runner would stay full for ever.
+        const double age = static_cast<double>(now_ - r.reported_at) / 1e6;
+        return r.there() + r.others * std::exp(-age / job_seconds_ / 2);
     }
 
     double room(const Runner& r, bool stretch) const {
@@ -258,13 +250,12 @@
     // Where nobody reports what a runner holds, its kind's slots show in what begins, or ends, without a wait: as
     // many as we had there when a fifth of those last sent did. One more is tried once a period.
     void learn_slots(const Runner& r, const Leg& leg, bool quick) {
-        if (orders_.knows_held || r.entry.pulls) return;
-        if (leg.far) return void(roam_quick_ += ((quick ? 1 : 0) - roam_quick_) / 16);
+        if (orders_.knows_held || r.entry.pulls || leg.far) return;
         Kind& kind = kinds_[r.kind()];
         auto& quick_at = kind.quick_at;
         const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
         quick_at[n] += ((quick ? 1 : 0) - quick_at[n]) / 8;
-        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > std::max(0.2, roam_quick_);) ++kind.slots;
+        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > 0.2;) ++kind.slots;
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
@@ -289,10 +280,10 @@
     }
 
     // Against overload in which all send to where none sees room: as many may be out beyond the own part as
-    // began in time there lately, and one a period in any case.
-    bool may_roam() const { return !homes() || far_out_ < far_most_ || now_ >= far_next_; }
+    // began there soon lately, and one in any case.
+    bool may_roam() const { return !homes() || far_out_ < far_most_; }
 
-    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 0.1, 32.0); }
+    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 1.0, 32.0); }
 
     // ---- 2. health ---------------------------------------------------------------------------------------
 
@@ -306,7 +297,6 @@
         r.trial = true;
         // No list will tell that it is back: of one that is called gone its own failure is enough.
         if (r.unlisted) r.ready = r.unlisted = false, runners_.leave_out(r), reckon(r);
-        if (r.told) to_tell_.push_back(r.entry.runner);
         log_.say(now_, r.entry.runner, why);
     }
 
@@ -349,7 +339,6 @@
         if (warmth(r) >= 1) return true;
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
-        if (words_) return r.told && sent + cost <= whole * 0.6;
         // Those who have it near share it evenly; one that holds nothing of ours may have a task by itself.
         if (homes())
             return r.near && (sent + cost <= whole * 0.6 / kParts ||
@@ -474,11 +463,10 @@
     void send(Task& task, Runner& r) {
         task.held = false;
         ++r.out;
-        if (r.told) to_tell_.push_back(r.entry.runner);
         r.last_sent = now_;
         task.legs.push_back({r.entry.runner, now_, crowd(r)});
         if (crowd(r) > slots_of(r)) r.grow_at = now_ + 16 * kPeriod;
-        if (homes() && !r.near) task.legs.back().far = true, ++far_out_, far_next_ = now_ + 4 * kPeriod;
+        if (homes() && !r.near) task.legs.back().far = true, ++far_out_;
         if (orders_.tells_start) watch_.emplace(task.last_hope, task.asked.task);
         count_cold(r, cold_cost(r, task));
         touched_.push_back(task.asked.task);
@@ -554,7 +542,7 @@
     }
 
     // Where nothing but own sendings tells what a runner holds, and it has few dispatchers to itself.
-    bool homes() const { return !orders_.knows_held && !words_ && orders_.dispatchers > 1; }
+    bool homes() const { return !orders_.knows_held && orders_.dispatchers > 1; }
 
     // All work out the same: the runners in the order of their numbers, as long as their sizes, in a ring. Our part
     // is as long as gives each runner to two of us, since each has one task there; near is whose middle lies in it.
@@ -581,12 +569,9 @@
         return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, most);
     }
 
-    // Near is where room is known: the own zone where reports or all peers tell of it; where words to all
-    // would cost too much, the runners of the own circle, into which peers and runners fall by their numbers.
+    // Near is where room is known: the own zone where reports tell of it, else the own part (settle_homes).
     bool near(const RosterEntry& e) const {
-        if (circles_ == 1) return e.pulls || e.zone == orders_.zone || !(orders_.knows_held || words_);
-        return static_cast<std::uint32_t>(e.runner) * 2654435761U % static_cast<std::uint32_t>(circles_) ==
-               static_cast<std::uint32_t>(orders_.me % circles_);
+        return e.pulls || e.zone == orders_.zone || !orders_.knows_held;
     }
 
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
@@ -599,7 +584,6 @@
         const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
         r.ready = e.state == RunnerState::ready && !bound;
-        r.told = words_ && (circles_ == 1 || r.near);
         if (r.kind() >= kinds_.size()) kinds_.resize(r.kind() + 1);
         if (!r.ready || !started) return;
         // The mean fraction and estimate, whatever it was before: it is another process by now.
@@ -645,7 +629,7 @@
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
-            t.worth *= orders_.surplus, t.surplus = customers_[a.customer].excess > 4 * kFewJobs;
+            t.worth *= orders_.surplus;
         hold(t);
         tasks_.add(std::move(t));
     }
@@ -666,7 +650,6 @@
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
         --r->out, r->lost = std::min(r->lost - (r->lost > 0 && e.outcome != Outcome::finished), r->out);
-        if (r->told) to_tell_.push_back(e.runner);
         if (r->out == 0 && crowds_table(*r)) to_close_.push_back(e.runner);
         judge(*r, t, *leg, e);
         // What was sent in vain may still earn what a late answer does.
@@ -757,13 +740,7 @@
         if (Runner* r = runners_.find(told.runner)) r->slots = told.slots;
     }
 
-    void heed(const PeerSaid& said) {
-        const auto words = read_words(said.words);
-        if (!words || !words_ || static_cast<int>(said.from) >= orders_.dispatchers) return;
-        peers_.hear(said.from, *words, now_, runners_, [this](Runner& r, int more) {
-            while (more < kWarning && more-- > 0) count_cold(r, usual_cost_ * latency_of(r));
-        });
-    }
+    void heed(const PeerSaid&) {}  // nothing is made of what other dispatchers say
 
     void heed(const Progress& p) {
         Runner* r = runners_.find(p.runner);
@@ -784,9 +761,6 @@
         for (const Workload& w : workloads_)
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
-        peers_.forget_silent_since(now_ - 3 * kPeriod, runners_);
-        for (std::size_t i = 0; words_ && i < runners_.size(); ++i)
-            if (const Runner& r = runners_[i]; r.told) seen_own_ += r.out, seen_all_ += crowd(r) * circles_;
         if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
@@ -891,13 +865,6 @@
     }
     for (const RunnerId id : std::exchange(to_close_, {}))
         if (const Runner* r = runners_.find(id); r && r->out == 0) out.push_back(CloseIdle{id});
-    if (words_ && (period_over_ || !to_tell_.empty())) {
-        const PeerWords words = runners_.changes_out(std::exchange(to_tell_, {}), period_over_, now_);
-        if (!words.out.empty() && circles_ == 1) out.push_back(TellPeers{spell(words)});
-        for (int peer = orders_.me % circles_; peer < orders_.dispatchers; peer += circles_)
-            if (!words.out.empty() && circles_ > 1 && peer != orders_.me)
-                out.push_back(TellPeer{PeerId(peer), spell(words)});
-    }
     Micros wake = next_period_;
     if (!watch_.empty()) wake = std::min(wake, watch_.begin()->first);
     if (!held_.empty()) wake = std::min(wake, now_ + 4 * orders_.resolution);
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "ledger.hpp"
-#include "peer_words.hpp"
 
 namespace gannethold {
 
@@ -45,7 +44,7 @@
     void seat(const std::vector<RosterEntry>& entries, Near is_near) {
         for (std::size_t i = 0; i < size(); ++i) runners_[i].fraction = table[i].fraction;
         std::erase_if(runners_, [](const Runner& r) {
-            return !r.ready && r.out == 0 && !r.probing && r.peers_out == 0;
+            return !r.ready && r.out == 0 && !r.probing;
         });
         count_near();
         std::vector<Runner> joined;
@@ -120,22 +119,6 @@
             std::count_if(runners_.begin(), runners_.end(), [](const Runner& r) { return r.ready; }));
     }
 
-    // What is out at those touched, where it differs from what was last told; or at all. One set aside is
-    // told as having far more out than it can hold, so that peers find no room where this dispatcher found
-    // trouble.
-    PeerWords changes_out(const std::vector<RunnerId>& touched, bool all, Micros now) {
-        PeerWords words{all, {}};
-        const auto tell = [&](Runner& r) {
-            const int n = r.out + (now < r.aside_until ? kWarning : 0);
-            if (n != r.told_out || (all && n > 0)) words.out[r.entry.runner] = r.told_out = n;
-        };
-        for (Runner& r : runners_)
-            if (all && r.told) tell(r);
-        for (const RunnerId id : touched)
-            if (Runner* r = find(id)) tell(*r);
-        return words;
-    }
-
   private:
     void count_near() {
         near_ = static_cast<std::size_t>(
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -74,16 +74,15 @@
 };
 
 struct Customer {
-    double spent = 0, excess = 0;  // the latter grows with a demand of over twice what is allowed
+    double spent = 0;
     Micros at = 0;
 
     // Whether one more is within what a second allows; at once a second's worth may come, or a few.
     bool spend(double per_second, double few, Micros now) {
         const double since = per_second * static_cast<double>(now - at) / 1e6;
         spent = std::max(0.0, spent - since);
-        excess = std::max(0.0, excess - since);
         at = now;
-        if (spent > std::max(per_second, few)) return ++excess, false;
+        if (spent > std::max(per_second, few)) return false;
         spent += 1;
         return true;
     }
@@ -105,7 +104,7 @@
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
     int most_legs = 1;  // by the orders under which it came
-    bool held = true, over = false, streaming = false, surplus = false, overdue = false;
+    bool held = true, over = false, streaming = false, overdue = false;
     Verdict verdict = Verdict::none;
 
     bool all_legs(bool Leg::*is) const {
@@ -153,7 +152,7 @@
 
 struct Runner {
     RosterEntry entry;
-    bool ready = false, near = false, in_reach = true, told = false, probing = false, want_probe = false, trial = false;
+    bool ready = false, near = false, in_reach = true, probing = false, want_probe = false, trial = false;
     bool unlisted = false;                  // called gone, or left out of a list, where that does not bind
     bool sampled = false, stirred = false;  // has samples of its own; has new ones
     bool doubted = false;                   // a connection to it broke, and it has not answered since
@@ -162,7 +161,7 @@
     float blame = 0, busy = 0;
     double fraction = 0, smoothed = 1, least = 0;
     Histogram latency;  // over the cost
-    int out = 0, told_out = 0, peers_out = 0;
+    int out = 0;
     int lost = 0;  // of those out, what its reports have not named for long; its answers never came
     double slots = 0, others = 0;
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
--- a/src/standing_orders.hpp
+++ b/src/standing_orders.hpp
@@ -67,12 +67,12 @@
 
 // What a dispatcher reads at start. A name that is missing takes the cautious reading given here.
 struct StandingOrders {
-    bool cancelling, parallel, probes, tells, asks, by_work, tells_start, knows_held, marks_repeats, only_draining;
+    bool cancelling, parallel, probes, asks, by_work, tells_start, knows_held, marks_repeats, only_draining;
     int dispatchers, me, max_assignments;
     std::size_t workloads, customers;
     ZoneId zone;
     Micros resolution, cold_window, warm_after, must_ask, max_away;
-    double cold_from, fall_multiple, surplus, peer_price, keepalive_s;
+    double cold_from, fall_multiple, surplus, keepalive_s;
     std::vector<std::string> report_names;
     std::vector<double> allowances;
 
@@ -81,7 +81,6 @@
         cancelling = stated.yes("caps.cancelling");
         parallel = stated.yes("caps.parallel_tries");
         probes = stated.yes("caps.probes");
-        tells = stated.yes("caps.may_tell");
         tells_start = stated.yes("trade.tells_start");
         marks_repeats = stated.yes("clients.marks_retry");
         max_away = stated.yes("caps.retry_after") ? stated.micros("caps.max_retry_after_us", 0) : 0;
@@ -100,7 +99,6 @@
         fall_multiple = stated.number("rules.fall_multiple", 1);
         cold_window = stated.micros("rules.tip_after_us", 1'000'000);
         keepalive_s = stated.number("caps.keepalive_us", 0) / 1e6;
-        peer_price = stated.number("prices.peer", 0);
         report_names = stated.words("reports.names");
         knows_held = reported("held") && reported("free_slots");
         workloads = static_cast<std::size_t>(std::clamp(stated.number("workloads.count", 1), 1.0, 256.0));
@@ -110,12 +108,6 @@
             allowances.push_back(stated.number("customers." + std::to_string(i) + ".allowance_per_s", 0));
     }
 
-    // How many peers can be told of each sending and each end, two dozen bytes in all with what each message
-    // costs by itself, for a part of all service.
-    int peers_worth(double part) const {
-        return peer_price > 0 ? std::max(1, static_cast<int>(part * 256 / 24 / peer_price)) : dispatchers;
-    }
-
   private:
     bool reported(const char* name) const {
         return std::find(report_names.begin(), report_names.end(), name) != report_names.end();
