--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -247,15 +247,15 @@
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
-    // Where nobody reports what a runner holds, its kind's slots show in what begins, or ends, without a wait: as
-    // many as we had there when a fifth of those last sent did. One more is tried once a period.
-    void learn_slots(const Runner& r, const Leg& leg, bool quick) {
-        if (orders_.knows_held || r.entry.pulls || leg.far) return;
+    // Where nobody reports what a runner holds, its slots show in what begins, or ends, without a wait. One more is
+    // tried where nothing else is open: at once after one that did not wait, else rarely, since a wait tells that
+    // there is no room, and when all try one more a period at once, one more is there for good.
+    void learn_slots(Runner& r, const Leg& leg, bool quick) {
+        if (orders_.knows_held || r.entry.pulls) return;
+        if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd), r.grow_at = now_;
+        if (!quick && leg.crowd <= slots_of(r)) r.slots = std::max(1.0, slots_of(r) - 0.5);
         Kind& kind = kinds_[r.kind()];
-        auto& quick_at = kind.quick_at;
-        const auto n = static_cast<std::size_t>(std::clamp(leg.crowd, 1.0, quick_at.size() - 1.0));
-        quick_at[n] += ((quick ? 1 : 0) - quick_at[n]) / 8;
-        for (kind.slots = 1; kind.slots + 1 < static_cast<double>(quick_at.size()) && quick_at[static_cast<std::size_t>(kind.slots) + 1] > 0.2;) ++kind.slots;
+        kind.slots += (slots_of(r) - kind.slots) / 16;
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
@@ -526,15 +526,12 @@
         runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
         if (told && news.scope != RosterScope::changes)
             runners_.keep_only(news.entries, !orders_.only_draining);
-        // What the list says of their sizes is the first guess at the fractions; where it says nothing all are alike.
+        // The mean fraction goes by the sizes that the list names; where it says nothing all are alike.
         double sizes = 0;
         for (const Runner& r : runners_) sizes += r.ready ? r.entry.share : 0;
-        for (const RosterEntry& e : news.entries)
-            if (const Runner* r = runners_.find(e.runner); r && !r->ready && e.state == RunnerState::ready)
-                sizes += e.share;
         for (const RosterEntry& e : news.entries) {
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
-            if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : 1);
+            if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : e.share);
         }
         if (homes()) settle_homes();
         runners_.lay_out();
@@ -680,9 +677,8 @@
         const double latency = static_cast<double>(e.elapsed) / t.cost;
         if (e.outcome == Outcome::finished) {
             // What is shorter than we can tell apart was no wait.
-            const bool instant = e.elapsed <= 2 * orders_.resolution;
             if (!orders_.tells_start)
-                learn_slots(r, leg, instant || latency < 1.2 * r.least);
+                learn_slots(r, leg, e.elapsed <= 2 * orders_.resolution || latency < 1.5 * latency_of(r));
             sample(r, latency);
             kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -197,7 +196,6 @@
     Histogram latency;
     bool stirred = false;
     double smoothed = 1, weight = 0, slots = 0;  // slots: as reports tell them or begins show, 0 before any has
-    std::array<float, 9> quick_at{};  // by own tasks there, the last one included: how many began without a wait
 
     void add(double value) {
         latency.add(value);
