--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -254,8 +254,6 @@
         if (orders_.knows_held || r.entry.pulls) return;
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd), r.grow_at = now_;
         if (!quick && leg.crowd <= slots_of(r)) r.slots = std::max(1.0, slots_of(r) - 0.5);
-        Kind& kind = kinds_[r.kind()];
-        kind.slots += (slots_of(r) - kind.slots) / 16;
     }
 
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
