--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -76,10 +76,10 @@
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
-    Micros ask_at_ = 0, ask_wait_ = 0, late_reports_until_ = 0, late_ask_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = 0, late_ask_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false;
     int periods_ = 0, arrivals_ = 0;
-    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, doubt_ = 0, usual_latency_ = 1;
+    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
     int far_out_ = 0;
     double usual_marginal_ = HUGE_VAL, far_most_ = 8;
     double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
@@ -188,13 +188,9 @@
         // One that counts it never misses just one; late news misses any number.
         if (ended && load->held < r.there()) ++(load->held + 1 < r.there() ? missing_more_ : missing_one_);
         if (ended && missing_one_ > 32 * (missing_more_ + 1)) ++load->held;
-        // Against late reports: of one that misses what was sent long ago comes doubt; soon none is believed.
         // Against connections that fall silent: what it does not name for long it has not; counted once.
-        if (r.out > 0 && now_ - r.last_sent > 32 * orders_.resolution) {
-            doubt_ = doubt_ * 31 / 32 + (load->held < r.there() ? 0.25 : 0);
-            if (doubt_ > 0.3) late_reports_until_ = now_ + 2 * kPeriod;
+        if (r.out > 0 && now_ - r.last_sent > 32 * orders_.resolution)
             r.lost = std::max(0, r.out - static_cast<int>(load->held));
-        }
         if (load->held < r.there()) return;
         r.slots = std::max(1.0, load->free + std::max(0.0, load->held - load->waiting));
         Kind& kind = kinds_[r.kind()];
@@ -224,8 +220,6 @@
     // For half a usual task: so long does a slot take to come free.
     void leave_alone(Runner& r) { r.full_until = now_ + static_cast<Micros>(job_seconds_ * 5e5); }
 
-    bool blind() const { return orders_.knows_held && now_ < late_reports_until_; }
-
     double crowd(const Runner& r) const {
         if (!orders_.knows_held || r.reported_at < 0) return r.there();
         // What others had there runs off unseen; without this a full runner would stay full for ever.
@@ -237,13 +231,12 @@
         if (r.entry.pulls) return r.slots - r.out;
         if (now_ < r.full_until) return 0;
         const double slots = r.trial ? 1 : std::max(1.0, std::floor(slots_of(r) + 0.5));
-        if (blind()) return std::ceil(slots * std::clamp(view_ * 1.3, 0.01, 1.0)) - r.out;
         const bool grow = stretch && !orders_.knows_held && !r.trial && now_ >= r.grow_at;
         return slots + grow - crowd(r);
     }
 
     bool fresh(const Runner& r) const {
-        if (!orders_.probes || !orders_.knows_held || blind() || r.entry.pulls) return true;
+        if (!orders_.probes || !orders_.knows_held || r.entry.pulls) return true;
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
@@ -309,7 +302,7 @@
     // nothing goes to it until one has; else, or if that fails too, it is out, and cold whenever it is back.
     void doubt(Runner& r, const char* why) {
         r.reported_at = -1;
-        if (orders_.probes && orders_.knows_held && !blind() && !std::exchange(r.doubted, true)) return;
+        if (orders_.probes && orders_.knows_held && !std::exchange(r.doubted, true)) return;
         r.cold_from = now_;
         set_aside(r, why);
     }
@@ -347,7 +340,7 @@
         if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
         const double held = crowd(r) + 1, renewed = warmth(r) * held * orders_.cold_window;
         return sent == 0 && (held + 0.5) * cost + renewed <= whole &&
-               its_turn(r, (blind() ? whole / 2 : whole) / cost);
+               its_turn(r, whole / cost);
     }
 
     // Whether we stand among the first in the line of all dispatchers for a cold runner. It is drawn anew in
@@ -755,7 +748,7 @@
         for (const Workload& w : workloads_)
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
-        if (seen_all_ > 0 && !blind()) view_ += (seen_own_ / seen_all_ - view_) / 16;
+        if (seen_all_ > 0) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
             for (const std::size_t i : runners_.sampled)
