--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,7 +42,7 @@
     Desk(const StatedOrders& stated, std::uint64_t seed)
         : orders_(stated), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
         workloads_ = Workload::restated({}, Stated(stated), orders_.workloads, {});
-        view_ = 1.0 / orders_.dispatchers, ask_wait_ = first_wait();
+        ask_wait_ = first_wait();
     }
     void note(Micros now, const Event& event) {
         now_ = now;
@@ -79,10 +79,10 @@
     Micros ask_at_ = 0, ask_wait_ = 0, late_ask_ = 0;
     bool following_ = false, asking_ = false, period_over_ = false, looked_ = false;
     int periods_ = 0, arrivals_ = 0;
-    double rate_ = 0, view_ = 1, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
+    double rate_ = 0, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
     int far_out_ = 0;
     double usual_marginal_ = HUGE_VAL, far_most_ = 8;
-    double seen_own_ = 0, seen_all_ = 0, missing_one_ = 0, missing_more_ = 0;
+    double missing_one_ = 0, missing_more_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
@@ -143,15 +143,12 @@
     }
 
     // A draw from the fractions over those that can take the task: drawn until one can, near ones first.
-    // After a few vain draws, and as many even ones in a large fleet, where the rest differ little and to
-    // look at all for each task that waits has cut off a day, the draw is made over all that have room.
+    // After a few vain draws it is made over all that have room, which are looked for once a batch.
     Runner* draw(const Task& task, bool stretch = false) {
-        const std::size_t span = runners_.near();
-        const int tries = span > 16 * kDraws ? 2 * kDraws : kDraws;
-        for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < tries; ++n) {
+        for (int n = 0; !looked_ && runners_.near_sum > 1e-6 && n < kDraws; ++n) {
             double at = uniform() * runners_.near_sum;
-            std::size_t i = n < kDraws ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(span));
-            while (n < kDraws && i + 1 < span && (at -= runners_.table[i].fraction) >= 0) ++i;
+            std::size_t i = 0;
+            while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
             if (homes() && runners_.table[i].marginal > 2 * usual_marginal_) continue;
             // Against all who draw it unseen: a cold one counts as far as it is warm.
@@ -197,7 +194,6 @@
         kind.slots += (r.slots - kind.slots) / (kind.slots > 0 ? 16 : 1);
         r.others = load->held - r.there();
         r.reported_at = now_;
-        seen_own_ += r.there(), seen_all_ += load->held;
     }
 
     void sample(Runner& r, double latency) {
@@ -336,7 +332,7 @@
                               (sent == 0 && r.out == 0 && cost * kParts <= whole));
         // Half of an even part is ours. What is too large for that goes by turns, to as many in a window as
         // the whole feeds, while what it holds, what a window may end of that and renew, and half a task more
-        // fit into the whole, since some are heavy. Reports that are not believed leave half of it.
+        // fit into the whole, since some are heavy.
         if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
         const double held = crowd(r) + 1, renewed = warmth(r) * held * orders_.cold_window;
         return sent == 0 && (held + 0.5) * cost + renewed <= whole &&
@@ -616,7 +612,7 @@
         // Against one customer's surge: beyond our part, as of all the work in hand, of its allowance.
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
-            !customers_[a.customer].spend(orders_.allowances[who] * view_, kFewJobs, now_))
+            !customers_[a.customer].spend(orders_.allowances[who] / orders_.dispatchers, kFewJobs, now_))
             t.worth *= orders_.surplus;
         hold(t);
         tasks_.add(std::move(t));
@@ -674,11 +670,6 @@
             kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
             r.trial = r.doubted = false;
-        } else if (e.outcome == Outcome::withdrawn && !t.over) {
-            // What waited would have taken so much longer.
-            sample(r, latency + latency_of(r));
-            kinds_[r.kind()].add(latency + latency_of(r));
-            leave_alone(r);
         } else if (e.outcome == Outcome::full || (failed && e.outcome != Outcome::connect_failed)) {
             sample(r, static_cast<double>(w.expiry) / t.cost);
         }
@@ -748,14 +739,13 @@
         for (const Workload& w : workloads_)
             seconds += w.latency.weight() * w.typical() / 1e6, weight += w.latency.weight();
         if (weight > 0) job_seconds_ = std::clamp(seconds / weight, 0.001, 60.0);
-        if (seen_all_ > 0) view_ += (seen_own_ / seen_all_ - view_) / 16;
         step();
         if (++periods_ % kHalvings == 0) {
             for (const std::size_t i : runners_.sampled)
                 runners_[i].latency.halve(), runners_[i].stirred = true;
             for (Kind& k : kinds_) k.latency.halve(), k.weight /= 2;
             for (Workload& w : workloads_) w.latency.halve();
-            seen_own_ /= 2, seen_all_ /= 2, missing_one_ /= 2, missing_more_ /= 2;
+            missing_one_ /= 2, missing_more_ /= 2;
         }
     }
 
@@ -774,7 +764,7 @@
             lore.kinds.push_back(
                 {KindId(static_cast<std::uint32_t>(k)), kinds_[k].latency, kinds_[k].weight});
         for (const Workload& w : workloads_) lore.workloads.push_back(w.latency);
-        lore.own_part = view_, lore.usual_cost = usual_cost_;
+        lore.usual_cost = usual_cost_;
         return lore;
     }
 
@@ -786,7 +776,6 @@
         }
         for (std::size_t i = 0; i < workloads_.size() && i < lore.workloads.size(); ++i)
             workloads_[i].latency = lore.workloads[i];
-        if (lore.own_part > 0) view_ = lore.own_part;
         usual_cost_ = std::max(usual_cost_, lore.usual_cost);
         const double mean = 1.0 / std::max(1, runners_.ready);
         for (const RunnerLore& told : lore.runners) {
--- a/src/dispatcher/remembering.cpp
+++ b/src/dispatcher/remembering.cpp
@@ -30,7 +30,7 @@
     record.dispatcher = posting_.name;
     const Lore lore = choice_.lore(from, most);
     if (lore.places > from && lore.places - from > most) part.next = from + most;
-    record.own_part = lore.own_part, record.usual_cost = lore.usual_cost;
+    record.usual_cost = lore.usual_cost;
     for (const RunnerLore& r : lore.runners) {
         const std::string& name = book_.name_of(r.runner);
         const roster::Entry* const entry = book_.entry(name);
@@ -108,7 +108,7 @@
     for (const keepsake::KeptWorkload& kept : record.workloads)
         if (const auto id = directory_.workloads.find(kept.name); id != directory_.workloads.end() && static_cast<std::size_t>(id->second) < lore.workloads.size())
             lore.workloads[static_cast<std::size_t>(id->second)] = histogram_of(kept.latency, left, prudence.most_samples);
-    if (left > 0) lore.own_part = record.own_part, lore.usual_cost = record.usual_cost;
+    if (left > 0) lore.usual_cost = record.usual_cost;
     if (left > 0) choice_.believe(lore);
     // An operator's order does not fade: whoever was held back is, until somebody releases it.
     for (const keepsake::KeptHold& kept : record.holds)
--- a/src/keepsake/record.cpp
+++ b/src/keepsake/record.cpp
@@ -86,7 +86,7 @@
 }  // namespace
 
 std::string spell(const Record& r) {
-    json all = {{"at", r.written_ms}, {"by", r.dispatcher}, {"part", r.own_part}, {"cost", r.usual_cost}};
+    json all = {{"at", r.written_ms}, {"by", r.dispatcher}, {"cost", r.usual_cost}};
     json& runners = all["runners"] = json::array();
     for (const KeptRunner& one : r.runners)
         runners.push_back({{"n", one.name}, {"k", one.kind}, {"z", one.zone}, {"a", one.address}, {"s", one.started_ms},
@@ -134,7 +134,6 @@
     Record r;
     r.written_ms = whole(all, "at");
     r.dispatcher = text(all, "by");
-    r.own_part = number(all, "part", 0, 1);
     r.usual_cost = number(all, "cost", 0, 1e12);
     for (const json& one : list(all, "runners"))
         if (one.is_object() && !text(one, "n").empty())
--- a/src/keepsake/record.hpp
+++ b/src/keepsake/record.hpp
@@ -40,7 +40,7 @@
     std::vector<KeptKind> kinds;
     std::vector<KeptWorkload> workloads;
     std::vector<KeptHold> holds;
-    double own_part = 0, usual_cost = 0;
+    double usual_cost = 0;
 };
 
 inline constexpr std::uint32_t kForm = 1;  // a file of a greater one cannot be read
--- a/src/lore.hpp
+++ b/src/lore.hpp
@@ -27,7 +27,6 @@
     std::size_t places = 0;  // that runners have, ready or not
     std::vector<KindLore> kinds;
     std::vector<Histogram> workloads;  // in their order; over the due time
-    double own_part = 0;               // of all traffic; 0: not known
     double usual_cost = 0;             // microseconds
 };
 
