--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -81,7 +81,7 @@
     int periods_ = 0, arrivals_ = 0;
     double rate_ = 0, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
     int far_out_ = 0;
-    double usual_marginal_ = HUGE_VAL, far_most_ = 8;
+    double far_most_ = 8;
     double missing_one_ = 0, missing_more_ = 0;
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
@@ -125,10 +125,6 @@
         double least = HUGE_VAL, moved = 0;
         for (const Share& s : table) least = std::min(least, s.marginal);
         if (least == HUGE_VAL) return;
-        double logs = 0, n = 0;
-        for (const Share& s : table)
-            if (s.marginal < HUGE_VAL) logs += std::log2(s.marginal), ++n;
-        usual_marginal_ = std::exp2(logs / n);
         auto best = static_cast<std::size_t>(uniform() * static_cast<double>(table.size()));
         while (table[best].marginal != least) best = (best + 1) % table.size();
         // The floor grows with the fleet: a flow of which hardly a task goes to each runner says as little.
@@ -150,7 +146,6 @@
             std::size_t i = 0;
             while (i + 1 < runners_.near() && (at -= runners_.table[i].fraction) >= 0) ++i;
             Runner& r = runners_[i];
-            if (homes() && runners_.table[i].marginal > 2 * usual_marginal_) continue;
             // Against all who draw it unseen: a cold one counts as far as it is warm.
             if (uniform() <= warmth(r) && may_take(r, task, stretch)) return &r;
         }
