--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,11 +2,11 @@
 // construct with the stated orders and a seed, note() each event, settle() once a batch.
 // The ordinary path is the design's: split fractions over the ready runners, each pick drawn from them, and
 // once a period a clamped gradient step toward the least marginal delay (docs/design.md). Beside it stand
-//   1. Room       a draw on a runner with no free slot is drawn again; reports, probes and peers' words tell
+//   1. Room       a draw on a runner with no free slot is drawn again; reports, probes or own sendings tell
 //   2. Health     a runner that keeps failing or cannot be reached is set aside, and returns on trial
 //   3. Cold       a runner just started is drawn as far as it is warm and sent its part of a budget only
 //   4. Holding    what finds no room waits here, best worth first, and is answered once it cannot be in time
-//   5. Further    a lost assignment, or one that does not begin, goes out up to twice more; not in overload
+//   5. Further    a lost assignment goes out up to twice more; not in overload
 //   6. Roster     follow the list; draining, gone or missing ends all sending at once
 #include "choice.hpp"
 
@@ -28,11 +28,12 @@
 constexpr Micros kRest = 2 * kPeriod;  // of a set-aside, up to twice that: not all come back at once
 constexpr int kFurther = 2;     // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
-constexpr int kPatience = 8;    // ticks for word that a task begins or a probe is answered
+constexpr int kPatience = 8;    // ticks for word on a probe
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
-constexpr double kTable = 16;         // connections that a runner may be thought to take without harm
-constexpr double kParts = 2, kReach = 12;
-constexpr int kDraws = 6;             // vain ones, before all runners are looked at
+constexpr double kTable = 16;   // connections that a runner may be thought to take without harm
+constexpr double kParts = 2;    // a runner is near to so many dispatchers, each with a task there: usual slots
+constexpr double kReach = 12;   // parts in which a dispatcher meets each runner often enough to know it
+constexpr int kDraws = 6;       // vain ones, before all runners are looked at
 constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
 
 }  // namespace
@@ -330,8 +331,7 @@
         // fit into the whole, since some are heavy.
         if (sent + cost <= whole / 2 / orders_.dispatchers) return true;
         const double held = crowd(r) + 1, renewed = warmth(r) * held * orders_.cold_window;
-        return sent == 0 && (held + 0.5) * cost + renewed <= whole &&
-               its_turn(r, whole / cost);
+        return sent == 0 && (held + 0.5) * cost + renewed <= whole && its_turn(r, whole / cost);
     }
 
     // Whether we stand among the first in the line of all dispatchers for a cold runner. It is drawn anew in
@@ -486,7 +486,7 @@
     }
 
     bool may_follow(const Task& task) {
-        if (now_ < overload_until_ || task.streaming || now_ >= task.latest_start) return false;
+        if (now_ < overload_until_ || now_ >= task.latest_start) return false;
         if (static_cast<int>(task.legs.size()) >= task.most_legs) return false;
         return workload(task).effect != Effect::side_effecting || task.all_legs(&Leg::never_ran);
     }
@@ -505,7 +505,7 @@
         if (told && news.scope != RosterScope::remembered) following_ = true, ask_wait_ = first_wait();
         if (orders_.asks && news.scope == RosterScope::remembered && first_wait() > kPeriod / 4)
             ask_at_ = now_ + static_cast<Micros>(uniform() * static_cast<double>(first_wait() - kPeriod / 4));
-        runners_.seat(news.entries, [this](const RosterEntry& e) { return near(e); });
+        runners_.seat(news.entries);
         if (told && news.scope != RosterScope::changes)
             runners_.keep_only(news.entries, !orders_.only_draining);
         // The mean fraction goes by the sizes that the list names; where it says nothing all are alike.
@@ -515,23 +515,24 @@
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
             if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : e.share);
         }
-        if (homes()) settle_homes();
-        runners_.lay_out();
-        for (const Runner& r : runners_) reckon(r);
+        settle_near();
     }
 
-    // Where nothing but own sendings tells what a runner holds, and it has few dispatchers to itself.
+    // Where nothing but own sendings tells what a runner holds, and most there can be ours.
     bool homes() const { return !orders_.knows_held && orders_.dispatchers > 1; }
 
-    // All work out the same: the runners in the order of their numbers, as long as their sizes, in a ring. Our part
-    // is as long as gives each runner to two of us, since each has one task there; near is whose middle lies in it.
-    void settle_homes() {
+    // Near is where room is known: the own zone where reports tell of it, else an own part of the fleet. All work
+    // out the same: the runners in the order of their numbers, as long as their sizes, in a ring. Our part is as long
+    // as gives each runner to kParts of us; near is whose middle lies in it, or who has its beginning.
+    void settle_near() {
         double whole = 0, at = 0;
         std::map<RunnerId, Runner*> row;
-        for (Runner& r : runners_)
-            if (r.ready) row[r.entry.runner] = &r, whole += r.entry.share;
+        for (Runner& r : runners_) {
+            r.near = r.in_reach = r.entry.pulls || !homes();
+            if (!homes()) r.near = r.entry.pulls || !orders_.knows_held || r.entry.zone == orders_.zone;
+            if (r.ready && !r.entry.pulls && homes()) row[r.entry.runner] = &r, whole += r.entry.share;
+        }
         const double mine = whole / orders_.dispatchers, from = mine * orders_.me;
-        for (Runner& r : runners_) r.near = false;
         for (auto& [id, r] : row) {
             const double middle = at + r->entry.share / 2, after = middle - from + (middle < from ? whole : 0);
             r->near = after < kParts * mine || (at <= from && from < at + r->entry.share);
@@ -539,6 +540,8 @@
             at += r->entry.share;
         }
         runners_.order();
+        runners_.lay_out();
+        for (const Runner& r : runners_) reckon(r);
     }
 
     // Against a herd that keeps discovery at work on calls that nobody waits for any more: it takes all in
@@ -548,11 +551,6 @@
         return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, most);
     }
 
-    // Near is where room is known: the own zone where reports tell of it, else the own part (settle_homes).
-    bool near(const RosterEntry& e) const {
-        return e.pulls || e.zone == orders_.zone || !orders_.knows_held;
-    }
-
     void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
         // Against a list that is wrong, where only draining binds: what it calls gone goes on by its answers,
         // and what it called draining stays so until it starts again, whatever an older list then says.
@@ -586,25 +584,24 @@
         const Micros late = std::max<Micros>(0, now_ + w.expiry - a.expiry);
         if (w.least_late < 0 || late < w.least_late) w.least_late = late;
         t.born = now_ - (a.client_repeat || !orders_.marks_repeats ? late - w.least_late : 0);
-        const bool hinted = a.hint_valid && a.cost_hint > 0;
-        t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
+        t.cost = a.hint_valid && a.cost_hint > 0 ? static_cast<double>(a.cost_hint) : w.typical();
         usual_cost_ += (t.cost - usual_cost_) / 64;
-        t.due = t.born + w.due;
+        const Micros last = a.expiry - 4 * orders_.resolution, due = t.born + w.due;
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
-        t.last_hope = a.expiry - 4 * orders_.resolution;
-        if (w.tardy <= 0) t.last_hope = std::min(t.last_hope, t.due + static_cast<Micros>(
-            std::max(0.0, w.stretch - 1) / std::max(1.0, w.stretch) * static_cast<double>(t.last_hope - t.due)));
-        t.due += static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
+        t.due = due + static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
+        // What waits at a runner has hope while some length of it, none being known, would end it in time.
+        const double lengthens = 1 - 1 / std::max(1.0, w.stretch);
+        t.last_hope = w.tardy > 0 ? last : std::min(last, due + static_cast<Micros>(lengthens * static_cast<double>(last - due)));
         // Against a queue in which all are late: past its due time a task waits only where that earns, and
         // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
         t.latest_start = t.due;
         if (w.tardy > 0) t.latest_start = std::max(t.latest_start, now_ + kPatience * orders_.resolution);
-        t.latest_start = t.spare_from = std::min(t.latest_start, a.expiry - 4 * orders_.resolution);
+        t.latest_start = t.spare_from = std::min(t.latest_start, last);
         if (w.tardy > 0)
             t.latest_start = std::max(t.latest_start, a.expiry - static_cast<Micros>(2 * t.cost));
         t.worth = orders_.by_work ? w.importance : w.importance / std::max(1.0, w.typical());
-        // Against one customer's surge: beyond our part, as of all the work in hand, of its allowance.
+        // Against one customer's surge: beyond our part of its allowance.
         const auto who = static_cast<std::size_t>(a.customer);
         if (who < orders_.allowances.size() &&
             !customers_[a.customer].spend(orders_.allowances[who] / orders_.dispatchers, kFewJobs, now_))
@@ -613,9 +610,7 @@
         tasks_.add(std::move(t));
     }
 
-    void heed(const StreamBegun& begun) {
-        if (Task* t = tasks_.find(begun.task)) t->streaming = true;
-    }
+    void heed(const StreamBegun&) {}  // it belongs to the client from here on, whatever is decided
 
     void heed(const AssignmentEnded& e) {
         Runner* r = runners_.find(e.runner);
@@ -687,6 +682,8 @@
     void heed(const OrdersRestated& o) {
         orders_ = StandingOrders(o.orders);
         workloads_ = Workload::restated(workloads_, Stated(o.orders), orders_.workloads, o.learn_from);
+        runners_.seat({});
+        settle_near();
     }
 
     void heed(const LastCall&) {
@@ -815,7 +812,7 @@
             if (leg.wanted && !leg.sent) {
                 leg.sent = true;
                 out.push_back(Assign{t->asked.task, leg.runner, t->asked.expiry - 2 * orders_.resolution});
-            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && orders_.cancelling && !t->streaming) {
+            } else if (!leg.wanted && !leg.ended && !leg.withdrawing && orders_.cancelling) {
                 leg.withdrawing = true;
                 out.push_back(Withdraw{t->asked.task, static_cast<int>(n)});
             }
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -40,8 +40,8 @@
     }
 
     // Makes place for ready runners not seen before, in that of those that are gone for good.
-    template <class Near>
-    void seat(const std::vector<RosterEntry>& entries, Near is_near) {
+    // Who is near among those that joined, and the table, is for the caller to settle.
+    void seat(const std::vector<RosterEntry>& entries) {
         for (std::size_t i = 0; i < size(); ++i) runners_[i].fraction = table[i].fraction;
         std::erase_if(runners_, [](const Runner& r) {
             return !r.ready && r.out == 0 && !r.probing;
@@ -51,7 +51,6 @@
         for (const RosterEntry& e : entries) {
             if (e.state != RunnerState::ready || find(e.runner)) continue;
             joined.emplace_back().entry = e;
-            joined.back().near = is_near(e);
         }
         runners_.insert(runners_.end(), joined.begin(), joined.end());
         order();
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -103,7 +103,7 @@
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
     int most_legs = 1;  // by the orders under which it came
-    bool held = true, over = false, streaming = false, overdue = false;
+    bool held = true, over = false, overdue = false;
     Verdict verdict = Verdict::none;
 
     bool all_legs(bool Leg::*is) const {
