--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -73,12 +73,11 @@
     std::vector<Runner*> open_, able_;  // with room, while the held are placed; for the one drawn now
     std::vector<TaskId> held_, touched_;
     std::vector<RunnerId> to_probe_, to_close_;
-    std::vector<std::pair<RunnerId, Micros>> probes_out_;
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
     Micros ask_at_ = 0, ask_wait_ = 0, late_ask_ = 0;
-    bool following_ = false, asking_ = false, period_over_ = false, looked_ = false;
+    bool following_ = false, asking_ = false, looked_ = false;
     int periods_ = 0, arrivals_ = 0;
     double rate_ = 0, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
     int far_out_ = 0;
@@ -232,15 +231,20 @@
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
-    // Where nobody reports what a runner holds, its slots show in what begins, or ends, without a wait. One more is
-    // tried where nothing else is open: at once after one that did not wait, else rarely, since a wait tells that
-    // there is no room, and when all try one more a period at once, one more is there for good.
-    void learn_slots(Runner& r, const Leg& leg, bool quick) {
+    // Where nobody reports what a runner holds, its slots show in what begins, or ends, without a wait. One more
+    // is tried where nothing else is open: at once after one that did not wait, else rarely, since when all try
+    // one more a period, one more is there for good. Far ones tell how many may roam.
+    void learn_room(Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
+        if (leg.far) far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 1.0, 32.0);
         if (quick && leg.crowd > r.slots) r.slots = std::floor(leg.crowd), r.grow_at = now_;
         if (!quick && leg.crowd <= slots_of(r)) r.slots = std::max(1.0, slots_of(r) - 0.5);
     }
 
+    // Against overload in which all send to where none sees room: beyond the own part as many may be out as
+    // began there soon lately, and one in any case.
+    bool may_roam() const { return !homes() || far_out_ < far_most_; }
+
     // On old news a slot need not be likely, a probe will tell: one that others left must not stand idle.
     double least_room(const Runner& r) const { return fresh(r) ? 0.5 : 0.25; }
 
@@ -262,12 +266,6 @@
         return effect_allows(r, task) && cold_allows(r, cold_cost(r, task));
     }
 
-    // Against overload in which all send to where none sees room: as many may be out beyond the own part as
-    // began there soon lately, and one in any case.
-    bool may_roam() const { return !homes() || far_out_ < far_most_; }
-
-    void learn_roaming(bool quick) { far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 1.0, 32.0); }
-
     // ---- 2. health ---------------------------------------------------------------------------------------
 
     void set_aside(Runner& r, const char* why, Micros rest = kRest) {
@@ -379,7 +377,7 @@
         return rank(b) < rank(a);
     }
 
-    std::vector<Task*> ranked_held() {
+    std::vector<Task*> still_held() {
         std::vector<Task*> order;
         next_give_up_ = kNever;
         for (const TaskId id : held_) {
@@ -387,14 +385,11 @@
             if (!t || !t->held) continue;
             if (!t->overdue && now_ >= t->spare_from) overload_until_ = now_ + kPeriod, t->overdue = true;
             if (now_ >= t->latest_start) overload_until_ = now_ + kPeriod, give_up(*t);
-            else order.push_back(t), next_give_up_ = std::min(next_give_up_, next_look(*t));
+            else order.push_back(t), next_give_up_ = std::min(next_give_up_, t->overdue ? t->latest_start : t->spare_from);
         }
-        std::make_heap(order.begin(), order.end(), [this](auto* a, auto* b) { return goes_after(a, b); });
         return order;
     }
 
-    static Micros next_look(const Task& task) { return task.overdue ? task.latest_start : task.spare_from; }
-
     void hold(const Task& task) {
         held_.push_back(task.asked.task);
         next_give_up_ = std::min(next_give_up_, task.spare_from);
@@ -407,12 +402,14 @@
         if (now_ < next_give_up_ && std::none_of(runners_.begin(), runners_.end(), open)) return;
         looked_ = false;
         int probing = 0;
-        for (const auto& [id, at] : probes_out_) probing += now_ - at <= kPatience * orders_.resolution;
-        std::vector<Task*> order = ranked_held();
+        for (const Runner& r : runners_)
+            probing += r.probing && now_ - r.probed_at <= kPatience * orders_.resolution;
+        const auto after = [this](const Task* a, const Task* b) { return goes_after(a, b); };
+        std::vector<Task*> order = still_held();
+        std::make_heap(order.begin(), order.end(), after);
         held_.clear();
         for (auto end = order.end(); end != order.begin();) {
-            if (!looked_ || !open_.empty())
-                std::pop_heap(order.begin(), end, [this](auto* a, auto* b) { return goes_after(a, b); });
+            if (!looked_ || !open_.empty()) std::pop_heap(order.begin(), end, after);
             Task& t = **--end;
             held_.push_back(t.asked.task);
             if (looked_ && open_.empty()) continue;
@@ -432,16 +429,10 @@
             if (t.overdue && now_ < late_ask_) continue;
             if (t.overdue) late_ask_ = now_ + kPeriod / 8;
             t.ask_after = now_ + (now_ - t.born) / 16;
-            ask(*r), ++probing;
+            if (!std::exchange(r->want_probe, true)) to_probe_.push_back(r->entry.runner), ++probing;
         }
     }
 
-    void ask(Runner& r) {
-        if (r.want_probe || r.probing || !r.ready) return;
-        r.want_probe = true;
-        to_probe_.push_back(r.entry.runner);
-    }
-
     void send(Task& task, Runner& r) {
         task.held = false;
         ++r.out;
@@ -619,7 +610,7 @@
         Task& t = *tasks_.find(e.task);
         leg->ended = true;
         far_out_ -= leg->far;
-        if (leg->far && !leg->begun && e.outcome != Outcome::finished) learn_roaming(false);
+        if (!leg->begun && e.outcome == Outcome::full) learn_room(*r, *leg, false);
         leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
@@ -655,7 +646,7 @@
         if (e.outcome == Outcome::finished) {
             // What is shorter than we can tell apart was no wait.
             if (!orders_.tells_start)
-                learn_slots(r, leg, e.elapsed <= 2 * orders_.resolution || latency < 1.5 * latency_of(r));
+                learn_room(r, leg, e.elapsed <= 2 * orders_.resolution || latency < 1.5 * latency_of(r));
             sample(r, latency);
             kinds_[r.kind()].add(latency);
             w.latency.add(static_cast<double>(e.elapsed) / static_cast<double>(w.due));
@@ -695,7 +686,6 @@
         Runner* r = runners_.find(e.runner);
         if (!r) return;
         r->probing = false;
-        std::erase_if(probes_out_, [&](const auto& probe) { return probe.first == e.runner; });
         if (e.outcome == Outcome::finished) {
             r->doubted = false;
             read_report(*r, e.report);
@@ -717,9 +707,7 @@
         Leg* leg = tasks_.leg(p.task, p.assignment);
         if (!r || !leg || p.stage != Stage::begun) return;
         leg->begun = true;
-                const auto waited = static_cast<double>(now_ - leg->sent_at);
-        learn_slots(*r, *leg, waited < job_seconds_ * 5e4);
-        if (leg->far) learn_roaming(waited < job_seconds_ * 2e5);
+        learn_room(*r, *leg, static_cast<double>(now_ - leg->sent_at) < job_seconds_ * 2e5);
     }
 
     // ---- settling ----------------------------------------------------------------------------------------
@@ -790,9 +778,8 @@
 
 void Choice::Desk::settle(Micros now, std::vector<Action>& out) {
     now_ = now;
-    period_over_ = next_period_ > 0 && now >= next_period_;
-    if (period_over_) end_period();
-    if (period_over_ || next_period_ == 0) next_period_ = now + kPeriod;
+    if (next_period_ > 0 && now >= next_period_) end_period();
+    if (now >= next_period_) next_period_ = now + kPeriod;
     watch();
     place_held();
     emit(out);
@@ -828,7 +815,6 @@
         if (!r->ready) continue;
         r->probing = true;
         r->probed_at = now_;
-        probes_out_.emplace_back(id, now_);
         out.push_back(Probe{id});
     }
     for (const RunnerId id : std::exchange(to_close_, {}))
