--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -18,23 +18,21 @@
 #include <tuple>
 
 #include "fleet.hpp"
-#include "lore.hpp"
 
 namespace gannethold {
 namespace {
 
 constexpr Micros kPeriod = 1'000'000;  // the design's
-constexpr Micros kNever = std::numeric_limits<Micros>::max();
 constexpr Micros kRest = 2 * kPeriod;  // of a set-aside, up to twice that: not all come back at once
-constexpr int kFurther = 2;     // the operators' kept way
+constexpr int kFurther = 2;            // the operators' kept way
 constexpr int kProbesOut = 2;   // while many tasks wait: more would ask the same runners for the same slot
 constexpr int kPatience = 8;    // ticks for word on a probe
 constexpr double kFewJobs = 3;  // the design's floor for the own job rate
 constexpr double kTable = 16;   // connections that a runner may be thought to take without harm
-constexpr double kParts = 2;    // a runner is near to so many dispatchers, each with a task there: usual slots
+constexpr double kParts = 2;    // dispatchers to which a runner is near, with a task there each: usual slots
 constexpr double kReach = 12;   // parts in which a dispatcher meets each runner often enough to know it
 constexpr int kDraws = 6;       // vain ones, before all runners are looked at
-constexpr int kHalvings = 8;  // periods between halvings: long against a period, short against a shift
+constexpr int kHalvings = 8;    // periods between halvings: long against a period, short against a shift
 
 }  // namespace
 
@@ -55,8 +53,8 @@
         std::vector<RunnerView> all;
         for (std::size_t i = 0; i < runners_.size(); ++i) {
             const Runner& r = runners_[i];
-            all.push_back({r.entry.runner, r.ready, r.trial, r.doubted, runners_.table[i].fraction, slots_of(r),
-                           room(r, false), warmth(r), r.out, r.reported_at, r.aside_until});
+            all.push_back({r.entry.runner, r.ready, r.trial, r.doubted, runners_.table[i].fraction,
+                           slots_of(r), room(r, false), warmth(r), r.out, r.reported_at, r.aside_until});
         }
         return all;
     }
@@ -76,13 +74,11 @@
     std::set<std::pair<Micros, TaskId>> watch_;  // what has not begun, by when to look again
     Logbook log_;
     Micros now_ = 0, next_period_ = 0, wake_set_ = 0, overload_until_ = 0, next_give_up_ = 0;
-    Micros ask_at_ = 0, ask_wait_ = 0, late_ask_ = 0;
+    Micros ask_at_ = 0, ask_wait_ = 0;
     bool following_ = false, asking_ = false, looked_ = false;
-    int periods_ = 0, arrivals_ = 0;
+    int periods_ = 0, arrivals_ = 0, far_out_ = 0;
     double rate_ = 0, usual_cost_ = 0, job_seconds_ = 0.1, usual_latency_ = 1;
-    int far_out_ = 0;
-    double far_most_ = 8;
-    double missing_one_ = 0, missing_more_ = 0;
+    double far_most_ = 8, missing_one_ = 0, missing_more_ = 0;  // far: beyond the own part
 
     double uniform() { return std::generate_canonical<double, 24>(chance_); }
     Workload& workload(const Task& task) { return workloads_[static_cast<std::size_t>(task.asked.workload)]; }
@@ -231,9 +227,9 @@
         return r.reported_at >= 0 && static_cast<double>(now_ - r.reported_at) < job_seconds_ * 1e5;
     }
 
-    // Where nobody reports what a runner holds, its slots show in what begins, or ends, without a wait. One more
-    // is tried where nothing else is open: at once after one that did not wait, else rarely, since when all try
-    // one more a period, one more is there for good. Far ones tell how many may roam.
+    // Where nobody reports what a runner holds, its slots show in what begins, or ends, without a wait. One
+    // more is tried where nothing else is open: at once after one that did not wait, else rarely, since when
+    // all try one more a period, one more is there for good. Far ones tell how many may roam.
     void learn_room(Runner& r, const Leg& leg, bool quick) {
         if (orders_.knows_held || r.entry.pulls) return;
         if (leg.far) far_most_ = std::clamp(quick ? far_most_ + 0.7 : far_most_ * 0.8, 1.0, 32.0);
@@ -281,13 +277,6 @@
         log_.say(now_, r.entry.runner, why);
     }
 
-    // Against a hundred who each try a bad runner anew every few seconds: it rests until it would be sent
-    // a task again anyway. To leave out one that is well costs one of so many little.
-    Micros usual_rest() const {
-        const double next = runners_.ready / std::max(rate_, kFewJobs / 4) * 1e6;
-        return std::clamp(static_cast<Micros>(next), kRest, 8 * kRest);
-    }
-
     // Against breaks of single connections: one is no proof that the process died. Where a probe can tell,
     // nothing goes to it until one has; else, or if that fails too, it is out, and cold whenever it is back.
     void doubt(Runner& r, const char* why) {
@@ -320,10 +309,9 @@
         if (warmth(r) >= 1) return true;
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
-        // Those who have it near share it evenly; one that holds nothing of ours may have a task by itself.
-        if (homes())
-            return r.near && (sent + cost <= whole * 0.6 / kParts ||
-                              (sent == 0 && r.out == 0 && cost * kParts <= whole));
+        // Who have it near share it evenly; one that holds nothing of ours may have a task by itself.
+        const bool alone = sent == 0 && r.out == 0 && cost * kParts <= whole;
+        if (homes()) return r.near && (alone || sent + cost <= whole * 0.6 / kParts);
         // Half of an even part is ours. What is too large for that goes by turns, to as many in a window as
         // the whole feeds, while what it holds, what a window may end of that and renew, and half a task more
         // fit into the whole, since some are heavy.
@@ -379,13 +367,15 @@
 
     std::vector<Task*> still_held() {
         std::vector<Task*> order;
-        next_give_up_ = kNever;
+        next_give_up_ = std::numeric_limits<Micros>::max();
         for (const TaskId id : held_) {
             Task* const t = tasks_.find(id);
             if (!t || !t->held) continue;
             if (!t->overdue && now_ >= t->spare_from) overload_until_ = now_ + kPeriod, t->overdue = true;
-            if (now_ >= t->latest_start) overload_until_ = now_ + kPeriod, give_up(*t);
-            else order.push_back(t), next_give_up_ = std::min(next_give_up_, t->overdue ? t->latest_start : t->spare_from);
+            if (now_ >= t->latest_start) give_up(*t);
+            if (t->over) continue;
+            order.push_back(t);
+            next_give_up_ = std::min(next_give_up_, t->overdue ? t->latest_start : t->spare_from);
         }
         return order;
     }
@@ -426,8 +416,6 @@
             if (r) t.drawn = r->entry.runner;
             // Probes cost, and of all who wait for a slot, here and elsewhere, the newest should find it.
             if (!r || r->probing || now_ < t.ask_after || probing >= kProbesOut) continue;
-            if (t.overdue && now_ < late_ask_) continue;
-            if (t.overdue) late_ask_ = now_ + kPeriod / 8;
             t.ask_after = now_ + (now_ - t.born) / 16;
             if (!std::exchange(r->want_probe, true)) to_probe_.push_back(r->entry.runner), ++probing;
         }
@@ -455,9 +443,8 @@
             if (!leg.ended && !orders_.parallel) return false;
             if (w.effect == Effect::idempotent) continue;
             // The margin: the window counts from the sending, and what is sent now arrives a little later.
-            if (w.effect == Effect::side_effecting ||
-                now_ + kPatience * orders_.resolution > leg.sent_at + w.window)
-                return false;
+            const bool passed = now_ + kPatience * orders_.resolution > leg.sent_at + w.window;
+            if (w.effect == Effect::side_effecting || passed) return false;
             const Runner* before = runners_.find(leg.runner);
             if (!before || !w.same_group(before->entry, r.entry)) return false;
         }
@@ -465,7 +452,7 @@
     }
 
     // Where runners tell when a task begins, one that waits there is given up once it can not begin in time.
-    // It is not moved: nothing tells whether a withdrawal stops it, and added work made all later than it saved.
+    // It is not moved: nothing tells whether a withdrawal stops it, and added work makes all later.
     void watch() {
         while (!watch_.empty() && watch_.begin()->first <= now_) {
             Task* const t = tasks_.find(watch_.begin()->second);
@@ -512,8 +499,8 @@
     // Where nothing but own sendings tells what a runner holds, and most there can be ours.
     bool homes() const { return !orders_.knows_held && orders_.dispatchers > 1; }
 
-    // Near is where room is known: the own zone where reports tell of it, else an own part of the fleet. All work
-    // out the same: the runners in the order of their numbers, as long as their sizes, in a ring. Our part is as long
+    // Near is where room is known: the own zone where reports tell of it, else an own part of the fleet. All
+    // work out the same: the runners by their numbers, as long as their sizes, in a ring. Our part is as long
     // as gives each runner to kParts of us; near is whose middle lies in it, or who has its beginning.
     void settle_near() {
         double whole = 0, at = 0;
@@ -525,7 +512,8 @@
         }
         const double mine = whole / orders_.dispatchers, from = mine * orders_.me;
         for (auto& [id, r] : row) {
-            const double middle = at + r->entry.share / 2, after = middle - from + (middle < from ? whole : 0);
+            double after = at + r->entry.share / 2 - from;
+            if (after < 0) after += whole;
             r->near = after < kParts * mine || (at <= from && from < at + r->entry.share);
             r->in_reach = r->near || after < kReach * mine;
             at += r->entry.share;
@@ -582,8 +570,9 @@
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         t.due = due + static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
         // What waits at a runner has hope while some length of it, none being known, would end it in time.
-        const double lengthens = 1 - 1 / std::max(1.0, w.stretch);
-        t.last_hope = w.tardy > 0 ? last : std::min(last, due + static_cast<Micros>(lengthens * static_cast<double>(last - due)));
+        t.last_hope = last;
+        if (w.tardy <= 0)
+            t.last_hope -= static_cast<Micros>(static_cast<double>(last - due) / std::max(1.0, w.stretch));
         // Against a queue in which all are late: past its due time a task waits only where that earns, and
         // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
         t.latest_start = t.due;
@@ -601,8 +590,6 @@
         tasks_.add(std::move(t));
     }
 
-    void heed(const StreamBegun&) {}  // it belongs to the client from here on, whatever is decided
-
     void heed(const AssignmentEnded& e) {
         Runner* r = runners_.find(e.runner);
         Leg* const leg = tasks_.leg(e.task, e.assignment);
@@ -657,8 +644,11 @@
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
         if (broke) doubt(r, "it cannot be reached");
-        // Where a failure loses the task and the next sample is long away, one failure has to do.
-        const Micros rest = broke || w.repeats_anywhere() ? kRest : usual_rest();
+        // Where a failure loses the task and the next sample is long away, one failure has to do. Against a
+        // hundred who each try a bad runner anew every few seconds: it rests until a task would go there
+        // again.
+        const auto next = static_cast<Micros>(runners_.ready / std::max(rate_, kFewJobs / 4) * 1e6);
+        const Micros rest = broke || w.repeats_anywhere() ? kRest : std::clamp(next, kRest, 8 * kRest);
         if (r.blame > (rest > kRest ? 0.2 : 0.4)) set_aside(r, "it keeps failing", rest);
     }
 
@@ -700,7 +690,8 @@
         if (Runner* r = runners_.find(told.runner)) r->slots = told.slots;
     }
 
-    void heed(const PeerSaid&) {}  // nothing is made of what other dispatchers say
+    void heed(const PeerSaid&) {}     // nothing is made of what other dispatchers say
+    void heed(const StreamBegun&) {}  // from here on it is the client's, whatever is decided
 
     void heed(const Progress& p) {
         Runner* r = runners_.find(p.runner);
@@ -737,9 +728,9 @@
         lore.places = runners_.size();
         for (std::size_t i = from; i < runners_.size() && i - from < most; ++i)
             if (const Runner& r = runners_[i]; r.ready)
-                lore.runners.push_back(
-                    {r.entry.runner, r.latency, r.least, r.slots, runners_.table[i].fraction,
-                     std::max<Micros>(0, r.aside_until - now_), warmth(r) < 1 ? now_ - r.cold_from : -1});
+                lore.runners.push_back({r.entry.runner, r.latency, r.least, r.slots,
+                                        runners_.table[i].fraction, std::max<Micros>(0, r.aside_until - now_),
+                                        warmth(r) < 1 ? now_ - r.cold_from : -1});
         for (std::size_t k = 0; k < kinds_.size(); ++k)
             lore.kinds.push_back(
                 {KindId(static_cast<std::uint32_t>(k)), kinds_[k].latency, kinds_[k].weight});
