--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -562,12 +562,13 @@
         const Micros late = std::max<Micros>(0, now_ + w.expiry - a.expiry);
         if (w.least_late < 0 || late < w.least_late) w.least_late = late;
         t.born = now_ - (a.client_repeat || !orders_.marks_repeats ? late - w.least_late : 0);
-        t.cost = a.hint_valid && a.cost_hint > 0 ? static_cast<double>(a.cost_hint) : w.typical();
+        const bool hinted = a.hint_valid && a.cost_hint > 0;
+        t.cost = hinted ? static_cast<double>(a.cost_hint) : w.typical();
         usual_cost_ += (t.cost - usual_cost_) / 64;
         const Micros last = a.expiry - 4 * orders_.resolution, due = t.born + w.due;
         double quickest = 1;
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
-        t.due = due + static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest));
+        t.due = due + (hinted ? static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest)) : 0);
         // What waits at a runner has hope while some length of it, none being known, would end it in time.
         t.last_hope = last;
         if (w.tardy <= 0)
@@ -697,7 +698,7 @@
         Leg* leg = tasks_.leg(p.task, p.assignment);
         if (!r || !leg || p.stage != Stage::begun) return;
         leg->begun = true;
-        learn_room(*r, *leg, static_cast<double>(now_ - leg->sent_at) < job_seconds_ * 2e5);
+        learn_room(*r, *leg, static_cast<double>(now_ - leg->sent_at) < job_seconds_ * 1e5);
     }
 
     // ---- settling ----------------------------------------------------------------------------------------
