A cold runner's budget is shared by all who can have it near; sizes of nothing; watch costs less

Found on reading the change once more. cold_allows() divided by kParts, though with more dispatchers than slots to a runner all whose part begins in it have it near too: ten to a runner could send 5 s of work into a budget of 2.4 s (a story has it). Now each runner knows how many can share it. A list whose sizes are all 0 left no fractions. allowance_per_s had no bounds.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -308,9 +308,8 @@
         if (warmth(r) >= 1) return true;
         const double sent = r.cold_sent_since(now_ - orders_.cold_window);
         const double whole = orders_.fall_multiple * warmth(r) * slots_of(r) * orders_.cold_window;
-        // Who have it near share it evenly; one that holds nothing of ours may have a task by itself.
-        const bool alone = sent == 0 && r.out == 0 && cost * kParts <= whole;
-        if (homes()) return r.near && (alone || sent + cost <= whole * 0.6 / kParts);
+        // Who have it near share it evenly.
+        if (homes()) return r.near && (sent + cost) * r.sharers <= whole;
         // Half of an even part is ours. What is too large for that goes by turns, to as many in a window as
         // the whole feeds, while what it holds, what a window may end of that and renew, and half a task more
         // fit into the whole, since some are heavy.
@@ -490,7 +489,7 @@
         for (const Runner& r : runners_) sizes += r.ready ? r.entry.share : 0;
         for (const RosterEntry& e : news.entries) {
             if (orders_.only_draining && e.state == RunnerState::draining) drained_[e.runner] = e.started_at;
-            if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? e.share / sizes : e.share);
+            if (Runner* r = runners_.find(e.runner)) enter(*r, e, sizes > 0 ? 1 / sizes : 1);
         }
         settle_near();
     }
@@ -500,7 +499,7 @@
 
     // Near is where room is known: the own zone where reports tell of it, else an own part of the fleet. All
     // work out the same: the runners by their numbers, as long as their sizes, in a ring. Our part is as long
-    // as gives each runner to kParts of us; near is whose middle lies in it, or who has its beginning.
+    // as gives each middle to kParts of us; near is whose middle lies in it, or who has its beginning.
     void settle_near() {
         double whole = 0, at = 0;
         std::map<RunnerId, Runner*> row;
@@ -515,6 +514,7 @@
             if (after < 0) after += whole;
             r->near = after < kParts * mine || (at <= from && from < at + r->entry.share);
             r->in_reach = r->near || after < kReach * mine;
+            r->sharers = kParts + r->entry.share / mine;  // at most: who have its middle, or begin in it
             at += r->entry.share;
         }
         runners_.order();
@@ -529,7 +529,7 @@
         return std::clamp(kPeriod / 16 * orders_.dispatchers, kPeriod / 4, most);
     }
 
-    void enter(Runner& r, const RosterEntry& e, double mean_fraction) {
+    void enter(Runner& r, const RosterEntry& e, double fraction_of_size) {
         // Against a list that is wrong, where only draining binds: what it calls gone goes on by its answers,
         // and what it called draining stays so until it starts again, whatever an older list then says.
         r.unlisted = orders_.only_draining && r.ready && e.state == RunnerState::gone;
@@ -538,11 +538,12 @@
         const bool bound = drained != drained_.end() && e.started_at <= drained->second;
         const bool started = e.started_at > r.entry.started_at || !r.ready;
         r.entry = e;
+        if (r.entry.share <= 0) r.entry.share = 1;  // against a list that names none: it would never be drawn
         r.ready = e.state == RunnerState::ready && !bound;
         if (r.kind() >= kinds_.size()) kinds_.resize(r.kind() + 1);
         if (!r.ready || !started) return;
         // The mean fraction and estimate, whatever it was before: it is another process by now.
-        r.fraction = mean_fraction;
+        r.fraction = r.entry.share * fraction_of_size;
         r.latency.clear();
         if (r.told_of) r.slots = 0;
         r.sampled = r.stirred = r.trial = r.doubted = r.told_of = false;
@@ -570,9 +571,8 @@
         for (const Kind& k : kinds_) quickest = std::min(quickest, k.smoothed);
         t.due = due + (hinted ? static_cast<Micros>(t.cost * std::max(0.0, w.stretch - quickest)) : 0);
         // What waits at a runner has hope while some length of it, none being known, would end it in time.
-        t.last_hope = last;
-        if (w.tardy <= 0)
-            t.last_hope -= static_cast<Micros>(static_cast<double>(last - due) / std::max(1.0, w.stretch));
+        const double hopeless = w.tardy > 0 ? 0 : static_cast<double>(last - due) / std::max(1.0, w.stretch);
+        t.last_hope = last - static_cast<Micros>(hopeless);
         // Against a queue in which all are late: past its due time a task waits only where that earns, and
         // for what others leave. Who comes late, told to stay away, first gets a slot if one is free.
         t.latest_start = t.due;
@@ -644,9 +644,8 @@
         if (failed || e.outcome == Outcome::finished) r.blame = r.blame * 0.75F + (failed ? 0.25F : 0);
         if (e.outcome == Outcome::full) leave_alone(r);
         if (broke) doubt(r, "it cannot be reached");
-        // Where a failure loses the task and the next sample is long away, one failure has to do. Against a
-        // hundred who each try a bad runner anew every few seconds: it rests until a task would go there
-        // again.
+        // Where a failure loses the task and the next sample is far, one has to do, and the runner rests
+        // until a task would go there again: against a hundred who each try a bad one every few seconds.
         const auto next = static_cast<Micros>(runners_.ready / std::max(rate_, kFewJobs / 4) * 1e6);
         const Micros rest = broke || w.repeats_anywhere() ? kRest : std::clamp(next, kRest, 8 * kRest);
         if (r.blame > (rest > kRest ? 0.2 : 0.4)) set_aside(r, "it keeps failing", rest);
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -141,6 +141,8 @@
     for (std::size_t i = 0; i < orders.words("trade.class_stretch").size(); ++i)
         if (const double x = orders.number_in("trade.class_stretch", i, 0); !(x >= 0 && x <= 1e6))
             wrong("has settings.specifics.class_stretch with " + orders.words("trade.class_stretch")[i] + ", and numbers from 0 to 1e+06 are expected");
+    const auto customers = static_cast<std::size_t>(orders.number("customers.count", 0));
+    for (std::size_t i = 0; i < customers; ++i) must_lie_within(orders, "customers." + std::to_string(i) + ".", {"allowance_per_s", 0, 1e9});
     const std::size_t n = p.workloads();
     if (n == 0) wrong("has no workloads");
     std::set<std::string> names;
--- a/src/dispatcher/watching.cpp
+++ b/src/dispatcher/watching.cpp
@@ -25,20 +25,26 @@
 // Before the module hears it. What is left of this second's time decides whether a turn is sampled at all, so that a
 // busy dispatcher drops this first.
 void Dispatcher::watch_turn(const Event& event) {
-    const Micros now = net::Loop::now(), from = processor_time();
+    const Micros now = net::Loop::now();
     if (now - watch_second_ >= 1'000'000) watch_second_ = now, watch_spent_ = 0;
+    const bool sampled = noted_ ? shadow_->watching() : shadow_->samples_next();
+    const Micros from = sampled ? processor_time() : 0;  // the clock is a call to the system
     if (!noted_) {
         shadow_->begin(now, choice_, watch_spent_ < watched_most_);
-        watch_left_out_ += shadow_->due() && !shadow_->watching();
+        watch_left_out_ += sampled && !shadow_->watching();
     }
+    if (!sampled) return;
     shadow_->note(now, event);
     watch_spent_ += processor_time() - from;
 }
 
 void Dispatcher::watch_settled() {
-    const Micros now = net::Loop::now(), from = processor_time();
-    shadow_->settle(now, actions_);
-    watch_spent_ += processor_time() - from;
+    const Micros now = net::Loop::now();
+    if (shadow_->watching()) {
+        const Micros from = processor_time();
+        shadow_->settle(now, actions_);
+        watch_spent_ += processor_time() - from;
+    }
     if (now < watch_log_) return;
     if (std::exchange(watch_log_, now + kTellEvery) == 0) return;
     std::string each;
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -163,6 +163,7 @@
     int out = 0;
     int lost = 0;  // of those out, what its reports have not named for long; its answers never came
     double slots = 0, others = 0;
+    double sharers = 1;  // dispatchers that have it near, at most
     Micros last_sent = 0, reported_at = -1, probed_at = -1;
     Micros full_until = 0, grow_at = 0, aside_until = 0, cold_from = -1;
     std::vector<std::pair<Micros, double>> cold_sends;
--- a/src/shadow/shadow.hpp
+++ b/src/shadow/shadow.hpp
@@ -43,7 +43,7 @@
     // Whether there is time for it is for the caller to say; a turn that is due and left out is not made up for.
     void begin(Micros now, const Choice& choice, bool has_time = true);
     void skip() { copy_.reset(); }  // the rest of a turn that has begun
-    bool due() const { return turn_ == 0; }
+    bool samples_next() const { return turn_ + 1 >= every_; }  // asked before begin()
     bool watching() const { return copy_ != nullptr; }
     void note(Micros now, const Event& event) {
         if (copy_) copy_->note(now, event);
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -574,6 +574,28 @@
     CHECK(all_sent * 0.3 <= 4 * 0.4 * 1.5);  // seconds of work, in the rule's window
 }
 
+TEST_CASE("with more dispatchers than a runner has slots, all who have a cold one near still keep its budget") {
+    double sent = 0;  // seconds of work, to a runner just started, in less than the rule's window
+    for (int me = 0; me < 40; ++me) {
+        FakeHost host(silent_orders(40, me, {{"rules.fall_multiple", "4"}, {"rules.tip_after_us", "1500000"},
+                                             {"rules.cold_from", "0.4"}, {"workloads.0.due_time_us", "500000"}}));
+        std::vector<RosterEntry> entries = FakeHost::entries(4);  // ten to a runner
+        entries[1].started_at = host.now - 1;
+        host.fleet(std::move(entries));
+        for (int i = 0; i < 10; ++i) host.ask();
+        for (const Assign& a : host.assigned) sent += a.runner == RunnerId{2} ? 0.5 : 0;
+    }
+    CHECK(sent <= 4 * 0.4 * 1.5);
+}
+
+TEST_CASE("a list that names sizes of nothing still has its runners drawn") {
+    FakeHost host(silent_orders(2));
+    std::vector<RosterEntry> entries = FakeHost::entries(4);
+    for (RosterEntry& e : entries) e.share = 0;
+    host.fleet(std::move(entries));
+    CHECK(sum_of(host.choice.fractions()) == doctest::Approx(1));
+}
+
 TEST_CASE("a further slot that had to wait is not tried again for long") {
     FakeHost host(silent_orders(2));
     host.fleet(FakeHost::entries(1));
--- a/tests/shadow_stories.cpp
+++ b/tests/shadow_stories.cpp
@@ -119,6 +119,20 @@
     for (const int every : {1, 5}) CHECK(Day(orders, &other, every).decided == alone.decided);
 }
 
+TEST_CASE("shadow: a turn for which there is no time is left out, and the next that is due is not") {
+    const StatedOrders orders = silent(3, 0);
+    const Choice choice(orders, 7);
+    Shadow beside(orders, 2);
+    beside.begin(0, choice);
+    CHECK(!beside.watching());
+    CHECK(beside.samples_next());
+    beside.begin(0, choice, false);
+    beside.settle(0, {});
+    CHECK((!beside.watching() && beside.counts().turns == 0));
+    beside.begin(0, choice), beside.begin(0, choice);
+    CHECK(beside.watching());
+}
+
 TEST_CASE("shadow: each kind is counted once, and by what it is about") {
     using T = TaskId;
     using R = RunnerId;
--- a/tests/terms_stories.cpp
+++ b/tests/terms_stories.cpp
@@ -202,5 +202,7 @@
                          doctest::Contains("settings.me = 4"), std::runtime_error);
     CHECK_THROWS_WITH_AS(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":0")),
                          doctest::Contains("settings.balancers = 0"), std::runtime_error);
+    CHECK_THROWS_WITH_AS(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":1,\"tenants\":[{\"name\":\"t\",\"allowance_per_s\":-1}]")),
+                         doctest::Contains("settings.tenants.0.allowance_per_s = -1"), std::runtime_error);
     CHECK_NOTHROW(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":4,\"unheard_of\":[1,2]")));
 }
