--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -597,7 +597,7 @@
         Task& t = *tasks_.find(e.task);
         leg->ended = true;
         far_out_ -= leg->far;
-        if (!leg->begun && e.outcome == Outcome::full) learn_room(*r, *leg, false);
+        if (!leg->begun && (e.outcome == Outcome::full || t.over)) learn_room(*r, *leg, false);
         leg->never_ran = proves_never_ran(e.outcome);
         if (e.outcome != Outcome::moot && e.outcome != Outcome::connect_failed)
             read_report(*r, e.report, true);
