--- /dev/null
+++ b/src/post/agreement/agreement.hpp
@@ -0,0 +1,144 @@
+// Agreement of the core on one small register: the newest configuration and who belongs to the core.
+//
+// A leader is elected by a majority for a term; every change is a new Entry with the leader's term and the next index,
+// and is settled once a majority has it on disk (Raft's rules, with a log of which only the last entry is kept: each
+// entry holds the whole state, so an older one is never needed). Source of the rules on votes, terms and one change of
+// members at a time: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm"; of the recovery of a
+// machine that lost its disk: Liskov and Cowling, "Viewstamped Replication Revisited", section 4.3.
+//
+// No I/O and no clock: each call takes the time and fills an Outcome. The caller first writes durable() to disk and
+// syncs it where Outcome::write is set, and only then sends; if the write fails nothing of the Outcome may be used and
+// the machine is made anew from what is on disk.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "post/wire/messages.hpp"
+#include "types.hpp"
+
+namespace gannethold::post {
+
+// What must survive: on disk before anything that follows from it is said.
+struct Durable {
+    bool member = false;  // false: this disk is new, its owner may have promised anything before
+    Number term = 0;
+    std::string voted_for;
+    Number abstains = 0;  // votes in no term up to this one: its lost disk may have
+    Entry entry;
+};
+
+struct Outcome {
+    struct Mail {
+        std::string to;  // a core machine's control_plane address
+        Message message;
+    };
+    struct Verdict {
+        Number ticket = 0;
+        bool settled = false;  // false: not known; the same may be handed in again
+    };
+    bool write = false;  // durable() changed
+    std::vector<Mail> sends;
+    std::vector<Verdict> verdicts;
+};
+
+class Agreement {
+  public:
+    struct Terms {
+        std::string self;                // control_plane address
+        std::vector<std::string> seeds;  // the founders, where this is the first start
+        bool first_start = false;
+        Micros heartbeat = 150'000;
+        Micros patience = 700'000;  // least silence of a leader before a vote against it; a lease lasts less
+        Micros lease = 550'000;     // shorter than patience by more than clocks drift in that time
+        Micros dead_after = 6'000'000;
+        std::uint64_t chance = 1;
+    };
+
+    // now: any steady clock. A machine that starts waits for a whole patience before it votes: it does not know
+    // whether it had heard a leader just before it went down.
+    Agreement(Terms terms, Durable durable, Micros now, Outcome& out);
+
+    void receive(Micros now, const std::string& from, const Message& message, Outcome& out);
+    void tick(Micros now, Outcome& out);
+    // A checked configuration, at the leader. The verdict comes with this or a later Outcome.
+    void propose(Micros now, Number ticket, Number version, std::string body, Outcome& out);
+    // Before a planned end: the follower who knows most is asked to follow.
+    void resign(Micros now, Outcome& out);
+    void restated(std::vector<std::string> seeds) { terms_.seeds = std::move(seeds); }
+
+    const Durable& durable() const { return durable_; }
+    bool leads(Micros now) const;  // elected, its first entry settled, and the lease of a majority holds
+    // The newest entry that is known to be settled; nullptr: none yet.
+    const Entry* settled() const { return settled_.stamp > Stamp{} ? &settled_ : nullptr; }
+    const std::string& leader() const { return leader_; }  // empty: not known
+    Number term() const { return durable_.term; }
+    const std::vector<std::string>& members() const { return durable_.entry.members; }
+    Micros next_tick() const { return next_tick_; }
+    bool recovering() const { return !durable_.member; }
+    Micros heard_from(const std::string& member) const;  // 0: never
+
+  private:
+    enum class Role { stranger, follower, trying, candidate, leader };
+    struct Peer {
+        Micros heard = 0;   // anything
+        Stamp held;
+        Number round = 0;   // the newest it has answered
+        Micros carried = 0;  // when the head was last sent to it
+        Number carried_index = 0;
+        bool whole = false;  // it has nothing to which a difference could be
+    };
+    struct Waiting {
+        Number ticket = 0, version = 0;
+        std::string body;
+        Number index = 0;  // of the entry that answers it; 0: not yet proposed
+    };
+
+    void heed(const std::string& from, const Ballot& m, Outcome& out);
+    void heed(const std::string& from, const Vote& m, Outcome& out);
+    void heed(const std::string& from, const Order& m, Outcome& out);
+    void heed(const std::string& from, const Receipt& m, Outcome& out);
+    void heed(const std::string& from, const Inquiry& m, Outcome& out);
+    void heed(const std::string& from, const Recollection& m, Outcome& out);
+    void heed(const std::string& from, const Admission& m, Outcome& out);
+    void heed(const std::string& from, const Succession& m, Outcome& out);
+
+    void become_follower(Number term, Outcome& out);
+    void campaign(bool trial, Outcome& out, bool handed = false);
+    void count_votes(Outcome& out);
+    void lead(Outcome& out);
+    void begin(Entry entry, Outcome& out);  // the leader's next
+    void next_change(Outcome& out);
+    void settle(Outcome& out);
+    void round(Outcome& out);
+    void order(const std::string& to, Outcome& out);
+    void inquire(Outcome& out);
+    void set_election();
+    bool is_member(const std::string& who) const;
+    std::size_t majority() const { return members().size() / 2 + 1; }
+    Micros lease_start() const;
+    void fail_waiting(Outcome& out);
+
+    Terms terms_;
+    Durable durable_;
+    Entry settled_;
+    Role role_ = Role::stranger;
+    std::string leader_;
+    Micros now_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
+    std::set<std::string> votes_;
+    std::map<std::string, Peer> peers_;
+    std::map<Number, Micros> rounds_;  // when sent
+    Number round_ = 0;
+    std::map<Stamp, std::string> bodies_;  // lately held ones, for differences
+    std::vector<Waiting> waiting_;
+    std::set<std::string> applicants_;
+    Number nonce_ = 0;
+    std::map<std::string, Recollection> told_;
+    bool joining_ = false, resigned_ = false;
+    std::uint64_t chance_;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/front/desk.cpp
@@ -0,0 +1,351 @@
+#include "post/front/desk.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace gannethold::post {
+namespace {
+
+constexpr std::uint32_t kSoon = 150;        // ms, where a slot is likely to come free
+constexpr Micros kMargin = 15'000;          // for an answer on its way to the client
+constexpr Micros kStale = 400'000;          // a grant older than that was slept over
+
+}  // namespace
+
+double Desk::unit() {
+    chance_ ^= chance_ << 13, chance_ ^= chance_ >> 7, chance_ ^= chance_ << 17;
+    return static_cast<double>(chance_ >> 11) * 0x1.0p-53;
+}
+
+void Desk::configure(std::shared_ptr<const Configuration> configuration) {
+    if (!configuration || (configuration_ && configuration->version() <= configuration_->version())) return;
+    configuration_ = std::move(configuration);
+}
+
+// ---- requests ------------------------------------------------------------------------------------------------
+
+void Desk::arrived(Micros now, RequestId id, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Deeds& out) {
+    Request& r = requests_[id];
+    r.configuration = configuration_;
+    if (!configuration_) return give_up(id, r, Kind::not_offered, 500, out);
+    r.route = configuration_->route(host, path);
+    if (!r.route) return give_up(id, r, Kind::no_route, 0, out);
+    r.came = now;
+    r.aim_at = now + r.route->aim;
+    r.deadline_at = now + std::min<Micros>(deadline_ms * 1000LL, r.route->timeout);
+    double sum = 0;
+    for (const auto& share : r.route->shares) sum += share.weight;
+    double at = unit() * sum;
+    r.service = r.route->shares.front().service;
+    for (const auto& share : r.route->shares) {
+        if (share.weight <= 0) continue;
+        r.service = share.service;
+        if ((at -= share.weight) < 0) break;
+    }
+    offices_[r.service].split.arrived();
+    deadlines_.emplace(r.deadline_at - kMargin, id);
+    seek(now, id, r, out);
+}
+
+// Asks for a slot, or takes one of the own part.
+void Desk::seek(Micros now, RequestId id, Request& r, Deeds& out) {
+    r.runner.clear();
+    r.by_slot = false;
+    if (!keeper_) {
+        if (!send_alone(now, id, r, out)) r.state = State::held;
+        return;
+    }
+    Office& office = offices_[r.service];
+    // The design's draw; near ones first, since what crosses zones is paid for and slower.
+    const auto fits = [&](bool near) {
+        return [this, near](const Split::Share& s) {
+            const auto at = runners_.find(s.runner);
+            return at != runners_.end() && at->second.state == RunnerState::ready && at->second.number > 0 && s.out < s.slots &&
+                   (!near || at->second.what.zone == terms_.zone);
+        };
+    };
+    const double at = unit();
+    const Split::Share* drawn = office.split.draw(at, fits(true));
+    if (!drawn) drawn = office.split.draw(at, fits(false));
+    r.state = State::asking;
+    r.ask = ++last_ask_ ? last_ask_ : ++last_ask_;
+    r.asked_at = now;
+    asks_[r.ask] = id;
+    const auto left = [now](Micros until) { return static_cast<std::uint32_t>(std::max<Micros>(0, until - now) / 1000); };
+    out.mails.push_back(Ask{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service, left(r.aim_at), left(r.deadline_at),
+                            r.route->priority, r.route->shape, r.again});
+}
+
+// So much of a runner's slots is this front's while nobody keeps them for all: the parts of all fronts add up to them.
+std::uint32_t Desk::part(const Runner& runner) const {
+    const std::uint32_t n = std::max(1U, fronts_);
+    const auto shift = static_cast<std::uint32_t>(std::hash<std::string>()(runner.what.runner) % n);
+    return (runner.what.slots + n - 1 - (rank_ + shift) % n) / n;
+}
+
+bool Desk::send_alone(Micros now, RequestId id, Request& r, Deeds& out) {
+    // A second runner is drawn from the common budget, which cannot be asked.
+    if (r.again) {
+        give_up(id, r, Kind::no_slot, kSoon, out);
+        return true;
+    }
+    const Split::Share* const drawn = offices_[r.service].split.draw(unit(), [this](const Split::Share& s) {
+        const auto at = runners_.find(s.runner);
+        return at != runners_.end() && at->second.state == RunnerState::ready && !at->second.unreachable && at->second.out < part(at->second);
+    });
+    if (!drawn) return false;
+    send(now, id, r, runners_[drawn->runner], out);
+    return true;
+}
+
+void Desk::send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out) {
+    r.state = State::out;
+    r.runner = runner.what.runner;
+    r.sent_at = now;
+    ++r.sends;
+    ++runner.out;
+    offices_[r.service].split.sent(r.runner);
+    out.forwards.push_back({id, r.runner, runner.what.address, static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
+}
+
+void Desk::release(Request& r, Ended how, Micros took, Deeds& out) {
+    const auto runner = runners_.find(r.runner);
+    std::uint32_t number = 0;
+    if (runner != runners_.end()) {
+        if (runner->second.out > 0) --runner->second.out;
+        number = runner->second.number;
+    }
+    if (keeper_ && (r.ask > 0 || number > 0)) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
+    asks_.erase(r.ask);
+    r.ask = 0;
+    r.by_slot = false;
+}
+
+void Desk::give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
+    if (r.client) out.replies.push_back({id, kind, retry_ms});
+    close(id);
+}
+
+void Desk::close(RequestId id) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end()) return;
+    asks_.erase(at->second.ask);
+    const auto range = deadlines_.equal_range(at->second.deadline_at - kMargin);
+    for (auto d = range.first; d != range.second; ++d)
+        if (d->second == id) {
+            deadlines_.erase(d);
+            break;
+        }
+    requests_.erase(at);
+}
+
+void Desk::client_left(Micros now, RequestId id, Deeds& out) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end()) return;
+    Request& r = at->second;
+    r.client = false;
+    // What is at work ends by itself: a runner that is broken off has worked for nothing.
+    if (r.state == State::out) return;
+    if (r.state == State::asking && keeper_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+    (void)now;
+    close(id);
+}
+
+void Desk::ended(Micros now, RequestId id, RunEnd how, Deeds& out) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end() || at->second.state != State::out) return;
+    Request& r = at->second;
+    Split& split = offices_[r.service].split;
+    const Micros took = now - r.sent_at;
+    const double whole = static_cast<double>(r.route->timeout) / 1e6;
+    const std::string runner = r.runner;
+    switch (how) {
+        case RunEnd::answered:
+            split.ended(runner, static_cast<double>(std::max<Micros>(took, 100)) / 1e6);
+            release(r, Ended::answered, took, out);
+            if (r.client) out.relays.push_back(id);
+            return close(id);
+        case RunEnd::failed:
+            split.ended(runner, whole);
+            release(r, Ended::failed, took, out);
+            break;
+        case RunEnd::not_run:
+            split.ended(runner, whole);
+            release(r, Ended::turned_away, took, out);
+            break;
+        case RunEnd::misdirected:
+            split.ended(runner, 0);
+            release(r, Ended::gone, took, out);
+            drop_runner(runner, out);
+            break;
+        case RunEnd::unreachable:
+            split.ended(runner, 0);
+            if (const auto known = runners_.find(runner); known != runners_.end()) known->second.unreachable = true;
+            release(r, Ended::unreachable, took, out);
+            --r.sends;  // nothing was sent
+            break;
+        case RunEnd::unsent:
+        case RunEnd::may_have_run:
+            split.ended(runner, whole);
+            release(r, Ended::failed, took, out);
+            break;
+    }
+    const bool ran = how == RunEnd::failed || how == RunEnd::may_have_run;
+    if (!r.client) return close(id);
+    const bool may_again = (!ran || r.route->idempotent) && r.sends < r.route->attempts && now + 20'000 < r.deadline_at;
+    if (may_again) {
+        r.again = r.sends > 0;
+        return seek(now, id, r, out);
+    }
+    // The runner's own failure is the client's to see; what has not run is said to be so.
+    if (how == RunEnd::failed) {
+        out.relays.push_back(id);
+        return close(id);
+    }
+    give_up(id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
+}
+
+// ---- the keeper ----------------------------------------------------------------------------------------------
+
+Greeting Desk::greeting() const {
+    Greeting g{terms_.name, terms_.zone, terms_.incarnation, version(), {}};
+    for (const auto& [id, r] : runners_) {
+        if (r.state == RunnerState::gone && r.out == 0) continue;
+        Holding h = r.what;
+        h.out = r.out;
+        h.up = r.state == RunnerState::ready;
+        g.holdings.push_back(std::move(h));
+    }
+    return g;
+}
+
+void Desk::keeper_up(Micros now, Deeds& out) {
+    keeper_ = true;
+    asks_.clear();
+    by_number_.clear();
+    for (auto& [id, r] : runners_) r.number = 0, r.unreachable = false;
+    for (auto& [id, r] : requests_) {
+        if (r.state == State::out) r.ask = 0;
+        if (r.state == State::held || r.state == State::asking) seek(now, id, r, out);
+    }
+}
+
+void Desk::keeper_lost(Micros now, Deeds& out) {
+    if (!keeper_) return;
+    keeper_ = false;
+    asks_.clear();
+    std::vector<RequestId> waiting;
+    for (auto& [id, r] : requests_)
+        if (r.state == State::asking) r.ask = 0, waiting.push_back(id);
+    for (const RequestId id : waiting)
+        if (const auto at = requests_.find(id); at != requests_.end()) seek(now, id, at->second, out);
+}
+
+void Desk::drop_runner(const std::string& runner, Deeds& out) {
+    const auto at = runners_.find(runner);
+    if (at == runners_.end()) return;
+    Office& office = offices_[at->second.what.service];
+    office.split.leave(runner);
+    std::erase(office.runners, runner);
+    out.forgets.push_back(at->second.what.address);
+    at->second.state = RunnerState::gone;
+    if (at->second.out > 0) return;  // its last answers still release their slots
+    by_number_.erase(at->second.number);
+    runners_.erase(at);
+}
+
+void Desk::told(const RunnerTold& m, Deeds& out) {
+    if (m.state == RunnerState::gone) {
+        if (const auto at = by_number_.find(m.number); at != by_number_.end()) drop_runner(std::string(at->second), out);
+        return;
+    }
+    Runner& r = runners_[m.runner.runner];
+    const std::uint32_t mine = r.out;
+    const bool fresh = r.what.runner.empty();
+    r.what = m.runner;
+    r.out = mine;
+    if (r.number != m.number) by_number_.erase(r.number);
+    r.number = m.number;
+    by_number_[m.number] = m.runner.runner;
+    r.state = m.state;
+    Office& office = offices_[m.runner.service];
+    if (fresh) office.runners.push_back(m.runner.runner);
+    if (m.state == RunnerState::ready) office.split.enter(m.runner.runner, m.runner.slots);
+    if (m.watch && m.state == RunnerState::starting) {
+        watched_[m.runner.address].push_back(m.runner.runner);
+        out.watches.push_back(m.runner.address);
+    }
+}
+
+void Desk::reached(Micros, const std::string& address, bool up, Deeds& out) {
+    const auto at = watched_.find(address);
+    if (at == watched_.end()) return;
+    for (const std::string& runner : at->second) {
+        const auto r = runners_.find(runner);
+        if (r == runners_.end() || r->second.number == 0) continue;
+        if (keeper_) out.mails.push_back(Up{r->second.number, up});
+    }
+    watched_.erase(at);
+}
+
+void Desk::said(Micros now, const Message& message, Deeds& out) {
+    if (const auto* m = std::get_if<Welcome>(&message)) {
+        rank_ = m->rank, fronts_ = std::max(1U, m->fronts);
+    } else if (const auto* m = std::get_if<RunnerTold>(&message)) {
+        told(*m, out);
+    } else if (const auto* m = std::get_if<Grant>(&message)) {
+        const auto ask = asks_.find(m->id);
+        if (ask == asks_.end()) {
+            // The client has left meanwhile, or its time is over.
+            out.mails.push_back(Release{m->id, m->runner, Ended::unused, 0});
+            return;
+        }
+        const RequestId id = ask->second;
+        Request& r = requests_.at(id);
+        const auto runner = by_number_.find(m->runner);
+        const bool usable = runner != by_number_.end() && runners_[runner->second].state != RunnerState::gone;
+        if (!usable || now + 5'000 > r.deadline_at) {
+            asks_.erase(ask);
+            out.mails.push_back(Release{m->id, m->runner, Ended::unused, 0});
+            r.ask = 0;
+            if (!usable && now + 20'000 < r.deadline_at) return seek(now, id, r, out);
+            return give_up(id, r, Kind::not_offered, 0, out);
+        }
+        r.by_slot = true;
+        send(now, id, r, runners_[runner->second], out);
+    } else if (const auto* m = std::get_if<Denial>(&message)) {
+        const auto ask = asks_.find(m->id);
+        if (ask == asks_.end()) return;
+        const RequestId id = ask->second;
+        give_up(id, requests_.at(id), Kind::no_slot, m->retry_ms, out);
+    }
+}
+
+// ---- time ----------------------------------------------------------------------------------------------------
+
+void Desk::tick(Micros now, Deeds& out) {
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const RequestId id = deadlines_.begin()->second;
+        Request& r = requests_.at(id);
+        if (r.state == State::out) {
+            offices_[r.service].split.ended(r.runner, static_cast<double>(r.route->timeout) / 1e6);
+            release(r, Ended::failed, now - r.sent_at, out);
+            out.abandons.push_back(id);
+            give_up(id, r, Kind::time_over, 0, out);
+        } else {
+            if (r.state == State::asking && keeper_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+            give_up(id, r, Kind::not_offered, 0, out);
+        }
+    }
+    if (!keeper_) {
+        std::vector<RequestId> held;
+        for (const auto& [id, r] : requests_)
+            if (r.state == State::held) held.push_back(id);
+        for (const RequestId id : held)
+            if (const auto at = requests_.find(id); at != requests_.end()) send_alone(now, id, at->second, out);
+    }
+    for (auto& [name, office] : offices_)
+        if (!office.runners.empty()) office.split.advance(now, static_cast<std::uint64_t>(unit() * 1e9));
+}
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/front/desk.hpp
@@ -0,0 +1,137 @@
+// What a front does with each request, from its head to its answer. Routes are looked up in the configuration in force,
+// the runner is drawn by the function's split, the slot is asked for at the keeper (slots/book.hpp); what the answer may
+// be follows from whether the request may have run. While no keeper answers, a front uses its own part of each
+// runner's slots, so that all fronts together keep the limit.
+//
+// No I/O and no clock: inputs are noted, and what is to be done is collected in Deeds.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "post/base/error.hpp"
+#include "post/configuration/configuration.hpp"
+#include "post/split/split.hpp"
+#include "post/wire/messages.hpp"
+
+namespace gannethold::post {
+
+using RequestId = std::uint64_t;
+
+struct Deeds {
+    struct Forward {
+        RequestId request = 0;
+        std::string runner, address;
+        std::uint32_t remaining_ms = 0;
+    };
+    struct Reply {  // our own
+        RequestId request = 0;
+        Kind kind = Kind::no_slot;
+        std::uint32_t retry_ms = 0;
+    };
+    std::vector<Message> mails;  // to the keeper
+    std::vector<Forward> forwards;
+    std::vector<Reply> replies;
+    std::vector<RequestId> relays;    // the runner's answer goes to the client as it is
+    std::vector<RequestId> abandons;  // the call to the runner is broken off
+    std::vector<std::string> watches, forgets;  // addresses: connect until it works; close what is open
+};
+
+enum class RunEnd {
+    answered,     // whole and ours
+    failed,       // likewise, a 5xx of the runner's own: it has run
+    not_run,      // the runner says so
+    misdirected,  // likewise: another runner has the address
+    unreachable,  // nothing was sent
+    unsent,       // not whole: it has not run
+    may_have_run,
+};
+
+class Desk {
+  public:
+    struct Terms {
+        std::string name, zone;
+        Number incarnation = 1;
+        Micros reach = 700'000;  // without a word from the keeper for so long, it is taken for lost
+        std::uint64_t chance = 1;
+    };
+    explicit Desk(Terms terms) : terms_(std::move(terms)), chance_(terms_.chance * 2 + 1) {}
+
+    // A version below the one held alters nothing: a front never goes back.
+    void configure(std::shared_ptr<const Configuration> configuration);
+    const Configuration* configuration() const { return configuration_.get(); }
+    Number version() const { return configuration_ ? configuration_->version() : 0; }
+
+    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Deeds& out);
+    void client_left(Micros now, RequestId request, Deeds& out);
+    void ended(Micros now, RequestId request, RunEnd how, Deeds& out);
+
+    // The keeper: a session with it begins and ends; what it says.
+    Greeting greeting() const;
+    void keeper_up(Micros now, Deeds& out);
+    void keeper_lost(Micros now, Deeds& out);
+    bool keeper() const { return keeper_; }
+    void said(Micros now, const Message& message, Deeds& out);
+
+    // A watched address took a connection, or did not for too long.
+    void reached(Micros now, const std::string& address, bool up, Deeds& out);
+
+    void tick(Micros now, Deeds& out);
+    std::size_t open() const { return requests_.size(); }
+    Micros next_deadline() const { return deadlines_.empty() ? 0 : deadlines_.begin()->first; }
+
+  private:
+    enum class State { asking, held, out, over };
+    struct Request {
+        const Route* route = nullptr;
+        std::shared_ptr<const Configuration> configuration;  // in which its route stands
+        std::string service, runner;
+        State state = State::asking;
+        Micros came = 0, aim_at = 0, deadline_at = 0, sent_at = 0, asked_at = 0;
+        std::uint32_t ask = 0, sends = 0;
+        bool by_slot = false;  // the runner's slot was granted, and is to be released
+        bool client = true;    // it still waits
+        bool again = false;
+    };
+    struct Runner {
+        Holding what;
+        std::uint32_t number = 0, out = 0;
+        RunnerState state = RunnerState::starting;
+        bool unreachable = false;
+    };
+    struct Office {  // one function here
+        Split split;
+        std::vector<std::string> runners;
+    };
+
+    void seek(Micros now, RequestId id, Request& r, Deeds& out);
+    bool send_alone(Micros now, RequestId id, Request& r, Deeds& out);
+    void send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out);
+    void release(Request& r, Ended how, Micros took, Deeds& out);
+    void give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
+    void close(RequestId id);
+    void told(const RunnerTold& m, Deeds& out);
+    void drop_runner(const std::string& runner, Deeds& out);
+    std::uint32_t part(const Runner& runner) const;
+    double unit();
+
+    Terms terms_;
+    std::shared_ptr<const Configuration> configuration_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::multimap<Micros, RequestId> deadlines_;
+    std::unordered_map<std::uint32_t, RequestId> asks_;
+    std::unordered_map<std::string, Office> offices_;
+    std::unordered_map<std::string, Runner> runners_;
+    std::unordered_map<std::uint32_t, std::string> by_number_;
+    std::map<std::string, std::vector<std::string>> watched_;  // address: runners
+    bool keeper_ = false;
+    std::uint32_t rank_ = 0, fronts_ = 1, last_ask_ = 0;
+    std::uint64_t chance_;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/placement/planner.hpp
@@ -0,0 +1,85 @@
+// How many runners each function has, and on which worker each is started. One planner acts at a time: the leader of the
+// core, under its term as the fence. It reads the book of slots and says what to start and stop; no I/O and no clock.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "post/slots/book.hpp"
+
+namespace gannethold::post {
+
+struct Worker {
+    std::string name, zone;
+    std::int64_t memory_mb = 0, free_mb = 0;
+    bool ready = true;
+};
+
+struct Begin {
+    std::string service, worker, nonce;
+    const char* why = "";
+};
+struct Stop {
+    std::string runner;
+    const char* why = "";
+};
+
+struct Orders {
+    std::vector<Begin> begins;
+    std::vector<Stop> stops;
+};
+
+enum class BeginAnswer { begun, no_room, refused, busy, silent };
+
+class Planner {
+  public:
+    struct Terms {
+        std::string nonce_prefix;  // unique to this keeper's term and life
+        double duty_per_s = 1;
+        Micros list_lag = 1'000'000;
+        Micros settle = 1'500'000;  // after coming into office, before what is not listed is started anew
+    };
+    Planner(const Terms& terms, Micros now) : terms_(terms), since_(now), tokens_at_(now) {}
+
+    void workers(Micros now, std::vector<Worker> all);
+    void list_read(Micros now) { listed_ = now; }
+    // Call after each event of the book that may change what is wanted, and each Book::kSample.
+    void plan(Micros now, Book& book, Orders& orders, std::vector<FrontMail>& mail);
+    void begin_answered(Micros now, const std::string& nonce, BeginAnswer answer);
+    void stop_answered(const std::string& runner, bool done);
+
+    std::string zone_of(const std::string& worker) const {
+        const auto at = workers_.find(worker);
+        return at == workers_.end() ? std::string() : at->second.zone;
+    }
+
+  private:
+    struct Pending {
+        Begin begin;
+        std::int64_t memory = 0;
+        Micros next = 0;  // when it is said (again)
+        bool out = false;
+        int times = 0;
+    };
+    struct Wish {
+        std::size_t count = 0;
+        const char* why = "";
+    };
+    Wish wish(Micros now, const Book& book, const Function& f, std::size_t have, std::size_t starting) const;
+    const Worker* place(Micros now, const Book& book, const Function& f) const;
+    std::int64_t room(const Worker& worker, const Book& book) const;
+    bool spend(Micros now);
+
+    Terms terms_;
+    Micros since_, listed_ = 0, tokens_at_;
+    double tokens_ = 0;
+    std::map<std::string, Worker> workers_;
+    std::map<std::string, Micros> full_until_;
+    std::map<std::string, Pending> begins_;  // by nonce
+    std::map<std::string, Micros> stopping_; // by runner: when it is said again
+    std::map<std::string, Micros> surplus_since_;
+    std::uint64_t count_ = 0;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/programs/sorter.cpp
@@ -0,0 +1,369 @@
+// gannethold-sorter: a core machine. Keeps the shared state with the other core machines, answers the operator, and, while
+// it leads, keeps slots and places runners for all fronts.
+#include <csignal>
+#include <filesystem>
+#include <optional>
+#include <random>
+
+#include "net/listener.hpp"
+#include "post/agreement/agreement.hpp"
+#include "post/base/events.hpp"
+#include "post/programs/office.hpp"
+#include "post/programs/process.hpp"
+#include "post/store/store.hpp"
+#include "post/transport/http_service.hpp"
+#include "post/transport/line.hpp"
+
+namespace gannethold::post {
+namespace {
+
+constexpr Micros kConnect = 400'000, kRedial = 250'000, kDeaf = 1'500'000, kReopen = 300'000;
+
+class Sorter {
+  public:
+    Sorter(net::Loop& loop, Settings settings)
+        : loop_(loop),
+          settings_(std::move(settings)),
+          watch_(loop, [this](const Settings& s) { restated(s); }),
+          control_(loop, address_or_end(settings_.control_plane, "listen_addresses.control_plane"),
+                   {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); }, [this](HttpService::Exchange e) { puts_.erase(e); }}, 512),
+          listener_(loop, net::Door(address_or_end(settings_.ip_address + ":" + std::to_string(settings_.internal_port), "internal_port_range")),
+                    [this](evutil_socket_t s) { accepted(s); }, [] {}),
+          timer_(loop, [this] { due(); }),
+          term_(loop, SIGTERM, [this] { leave(); }),
+          int_(loop, SIGINT, [this] { leave(); }) {
+        Limits limits;
+        limits.body_bytes = 16U << 20;
+        control_.limit(limits);
+        open();
+        due();
+    }
+
+  private:
+    struct Peer {
+        std::unique_ptr<Line> line;
+        Micros dialed = 0, heard = 0;
+    };
+    struct Guest {  // who dialed us
+        std::unique_ptr<Line> line;
+        std::string member;
+        Session session = 0;
+        bool front = false;
+        Greeting greeting;
+    };
+
+    // ---- disk and agreement ----
+
+    void open() {
+        const Micros now = net::Loop::now();
+        agreement_.reset();
+        reopen_at_ = now + kReopen;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                std::error_code ignored;
+                std::filesystem::create_directories(settings_.data_directory, ignored);
+                BOOST_LEAF_AUTO(durable, store_.open(settings_.data_directory));
+                Agreement::Terms terms;
+                terms.self = settings_.control_plane;
+                terms.seeds = settings_.seeds;
+                terms.first_start = settings_.initial_start && !durable.member;
+                terms.chance = std::random_device()();
+                Outcome out;
+                Event("disk_opened").with("member", durable.member).with("term", durable.term).with("version", durable.entry.version);
+                agreement_.emplace(std::move(terms), std::move(durable), now, out);
+                carry_out(out);
+                return {};
+            },
+            [&](Kind kind, const Detail& detail) { Event("disk_failed", Level::error).with("kind", answer_to(kind).name).with("detail", detail.text); },
+            [] {});
+    }
+
+    // First what is written, then what follows from it.
+    void carry_out(Outcome& out) {
+        if (out.write) {
+            const bool done = leaf::try_handle_all(
+                [&]() -> leaf::result<bool> {
+                    BOOST_LEAF_CHECK(store_.write(agreement_->durable()));
+                    return true;
+                },
+                [&](Kind kind, const Detail& detail) {
+                    Event("write_failed", Level::error).with("kind", answer_to(kind).name).with("detail", detail.text);
+                    return false;
+                },
+                [] { return false; });
+            if (!done) {
+                // Nothing of it was said; the machine steps back to what its disk holds, once that can be read again.
+                step_back();
+                return;
+            }
+        }
+        for (const Outcome::Mail& mail : out.sends) send(mail.to, mail.message);
+        for (const Outcome::Verdict& v : out.verdicts) {
+            const auto at = std::find_if(puts_.begin(), puts_.end(), [&](const auto& p) { return p.second == v.ticket; });
+            if (at == puts_.end()) continue;
+            const HttpService::Exchange exchange = at->first;
+            puts_.erase(at);
+            if (v.settled) acknowledge(exchange);
+            else control_.answer(exchange, Kind::no_majority, {}, 200);
+        }
+        look();
+    }
+
+    void step_back() {
+        close_office();
+        agreement_.reset();
+        reopen_at_ = net::Loop::now() + kReopen;
+        for (const auto& [exchange, ticket] : std::exchange(puts_, {})) control_.answer(exchange, Kind::disk_failed, {}, 300);
+    }
+
+    // Whether this machine leads, and what is settled, may have changed.
+    void look() {
+        if (!agreement_) return;
+        const Micros now = net::Loop::now();
+        const bool leads = agreement_->leads(now) && !leaving_;
+        if (office_ && (!leads || office_->term() != agreement_->term())) close_office();
+        if (leads && !office_) {
+            office_ = std::make_unique<Office>(loop_, settings_, agreement_->term(), [this](Session s, const Message& m) { tell(s, m); });
+            for (auto& [key, guest] : guests_)
+                if (guest->front) office_->came(guest->session, guest->greeting);
+        }
+        if (office_ && agreement_->settled()) office_->settled(*agreement_->settled());
+    }
+
+    void close_office() {
+        if (!office_) return;
+        Event("office_closed").with("term", office_->term());
+        shut_.push_back(std::move(office_));
+        for (auto& [key, guest] : guests_)
+            if (guest->front) guest->line->close(), gone_.push_back(key);
+    }
+
+    // ---- mail ----
+
+    void send(const std::string& to, const Message& message) {
+        Peer& peer = peers_[to];
+        const Micros now = net::Loop::now();
+        if (!peer.line) {
+            if (now < peer.dialed + kRedial) return;
+            dial(to, peer);
+        }
+        if (peer.line && peer.line->unsent() < (8U << 20)) peer.line->send(message, settings_.control_plane);
+    }
+
+    void dial(const std::string& to, Peer& peer) {
+        const auto address = net::Address::read(settings_.internal_of(to));
+        if (!address) return;
+        peer.dialed = net::Loop::now();
+        Line::Events events;
+        events.letter = [](const Letter&) {};
+        events.ended = [this, to] {
+            Peer& p = peers_[to];
+            if (p.line) old_lines_.push_back(std::move(p.line));
+        };
+        peer.line = std::make_unique<Line>(loop_, *address, kConnect, std::move(events));
+    }
+
+    void accepted(evutil_socket_t socket) {
+        auto guest = std::make_unique<Guest>();
+        Guest* const key = guest.get();
+        Line::Events events;
+        events.letter = [this, key](const Letter& letter) { got(*key, letter); };
+        events.ended = [this, key] { gone_.push_back(key); };
+        guest->line = std::make_unique<Line>(loop_, socket, std::move(events));
+        guest->session = ++last_session_;
+        by_session_[guest->session] = key;
+        guests_[key] = std::move(guest);
+    }
+
+    void got(Guest& guest, const Letter& letter) {
+        const Micros now = net::Loop::now();
+        if (!letter.from.empty()) {
+            guest.member = letter.from;
+            peers_[letter.from].heard = now;
+            if (!agreement_) return;
+            Outcome out;
+            agreement_->receive(now, letter.from, letter.message, out);
+            carry_out(out);
+            set_timer();
+            return;
+        }
+        if (const auto* greeting = std::get_if<Greeting>(&letter.message)) {
+            guest.front = true;
+            guest.greeting = *greeting;
+            look();
+            if (office_) return office_->came(guest.session, *greeting);
+            const std::string leader = agreement_ ? agreement_->leader() : std::string();
+            // A front that has nothing yet is better off with what is known to be settled here.
+            if (agreement_ && agreement_->settled() && agreement_->settled()->version > greeting->version && greeting->version == 0)
+                guest.line->send(ConfigurationSent{agreement_->settled()->version, {0, delta_of(agreement_->settled()->body)}});
+            guest.line->send(Referral{leader == settings_.control_plane ? std::string() : leader});
+            return;
+        }
+        if (office_ && guest.front) office_->said(guest.session, letter.message);
+    }
+
+    static std::string delta_of(const std::string& body);
+
+    void tell(Session session, const Message& message) {
+        const auto at = by_session_.find(session);
+        if (at != by_session_.end() && at->second->line->open()) at->second->line->send(message);
+    }
+
+    // ---- the operator ----
+
+    void asked(HttpService::Exchange exchange, HttpMessage&& m) {
+        const std::string path = m.target.substr(0, m.target.find('?'));
+        if (path != "/v1/configuration") return control_.answer(exchange, Kind::no_route, path);
+        if (m.method != "PUT" && m.method != "GET") return control_.answer(exchange, Kind::request_malformed, "PUT or GET");
+        const Micros now = net::Loop::now();
+        if (leaving_ || !agreement_ || !agreement_->leads(now)) {
+            const std::string leader = agreement_ && !leaving_ ? agreement_->leader() : std::string();
+            if (leader.empty() || leader == settings_.control_plane) return control_.answer(exchange, Kind::no_majority, {}, 200);
+            HttpMessage answer;
+            answer.status = answer_to(Kind::not_leading).status;
+            answer.fields.emplace_back("Location", "http://" + leader + m.target);
+            return control_.answer(exchange, answer);
+        }
+        if (m.method == "GET") {
+            const Entry* const entry = agreement_->settled();
+            if (!entry || entry->version == 0) return control_.answer(exchange, Kind::no_majority, "no configuration yet", 200);
+            HttpMessage answer;
+            answer.status = 200;
+            answer.fields.emplace_back("Content-Type", "application/json");
+            answer.body = entry->body;
+            return control_.answer(exchange, answer);
+        }
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(configuration, Configuration::read(m.body));
+                const Number ticket = ++last_ticket_;
+                puts_[exchange] = ticket;
+                Outcome out;
+                agreement_->propose(now, ticket, configuration->version(), std::move(m.body), out);
+                carry_out(out);
+                set_timer();
+                return {};
+            },
+            [&](Kind kind, const Detail& detail) {
+                Event("configuration_refused", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                control_.answer(exchange, kind, detail.text);
+            },
+            [&] { control_.answer(exchange, Kind::configuration_cut); });
+    }
+
+    void acknowledge(HttpService::Exchange exchange) {
+        HttpMessage answer;
+        answer.status = 200;
+        answer.fields.emplace_back("Content-Type", "application/json");
+        answer.body = "{}";
+        control_.answer(exchange, answer);
+    }
+
+    // ---- time ----
+
+    void due() {
+        const Micros now = net::Loop::now();
+        if (!agreement_ && now >= reopen_at_) open();
+        if (agreement_) {
+            Outcome out;
+            agreement_->tick(now, out);
+            carry_out(out);
+        }
+        if (office_) office_->tick(now);
+        if (now >= next_sweep_) sweep(now);
+        set_timer();
+    }
+
+    void sweep(Micros now) {
+        next_sweep_ = now + 500'000;
+        control_.sweep(now);
+        old_lines_.clear();
+        shut_.clear();
+        for (auto& [key, guest] : guests_)
+            if (now > guest->line->heard() + kDeaf) guest->line->close(), gone_.push_back(key);
+        for (Guest* const key : std::exchange(gone_, {})) {
+            const auto at = guests_.find(key);
+            if (at == guests_.end()) continue;
+            if (office_ && key->front) office_->left(key->session);
+            by_session_.erase(key->session);
+            guests_.erase(at);
+        }
+        // Against a path that is cut: what was written there is not waited for.
+        for (auto& [to, peer] : peers_)
+            if (peer.line && now > std::max(peer.heard, peer.dialed) + kDeaf) {
+                peer.line->close();
+                old_lines_.push_back(std::move(peer.line));
+            }
+        if (now >= next_look_) next_look_ = now + 2'000'000, watch_.look(false);
+    }
+
+    void set_timer() {
+        Micros next = next_sweep_;
+        if (agreement_) next = std::min(next, agreement_->next_tick());
+        else next = std::min(next, reopen_at_);
+        if (office_) next = std::min(next, office_->next_tick());
+        timer_.set(next);
+    }
+
+    void restated(const Settings& s) {
+        settings_.seeds = s.seeds;
+        if (agreement_) agreement_->restated(s.seeds);
+    }
+
+    void leave() {
+        if (leaving_) return;
+        leaving_ = true;
+        Event("leaving");
+        if (agreement_) {
+            Outcome out;
+            agreement_->resign(net::Loop::now(), out);
+            carry_out(out);
+        }
+        close_office();
+        control_.say_goodbye();
+        control_.close_idle();
+        end_.emplace(loop_, [this] { loop_.stop(); });
+        end_->set(net::Loop::now() + 300'000);
+    }
+
+    net::Loop& loop_;
+    Settings settings_;
+    SettingsWatch watch_;
+    HttpService control_;
+    net::Listener listener_;
+    Store store_;
+    std::optional<Agreement> agreement_;
+    std::unique_ptr<Office> office_;
+    std::vector<std::unique_ptr<Office>> shut_;
+    std::map<std::string, Peer> peers_;
+    std::vector<std::unique_ptr<Line>> old_lines_;
+    std::map<Guest*, std::unique_ptr<Guest>> guests_;
+    std::map<Session, Guest*> by_session_;
+    std::vector<Guest*> gone_;
+    std::map<HttpService::Exchange, Number> puts_;
+    Number last_ticket_ = 0;
+    Session last_session_ = 0;
+    Micros reopen_at_ = 0, next_sweep_ = 0, next_look_ = 0;
+    bool leaving_ = false;
+    net::Timer timer_;
+    net::Signal term_, int_;
+    std::optional<net::Timer> end_;
+};
+
+}  // namespace
+}  // namespace gannethold::post
+
+#include "post/configuration/delta.hpp"
+
+std::string gannethold::post::Sorter::delta_of(const std::string& body) { return delta({}, body); }
+
+int main(int argc, char** argv) {
+    using namespace gannethold;
+    const post::Settings settings = post::begin_process(argc, argv,
+        "gannethold-sorter keeps the system's shared state and, while it leads, its slots and runners.\n"
+        "It takes its addresses and bounds from the settings file.");
+    net::Loop loop(post::blocks_for(settings));
+    post::Sorter sorter(loop, settings);
+    loop.run([] {});
+    return 0;
+}
--- /dev/null
+++ b/src/post/runners/resources.hpp
@@ -0,0 +1,46 @@
+// The platform's resources, one handler object each: writes the call, reads the answer.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "post/base/error.hpp"
+#include "post/placement/planner.hpp"
+#include "post/runners/listing.hpp"
+#include "post/transport/http_message.hpp"
+
+namespace gannethold::post {
+
+// Who acts, for calls that change something: the platform refuses an older number.
+struct Fence {
+    std::string holder;
+    Number number = 0;
+};
+
+class RunnersResource {
+  public:
+    HttpMessage get(const std::string& token) const;
+    // Errors: platform_refused (a status other than 200), bytes_malformed.
+    leaf::result<Page> read(const HttpMessage& answer) const;
+};
+
+class WorkersResource {
+  public:
+    HttpMessage get() const;
+    leaf::result<std::vector<Worker>> read(const HttpMessage& answer) const;
+};
+
+class BeginResource {
+  public:
+    HttpMessage post(const Fence& fence, const Begin& begin) const;
+    // begun: with runner and address filled in.
+    BeginAnswer read(const HttpMessage& answer, Holding& begun) const;
+};
+
+class StopResource {
+  public:
+    HttpMessage post(const Fence& fence, const Stop& stop) const;
+    bool done(const HttpMessage& answer) const;  // 404: there never was such a one, which is as good
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/store/store.hpp
@@ -0,0 +1,40 @@
+// The core's durable state in LevelDB. Every write is synced before it returns; both records of a change stand in one
+// batch, so that a torn one is there whole or not at all.
+//
+// Options, and why: sync on every write (what is said follows from it); paranoid_checks off at opening, since a loss of
+// power may tear what was never synced and the log's tail is then cut where its checksums end; verify_checksums on every
+// read, since what was synced must be whole. A store that can not be read is a lost disk: its owner must not vote as if it
+// had never voted, so it comes back as no member.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "post/agreement/agreement.hpp"
+#include "post/base/error.hpp"
+
+namespace leveldb {
+class DB;
+}
+
+namespace gannethold::post {
+
+class Store {
+  public:
+    // The log and its tables stay under a few bodies of a configuration: LevelDB drops what is overwritten.
+    static constexpr std::size_t kBuffer = 1U << 20;
+
+    Store();
+    ~Store();
+    // Error: disk_failed. Creates the folder's database where there is none.
+    leaf::result<Durable> open(const std::string& folder);
+    // Error: disk_failed; then nothing may be taken for written, and open() is to be called anew.
+    leaf::result<void> write(const Durable& durable);
+
+  private:
+    std::unique_ptr<leveldb::DB> base_;
+    Stamp written_;
+    bool has_entry_ = false;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/transport/http_caller.hpp
@@ -0,0 +1,68 @@
+// Calls over HTTP/1.1 with kept connections, one call at a time on each. Every way in which a call can end is told apart
+// by whether it may have been carried out.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/connection.hpp"
+#include "post/transport/http_message.hpp"
+
+namespace gannethold::post {
+
+enum class CallEnd {
+    answered,
+    unreachable,  // no connection came up: nothing was sent
+    unsent,       // the connection ended before the last byte was written: not carried out
+    broken,       // it ended after that without a whole answer: may have been carried out
+    malformed,    // what came is no answer, or another's: may have been carried out
+};
+
+class HttpCaller {
+  public:
+    using Call = std::uint64_t;
+    struct Events {
+        // fresh: the first answer on its connection.
+        std::function<void(Call, CallEnd, HttpMessage&&, bool fresh)> ended;
+        std::function<void(const std::string& address)> connected = [](const std::string&) {};  // by preconnect()
+        std::function<void(const std::string& address)> refused = [](const std::string&) {};
+    };
+    struct Terms {
+        Micros connect_limit = 600'000;
+        Micros keep = 8'000'000;            // an idle connection, unless the peer states less
+        std::size_t most_idle = 4;          // for each address
+        std::size_t most_answer = 16 << 20;  // bytes
+        std::string id_field;               // an answer whose field is another than the request's is another's: passed over
+    };
+    HttpCaller(net::Loop& loop, Terms terms, Events events);
+    ~HttpCaller();
+
+    // Begins a call; it ends with one event, not before this returns.
+    void call(Call call, const std::string& address, const HttpMessage& request);
+    void abandon(Call call);  // no event; the connection is closed
+    // Opens a connection and keeps it for the next call there.
+    void preconnect(const std::string& address);
+    void forget(const std::string& address);  // idle connections there are closed
+    void sweep(Micros now);
+
+  private:
+    class Link;
+    friend class Link;
+    void keep(Link* link);
+
+    net::Loop& loop_;
+    Terms terms_;
+    Events events_;
+    std::unordered_map<Link*, std::unique_ptr<Link>> links_;
+    std::vector<std::unique_ptr<Link>> closed_;
+    std::unordered_map<Call, Link*> calls_;
+    std::unordered_map<std::string, std::list<Link*>> idle_;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/transport/http_service.cpp
@@ -0,0 +1,186 @@
+#include "post/transport/http_service.hpp"
+
+#include <unistd.h>
+
+#include <cstdio>
+
+namespace gannethold::post {
+
+class HttpService::Guest final : net::Connection::Owner {
+  public:
+    Guest(HttpService& service, evutil_socket_t socket)
+        : service_(service), reader_(http::Kind::request, service.loop_.blocks()), since_(net::Loop::now()), connection_(service.loop_, *this, socket) {}
+
+    void answer(const HttpMessage& message) {
+        exchange_ = 0;
+        since_ = net::Loop::now();
+        HttpMessage last = message;
+        last.keeps_alive = keeps_alive_ && message.keeps_alive && !service_.leaving_;
+        if (!connection_.write(bytes_of(last))) return leave();
+        if (!last.keeps_alive) return finish();
+        again();
+    }
+    // Nothing under way, and nothing half read.
+    bool idle() const { return exchange_ == 0 && !reading_ && ahead_.empty() && !reader_.begun(); }
+    bool finishing() const { return finishing_; }
+    Micros since() const { return since_; }
+    bool waits() const { return exchange_ != 0; }
+    void finish() {
+        finishing_ = true;
+        connection_.finish();
+    }
+    void timed_out() {
+        if (idle()) return leave();
+        refuse(408);
+    }
+
+  private:
+    void bytes(std::string_view bytes) override {
+        if (finishing_) return;
+        if (exchange_ != 0) {
+            // Sent ahead. So much is more than any client's due.
+            if (ahead_.size() + bytes.size() > (1U << 20)) return leave();
+            ahead_.append(bytes);
+            return;
+        }
+        read(bytes);
+    }
+
+    void again() {
+        while (exchange_ == 0 && !finishing_ && !ahead_.empty()) {
+            const std::string bytes = std::move(ahead_);
+            ahead_.clear();
+            read(bytes);
+        }
+    }
+
+    void read(std::string_view bytes) {
+        for (;;) {
+            if (reading_ == false && !reader_.begun()) since_ = net::Loop::now();
+            switch (reader_.read(bytes)) {
+                case http::Found::nothing:
+                    if (bytes.empty()) return;
+                    continue;
+                case http::Found::head:
+                    request_ = copy_of(reader_.head());
+                    reading_ = true;
+                    if (reader_.length() > service_.limits_.body_bytes) return refuse(413);
+                    continue;
+                case http::Found::body:
+                    if (request_.body.size() + reader_.piece().size() > service_.limits_.body_bytes) return refuse(413);
+                    request_.body.append(reader_.piece());
+                    continue;
+                case http::Found::end:
+                    reader_.restart();
+                    reading_ = false;
+                    keeps_alive_ = request_.keeps_alive;
+                    ahead_.assign(bytes);
+                    exchange_ = ++service_.last_;
+                    service_.exchanges_[exchange_] = this;
+                    service_.events_.request(exchange_, std::move(request_));
+                    return;
+                case http::Found::fault:
+                    if (reader_.fault() == http::Fault::out_of_blocks) return leave();
+                    return refuse(reader_.fault() == http::Fault::too_large ? 431 : 400);
+            }
+        }
+    }
+
+    void refuse(int status) {
+        HttpMessage message;
+        message.status = status;
+        message.keeps_alive = false;
+        connection_.write(bytes_of(message));
+        finish();
+    }
+
+    void leave() {
+        connection_.close();
+        ended(net::Ending::closed);
+    }
+
+    void ended(net::Ending) override {
+        HttpService& service = service_;
+        const Exchange exchange = exchange_;
+        exchange_ = 0;
+        finishing_ = true;
+        if (const auto own = service.guests_.find(this); own != service.guests_.end()) {
+            service.closed_.push_back(std::move(own->second));
+            service.guests_.erase(own);
+        }
+        if (exchange != 0 && service.exchanges_.erase(exchange) > 0) service.events_.left(exchange);
+    }
+
+    HttpService& service_;
+    http::Reader reader_;
+    HttpMessage request_;
+    std::string ahead_;
+    Exchange exchange_ = 0;
+    bool reading_ = false, keeps_alive_ = true, finishing_ = false;
+    Micros since_;
+    net::Connection connection_;
+};
+
+HttpService::HttpService(net::Loop& loop, const net::Address& at, Events events, std::size_t most)
+    : loop_(loop), events_(std::move(events)), most_(most) {
+    listener_ = std::make_unique<net::Listener>(
+        loop, net::Door(at),
+        [this](evutil_socket_t socket) {
+            if (guests_.size() >= most_) {
+                ::close(socket);
+                return;
+            }
+            auto guest = std::make_unique<Guest>(*this, socket);
+            Guest* const key = guest.get();
+            guests_[key] = std::move(guest);
+        },
+        [] {});
+}
+
+HttpService::~HttpService() = default;
+
+void HttpService::answer(Exchange exchange, const HttpMessage& message) {
+    const auto at = exchanges_.find(exchange);
+    if (at == exchanges_.end()) return;
+    Guest* const guest = at->second;
+    exchanges_.erase(at);
+    guest->answer(message);
+}
+
+void HttpService::answer(Exchange exchange, Kind kind, const std::string& detail, std::uint32_t retry_ms) {
+    const Answer answer_is = answer_to(kind);
+    HttpMessage message;
+    message.status = answer_is.status;
+    if (answer_is.status == 503) {
+        char seconds[16];
+        std::snprintf(seconds, sizeof seconds, "%.3f", retry_ms / 1e3);
+        message.fields.emplace_back("Retry-After", seconds);
+    }
+    message.fields.emplace_back("Content-Type", "application/json");
+    message.body = std::string("{\"error_message\":\"") + answer_is.name;
+    if (!detail.empty()) message.body += ": ";
+    for (const char c : detail) {
+        if (c == '"' || c == '\\') message.body += '\\';
+        message.body += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+    }
+    message.body += "\"}";
+    answer(exchange, message);
+}
+
+void HttpService::close_idle() {
+    if (listener_) listener_->stop();
+    for (auto& [key, guest] : guests_)
+        if (guest->idle() && !guest->finishing()) guest->finish();
+}
+
+void HttpService::sweep(Micros now) {
+    closed_.clear();
+    std::vector<Guest*> late;
+    for (auto& [key, guest] : guests_) {
+        if (guest->waits() || guest->finishing()) continue;
+        if (now > guest->since() + (guest->idle() ? limits_.idle_timeout : limits_.header_timeout + limits_.idle_timeout)) late.push_back(key);
+    }
+    for (Guest* const guest : late) guest->timed_out();
+}
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/transport/http_service.hpp
@@ -0,0 +1,58 @@
+// Serves HTTP/1.1 on one address: reads whole requests, one at a time on each connection, and writes whole answers.
+// What a client sends ahead waits. Decides nothing but what the limits say.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "net/connection.hpp"
+#include "net/listener.hpp"
+#include "post/base/error.hpp"
+#include "post/configuration/configuration.hpp"
+#include "post/transport/http_message.hpp"
+
+namespace gannethold::post {
+
+class HttpService {
+  public:
+    using Exchange = std::uint64_t;
+    struct Events {
+        // A whole request; it is to be answered once, now or later, unless its client leaves.
+        std::function<void(Exchange, HttpMessage&&)> request;
+        std::function<void(Exchange)> left = [](Exchange) {};
+    };
+    HttpService(net::Loop& loop, const net::Address& at, Events events, std::size_t most_connections);
+    ~HttpService();
+
+    void answer(Exchange exchange, const HttpMessage& message);
+    void answer(Exchange exchange, Kind kind, const std::string& detail = {}, std::uint32_t retry_ms = 0);
+    void limit(const Limits& limits) { limits_ = limits; }
+    // From now on each answer closes its connection.
+    void say_goodbye() { leaving_ = true; }
+    // Accepts no more, and closes connections on which nothing is under way.
+    void close_idle();
+    // Reads no more from clients that wait for nothing; also sweeps what was closed and what was idle too long.
+    void sweep(Micros now);
+    std::size_t under_way() const { return exchanges_.size(); }
+    std::size_t connections() const { return guests_.size(); }
+
+  private:
+    class Guest;
+    friend class Guest;
+
+    net::Loop& loop_;
+    Events events_;
+    Limits limits_;
+    std::size_t most_;
+    bool leaving_ = false;
+    Exchange last_ = 0;
+    std::unordered_map<Guest*, std::unique_ptr<Guest>> guests_;
+    std::vector<std::unique_ptr<Guest>> closed_;  // until the turn is over
+    std::unordered_map<Exchange, Guest*> exchanges_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/transport/line.cpp
@@ -0,0 +1,62 @@
+#include "post/transport/line.hpp"
+
+#include "post/base/events.hpp"
+
+namespace gannethold::post {
+
+Line::Line(net::Loop& loop, evutil_socket_t accepted, Events events)
+    : events_(std::move(events)), open_(true), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, accepted)) {}
+
+Line::Line(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events)
+    : events_(std::move(events)), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, to, connect_limit)) {}
+
+void Line::send(const Message& message, std::string_view from) {
+    if (closed_) return;
+    // A pool that is empty is a peer that does not read: what was not said is said again by whoever needs it.
+    if (!connection_->write(encode(message, from))) close(), events_.ended();
+}
+
+void Line::close() {
+    closed_ = true;
+    open_ = false;
+    connection_->close();
+}
+
+void Line::connected() {
+    open_ = true;
+    heard_ = net::Loop::now();
+    events_.up();
+}
+
+void Line::bytes(std::string_view bytes) {
+    heard_ = net::Loop::now();
+    frames_.add(bytes);
+    while (!closed_) {
+        bool more = false;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(frame, frames_.next());
+                if (!frame) return {};
+                BOOST_LEAF_AUTO(letter, decode(*frame));
+                more = true;
+                events_.letter(letter);
+                return {};
+            },
+            [&](Kind kind, const Detail& detail) {
+                Event("line_closed", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                close();
+                events_.ended();
+            },
+            [&] { close(), events_.ended(); });
+        if (!more) return;
+    }
+}
+
+void Line::ended(net::Ending) {
+    if (closed_) return;
+    closed_ = true;
+    open_ = false;
+    events_.ended();
+}
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/transport/line.hpp
@@ -0,0 +1,41 @@
+// One TCP connection between two of the system's own processes, in messages. Bytes that are no message end it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/connection.hpp"
+#include "post/wire/codec.hpp"
+
+namespace gannethold::post {
+
+class Line final : net::Connection::Owner {
+  public:
+    struct Events {
+        std::function<void()> up = [] {};
+        std::function<void(const Letter&)> letter;
+        std::function<void()> ended;  // by the peer or a fault; not after close()
+    };
+    Line(net::Loop& loop, evutil_socket_t accepted, Events events);
+    Line(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events);
+
+    bool open() const { return open_; }
+    void send(const Message& message, std::string_view from = {});
+    void close();
+    Micros heard() const { return heard_; }
+    std::size_t unsent() const { return connection_ ? connection_->unsent_bytes() : 0; }
+
+  private:
+    void connected() override;
+    void bytes(std::string_view bytes) override;
+    void ended(net::Ending) override;
+
+    Events events_;
+    Frames frames_;
+    bool open_ = false, closed_ = false;
+    Micros heard_ = 0;
+    std::unique_ptr<net::Connection> connection_;
+};
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/wire/codec.cpp
@@ -0,0 +1,229 @@
+#include "post/wire/codec.hpp"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+
+#include "post.capnp.h"
+
+namespace gannethold::post {
+namespace {
+
+namespace cp = capnproto;
+
+void put(cp::Stamp::Builder to, const Stamp& s) { to.setTerm(s.term), to.setIndex(s.index); }
+Stamp get(cp::Stamp::Reader s) { return {s.getTerm(), s.getIndex()}; }
+capnp::Data::Reader data(const std::string& bytes) {
+    return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
+}
+std::string text(capnp::Data::Reader d) { return {reinterpret_cast<const char*>(d.begin()), d.size()}; }
+std::string text(capnp::Text::Reader t) { return {t.begin(), t.size()}; }
+void put(cp::Patch::Builder to, const Patch& p) { to.setBase(p.base), to.setBytes(data(p.bytes)); }
+Patch get(cp::Patch::Reader p) { return {p.getBase(), text(p.getBytes())}; }
+
+template <class List>
+void put_all(List to, const std::vector<std::string>& from) {
+    for (unsigned i = 0; i < from.size(); ++i) to.set(i, from[i]);
+}
+std::vector<std::string> get_all(capnp::List<capnp::Text>::Reader from) {
+    std::vector<std::string> all;
+    for (const auto one : from) all.push_back(text(one));
+    return all;
+}
+
+void put(cp::Runner::Builder to, const Holding& h) {
+    to.setRunner(h.runner), to.setService(h.service), to.setAddress(h.address), to.setZone(h.zone);
+    to.setWorker(h.worker), to.setSlots(h.slots), to.setOut(h.out), to.setUp(h.up);
+}
+Holding get(cp::Runner::Reader r) {
+    return {text(r.getRunner()), text(r.getService()), text(r.getAddress()), text(r.getZone()), text(r.getWorker()),
+            r.getSlots(), r.getOut(), r.getUp()};
+}
+
+struct Put {
+    cp::Envelope::Builder e;
+
+    void operator()(const Beat&) { e.setBeat(); }
+    void operator()(const Ballot& m) {
+        auto to = e.initBallot();
+        to.setTerm(m.term), put(to.initHeld(), m.held), to.setTrial(m.trial), to.setHanded(m.handed);
+    }
+    void operator()(const Vote& m) {
+        auto to = e.initVote();
+        to.setTerm(m.term), to.setGranted(m.granted), to.setTrial(m.trial);
+    }
+    void operator()(const Order& m) {
+        auto to = e.initOrder();
+        to.setTerm(m.term), to.setRound(m.round), put(to.initHead(), m.head), put(to.initSettled(), m.settled);
+        to.setCarries(m.carries);
+        if (!m.carries) return;
+        to.setVersion(m.version), put_all(to.initMembers(static_cast<unsigned>(m.members.size())), m.members);
+        put(to.initBase(), m.base), put(to.initPatch(), m.patch);
+    }
+    void operator()(const Receipt& m) {
+        auto to = e.initReceipt();
+        to.setTerm(m.term), to.setRound(m.round), put(to.initHeld(), m.held);
+    }
+    void operator()(const Inquiry& m) { e.setInquiry(m.nonce); }
+    void operator()(const Recollection& m) {
+        auto to = e.initRecollection();
+        to.setNonce(m.nonce), to.setTerm(m.term), to.setLeader(m.leader), put(to.initStamp(), m.entry.stamp);
+        to.setVersion(m.entry.version), to.setBody(data(m.entry.body));
+        put_all(to.initMembers(static_cast<unsigned>(m.entry.members.size())), m.entry.members);
+    }
+    void operator()(const Admission&) { e.setAdmission(); }
+    void operator()(const Succession& m) { e.setSuccession(m.term); }
+    void operator()(const Greeting& m) {
+        auto to = e.initGreeting();
+        to.setName(m.name), to.setZone(m.zone), to.setIncarnation(m.incarnation), to.setVersion(m.version);
+        auto all = to.initHoldings(static_cast<unsigned>(m.holdings.size()));
+        for (unsigned i = 0; i < m.holdings.size(); ++i) put(all[i], m.holdings[i]);
+    }
+    void operator()(const Referral& m) { e.setReferral(m.leader); }
+    void operator()(const Welcome& m) {
+        auto to = e.initWelcome();
+        to.setTerm(m.term), to.setRank(m.rank), to.setFronts(m.fronts);
+        put_all(to.initMembers(static_cast<unsigned>(m.members.size())), m.members);
+    }
+    void operator()(const ConfigurationSent& m) {
+        auto to = e.initConfigurationSent();
+        to.setVersion(m.version), put(to.initPatch(), m.patch);
+    }
+    void operator()(const ConfigurationHeld& m) { e.setConfigurationHeld(m.version); }
+    void operator()(const RunnerTold& m) {
+        auto to = e.initRunnerTold();
+        to.setNumber(m.number), to.setState(static_cast<std::uint8_t>(m.state)), to.setWatch(m.watch);
+        if (m.state != RunnerState::gone) put(to.initRunner(), m.runner);
+    }
+    void operator()(const Ask& m) {
+        auto to = e.initAsk();
+        to.setId(m.id), to.setDrawn(m.drawn), to.setService(m.service), to.setAimMs(m.aim_ms);
+        to.setDeadlineMs(m.deadline_ms), to.setPriority(m.priority), to.setShape(m.shape), to.setAgain(m.again);
+    }
+    void operator()(const Grant& m) {
+        auto to = e.initGrant();
+        to.setId(m.id), to.setRunner(m.runner);
+    }
+    void operator()(const Denial& m) {
+        auto to = e.initDenial();
+        to.setId(m.id), to.setRetryMs(m.retry_ms);
+    }
+    void operator()(const Release& m) {
+        auto to = e.initRelease();
+        to.setId(m.id), to.setRunner(m.runner), to.setHow(static_cast<std::uint8_t>(m.how)), to.setTookMs(m.took_ms);
+    }
+    void operator()(const Up& m) {
+        auto to = e.initUp();
+        to.setRunner(m.runner), to.setUp(m.up);
+    }
+};
+
+leaf::result<Message> get(cp::Envelope::Reader e) {
+    using E = cp::Envelope;
+    switch (e.which()) {
+        case E::BEAT: return Beat{};
+        case E::BALLOT: {
+            const auto m = e.getBallot();
+            return Ballot{m.getTerm(), get(m.getHeld()), m.getTrial(), m.getHanded()};
+        }
+        case E::VOTE: {
+            const auto m = e.getVote();
+            return Vote{m.getTerm(), m.getGranted(), m.getTrial()};
+        }
+        case E::ORDER: {
+            const auto m = e.getOrder();
+            Order to{m.getTerm(), m.getRound(), get(m.getHead()), get(m.getSettled()), m.getCarries(), m.getVersion(), {}, {}, {}};
+            if (to.carries) to.members = get_all(m.getMembers()), to.base = get(m.getBase()), to.patch = get(m.getPatch());
+            return to;
+        }
+        case E::RECEIPT: {
+            const auto m = e.getReceipt();
+            return Receipt{m.getTerm(), m.getRound(), get(m.getHeld())};
+        }
+        case E::INQUIRY: return Inquiry{e.getInquiry()};
+        case E::RECOLLECTION: {
+            const auto m = e.getRecollection();
+            return Recollection{m.getNonce(), m.getTerm(), text(m.getLeader()),
+                                {get(m.getStamp()), m.getVersion(), get_all(m.getMembers()), text(m.getBody())}};
+        }
+        case E::ADMISSION: return Admission{};
+        case E::SUCCESSION: return Succession{e.getSuccession()};
+        case E::GREETING: {
+            const auto m = e.getGreeting();
+            Greeting to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}};
+            for (const auto h : m.getHoldings()) to.holdings.push_back(get(h));
+            return to;
+        }
+        case E::REFERRAL: return Referral{text(e.getReferral())};
+        case E::WELCOME: {
+            const auto m = e.getWelcome();
+            return Welcome{m.getTerm(), m.getRank(), m.getFronts(), get_all(m.getMembers())};
+        }
+        case E::CONFIGURATION_SENT: {
+            const auto m = e.getConfigurationSent();
+            return ConfigurationSent{m.getVersion(), get(m.getPatch())};
+        }
+        case E::CONFIGURATION_HELD: return ConfigurationHeld{e.getConfigurationHeld()};
+        case E::RUNNER_TOLD: {
+            const auto m = e.getRunnerTold();
+            if (m.getState() > static_cast<std::uint8_t>(RunnerState::gone)) break;
+            return RunnerTold{m.getNumber(), static_cast<RunnerState>(m.getState()), get(m.getRunner()), m.getWatch()};
+        }
+        case E::ASK: {
+            const auto m = e.getAsk();
+            return Ask{m.getId(), m.getDrawn(), text(m.getService()), m.getAimMs(), m.getDeadlineMs(), m.getPriority(), m.getShape(), m.getAgain()};
+        }
+        case E::GRANT: return Grant{e.getGrant().getId(), e.getGrant().getRunner()};
+        case E::DENIAL: return Denial{e.getDenial().getId(), e.getDenial().getRetryMs()};
+        case E::RELEASE: {
+            const auto m = e.getRelease();
+            if (m.getHow() > static_cast<std::uint8_t>(Ended::gone)) break;
+            return Release{m.getId(), m.getRunner(), static_cast<Ended>(m.getHow()), m.getTookMs()};
+        }
+        case E::UP: return Up{e.getUp().getRunner(), e.getUp().getUp()};
+    }
+    return failure(Kind::bytes_malformed, "no message of ours");
+}
+
+}  // namespace
+
+std::string encode(const Message& message, std::string_view from) {
+    capnp::MallocMessageBuilder builder(64);
+    auto envelope = builder.initRoot<cp::Envelope>();
+    if (!from.empty()) envelope.setFrom(std::string(from));
+    std::visit(Put{envelope}, message);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    const auto bytes = out.getArray();
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    std::string framed;
+    framed.reserve(length + 4);
+    for (int i = 0; i < 4; ++i) framed += static_cast<char>(length >> (8 * i) & 0xff);
+    framed.append(reinterpret_cast<const char*>(bytes.begin()), length);
+    return framed;
+}
+
+leaf::result<Letter> decode(std::string_view packed) {
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
+        capnp::PackedMessageReader reader(in);
+        const auto envelope = reader.getRoot<cp::Envelope>();
+        BOOST_LEAF_AUTO(message, get(envelope));
+        return Letter{text(envelope.getFrom()), std::move(message)};
+    } catch (const kj::Exception& wrong) {
+        return failure(Kind::bytes_malformed, wrong.getDescription().cStr());
+    }
+}
+
+leaf::result<std::optional<std::string_view>> Frames::next() {
+    if (read_ > 0) held_.erase(0, std::exchange(read_, 0));
+    if (held_.size() < 4) return std::optional<std::string_view>();
+    std::size_t length = 0;
+    for (int i = 0; i < 4; ++i) length |= static_cast<std::size_t>(static_cast<unsigned char>(held_[static_cast<std::size_t>(i)])) << (8 * i);
+    if (length > kMost) return failure(Kind::bytes_malformed, "a message of " + std::to_string(length) + " bytes");
+    if (held_.size() < 4 + length) return std::optional<std::string_view>();
+    read_ = 4 + length;
+    return std::optional(std::string_view(held_).substr(4, length));
+}
+
+}  // namespace gannethold::post
--- /dev/null
+++ b/src/post/wire/codec.hpp
@@ -0,0 +1,35 @@
+// Bytes of a message: its length (4 bytes, lowest first), then a packed Cap'n Proto Envelope.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "post/base/error.hpp"
+#include "post/wire/messages.hpp"
+
+namespace gannethold::post {
+
+struct Letter {
+    std::string from;  // empty unless the sender named itself
+    Message message;
+};
+
+std::string encode(const Message& message, std::string_view from = {});
+// Error: bytes_malformed.
+leaf::result<Letter> decode(std::string_view packed);
+
+// Cuts a stream into messages. A length over the bound is an error: against memory taken by a stranger's word.
+class Frames {
+  public:
+    static constexpr std::size_t kMost = 16U << 20;
+    void add(std::string_view bytes) { held_.append(bytes); }
+    // The next whole message's packed bytes, good until the next call; nothing yet: nullopt.
+    leaf::result<std::optional<std::string_view>> next();
+
+  private:
+    std::string held_;
+    std::size_t read_ = 0;
+};
+
+}  // namespace gannethold::post
