--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -42,7 +42,9 @@
         r.service = share.service;
         if ((at -= share.weight) < 0) break;
     }
-    offices_[r.service].split.arrived();
+    Split& split = offices_[r.service].split;
+    split.arrived();
+    split.advance(now, static_cast<std::uint64_t>(unit() * 1e9));
     deadlines_.emplace(r.deadline_at - kMargin, id);
     seek(now, id, r, out);
 }
@@ -50,7 +52,7 @@
 // Asks for a slot, or takes one of the own part.
 void Desk::seek(Micros now, RequestId id, Request& r, Deeds& out) {
     r.runner.clear();
-    r.by_slot = false;
+    r.by_slot = r.free = false;
     if (!keeper_) {
         if (!send_alone(now, id, r, out)) r.state = State::held;
         return;
@@ -58,15 +60,19 @@
     Office& office = offices_[r.service];
     // The design's draw; near ones first, since what crosses zones is paid for and slower.
     const auto fits = [&](bool near) {
-        return [this, near](const Split::Share& s) {
+        return [this, near, now](const Split::Share& s) {
             const auto at = runners_.find(s.runner);
             return at != runners_.end() && at->second.state == RunnerState::ready && at->second.number > 0 && s.out < s.slots &&
-                   (!near || at->second.what.zone == terms_.zone);
+                   now >= at->second.aside_until && (!near || at->second.what.zone == terms_.zone);
         };
     };
     const double at = unit();
     const Split::Share* drawn = office.split.draw(at, fits(true));
     if (!drawn) drawn = office.split.draw(at, fits(false));
+    if (office.free && drawn && !r.again) {
+        r.free = true;
+        return send(now, id, r, runners_[drawn->runner], out);
+    }
     r.state = State::asking;
     r.ask = ++last_ask_ ? last_ask_ : ++last_ask_;
     r.asked_at = now;
@@ -89,11 +95,19 @@
         give_up(id, r, Kind::no_slot, kSoon, out);
         return true;
     }
-    const Split::Share* const drawn = offices_[r.service].split.draw(unit(), [this](const Split::Share& s) {
-        const auto at = runners_.find(s.runner);
-        return at != runners_.end() && at->second.state == RunnerState::ready && !at->second.unreachable && at->second.out < part(at->second);
-    });
+    Office& office = offices_[r.service];
+    const auto fits = [&](bool near) {
+        return [this, near, now, &office](const Split::Share& s) {
+            const auto at = runners_.find(s.runner);
+            if (at == runners_.end() || at->second.state != RunnerState::ready || now < at->second.aside_until) return false;
+            return at->second.out < (office.free ? at->second.what.slots : part(at->second)) && (!near || at->second.what.zone == terms_.zone);
+        };
+    };
+    const double at = unit();
+    const Split::Share* drawn = office.split.draw(at, fits(true));
+    if (!drawn) drawn = office.split.draw(at, fits(false));
     if (!drawn) return false;
+    r.free = office.free;
     send(now, id, r, runners_[drawn->runner], out);
     return true;
 }
@@ -108,19 +122,51 @@
     out.forwards.push_back({id, r.runner, runner.what.address, static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
 }
 
-void Desk::release(Request& r, Ended how, Micros took, Deeds& out) {
+void Desk::release(Micros now, Request& r, Ended how, Deeds& out) {
     const auto runner = runners_.find(r.runner);
+    Office& office = offices_[r.service];
+    const Micros took = now - r.sent_at;
     std::uint32_t number = 0;
     if (runner != runners_.end()) {
         if (runner->second.out > 0) --runner->second.out;
         number = runner->second.number;
     }
-    if (keeper_ && (r.ask > 0 || number > 0)) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
+    if (r.free) ++office.count, office.busy += took;
+    // Of what was sent unasked only what went wrong is told, or what the keeper counts meanwhile.
+    const bool tell = r.ask > 0 || (number > 0 && (!r.free || how == Ended::turned_away || how == Ended::unreachable || how == Ended::gone));
+    if (keeper_ && tell) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
     asks_.erase(r.ask);
     r.ask = 0;
     r.by_slot = false;
 }
 
+void Desk::set_mode(const Mode& m, Deeds& out) {
+    Office& office = offices_[m.service];
+    if (office.free == m.free) return;
+    office.free = m.free;
+    if (m.free) return;
+    // What is out unasked is counted by the keeper from here on, and released to it.
+    std::map<std::uint32_t, std::uint32_t> outs;
+    for (auto& [id, r] : requests_) {
+        if (r.state != State::out || !r.free || r.service != m.service) continue;
+        r.free = false;
+        if (const auto runner = runners_.find(r.runner); runner != runners_.end() && runner->second.number > 0) ++outs[runner->second.number];
+    }
+    if (!outs.empty()) out.mails.push_back(Outs{{outs.begin(), outs.end()}});
+}
+
+void Desk::report(Micros now, Deeds& out) {
+    if (now < reported_ + 1'000'000) return;
+    Loads loads{static_cast<std::uint32_t>(std::min<Micros>(now - reported_, 10'000'000) / 1000), {}};
+    reported_ = now;
+    for (auto& [service, office] : offices_) {
+        if (office.free && (office.count > 0 || office.busy > 0))
+            loads.loads.push_back({service, office.count, static_cast<std::uint32_t>(office.busy / 1000)});
+        office.count = 0, office.busy = 0;
+    }
+    if (keeper_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
+}
+
 void Desk::give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
     if (r.client) out.replies.push_back({id, kind, retry_ms});
     close(id);
@@ -162,32 +208,32 @@
     switch (how) {
         case RunEnd::answered:
             split.ended(runner, static_cast<double>(std::max<Micros>(took, 100)) / 1e6);
-            release(r, Ended::answered, took, out);
+            release(now, r, Ended::answered, out);
             if (r.client) out.relays.push_back(id);
             return close(id);
         case RunEnd::failed:
             split.ended(runner, whole);
-            release(r, Ended::failed, took, out);
+            release(now, r, Ended::failed, out);
             break;
         case RunEnd::not_run:
             split.ended(runner, whole);
-            release(r, Ended::turned_away, took, out);
+            release(now, r, Ended::turned_away, out);
             break;
         case RunEnd::misdirected:
             split.ended(runner, 0);
-            release(r, Ended::gone, took, out);
+            release(now, r, Ended::gone, out);
             drop_runner(runner, out);
             break;
         case RunEnd::unreachable:
             split.ended(runner, 0);
-            if (const auto known = runners_.find(runner); known != runners_.end()) known->second.unreachable = true;
-            release(r, Ended::unreachable, took, out);
+            if (const auto known = runners_.find(runner); known != runners_.end()) known->second.aside_until = now + 1'000'000;
+            release(now, r, Ended::unreachable, out);
             --r.sends;  // nothing was sent
             break;
         case RunEnd::unsent:
         case RunEnd::may_have_run:
             split.ended(runner, whole);
-            release(r, Ended::failed, took, out);
+            release(now, r, Ended::failed, out);
             break;
     }
     const bool ran = how == RunEnd::failed || how == RunEnd::may_have_run;
@@ -223,9 +269,10 @@
     keeper_ = true;
     asks_.clear();
     by_number_.clear();
-    for (auto& [id, r] : runners_) r.number = 0, r.unreachable = false;
+    for (auto& [id, r] : runners_) r.number = 0;
+    for (auto& [name, office] : offices_) office.free = false;  // until this keeper says so
     for (auto& [id, r] : requests_) {
-        if (r.state == State::out) r.ask = 0;
+        if (r.state == State::out) r.ask = 0, r.free = false;  // counted with the greeting
         if (r.state == State::held || r.state == State::asking) seek(now, id, r, out);
     }
 }
@@ -313,6 +360,8 @@
         }
         r.by_slot = true;
         send(now, id, r, runners_[runner->second], out);
+    } else if (const auto* m = std::get_if<Mode>(&message)) {
+        set_mode(*m, out);
     } else if (const auto* m = std::get_if<Denial>(&message)) {
         const auto ask = asks_.find(m->id);
         if (ask == asks_.end()) return;
@@ -329,7 +378,7 @@
         Request& r = requests_.at(id);
         if (r.state == State::out) {
             offices_[r.service].split.ended(r.runner, static_cast<double>(r.route->timeout) / 1e6);
-            release(r, Ended::failed, now - r.sent_at, out);
+            release(now, r, Ended::failed, out);
             out.abandons.push_back(id);
             give_up(id, r, Kind::time_over, 0, out);
         } else {
@@ -344,8 +393,7 @@
         for (const RequestId id : held)
             if (const auto at = requests_.find(id); at != requests_.end()) send_alone(now, id, at->second, out);
     }
-    for (auto& [name, office] : offices_)
-        if (!office.runners.empty()) office.split.advance(now, static_cast<std::uint64_t>(unit() * 1e9));
+    report(now, out);
 }
 
 }  // namespace gannethold::post
--- a/src/post/front/desk.hpp
+++ b/src/post/front/desk.hpp
@@ -96,23 +96,28 @@
         std::uint32_t ask = 0, sends = 0;
         bool by_slot = false;  // the runner's slot was granted, and is to be released
         bool client = true;    // it still waits
-        bool again = false;
+        bool again = false, free = false;
     };
     struct Runner {
         Holding what;
         std::uint32_t number = 0, out = 0;
         RunnerState state = RunnerState::starting;
-        bool unreachable = false;
+        Micros aside_until = 0;  // for what it did to us
     };
     struct Office {  // one function here
         Split split;
         std::vector<std::string> runners;
+        bool free = false;  // no slot is asked for
+        std::uint32_t count = 0;
+        Micros busy = 0;  // since the last report
     };
 
     void seek(Micros now, RequestId id, Request& r, Deeds& out);
     bool send_alone(Micros now, RequestId id, Request& r, Deeds& out);
     void send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out);
-    void release(Request& r, Ended how, Micros took, Deeds& out);
+    void release(Micros now, Request& r, Ended how, Deeds& out);
+    void set_mode(const Mode& m, Deeds& out);
+    void report(Micros now, Deeds& out);
     void give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
     void close(RequestId id);
     void told(const RunnerTold& m, Deeds& out);
@@ -131,6 +136,7 @@
     std::map<std::string, std::vector<std::string>> watched_;  // address: runners
     bool keeper_ = false;
     std::uint32_t rank_ = 0, fronts_ = 1, last_ask_ = 0;
+    Micros reported_ = 0;
     std::uint64_t chance_;
 };
 
--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -6,7 +6,8 @@
 namespace gannethold::post {
 namespace {
 
-constexpr Micros kSilent = 1'000'000;  // before a start or stop without an answer is said again
+constexpr Micros kSilent = 1'000'000;  // before a stop without an answer is said again
+constexpr double kNearRate = 12;       // requests a second of a zone that are worth a gigabyte near them
 
 }  // namespace
 
@@ -24,45 +25,31 @@
     return true;
 }
 
-std::int64_t Planner::room(const Worker& worker, const Book& book) const {
-    std::int64_t used = 0;
-    for (const auto& [number, r] : book.runners()) {
-        const auto f = book.functions().find(r.what.service);
-        if (r.what.worker == worker.name && f != book.functions().end() && f->second.service) used += f->second.service->memory_mb;
-    }
-    for (const auto& [nonce, p] : begins_)
-        if (p.begin.worker == worker.name) used += p.memory;
-    return worker.memory_mb - used;
+std::string Planner::region(const std::string& zone) const {
+    const auto at = terms_.region_of.find(zone);
+    return at == terms_.region_of.end() ? zone : at->second;
 }
 
-// The nearest zone that needs it, then the emptiest worker; spread over workers, so that one crash leaves some.
-const Worker* Planner::place(Micros now, const Book& book, const Function& f) const {
-    std::map<std::string, double> need;
-    for (const Function::Waiting& w : f.waiting)
-        if (const std::string* zone = book.zone_of(w.front)) need[*zone] += 1;
-    std::map<std::string, int> there, in_zone;
-    for (const std::uint32_t number : f.runners) {
-        const Slots& r = book.runners().at(number);
-        if (r.draining) continue;
-        ++there[r.what.worker], ++in_zone[r.what.zone];
+// In the zone that needs it if there is room, then in its region, then anywhere; there on the worker that has none of the
+// function yet, so that one crash leaves some; then on the emptiest.
+const Worker* Planner::place(Micros now, const Function& f, const Book& book, const std::string& zone) const {
+    std::map<std::string, int> there;
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = book.runner(number); !r.draining) ++there[r.what.worker];
+    std::map<std::string, std::int64_t> promised;
+    for (const auto& [nonce, p] : begins_) {
+        promised[p.begin.worker] += p.memory;
+        if (p.begin.service == f.name) ++there[p.begin.worker];
     }
-    for (const auto& [nonce, p] : begins_)
-        if (p.begin.service == f.service->name) {
-            ++there[p.begin.worker];
-            if (const auto w = workers_.find(p.begin.worker); w != workers_.end()) ++in_zone[w->second.zone];
-        }
     const Worker* best = nullptr;
     double best_rank = 0;
     for (const auto& [name, w] : workers_) {
-        const std::int64_t left = room(w, book);
+        const auto used = used_.find(name);
+        const std::int64_t left = w.memory_mb - (used == used_.end() ? 0 : used->second) - promised[name];
         if (!w.ready || left < f.service->memory_mb) continue;
         if (const auto full = full_until_.find(name); full != full_until_.end() && now < full->second) continue;
-        const auto count = [](const auto& table, const std::string& key) {
-            const auto at = table.find(key);
-            return at == table.end() ? 0.0 : static_cast<double>(at->second);
-        };
-        const double rank = 8 * (need.empty() ? 0 : count(need, w.zone) / static_cast<double>(f.waiting.size())) - 4 * count(in_zone, w.zone) -
-                            16 * count(there, name) + static_cast<double>(left) / static_cast<double>(std::max<std::int64_t>(1, w.memory_mb));
+        const double near = zone.empty() ? 0 : w.zone == zone ? 2 : region(w.zone) == region(zone) ? 1 : 0;
+        const double rank = 100 * near - 16 * there[name] + static_cast<double>(left) / static_cast<double>(std::max<std::int64_t>(1, w.memory_mb));
         if (!best || rank > best_rank) best = &w, best_rank = rank;
     }
     return best;
@@ -74,81 +61,128 @@
     // An aim that can not wait for a start wants a runner before anyone has asked.
     const bool warm = s.tightest_aim > 0 && static_cast<double>(s.tightest_aim) < 1.3 * static_cast<double>(s.boot);
     const double load = std::max(f.load_fast, f.load_slow);
-    std::size_t count = 0;
-    const char* why = "idle";
+    Wish wish;
+    wish.why = "idle";
+    // Where one more is best: the zone with most requests for each runner there.
+    std::map<std::string, double> there;
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = book.runner(number); !r.draining) there[r.what.zone] += 1;
+    if (const auto of = begins_of_.find(f.name); of != begins_of_.end())
+        for (const std::string& nonce : of->second)
+            if (const auto p = begins_.find(nonce); p != begins_.end()) there[zone_of(p->second.begin.worker)] += 1;
+    double most = 0;
+    for (const auto& [zone, place] : f.places) {
+        const double need = place.rate / (0.2 + there[zone]);
+        if (need > most) most = need, wish.zone = zone;
+    }
     if (warm) {
         const double wanted = load + 2 * std::sqrt(load);
-        count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(wanted / (slots * 0.8))));
-        why = count > 1 ? "load" : "warm";
-    } else if (load > 0.02) {
-        const double wanted = f.load_slow + std::sqrt(f.load_slow);
-        count = std::max<std::size_t>(f.load_slow > 0.02 ? 1 : 0, static_cast<std::size_t>(std::ceil(wanted / slots - 0.3)));
-        why = "load";
+        wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(wanted / (slots * 0.8))));
+        wish.why = wish.count > 1 ? "load" : "warm";
+        // Near those who ask: a region of its own for each region, a zone where enough comes from it.
+        std::map<std::string, double> rates, has;
+        std::size_t zones = 0;
+        for (const auto& [zone, place] : f.places) {
+            rates[region(zone)] += place.rate;
+            zones += place.rate > kNearRate * static_cast<double>(s.memory_mb) / 1024;
+        }
+        std::size_t regions = 0;
+        for (const auto& [name, rate] : rates) regions += rate > kNearRate / 4 * static_cast<double>(s.memory_mb) / 1024;
+        const std::size_t near = std::max(zones, regions);
+        if (near > wish.count) wish.count = near, wish.why = "near";
+    } else if (f.load_slow > 0.02) {
+        wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil((f.load_slow + std::sqrt(f.load_slow)) / slots - 0.3)));
+        wish.why = "load";
     }
-    if (!f.waiting.empty() && book.expected_wait(now, f) > static_cast<double>(s.boot) * 0.4 && starting * s.most < f.waiting.size()) {
-        if (have + 1 > count) why = "waiting";
-        count = std::max(count, have + 1);
+    if (!f.waiting.empty()) {
+        std::map<std::string, int> zones;
+        for (const Function::Waiting& w : f.waiting)
+            if (const std::string* zone = book.zone_of(w.front)) ++zones[*zone];
+        int many = 0;
+        for (const auto& [zone, count] : zones)
+            if (count > many) many = count, wish.zone = zone;
+        if (starting * s.most < f.waiting.size() && book.expected_wait(now, f) > static_cast<double>(s.boot) * 0.4) {
+            if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
+        }
     }
-    return {count, why};
+    return wish;
 }
 
-void Planner::plan(Micros now, Book& book, Orders& orders, std::vector<FrontMail>& mail) {
-    // Not before it is known what there is: what an earlier holder started shows in the list late.
-    if (listed_ == 0 || workers_.empty() || now < since_ + terms_.settle) return;
-    for (const auto& [name, f] : book.functions()) {
-        if (!f.service) {
-            for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
-                const std::string runner = book.runners().at(number).what.runner;
-                if (book.retire(now, number, mail) && !stopping_.count(runner)) stopping_[runner] = 0;
-            }
-            continue;
-        }
-        std::size_t have = 0, starting = 0;
-        for (const std::uint32_t number : f.runners) {
-            const Slots& r = book.runners().at(number);
-            have += !r.draining;
-            starting += !r.draining && r.state == RunnerState::starting;
-        }
-        for (const auto& [nonce, p] : begins_) {
-            const bool same = p.begin.service == name;
-            have += same, starting += same;
-        }
-        const Wish want = wish(now, book, f, have, starting);
-        for (std::size_t n = have; n < want.count && n < have + 2; ++n) {
-            const Worker* const worker = place(now, book, f);
-            if (!worker) break;
-            const std::string nonce = terms_.nonce_prefix + std::to_string(++count_);
-            begins_[nonce] = {{name, worker->name, nonce, want.why}, f.service->memory_mb, now, false, 0};
-        }
-        // Stopped once it has been too many for as long as a start is worth.
-        if (have <= want.count || starting > 0) {
-            surplus_since_.erase(name);
-            continue;
-        }
-        const Micros since = surplus_since_.try_emplace(name, now).first->second;
-        const Micros keep = 2 * f.service->boot + 500'000;
-        if (now < since + keep) continue;
-        std::uint32_t longest = 0;
-        for (const std::uint32_t number : f.runners) {
-            const Slots& r = book.runners().at(number);
-            if (r.draining || r.out > 0 || r.state != RunnerState::ready || now < r.idle_since + keep / 2) continue;
-            if (longest == 0 || r.idle_since < book.runners().at(longest).idle_since) longest = number;
+void Planner::plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail) {
+    if (!settled(now)) return;
+    if (!f.service) {
+        for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
+            book.retire(now, number, mail);
+            leaving_.try_emplace(book.runner(number).what.runner, Leaving{number, 0, false});
         }
-        if (longest == 0) continue;
-        const std::string runner = book.runners().at(longest).what.runner;
-        book.retire(now, longest, mail);
-        stopping_[runner] = 0;
+        return;
     }
+    std::size_t have = 0, starting = 0;
+    for (const std::uint32_t number : f.runners) {
+        const Slots& r = book.runner(number);
+        have += !r.draining;
+        starting += !r.draining && r.state == RunnerState::starting;
+    }
+    if (const auto of = begins_of_.find(f.name); of != begins_of_.end()) have += of->second.size(), starting += of->second.size();
+    const Wish want = wish(now, book, f, have, starting);
+    if (have < want.count) {
+        surplus_since_.erase(f.name);
+        const Worker* const worker = place(now, f, book, want.zone);
+        if (!worker) return;
+        const std::string nonce = terms_.nonce_prefix + std::to_string(++count_);
+        begins_[nonce] = {{f.name, worker->name, nonce, want.why}, f.service->memory_mb, now, false, 0};
+        begins_of_[f.name].push_back(nonce);
+        return;
+    }
+    if (have == want.count || starting > 0) {
+        surplus_since_.erase(f.name);
+        return;
+    }
+    // Stopped once it has been too many for as long as a start is worth.
+    const Micros since = surplus_since_.try_emplace(f.name, now).first->second;
+    const Micros keep = 2 * f.service->boot + 500'000;
+    if (now < since + keep) return;
+    const Slots* chosen = nullptr;
+    std::map<std::string, int> there;
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = book.runner(number); !r.draining) ++there[r.what.zone];
+    const auto spare = [&](const Slots& r) {
+        const auto place = f.places.find(r.what.zone);
+        return there[r.what.zone] / (0.01 + (place == f.places.end() ? 0 : place->second.rate));
+    };
+    for (const std::uint32_t number : f.runners) {
+        const Slots& r = book.runner(number);
+        if (r.draining || r.state != RunnerState::ready || (!f.free && (r.out() > 0 || now < r.idle_since + keep / 2))) continue;
+        if (!chosen || spare(r) > spare(*chosen) || (spare(r) == spare(*chosen) && r.idle_since < chosen->idle_since)) chosen = &r;
+    }
+    if (!chosen) return;
+    const std::uint32_t number = chosen->number;
+    leaving_.try_emplace(chosen->what.runner, Leaving{number, 0, false});
+    book.retire(now, number, mail);
+}
+
+void Planner::plan_all(Micros now, Book& book, std::vector<FrontMail>& mail) {
+    used_.clear();
+    for (const auto& [number, r] : book.runners())
+        if (r.function->service) used_[r.what.worker] += r.function->service->memory_mb;
+    for (Function* const f : std::vector<Function*>(book.active().begin(), book.active().end())) plan(now, book, *f, mail);
+    // What was retired is stopped once nothing is under way to it.
+    for (auto& [runner, l] : leaving_)
+        if (l.next == 0 && book.retire(now, l.number, mail)) l.next = now;
+}
+
+void Planner::due(Micros now, Orders& orders) {
     for (auto& [nonce, p] : begins_) {
-        if (p.out || now < p.next || !spend(now)) continue;
+        if (p.out || now < p.next) continue;
+        if (!spend(now)) return;
         p.out = true;
-        p.next = now + kSilent;
         ++p.times;
         orders.begins.push_back(p.begin);
     }
-    for (auto& [runner, next] : stopping_) {
-        if (now < next || !spend(now)) continue;
-        next = now + kSilent;
+    for (auto& [runner, l] : leaving_) {
+        if (l.next == 0 || now < l.next) continue;
+        if (!spend(now)) return;
+        l.next = now + kSilent;
         orders.stops.push_back({runner, "surplus"});
     }
 }
@@ -157,13 +191,20 @@
     const auto at = begins_.find(nonce);
     if (at == begins_.end()) return;
     Pending& p = at->second;
+    const auto drop = [&] {
+        auto& all = begins_of_[p.begin.service];
+        std::erase(all, nonce);
+        if (all.empty()) begins_of_.erase(p.begin.service);
+        begins_.erase(at);
+    };
     switch (answer) {
-        case BeginAnswer::begun: begins_.erase(at); return;
+        case BeginAnswer::begun:
+            used_[p.begin.worker] += p.memory;
+            return drop();
         case BeginAnswer::no_room:
             full_until_[p.begin.worker] = now + 1'000'000;
-            begins_.erase(at);
-            return;
-        case BeginAnswer::refused: begins_.erase(at); return;
+            return drop();
+        case BeginAnswer::refused: return drop();
         case BeginAnswer::busy:
             p.out = false;
             p.next = now + 100'000;
@@ -172,13 +213,13 @@
             // It may have been done: the same nonce on the same worker finds it again.
             p.out = false;
             p.next = now + 50'000;
-            if (p.times >= 4) begins_.erase(at);
+            if (p.times >= 4) drop();
             return;
     }
 }
 
 void Planner::stop_answered(const std::string& runner, bool done) {
-    if (done) stopping_.erase(runner);
+    if (done) leaving_.erase(runner);
 }
 
 }  // namespace gannethold::post
--- a/src/post/placement/planner.hpp
+++ b/src/post/placement/planner.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "post/slots/book.hpp"
@@ -37,22 +38,25 @@
     struct Terms {
         std::string nonce_prefix;  // unique to this keeper's term and life
         double duty_per_s = 1;
-        Micros list_lag = 1'000'000;
         Micros settle = 1'500'000;  // after coming into office, before what is not listed is started anew
+        std::map<std::string, std::string> region_of;  // by zone
     };
     Planner(const Terms& terms, Micros now) : terms_(terms), since_(now), tokens_at_(now) {}
 
     void workers(Micros now, std::vector<Worker> all);
     void list_read(Micros now) { listed_ = now; }
-    // Call after each event of the book that may change what is wanted, and each Book::kSample.
-    void plan(Micros now, Book& book, Orders& orders, std::vector<FrontMail>& mail);
-    void begin_answered(Micros now, const std::string& nonce, BeginAnswer answer);
-    void stop_answered(const std::string& runner, bool done);
-
+    bool settled(Micros now) const { return listed_ > 0 && !workers_.empty() && now >= since_ + terms_.settle; }
     std::string zone_of(const std::string& worker) const {
         const auto at = workers_.find(worker);
         return at == workers_.end() ? std::string() : at->second.zone;
     }
+    // For one function: cheap, to be called where something waits.
+    void plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail);
+    // For all that are active; then what is due is said. Call each Book::kSample.
+    void plan_all(Micros now, Book& book, std::vector<FrontMail>& mail);
+    void due(Micros now, Orders& orders);
+    void begin_answered(Micros now, const std::string& nonce, BeginAnswer answer);
+    void stop_answered(const std::string& runner, bool done);
 
   private:
     struct Pending {
@@ -62,23 +66,31 @@
         bool out = false;
         int times = 0;
     };
+    struct Leaving {
+        std::uint32_t number = 0;
+        Micros next = 0;
+        bool out = false;
+    };
     struct Wish {
         std::size_t count = 0;
         const char* why = "";
+        std::string zone;  // where one more is best; empty: wherever there is room
     };
     Wish wish(Micros now, const Book& book, const Function& f, std::size_t have, std::size_t starting) const;
-    const Worker* place(Micros now, const Book& book, const Function& f) const;
-    std::int64_t room(const Worker& worker, const Book& book) const;
+    const Worker* place(Micros now, const Function& f, const Book& book, const std::string& zone) const;
+    std::string region(const std::string& zone) const;
     bool spend(Micros now);
 
     Terms terms_;
     Micros since_, listed_ = 0, tokens_at_;
     double tokens_ = 0;
     std::map<std::string, Worker> workers_;
+    std::map<std::string, std::int64_t> used_;  // by worker, of runners that the book knows; counted anew each plan_all
     std::map<std::string, Micros> full_until_;
     std::map<std::string, Pending> begins_;  // by nonce
-    std::map<std::string, Micros> stopping_; // by runner: when it is said again
-    std::map<std::string, Micros> surplus_since_;
+    std::unordered_map<std::string, std::vector<std::string>> begins_of_;  // nonces, by function
+    std::map<std::string, Leaving> leaving_;  // by runner
+    std::unordered_map<std::string, Micros> surplus_since_;
     std::uint64_t count_ = 0;
 };
 
--- a/src/post/programs/counter.cpp
+++ b/src/post/programs/counter.cpp
@@ -257,7 +257,7 @@
         if (line_) {
             const Micros quiet = welcomed_ ? kReach : kAnswer;
             if (now > std::max(line_->heard(), dialed_at_) + quiet) drop_line();
-            else if (welcomed_ && now >= said_at_ + kBeat) say(Beat{});
+            else if (welcomed_ && now >= std::max(line_->heard(), said_at_) + kBeat) say(Beat{});
         }
         if (!line_ && now >= dialed_at_ + kRedial) dial(now);
         Deeds deeds;
@@ -299,7 +299,7 @@
         const Micros now = net::Loop::now();
         Micros next = std::min(next_sweep_, now + 200'000);
         if (!line_) next = std::min(next, dialed_at_ + kRedial);
-        else if (welcomed_) next = std::min({next, said_at_ + kBeat});
+        else if (welcomed_) next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
         if (desk_.next_deadline() > 0) next = std::min(next, desk_.next_deadline());
         if (!desk_.keeper() && desk_.open() > 0) next = std::min(next, now + 30'000);
         for (const auto& [address, w] : watches_)
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -11,10 +11,9 @@
 constexpr std::size_t kBodies = 8;
 constexpr Micros kWorkers = 1'000'000, kCallLimit = 1'200'000;
 
-Book::Terms book_terms(const Settings& s, Number term) {
+Book::Terms book_terms(const Settings& s) {
     Book::Terms t;
-    t.term = term;
-    t.budget_ratio = s.budget_ratio, t.budget_slack = s.budget_slack, t.budget_window = s.budget_window;
+    t.budget_slack = s.budget_slack, t.budget_window = s.budget_window, t.rejection_slack = s.rejection_slack;
     return t;
 }
 
@@ -22,7 +21,7 @@
     Planner::Terms t;
     t.nonce_prefix = s.node_name + "-" + std::to_string(term) + "-";
     t.duty_per_s = s.duty_per_s;
-    t.list_lag = s.list_lag;
+    t.region_of = s.region_of;
     t.settle = term <= 1 ? 200'000 : s.list_lag + 700'000;
     return t;
 }
@@ -33,7 +32,7 @@
     : settings_(settings),
       term_(term),
       say_(std::move(say)),
-      book_(book_terms(settings, term)),
+      book_(book_terms(settings)),
       planner_(planner_terms(settings, term), net::Loop::now()),
       listing_({settings.list_rate_per_s, 400'000}, net::Loop::now()),
       platform_(loop, {600'000, 8'000'000, 4, 16U << 20, {}},
@@ -111,14 +110,16 @@
     const Micros now = net::Loop::now();
     std::vector<FrontMail> mail;
     if (const auto* ask = std::get_if<Ask>(&message)) {
-        book_.ask(now, session, *ask, mail);
+        Function* const f = book_.ask(now, session, *ask, mail);
         post(mail);
-        const auto f = book_.functions().find(ask->service);
-        if (f != book_.functions().end() && !f->second.waiting.empty()) plan(now);
+        if (f && !f->waiting.empty()) plan(now, f);
         return;
     }
     if (const auto* release = std::get_if<Release>(&message)) book_.release(now, session, *release, mail);
     if (const auto* up = std::get_if<Up>(&message)) book_.up(now, session, *up, mail);
+    if (const auto* loads = std::get_if<Loads>(&message)) book_.loads(now, session, *loads);
+    if (const auto* outs = std::get_if<Outs>(&message)) book_.outs(now, session, *outs);
+    if (std::holds_alternative<Beat>(message)) say_(session, Beat{});
     if (const auto* held = std::get_if<ConfigurationHeld>(&message)) {
         at->second.version = held->version, at->second.sent = 0;
         push(session, at->second);
@@ -201,14 +202,17 @@
         }
     }
     post(mail);
-    plan(now);
+    // What the answer changed is planned with the next sample; what waits has been planned for.
 }
 
-void Office::plan(Micros now) {
-    Orders orders;
+// For one function, or with the sample for all.
+void Office::plan(Micros now, Function* one) {
     std::vector<FrontMail> mail;
-    planner_.plan(now, book_, orders, mail);
+    if (one) planner_.plan(now, book_, *one, mail);
+    else planner_.plan_all(now, book_, mail);
     post(mail);
+    Orders orders;
+    planner_.due(now, orders);
     const Fence fence{settings_.node_name, term_};
     for (const Begin& begin : orders.begins) {
         Call c;
--- a/src/post/programs/office.hpp
+++ b/src/post/programs/office.hpp
@@ -46,7 +46,7 @@
     void push(Session session, Front& front);
     void welcome();
     void post(std::vector<FrontMail>& mail);
-    void plan(Micros now);
+    void plan(Micros now, Function* one = nullptr);
     void call(Call call, const HttpMessage& request, Micros limit);
     void ended(HttpCaller::Call id, CallEnd how, const HttpMessage& answer);
 
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -2,12 +2,25 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <tuple>
 
 namespace gannethold::post {
 namespace {
 
-constexpr Micros kAside = 1'500'000;  // after a runner could not be reached
-constexpr double kGuess = 100'000;    // of work never seen, microseconds
+constexpr Micros kAside = 1'500'000;     // after a runner could not be reached
+constexpr Micros kUnderWay = 1'000'000;  // what fronts sent before they were told has come there by then
+constexpr Micros kKept = 4'000'000;      // at least, once a function had to be kept again
+constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
+constexpr double kGuess = 100'000;       // of work never seen, microseconds
+constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
+
+// Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it full.
+double blocked(double load, std::uint32_t slots) {
+    double b = 1;
+    for (std::uint32_t n = 1; n <= slots; ++n) b = load * b / (n + load * b);
+    return b;
+}
 
 }  // namespace
 
@@ -17,22 +30,33 @@
 }
 
 Function& Book::function(const std::string& name) {
-    Function& f = functions_[name];
-    if (!f.service && configuration_) f.service = configuration_->service(name);
-    return f;
+    std::unique_ptr<Function>& f = functions_[name];
+    if (!f) {
+        f = std::make_unique<Function>();
+        f->name = name;
+        if (configuration_) f->service = configuration_->service(name);
+    }
+    return *f;
+}
+
+void Book::touch(Function& f) {
+    f.active = true;
+    active_.insert(&f);
 }
 
 void Book::configure(std::shared_ptr<const Configuration> configuration) {
     configuration_ = std::move(configuration);
-    for (auto& [name, f] : functions_) f.service = nullptr;
     for (const Service& s : configuration_->services()) function(s.name);
+    for (auto& [name, f] : functions_) f->service = configuration_->service(name), touch(*f);
     for (auto& [number, r] : runners_)
-        if (const Service* s = functions_[r.what.service].service) r.what.slots = s->most;
+        if (r.function->service) r.what.slots = r.function->service->most;
 }
 
-const Slots* Book::find(const std::string& runner) const {
-    const auto at = by_name_.find(runner);
-    return at == by_name_.end() ? nullptr : &runners_.at(at->second);
+std::int64_t Book::used_mb(const std::string& worker) const {
+    std::int64_t used = 0;
+    for (const auto& [number, r] : runners_)
+        if (r.what.worker == worker) used += memory_of(r);
+    return used;
 }
 
 const std::string* Book::zone_of(Session front) const {
@@ -40,7 +64,7 @@
     return at == fronts_.end() ? nullptr : &at->second.zone;
 }
 
-double Book::usual(const Function&, std::uint16_t shape) const {
+double Book::usual(std::uint16_t shape) const {
     const auto at = usual_.find(shape);
     return at == usual_.end() ? kGuess : at->second.get(kGuess);
 }
@@ -49,30 +73,32 @@
 
 void Book::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
     r.told.insert(front);
-    RunnerTold told{r.number, r.draining || r.state == RunnerState::gone ? RunnerState::gone : r.state, r.what, watch};
+    const bool gone = r.draining || r.state == RunnerState::gone;
+    RunnerTold told{r.number, gone ? RunnerState::gone : r.state, gone ? Holding{} : r.what, watch};
     told.runner.out = 0;
     out.push_back({front, std::move(told)});
 }
 
 void Book::tell_all(Slots& r, std::vector<FrontMail>& out) {
-    for (const Session front : functions_[r.what.service].interested) tell(r, front, out);
-    for (const Session front : r.told)
-        if (fronts_.count(front) && !functions_[r.what.service].interested.count(front)) tell(r, front, out);
+    // Whoever was told of it once, and whoever uses the function.
+    std::set<Session> all = r.function->interested;
+    all.insert(r.told.begin(), r.told.end());
+    for (const Session front : all)
+        if (fronts_.count(front)) tell(r, front, out);
 }
 
 // A runner refuses connections until it has started, and the platform's list shows that late: one front, of those who
 // will use it, tries until it can connect.
 void Book::watch(Slots& r, std::vector<FrontMail>& out) {
     if (r.state != RunnerState::starting || fronts_.count(r.watcher) || fronts_.empty()) return;
-    const Function& f = functions_[r.what.service];
+    const Function& f = *r.function;
+    const auto rank = [&](Session s, const Front& front) {
+        // Those alike in use and zone take turns, by the runner's number.
+        return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)), (s * 2654435761U ^ r.number * 40503U) % 997);
+    };
     Session best = 0;
-    for (const auto& [session, front] : fronts_) {
-        const auto rank = [&](Session s) {
-            return 2 * (fronts_.at(s).zone == r.what.zone) + f.interested.count(s);
-        };
-        // Spread: where several are alike, by the runner's number.
-        if (best == 0 || rank(session) > rank(best) || (rank(session) == rank(best) && (session * 2654435761U ^ r.number * 40503U) % 97 > (best * 2654435761U ^ r.number * 40503U) % 97)) best = session;
-    }
+    for (const auto& [session, front] : fronts_)
+        if (best == 0 || rank(session, front) > rank(best, fronts_.at(best))) best = session;
     r.watcher = best;
     tell(r, best, out, true);
 }
@@ -83,72 +109,80 @@
     Front& front = fronts_[session];
     front.name = greeting.name, front.zone = greeting.zone;
     for (const Holding& held : greeting.holdings) {
+        if (ended_.count(held.runner)) continue;
         const auto known = by_name_.find(held.runner);
         Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, held);
-        r.ordered = true;
-        if (held.up && r.state == RunnerState::starting) r.state = RunnerState::ready, tell_all(r, out);
-        r.out += held.out;
-        if (held.out > 0) r.out_by[session] += held.out;
-        functions_[r.what.service].interested.insert(session);
+        if (held.up && r.state == RunnerState::starting) {
+            r.state = RunnerState::ready;
+            starting_.erase(r.number);
+            tell_all(r, out);
+        }
+        for (std::uint32_t n = 0; n < held.out; ++n) r.given.push_back({session, 0, 0, now});
+        r.function->interested.insert(session);
+        touch(*r.function);
         tell(r, session, out);
     }
-    for (auto& [number, r] : runners_) watch(r, out);
+    for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
 }
 
 void Book::front_left(Micros now, Session session, std::vector<FrontMail>& out) {
     if (fronts_.erase(session) == 0) return;
     for (auto& [name, f] : functions_) {
-        f.interested.erase(session);
-        std::erase_if(f.waiting, [&](const Function::Waiting& w) { return w.front == session; });
+        f->interested.erase(session);
+        f->parts.erase(session);
+        std::erase_if(f->waiting, [&](const Function::Waiting& w) { return w.front == session; });
     }
     for (auto& [number, r] : runners_) {
         r.told.erase(session);
-        if (const auto held = r.out_by.find(session); held != r.out_by.end()) {
-            // What it had out may be at work still, for as long as it usually takes: the slots are given back by tick().
-            r.out -= std::min(r.out, held->second);
-            r.out_by.erase(held);
-            r.aside_until = std::max(r.aside_until, now + 300'000);
-        }
+        // What it had out may be at work still; a runner drops most of it as the connection ends.
+        if (std::erase_if(r.given, [&](const Slots::Given& g) { return g.front == session; }) > 0)
+            r.aside_until = std::max(r.aside_until, now + 250'000);
         if (r.watcher == session) r.watcher = 0, watch(r, out);
     }
 }
 
-void Book::ask(Micros now, Session session, const Ask& ask, std::vector<FrontMail>& out) {
+Function* Book::ask(Micros now, Session session, const Ask& ask, std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
-    if (front == fronts_.end()) return;
-    Function& f = function(ask.service);
-    f.last_ask = now;
-    if (f.interested.insert(session).second)
-        for (const std::uint32_t number : f.runners) tell(runners_.at(number), session, out);
-    if (!f.service) {
+    if (front == fronts_.end()) return nullptr;
+    const auto known = functions_.find(ask.service);
+    if (known == functions_.end() || !known->second->service) {
         out.push_back({session, Denial{ask.id, 500}});
-        return;
+        return nullptr;
+    }
+    Function& f = *known->second;
+    f.last_used = now;
+    touch(f);
+    if (f.interested.insert(session).second) {
+        for (const std::uint32_t number : f.runners)
+            if (Slots& r = runners_.at(number); !r.draining) tell(r, session, out);
+        if (f.free) out.push_back({session, Mode{f.name, true}});
     }
     if (ask.again) {
-        const auto old = [&](std::deque<Micros>& q) {
-            while (!q.empty() && q.front() < now - terms_.budget_window) q.pop_front();
-        };
-        old(f.seconds_tried);
+        while (!f.tried_again.empty() && f.tried_again.front() < now - terms_.budget_window) f.tried_again.pop_front();
         // Two keepers in one window, each with half: the budget holds over a change of the keeper too.
-        if (static_cast<double>(f.seconds_tried.size()) + 1 > terms_.budget_slack / 2) {
+        if (static_cast<double>(f.tried_again.size()) + 1 > terms_.budget_slack / 2) {
             out.push_back({session, Denial{ask.id, 1000}});
-            return;
+            return &f;
         }
-        f.seconds_tried.push_back(now);
+        f.tried_again.push_back(now);
     } else {
-        ++f.asked;
+        ++f.places[front->second.zone].asked;
+    }
+    if (Slots* const r = f.waiting.empty() ? choose(now, f, ask, front->second.zone) : nullptr) {
+        grant(now, *r, session, ask, out);
+        return &f;
     }
-    if (Slots* const r = choose(now, f, ask, front->second.zone)) return grant(now, *r, f, session, ask, out);
     f.waiting.push_back({session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL});
+    front->second.waiting[ask.id] = &f;
+    serve(now, f, out);
+    return &f;
 }
 
-Slots* Book::choose(Micros now, const Function& f, const Ask& ask, const std::string& zone) {
-    if (const auto drawn = runners_.find(ask.drawn); drawn != runners_.end() && functions_[drawn->second.what.service].service == f.service && open(now, drawn->second))
+Slots* Book::choose(Micros now, Function& f, const Ask& ask, const std::string& zone) {
+    if (const auto drawn = runners_.find(ask.drawn); drawn != runners_.end() && drawn->second.function == &f && open(now, drawn->second))
         return &drawn->second;
     Slots* best = nullptr;
-    const auto rank = [&](const Slots& s) {
-        return (s.what.zone == zone ? 2.0 : 0.0) - static_cast<double>(s.out) / s.what.slots;
-    };
+    const auto rank = [&](const Slots& s) { return (s.what.zone == zone ? 2.0 : 0.0) - static_cast<double>(s.out()) / s.what.slots; };
     for (const std::uint32_t number : f.runners) {
         Slots& r = runners_.at(number);
         if (open(now, r) && (!best || rank(r) > rank(*best))) best = &r;
@@ -156,10 +190,8 @@
     return best;
 }
 
-void Book::grant(Micros now, Slots& r, Function&, Session session, const Ask& ask, std::vector<FrontMail>& out) {
-    ++r.out;
-    ++r.out_by[session];
-    fronts_[session].granted[ask.id] = {r.number, {now, ask.shape}};
+void Book::grant(Micros now, Slots& r, Session session, const Ask& ask, std::vector<FrontMail>& out) {
+    r.given.push_back({session, ask.id, ask.shape, now});
     if (!r.told.count(session)) tell(r, session, out);
     out.push_back({session, Grant{ask.id, r.number}});
 }
@@ -167,55 +199,53 @@
 void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
     while (!f.waiting.empty()) {
         // Most urgent first: what can still be in aim, by when; then what can not, by its deadline.
-        auto best = f.waiting.end();
         const auto key = [&](const Function::Waiting& w) {
-            const bool late = now + static_cast<Micros>(usual(f, w.ask.shape)) > w.aim_at;
+            const bool late = now + static_cast<Micros>(usual(w.ask.shape)) > w.aim_at;
             return std::tuple(late, late ? w.deadline_at : w.aim_at, w.ask.priority);
         };
-        for (auto w = f.waiting.begin(); w != f.waiting.end(); ++w)
-            if (best == f.waiting.end() || key(*w) < key(*best)) best = w;
-        const std::string* const zone = zone_of(best->front);
-        Slots* const r = zone ? choose(now, f, best->ask, *zone) : nullptr;
-        if (zone && !r) return;
+        const auto best = std::min_element(f.waiting.begin(), f.waiting.end(), [&](const auto& a, const auto& b) { return key(a) < key(b); });
+        const auto front = fronts_.find(best->front);
+        Slots* const r = front != fronts_.end() ? choose(now, f, best->ask, front->second.zone) : nullptr;
+        if (front != fronts_.end() && !r) return;
         const Function::Waiting next = *best;
         f.waiting.erase(best);
-        if (r) grant(now, *r, f, next.front, next.ask, out);
+        if (!r) continue;
+        front->second.waiting.erase(next.ask.id);
+        grant(now, *r, next.front, next.ask, out);
     }
 }
 
 void Book::release(Micros now, Session session, const Release& m, std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return;
-    std::uint32_t number = m.runner;
-    if (const auto granted = front->second.granted.find(m.id); m.id > 0 && granted != front->second.granted.end()) {
-        number = granted->second.first;
-        if (m.how == Ended::answered) usual_[granted->second.second.second].add(static_cast<double>(m.took_ms) * 1e3);
-        front->second.granted.erase(granted);
-    } else if (m.id > 0) {
-        // Not granted, or no longer: it waits here still, and the client has left.
-        for (auto& [name, f] : functions_)
-            std::erase_if(f.waiting, [&](const Function::Waiting& w) { return w.front == session && w.ask.id == m.id; });
-        // Its slot, if it ever had one, was given back before: another's must not be taken for it.
+    if (const auto waits = front->second.waiting.find(m.id); m.id > 0 && waits != front->second.waiting.end()) {
+        std::erase_if(waits->second->waiting, [&](const Function::Waiting& w) { return w.front == session && w.ask.id == m.id; });
+        front->second.waiting.erase(waits);
         return;
     }
-    const auto at = runners_.find(number);
+    const auto at = runners_.find(m.runner);
     if (at == runners_.end()) return;
     Slots& r = at->second;
-    const auto held = r.out_by.find(session);
-    if (held != r.out_by.end()) {
-        --r.out;
-        if (--held->second == 0) r.out_by.erase(held);
+    const auto given = std::find_if(r.given.begin(), r.given.end(), [&](const Slots::Given& g) { return g.front == session && g.ask == m.id; });
+    if (given != r.given.end()) {
+        if (m.how == Ended::answered && given->ask > 0) usual_[given->shape].add(static_cast<double>(m.took_ms) * 1e3);
+        r.given.erase(given);
+        if (r.given.empty()) r.idle_since = now;
     }
-    if (r.out == 0) r.idle_since = now;
-    Function& f = functions_[r.what.service];
+    Function& f = *r.function;
     if (m.how == Ended::gone) return gone(now, std::string(r.what.runner), "another has its address", out);
     if (m.how == Ended::unreachable) {
-        // It had started, and nobody listens there: such a one does not come back.
-        if (r.state == RunnerState::ready && r.out == 0 && now < r.aside_until) return gone(now, std::string(r.what.runner), "unreachable twice", out);
-        r.aside_until = now + kAside;
+        // It had started and nobody listens there: tried once more after a while, since it may be the path.
+        if (r.state == RunnerState::ready && r.given.empty() && r.aside_until > 0 && now >= r.aside_until && now < r.aside_until + 2 * kAside)
+            return gone(now, std::string(r.what.runner), "unreachable twice", out);
+        if (now >= r.aside_until) r.aside_until = now + kAside;
     }
-    if (m.how == Ended::turned_away) r.aside_until = std::max(r.aside_until, now + 100'000);
-    serve(now, f, out);
+    if (m.how == Ended::turned_away) {
+        r.aside_until = std::max(r.aside_until, now + 50'000);
+        f.turned_away.push_back(now);
+        if (f.free) settle_mode(now, f, out);
+    }
+    if (!f.waiting.empty()) serve(now, f, out);
 }
 
 void Book::up(Micros now, Session session, const Up& m, std::vector<FrontMail>& out) {
@@ -227,9 +257,71 @@
         return;
     }
     r.state = RunnerState::ready;
+    starting_.erase(r.number);
     r.idle_since = now;
     tell_all(r, out);
-    serve(now, functions_[r.what.service], out);
+    serve(now, *r.function, out);
+}
+
+// ---- free functions ------------------------------------------------------------------------------------------
+
+void Book::loads(Micros now, Session session, const Loads& m) {
+    const auto front = fronts_.find(session);
+    if (front == fronts_.end() || m.span_ms == 0) return;
+    for (const Load& l : m.loads) {
+        const auto known = functions_.find(l.service);
+        if (known == functions_.end()) continue;
+        Function& f = *known->second;
+        f.parts[session] = {static_cast<double>(l.busy_ms) / m.span_ms, l.count * 1e3 / m.span_ms, now};
+        if (l.count > 0) f.last_used = now;
+        touch(f);
+    }
+}
+
+void Book::outs(Micros now, Session session, const Outs& m) {
+    if (!fronts_.count(session)) return;
+    for (const auto& [number, count] : m.by_runner) {
+        const auto at = runners_.find(number);
+        if (at == runners_.end()) continue;
+        for (std::uint32_t n = 0; n < std::min(count, at->second.what.slots); ++n) at->second.given.push_back({session, 0, 0, now});
+    }
+}
+
+void Book::set_mode(Function& f, bool free, std::vector<FrontMail>& out) {
+    if (f.free == free) return;
+    f.free = free;
+    f.parts.clear();
+    for (const Session front : f.interested) out.push_back({front, Mode{f.name, free}});
+}
+
+// By chance alone, how often would a runner be full if nobody asked?
+void Book::settle_mode(Micros now, Function& f, std::vector<FrontMail>& out) {
+    while (!f.turned_away.empty() && f.turned_away.front() < now - 5'000'000) f.turned_away.pop_front();
+    if (!f.service || !terms_.may_free || f.service->most < kFewSlots) return set_mode(f, false, out);
+    std::map<std::string, double> ready;
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) ready[r.what.zone] += 1;
+    if (ready.empty()) return set_mode(f, false, out);
+    // Fronts send near ones first: each zone's part goes to its own runners, what has none to all.
+    double all = 0, rate = 0, near = 0;
+    for (const auto& [zone, count] : ready) all += count;
+    for (const auto& [zone, place] : f.places) rate += place.rate, near += ready.count(zone) ? place.rate : 0;
+    const double load = std::max(f.load_fast, f.load_slow);
+    double turned = 0;
+    for (const auto& [zone, count] : ready) {
+        const auto place = f.places.find(zone);
+        const double own = rate > 0 && place != f.places.end() ? place->second.rate / rate : 0;
+        const double part = rate > 0 ? own + (1 - near / rate) * count / all : count / all;
+        // Half as much again: chance has bad seconds too.
+        turned += part * rate * 5 * blocked(1.5 * load * part / count, f.service->most);
+    }
+    const double allowed = terms_.rejection_slack;
+    if (f.free && (turned > 0.3 * allowed || static_cast<double>(f.turned_away.size()) > 0.15 * allowed)) {
+        f.kept_until = now + kKept;
+        set_mode(f, false, out);
+    } else if (!f.free && now >= f.kept_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
+        set_mode(f, true, out);
+    }
 }
 
 // ---- runners -------------------------------------------------------------------------------------------------
@@ -242,17 +334,18 @@
     r.what.out = 0;
     r.began = r.idle_since = now;
     Function& f = function(what.service);
+    r.function = &f;
     if (f.service) r.what.slots = f.service->most;
     f.runners.push_back(number);
     by_name_[what.runner] = number;
+    starting_.insert(number);
+    touch(f);
     return r;
 }
 
 void Book::began(Micros now, const Holding& what, std::vector<FrontMail>& out) {
     if (by_name_.count(what.runner) || ended_.count(what.runner)) return;
     Slots& r = add(now, what);
-    r.ordered = true;
-    tell_all(r, out);
     watch(r, out);
 }
 
@@ -260,36 +353,40 @@
     const auto known = by_name_.find(what.runner);
     if (known == by_name_.end() && (draining || ended_.count(what.runner))) return;
     Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, what);
-    r.seen = now;
     if (r.what.worker.empty()) r.what.worker = what.worker;
     const bool changed = r.state == RunnerState::starting || (draining && !r.draining);
-    if (r.state == RunnerState::starting) r.state = RunnerState::ready;
-    if (draining) r.draining = true;
+    if (r.state == RunnerState::starting) r.state = RunnerState::ready, starting_.erase(r.number);
+    if (draining && !r.draining) r.draining = true, r.retired = now;
     if (!changed) return;
+    touch(*r.function);
     tell_all(r, out);
-    serve(now, functions_[r.what.service], out);
+    serve(now, *r.function, out);
 }
 
 void Book::gone(Micros now, const std::string& runner, const char*, std::vector<FrontMail>& out) {
     const auto known = by_name_.find(runner);
+    ended_[runner] = now;
     if (known == by_name_.end()) return;
     Slots& r = runners_.at(known->second);
     r.state = RunnerState::gone;
-    ended_[runner] = now;
     tell_all(r, out);
-    std::erase(functions_[r.what.service].runners, r.number);
+    starting_.erase(r.number);
+    std::erase(r.function->runners, r.number);
+    touch(*r.function);
     runners_.erase(known->second);
     by_name_.erase(known);
 }
 
-bool Book::retire(Micros, std::uint32_t number, std::vector<FrontMail>& out) {
+bool Book::retire(Micros now, std::uint32_t number, std::vector<FrontMail>& out) {
     const auto at = runners_.find(number);
     if (at == runners_.end()) return true;
-    if (!at->second.draining) {
-        at->second.draining = true;
-        tell_all(at->second, out);
+    Slots& r = at->second;
+    if (!r.draining) {
+        r.draining = true;
+        r.retired = now;
+        tell_all(r, out);
     }
-    return at->second.out == 0;
+    return r.given.empty() && now >= r.retired + (r.function->free ? kUnderWay : 0);
 }
 
 // ---- time ----------------------------------------------------------------------------------------------------
@@ -300,58 +397,61 @@
     for (const std::uint32_t number : f.runners) {
         const Slots& r = runners_.at(number);
         if (r.draining) continue;
-        if (r.state == RunnerState::starting) {
-            const double left = std::max(50'000.0, static_cast<double>(r.began + (f.service ? f.service->boot : 1'000'000) - now));
-            for (std::uint32_t i = 0; i < r.what.slots; ++i) free_in.push_back(left);
-            continue;
-        }
-        for (std::uint32_t i = r.out; i < r.what.slots; ++i) free_in.push_back(0);
+        double first = 0;
+        if (r.state == RunnerState::starting) first = std::max(50'000.0, static_cast<double>(r.began + (f.service ? f.service->boot : 1'000'000) - now));
+        else if (now < r.aside_until) first = static_cast<double>(r.aside_until - now);
+        for (const Slots::Given& g : r.given) free_in.push_back(std::max(usual(g.shape) - static_cast<double>(now - g.since), 20'000.0));
+        for (std::uint32_t i = r.out(); i < r.what.slots; ++i) free_in.push_back(first);
     }
-    for (const auto& [session, front] : fronts_)
-        for (const auto& [id, granted] : front.granted) {
-            const auto at = runners_.find(granted.first);
-            if (at == runners_.end() || functions_.at(at->second.what.service).service != f.service || at->second.draining) continue;
-            const double left = usual(f, granted.second.second) - static_cast<double>(now - granted.second.first);
-            free_in.push_back(std::max(left, 20'000.0));
-        }
     if (free_in.empty()) return 1e12;
-    std::make_heap(free_in.begin(), free_in.end(), std::greater<>());
-    const auto take = [&](double work) {
-        std::pop_heap(free_in.begin(), free_in.end(), std::greater<>());
-        const double at = free_in.back();
-        free_in.back() = at + work;
-        std::push_heap(free_in.begin(), free_in.end(), std::greater<>());
-        return at;
-    };
-    double last = 0;
-    for (const Function::Waiting& w : f.waiting) last = take(usual(f, w.ask.shape));
-    return f.waiting.empty() ? free_in.front() : last;
+    const auto later = std::greater<>();
+    std::make_heap(free_in.begin(), free_in.end(), later);
+    double last = free_in.front();
+    for (const Function::Waiting& w : f.waiting) {
+        std::pop_heap(free_in.begin(), free_in.end(), later);
+        last = free_in.back();
+        free_in.back() += usual(w.ask.shape);
+        std::push_heap(free_in.begin(), free_in.end(), later);
+    }
+    return last;
 }
 
 void Book::tick(Micros now, std::vector<FrontMail>& out) {
-    for (auto& [number, r] : runners_) watch(r, out);
+    constexpr double kStep = static_cast<double>(kSample) / 1e6;
+    for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
     std::erase_if(ended_, [&](const auto& one) { return one.second + 60'000'000 < now; });
-    std::map<const Service*, std::uint32_t> busy;
-    for (const auto& [number, r] : runners_)
-        if (r.out > 0) busy[functions_[r.what.service].service] += r.out;
-    for (auto& [name, f] : functions_) {
-        const double step = static_cast<double>(kSample) / 1e6;
-        const double load = static_cast<double>(f.waiting.size()) + (f.service && busy.count(f.service) ? busy[f.service] : 0);
-        f.load_fast += (load - f.load_fast) * std::min(1.0, step / 0.7);
-        f.load_slow += (load - f.load_slow) * std::min(1.0, step / 6.0);
-        f.load_peak = std::max(load, f.load_peak * (1 - step / 6.0));
-        f.rate += (f.asked / step - f.rate) * std::min(1.0, step / 4.0);
-        f.asked = 0;
-        // What can not be in time any more is answered at once.
-        for (auto w = f.waiting.begin(); w != f.waiting.end();) {
-            if (now + static_cast<Micros>(usual(f, w->ask.shape) / 2) > w->deadline_at) {
-                out.push_back({w->front, Denial{w->ask.id, 0}});
-                w = f.waiting.erase(w);
-            } else {
-                ++w;
-            }
+    for (auto i = active_.begin(); i != active_.end();) {
+        Function& f = **i;
+        double load = static_cast<double>(f.waiting.size());
+        for (const std::uint32_t number : f.runners) load += runners_.at(number).out();
+        std::map<std::string, double> reported;
+        for (const auto& [session, part] : f.parts) {
+            if (now > part.at + 3'000'000) continue;
+            load += part.load;
+            if (const std::string* zone = zone_of(session)) reported[*zone] += part.rate;
+        }
+        f.load_fast += (load - f.load_fast) * std::min(1.0, kStep / 0.7);
+        f.load_slow += (load - f.load_slow) * std::min(1.0, kStep / 6.0);
+        for (const auto& [zone, rate] : reported) f.places[zone];
+        f.rate = 0;
+        for (auto& [zone, place] : f.places) {
+            const auto r = reported.find(zone);
+            const double seen = place.asked / kStep + (r == reported.end() ? 0 : r->second);
+            place.asked = 0;
+            place.rate += (seen - place.rate) * std::min(1.0, kStep / 3.0);
+            f.rate += place.rate;
         }
+        // What can not be in time any more is answered at once.
+        std::erase_if(f.waiting, [&](const Function::Waiting& w) {
+            if (now + static_cast<Micros>(usual(w.ask.shape) / 2) <= w.deadline_at) return false;
+            out.push_back({w.front, Denial{w.ask.id, 0}});
+            if (const auto front = fronts_.find(w.front); front != fronts_.end()) front->second.waiting.erase(w.ask.id);
+            return true;
+        });
+        settle_mode(now, f, out);
         if (!f.waiting.empty()) serve(now, f, out);
+        if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget) f.active = false, i = active_.erase(i);
+        else ++i;
     }
 }
 
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -1,19 +1,23 @@
 // The slots of all runners, kept by the one who leads the core, for all fronts in common: a runner is never given more
-// requests at once than its max_concurrency, whoever sends them. A front asks for a slot for each request and names the
-// runner that its fractions drew; the fractions say where, the slot says whether. What finds no slot waits here, most
-// urgent first, so that one order holds for all fronts.
+// requests at once than its max_concurrency, whoever sends them.
 //
-// Also the common budget of second runners. No I/O and no clock; messages to fronts are collected in Mail.
+// A function is in one of two modes. Kept: a front asks for a slot for each request and names the runner that its
+// fractions drew; the fractions say where, the slot says whether. What finds no slot waits here, most urgent first, so
+// that one order holds for all fronts. Free: there is so much room that chance alone keeps runners from being full more
+// often than the operators allow; fronts send where their fractions say and report their loads once a second. A function
+// becomes free, and kept again, by the loads reported and by what runners turn away.
+//
+// Also the common budget of second runners. No I/O and no clock; messages to fronts are collected in FrontMail.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "post/configuration/configuration.hpp"
@@ -39,46 +43,68 @@
     double mean_ = 0, weight_ = 0;
 };
 
+struct Function;
+
 struct Slots {  // one runner
+    struct Given {
+        Session front = 0;
+        std::uint32_t ask = 0;  // 0: taken over from another keeper, or sent while free
+        std::uint16_t shape = 0;
+        Micros since = 0;
+    };
     std::uint32_t number = 0;
     Holding what;  // out: not used here
+    Function* function = nullptr;
     RunnerState state = RunnerState::starting;
     bool draining = false;  // takes no more; also once it is to be stopped
-    std::uint32_t out = 0;
-    std::map<Session, std::uint32_t> out_by;
-    Micros began = 0, idle_since = 0, seen = 0;  // seen: in the platform's list; 0: never
-    Micros aside_until = 0;
+    Micros retired = 0;     // since when
+    std::vector<Given> given;
+    Micros began = 0, idle_since = 0, aside_until = 0;
     std::set<Session> told;
     Session watcher = 0;
-    bool ordered = false;  // started by this keeper, or told by a front
+
+    std::uint32_t out() const { return static_cast<std::uint32_t>(given.size()); }
 };
 
 struct Function {
-    const Service* service = nullptr;
-    std::vector<std::uint32_t> runners;
-    std::set<Session> interested;
     struct Waiting {
         Session front = 0;
         Ask ask;
         Micros since = 0, aim_at = 0, deadline_at = 0;
     };
-    std::deque<Waiting> waiting;  // in no order; few
-    double load_fast = 0, load_slow = 0, load_peak = 0;  // slots busy or wanted
-    double rate = 0;                                     // asks a second
-    int asked = 0;                                       // since the last sample
-    std::map<std::string, double> load_by_zone;          // slow
-    Micros last_ask = 0;
-    std::deque<Micros> seconds_tried;  // further tries within the budget's window
-    std::deque<Micros> first_tried;
+    struct Place {  // a zone's part
+        int asked = 0;     // since the last sample
+        double rate = 0;   // requests a second, smoothed
+    };
+    struct Part {  // a front's, while free
+        double load = 0, rate = 0;
+        Micros at = 0;
+    };
+
+    std::string name;
+    const Service* service = nullptr;  // nullptr: in no configuration any more
+    bool free = false;
+    Micros kept_until = 0;
+    std::vector<std::uint32_t> runners;
+    std::set<Session> interested;
+    std::vector<Waiting> waiting;  // in no order; few
+    std::map<Session, Part> parts;
+    std::map<std::string, Place> places;  // by zone
+    double load_fast = 0, load_slow = 0;  // slots busy or wanted
+    double rate = 0;                      // requests a second
+    Micros last_used = 0;
+    std::deque<Micros> tried_again, turned_away;
+    bool active = false;
 };
 
 class Book {
   public:
     struct Terms {
-        Number term = 1;
-        double budget_ratio = 0.2, budget_slack = 0;
+        double budget_slack = 0;
         Micros budget_window = 10'000'000;
+        double rejection_slack = 10;  // what runners of one function may turn away in 5 s
         std::uint32_t first_number = 1;
+        bool may_free = true;
     };
     explicit Book(const Terms& terms) : terms_(terms), next_number_(terms.first_number) {}
 
@@ -86,55 +112,66 @@
 
     void front_came(Micros now, Session front, const Greeting& greeting, std::vector<FrontMail>& out);
     void front_left(Micros now, Session front, std::vector<FrontMail>& out);
-    void ask(Micros now, Session front, const Ask& ask, std::vector<FrontMail>& out);
+    // The function asked for; nullptr: there is none.
+    Function* ask(Micros now, Session front, const Ask& ask, std::vector<FrontMail>& out);
     void release(Micros now, Session front, const Release& release, std::vector<FrontMail>& out);
     void up(Micros now, Session front, const Up& up, std::vector<FrontMail>& out);
+    void loads(Micros now, Session front, const Loads& loads);
+    void outs(Micros now, Session front, const Outs& outs);
 
     // A runner that the platform says it starts; one that stands in its list; one that ended.
     void began(Micros now, const Holding& what, std::vector<FrontMail>& out);
     void listed(Micros now, const Holding& what, bool draining, std::vector<FrontMail>& out);
     void gone(Micros now, const std::string& runner, const char* why, std::vector<FrontMail>& out);
-    // No more is granted there; true once nothing is out.
+    // No more is given there. True once nothing is out, and what was under way to it has come there.
     bool retire(Micros now, std::uint32_t number, std::vector<FrontMail>& out);
 
-    // Samples loads, answers what can no longer be in time, and so on. Call each kSample.
+    // Samples loads, settles modes, answers what can no longer be in time. Call each kSample.
     static constexpr Micros kSample = 100'000;
     void tick(Micros now, std::vector<FrontMail>& out);
 
-    const std::map<std::string, Function>& functions() const { return functions_; }
-    const std::map<std::uint32_t, Slots>& runners() const { return runners_; }
-    const Slots* find(const std::string& runner) const;
+    const std::unordered_set<Function*>& active() const { return active_; }
+    const std::unordered_map<std::string, std::unique_ptr<Function>>& functions() const { return functions_; }
+    const std::unordered_map<std::uint32_t, Slots>& runners() const { return runners_; }
+    const Slots& runner(std::uint32_t number) const { return runners_.at(number); }
+    std::int64_t used_mb(const std::string& worker) const;
     std::size_t fronts() const { return fronts_.size(); }
     const std::string* zone_of(Session front) const;
-    double usual(const Function& function, std::uint16_t shape) const;
-    // When a slot of the function is likely to come free, from now on; 0 if one is.
+    double usual(std::uint16_t shape) const;
+    // When a slot of the function is likely to come free for one more, from now on; 0 if one is.
     double expected_wait(Micros now, const Function& function) const;
 
   private:
     struct Front {
         std::string name, zone;
-        std::unordered_map<std::uint32_t, std::pair<std::uint32_t, std::pair<Micros, std::uint16_t>>> granted;  // ask: runner, since, shape
+        std::unordered_map<std::uint32_t, Function*> waiting;
     };
 
     Function& function(const std::string& name);
-    Slots* choose(Micros now, const Function& function, const Ask& ask, const std::string& zone);
-    void grant(Micros now, Slots& runner, Function& f, Session front, const Ask& ask, std::vector<FrontMail>& out);
+    void touch(Function& f);
+    Slots* choose(Micros now, Function& f, const Ask& ask, const std::string& zone);
+    void grant(Micros now, Slots& runner, Session front, const Ask& ask, std::vector<FrontMail>& out);
     void serve(Micros now, Function& f, std::vector<FrontMail>& out);
     void tell(Slots& runner, Session front, std::vector<FrontMail>& out, bool watch = false);
     void tell_all(Slots& runner, std::vector<FrontMail>& out);
     void watch(Slots& runner, std::vector<FrontMail>& out);
+    void set_mode(Function& f, bool free, std::vector<FrontMail>& out);
+    void settle_mode(Micros now, Function& f, std::vector<FrontMail>& out);
     Slots& add(Micros now, const Holding& what);
+    std::int64_t memory_of(const Slots& s) const { return s.function->service ? s.function->service->memory_mb : 0; }
     static bool open(Micros now, const Slots& s) {
-        return s.state == RunnerState::ready && !s.draining && now >= s.aside_until && s.out < s.what.slots;
+        return s.state == RunnerState::ready && !s.draining && now >= s.aside_until && s.out() < s.what.slots;
     }
 
     Terms terms_;
     std::shared_ptr<const Configuration> configuration_;
-    std::map<std::string, Function> functions_;
-    std::map<std::uint32_t, Slots> runners_;
+    std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
+    std::unordered_set<Function*> active_;
+    std::unordered_map<std::uint32_t, Slots> runners_;
     std::unordered_map<std::string, std::uint32_t> by_name_;
+    std::set<std::uint32_t> starting_;
     std::map<Session, Front> fronts_;
-    std::map<std::uint16_t, Usual> usual_;
+    std::unordered_map<std::uint16_t, Usual> usual_;
     std::unordered_map<std::string, Micros> ended_;  // runners that are gone: the list shows them for some time still
     std::uint32_t next_number_;
 };
--- a/src/post/wire/codec.cpp
+++ b/src/post/wire/codec.cpp
@@ -116,6 +116,21 @@
         auto to = e.initUp();
         to.setRunner(m.runner), to.setUp(m.up);
     }
+    void operator()(const Mode& m) {
+        auto to = e.initMode();
+        to.setService(m.service), to.setFree(m.free);
+    }
+    void operator()(const Loads& m) {
+        auto to = e.initLoads();
+        to.setSpanMs(m.span_ms);
+        auto all = to.initLoads(static_cast<unsigned>(m.loads.size()));
+        for (unsigned i = 0; i < m.loads.size(); ++i)
+            all[i].setService(m.loads[i].service), all[i].setCount(m.loads[i].count), all[i].setBusyMs(m.loads[i].busy_ms);
+    }
+    void operator()(const Outs& m) {
+        auto all = e.initOuts(static_cast<unsigned>(m.by_runner.size()));
+        for (unsigned i = 0; i < m.by_runner.size(); ++i) all[i].setRunner(m.by_runner[i].first), all[i].setCount(m.by_runner[i].second);
+    }
 };
 
 leaf::result<Message> get(cp::Envelope::Reader e) {
@@ -180,6 +195,18 @@
             if (m.getHow() > static_cast<std::uint8_t>(Ended::gone)) break;
             return Release{m.getId(), m.getRunner(), static_cast<Ended>(m.getHow()), m.getTookMs()};
         }
+        case E::MODE: return Mode{text(e.getMode().getService()), e.getMode().getFree()};
+        case E::LOADS: {
+            const auto m = e.getLoads();
+            Loads to{m.getSpanMs(), {}};
+            for (const auto l : m.getLoads()) to.loads.push_back({text(l.getService()), l.getCount(), l.getBusyMs()});
+            return to;
+        }
+        case E::OUTS: {
+            Outs to;
+            for (const auto o : e.getOuts()) to.by_runner.emplace_back(o.getRunner(), o.getCount());
+            return to;
+        }
         case E::UP: return Up{e.getUp().getRunner(), e.getUp().getUp()};
     }
     return failure(Kind::bytes_malformed, "no message of ours");
--- a/src/post/wire/messages.hpp
+++ b/src/post/wire/messages.hpp
@@ -125,9 +125,25 @@
     std::uint32_t runner = 0;
     bool up = false;  // false: given up
 };
+// How a function's slots are kept. Free: there is so much room that each front sends where its fractions say, unasked.
+struct Mode {
+    std::string service;
+    bool free = false;
+};
+struct Load {  // of one free function at one front, since its last report
+    std::string service;
+    std::uint32_t count = 0, busy_ms = 0;  // requests; time that they took together
+};
+struct Loads {
+    std::uint32_t span_ms = 0;
+    std::vector<Load> loads;
+};
+struct Outs {  // what a front has out of a function that is no longer free; each is released when it ends
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> by_runner;  // number, count
+};
 struct Beat {};
 
 using Message = std::variant<Ballot, Vote, Order, Receipt, Inquiry, Recollection, Admission, Succession, Greeting, Referral,
-                             Welcome, ConfigurationSent, ConfigurationHeld, RunnerTold, Ask, Grant, Denial, Release, Up, Beat>;
+                             Welcome, ConfigurationSent, ConfigurationHeld, RunnerTold, Ask, Grant, Denial, Release, Up, Beat, Mode, Loads, Outs>;
 
 }  // namespace gannethold::post
--- a/src/post/wire/post.capnp
+++ b/src/post/wire/post.capnp
@@ -9,6 +9,8 @@
   runner @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; worker @4 :Text;
   slots @5 :UInt32; out @6 :UInt32; up @7 :Bool;
 }
+struct Load { service @0 :Text; count @1 :UInt32; busyMs @2 :UInt32; }
+struct Out { runner @0 :UInt32; count @1 :UInt32; }
 struct Envelope {
   from @0 :Text;   # only in the first message of a connection between core machines
   union {
@@ -43,5 +45,8 @@
     denial :group { id @57 :UInt32; retryMs @58 :UInt32; }
     release :group { id @59 :UInt32; how @60 :UInt8; tookMs @61 :UInt32; runner @65 :UInt32; }
     up :group { runner @62 :UInt32; up @63 :Bool; }
+    mode :group { service @66 :Text; free @67 :Bool; }
+    loads :group { spanMs @68 :UInt32; loads @69 :List(Load); }
+    outs @70 :List(Out);
   }
 }
