--- a/src/post/configuration/configuration.hpp
+++ b/src/post/configuration/configuration.hpp
@@ -20,6 +20,9 @@
     std::uint32_t most = 1;            // requests that one runner may hold at once
     std::uint32_t connections = 1024;  // that a runner takes from all callers together
     Micros tightest_aim = 0;           // of its routes; 0: it has none
+
+    // An aim that can not wait for a start wants a runner before anyone has asked.
+    bool warm() const { return tightest_aim > 0 && 10 * tightest_aim < 13 * boot; }
 };
 
 struct Route {
--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -58,8 +58,6 @@
 Planner::Wish Planner::wish(Micros now, const Book& book, const Function& f, std::size_t have, std::size_t starting) const {
     const Service& s = *f.service;
     const double slots = s.most;
-    // An aim that can not wait for a start wants a runner before anyone has asked.
-    const bool warm = s.tightest_aim > 0 && static_cast<double>(s.tightest_aim) < 1.3 * static_cast<double>(s.boot);
     const double load = std::max(f.load_fast, f.load_slow);
     Wish wish;
     wish.why = "idle";
@@ -75,7 +73,7 @@
         const double need = place.rate / (0.2 + there[zone]);
         if (need > most) most = need, wish.zone = zone;
     }
-    if (warm) {
+    if (s.warm()) {
         const double wanted = load + 2 * std::sqrt(load);
         wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(wanted / (slots * 0.8))));
         wish.why = wish.count > 1 ? "load" : "warm";
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -47,7 +47,7 @@
 void Book::configure(std::shared_ptr<const Configuration> configuration) {
     configuration_ = std::move(configuration);
     for (const Service& s : configuration_->services()) function(s.name);
-    for (auto& [name, f] : functions_) f->service = configuration_->service(name), touch(*f);
+    for (auto& [name, f] : functions_) f->service = configuration_->service(name), touch(*f);  // the next tick lets go of those that are not used
     for (auto& [number, r] : runners_)
         if (r.function->service) r.what.slots = r.function->service->most;
 }
@@ -450,7 +450,8 @@
         });
         settle_mode(now, f, out);
         if (!f.waiting.empty()) serve(now, f, out);
-        if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget) f.active = false, i = active_.erase(i);
+        // A function that is to be warm is planned for whether or not anyone asks.
+        if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget && !(f.service && f.service->warm())) f.active = false, i = active_.erase(i);
         else ++i;
     }
 }
