A function is free only once its traffic is known, and until the first one turned away

Ruled out: a change of the keeper (one office, open since -9 s). Change: free only after 3 s of traffic, kept again with the first rejection.

--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -11,6 +11,8 @@
 constexpr Micros kAside = 1'500'000;     // after a runner could not be reached
 constexpr Micros kUnderWay = 1'000'000;  // what fronts sent before they were told has come there by then
 constexpr Micros kKept = 4'000'000;      // at least, once a function had to be kept again
+constexpr Micros kKnown = 3'000'000;     // so long its traffic must have been seen before it may be free
+constexpr Micros kPause = 5'000'000;     // without a request: what was seen before says nothing any more
 constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
 constexpr double kGuess = 100'000;       // of work never seen, microseconds
 constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
@@ -150,6 +152,7 @@
         return nullptr;
     }
     Function& f = *known->second;
+    if (now > f.last_used + kPause) f.used_since = now;
     f.last_used = now;
     touch(f);
     if (f.interested.insert(session).second) {
@@ -316,10 +319,12 @@
         turned += part * rate * 5 * blocked(1.5 * load * part / count, f.service->most);
     }
     const double allowed = terms_.rejection_slack;
-    if (f.free && (turned > 0.3 * allowed || static_cast<double>(f.turned_away.size()) > 0.15 * allowed)) {
+    // The first one turned away is enough: of the allowed ones some more are on their way before all fronts know.
+    const bool known = now >= f.used_since + kKnown && now < f.last_used + kPause;
+    if (f.free && (turned > 0.3 * allowed || !f.turned_away.empty() || !known)) {
         f.kept_until = now + kKept;
         set_mode(f, false, out);
-    } else if (!f.free && now >= f.kept_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
+    } else if (!f.free && known && now >= f.kept_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
         set_mode(f, true, out);
     }
 }
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -92,7 +92,7 @@
     std::map<std::string, Place> places;  // by zone
     double load_fast = 0, load_slow = 0;  // slots busy or wanted
     double rate = 0;                      // requests a second
-    Micros last_used = 0;
+    Micros last_used = 0, used_since = 0;  // since: without a long pause
     std::deque<Micros> tried_again, turned_away;
     bool active = false;
 };
