--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Micros kSilent = 1'000'000;  // before a stop without an answer is said again
+constexpr double kStartPays = 0.8;    // of a start's time: a slot that comes free sooner is waited for
 constexpr double kNearRate = 12;       // requests a second of a zone that are worth a gigabyte near them
 
 }  // namespace
@@ -99,7 +100,7 @@
         int many = 0;
         for (const auto& [zone, count] : zones)
             if (count > many) many = count, wish.zone = zone;
-        if (starting * s.most < f.waiting.size() && book.expected_wait(now, f) > static_cast<double>(s.boot) * 0.4) {
+        if (starting * s.most < f.waiting.size() && book.expected_wait(now, f) > kStartPays * static_cast<double>(s.boot)) {
             if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
         }
     }
--- /dev/null
+++ b/tests/system/scenarios.cpp
@@ -0,0 +1,316 @@
+// Plays the text files of scenarios/, each a test of its own, on simulated time. Words of a line:
+//   cores N seeds N fronts N delay MS loss P workers N memory MB      the world, first
+//   service NAME slots N boot MS memory MB aim MS timeout MS [once]   in every configuration that is put
+//   at S WORDS                                                        S seconds after the start; times never fall
+// What may happen, and be expected, stands in act() and look() below.
+#define BOOST_TEST_NO_MAIN
+#define BOOST_TEST_ALTERNATIVE_INIT_API
+#include <boost/test/unit_test.hpp>
+#include <boost/test/data/test_case.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "post/base/settings.hpp"
+#include "post/configuration/delta.hpp"
+#include "post/wire/codec.hpp"
+#include "world.hpp"
+
+namespace gannethold::post::played {
+namespace {
+
+using Words = std::vector<std::string>;
+
+Words words_of(const std::string& line) {
+    Words words;
+    std::istringstream in(line.substr(0, line.find('#')));
+    for (std::string word; in >> word;) words.push_back(word);
+    return words;
+}
+
+class Scenario {
+  public:
+    explicit Scenario(const std::string& path) : path_(path) {}
+
+    void play() {
+        std::ifstream in(path_);
+        BOOST_REQUIRE_MESSAGE(in, path_ + " can not be read");
+        int number = 0;
+        for (std::string line; std::getline(in, line);) {
+            ++number;
+            where_ = path_ + ":" + std::to_string(number) + ": " + line;
+            BOOST_TEST_CONTEXT(where_) { take(line, words_of(line)); }
+        }
+        BOOST_TEST_CONTEXT(path_) {
+            BOOST_TEST(checked_ > 0, "a scenario that expects nothing");
+            if (world_)
+                for (const std::string& b : world_->breaches) BOOST_TEST(false, b);
+        }
+    }
+
+  private:
+    static double value(const Words& w, const std::string& key, double otherwise) {
+        for (std::size_t i = 0; i + 1 < w.size(); ++i)
+            if (w[i] == key) return std::stod(w[i + 1]);
+        return otherwise;
+    }
+
+    void take(const std::string& line, const Words& w) {
+        if (w.empty()) return;
+        if (w[0] == "cores") {
+            World::Shape s;
+            s.cores = static_cast<std::size_t>(value(w, "cores", 3));
+            s.seeds = static_cast<std::size_t>(value(w, "seeds", static_cast<double>(std::min<std::size_t>(3, s.cores))));
+            s.fronts = static_cast<std::size_t>(value(w, "fronts", 0));
+            s.delay = static_cast<Micros>(value(w, "delay", 1) * 1e3);
+            s.loss = value(w, "loss", 0);
+            s.workers = static_cast<std::size_t>(value(w, "workers", 6));
+            s.worker_mb = static_cast<std::int64_t>(value(w, "memory", 4096));
+            s.seed = static_cast<std::uint64_t>(value(w, "seed", 1));
+            world_ = std::make_unique<World>(s);
+            start_ = world_->now();
+        } else if (w[0] == "service") {
+            World::Made m;
+            m.name = w.at(1);
+            m.slots = static_cast<std::uint32_t>(value(w, "slots", 1));
+            m.boot_ms = static_cast<int>(value(w, "boot", 900));
+            m.memory_mb = static_cast<int>(value(w, "memory", 128));
+            m.aim_ms = static_cast<int>(value(w, "aim", 1500));
+            m.timeout_ms = static_cast<int>(value(w, "timeout", 4000));
+            m.idempotent = w.back() != "once";
+            m.attempts = m.idempotent ? 2 : 1;
+            world_->services.push_back(m);
+        } else if (w[0] == "at") {
+            world_->run(start_ + static_cast<Micros>(std::stod(w.at(1)) * 1e6));
+            act(Words(w.begin() + 2, w.end()));
+        } else if (w[0] == "configuration" || w[0] == "settings") {
+            check_text(w[0] == "settings", w.at(1), line.substr(line.find(w[1]) + w[1].size()));
+        } else {
+            BOOST_FAIL("no such word: " + w[0]);
+        }
+    }
+
+    std::size_t core(const std::string& word) {
+        if (word == "leader") {
+            const auto l = world_->leader();
+            BOOST_REQUIRE_MESSAGE(l.has_value(), "no leader");
+            return last_ = *l;
+        }
+        if (word == "last") return last_;
+        if (word == "follower") {
+            for (std::size_t i = 0; i < world_->cores(); ++i)
+                if (world_->core_up(i) && world_->leader() != i) return last_ = i;
+            BOOST_FAIL("no follower");
+        }
+        return last_ = std::stoul(word);
+    }
+
+    void act(const Words& w) {
+        World& x = *world_;
+        const std::string& verb = w.at(0);
+        if (verb == "expect") return expect(w);
+        if (verb == "kill" && w.at(1) == "all") for (std::size_t i = 0; i < x.cores(); ++i) x.kill_core(i);
+        else if (verb == "kill" && w.at(1) == "front") x.kill_front(std::stoul(w.at(2)));
+        else if (verb == "kill") x.kill_core(core(w.at(1)));
+        else if (verb == "wipe") x.kill_core(core(w.at(1)), true);
+        else if (verb == "crash") x.crash_in_write(core(w.at(1)));
+        else if (verb == "start" && w.at(1) == "all") for (std::size_t i = 0; i < x.cores(); ++i) x.start_core(i);
+        else if (verb == "start") x.start_core(core(w.at(1)));
+        else if (verb == "add") last_ = x.add_core();
+        else if (verb == "disk") x.disk(core(w.at(1)), w.at(2) == "works");
+        else if (verb == "cut") cut(core(w.at(1)), w.size() > 2 && w[2] == "one-way");
+        else if (verb == "hear") hear(core(w.at(1)));
+        else if (verb == "heal") x.heal();
+        else if (verb == "stall") x.stall_core(core(w.at(1)), static_cast<Micros>(std::stod(w.at(2)) * 1e6));
+        else if (verb == "resign") x.resign_core(core(w.at(1)));
+        else if (verb == "put") x.put(std::stoull(w.at(1)), core(w.at(2)), w.size() > 3 ? w[3] : "");
+        else if (verb == "front") x.cut_front(std::stoul(w.at(1)), w.at(2) == "off");
+        else if (verb == "crash-worker") x.crash_worker(w.at(1));
+        else if (verb == "drain-worker") x.drain_worker(w.at(1));
+        else if (verb == "answers-lost") x.answers_lost(std::stod(w.at(1)));
+        else if (verb == "reuse-address") x.reuse_address(w.at(1));
+        else if (verb == "load") load(w);
+        else BOOST_FAIL("no such deed: " + verb);
+    }
+
+    void cut(std::size_t i, bool one_way) {
+        for (std::size_t other = 0; other < world_->cores(); ++other)
+            if (other != i) world_->cut(i, other, one_way);
+    }
+    // It hears nobody, and all hear it.
+    void hear(std::size_t i) {
+        for (std::size_t other = 0; other < world_->cores(); ++other)
+            if (other != i) world_->cut(other, i, true);
+    }
+
+    // load SERVICE rate R for S work MS deadline MS [front F]: else over all fronts in turn.
+    void load(const Words& w) {
+        const double rate = value(w, "rate", 10), span = value(w, "for", 1);
+        const int work = static_cast<int>(value(w, "work", 60)), deadline = static_cast<int>(value(w, "deadline", 4000));
+        const int only = static_cast<int>(value(w, "front", -1));
+        for (int n = 0; n < static_cast<int>(rate * span); ++n) {
+            const auto front = static_cast<std::size_t>(only >= 0 ? only : n % static_cast<int>(value(w, "fronts", 2)));
+            world_->at(world_->now() + static_cast<Micros>(n / rate * 1e6), [this, front, service = w.at(1), work, deadline] { world_->request(front, service, work, deadline); });
+        }
+    }
+
+    double look(const std::string& what) {
+        World& x = *world_;
+        const auto colon = what.find(':');
+        const std::string name = what.substr(0, colon), arg = colon == std::string::npos ? "" : what.substr(colon + 1);
+        if (name == "leaders") return static_cast<double>(x.leaders());
+        if (name == "acknowledged") return static_cast<double>(x.acknowledged());
+        if (name == "settled") return static_cast<double>(x.settled());
+        if (name == "members") return static_cast<double>(x.members());
+        if (name == "answered") return x.statuses[200];
+        if (name == "refused") return x.statuses[503];
+        if (name == "failed") return x.statuses[502] + x.statuses[504];
+        if (name == "unrouted") return x.statuses[404];
+        if (name == "late") return x.late;
+        if (name == "starts") return x.starts;
+        if (name == "stops") return x.stops;
+        if (name == "ran") return x.ran;
+        if (name == "turned-away") return x.turned_away;
+        if (name == "fence-refused") return x.fence_refused;
+        if (name == "runners") return static_cast<double>(x.runners(arg));
+        if (name == "recovering") return x.core_recovering(core(arg));
+        if (name == "front-version") return static_cast<double>(x.front_version(std::stoul(arg)));
+        if (name == "last-is-leader") return x.leader() == last_;
+        BOOST_FAIL("nothing to look at: " + what);
+        return 0;
+    }
+
+    // expect WHAT = N, or < or >
+    void expect(const Words& w) {
+        ++checked_;
+        const double seen = look(w.at(1)), wanted = std::stod(w.at(3));
+        const std::string told = w[1] + " is " + std::to_string(seen);
+        if (w.at(2) == "=") BOOST_TEST(seen == wanted, told);
+        else if (w[2] == "<") BOOST_TEST(seen < wanted, told);
+        else if (w[2] == ">") BOOST_TEST(seen > wanted, told);
+        else BOOST_FAIL("no such comparison: " + w[2]);
+    }
+
+    // configuration KIND JSON; settings KIND a=b;c=d. ok: it is taken. The rest of the kind behind a colon must stand
+    // in the detail.
+    void check_text(bool settings, const std::string& kind, std::string text) {
+        ++checked_;
+        std::string got = "ok", detail;
+        if (settings)
+            for (char& c : text)
+                if (c == ';') c = '\n';
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                if (settings) BOOST_LEAF_CHECK(Settings::parse(text));
+                else BOOST_LEAF_CHECK(Configuration::read(text));
+                return {};
+            },
+            [&](Kind k, const Detail& d) { got = answer_to(k).name, detail = d.text; }, [&] { got = "?"; });
+        const auto colon = kind.find(':');
+        BOOST_TEST(got == kind.substr(0, colon), got + " " + detail);
+        if (colon != std::string::npos) BOOST_TEST(detail.find(kind.substr(colon + 1)) != std::string::npos, detail);
+        if (!settings && got != "ok") {
+            const int status = got == "configuration_cut" ? answer_to(Kind::configuration_cut).status : answer_to(Kind::configuration_invalid).status;
+            BOOST_TEST((status >= 400 && status < 500));
+        }
+    }
+
+    std::string path_, where_;
+    std::unique_ptr<World> world_;
+    Micros start_ = 0;
+    std::size_t last_ = 0;
+    int checked_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(a_difference_gives_the_text_back_and_refuses_another_base) {
+    std::string old_text = "{\"routes\":[", new_text = old_text;
+    for (int i = 0; i < 900; ++i) {
+        old_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":4000},";
+        new_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":" + (i == 450 ? "100" : "4000") + "},";
+    }
+    const std::string patch = delta(old_text, new_text);
+    BOOST_TEST(patch.size() < 150U);
+    const auto got = [](std::string_view base, std::string_view bytes) {
+        return leaf::try_handle_all([&] { return patched(base, bytes); }, [] { return std::string("refused"); });
+    };
+    BOOST_TEST(got(old_text, patch) == new_text);
+    BOOST_TEST(got(new_text, patch) == "refused");
+    BOOST_TEST(got({}, delta({}, new_text)) == new_text);
+    for (std::size_t i = 0; i < patch.size(); ++i) {
+        std::string broken = patch;
+        broken[i] = static_cast<char>(broken[i] ^ 0x55);
+        const std::string back = got(old_text, broken);
+        BOOST_TEST((back == "refused" || back == new_text));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(messages_come_back_as_they_were_and_other_bytes_are_no_message) {
+    const Ask ask{7, 3, "huvo11a", 300, 4000, 1, 5, true};
+    std::string bytes = encode(ask, "10.0.0.1:80");
+    const auto read = [](std::string_view packed) {
+        return leaf::try_handle_all([&]() -> leaf::result<std::optional<Letter>> { BOOST_LEAF_AUTO(l, decode(packed)); return std::optional(l); },
+                                    [] { return std::optional<Letter>(); });
+    };
+    const auto back = read(std::string_view(bytes).substr(4));
+    BOOST_REQUIRE(back.has_value());
+    const auto* const same = std::get_if<Ask>(&back->message);
+    BOOST_REQUIRE(same != nullptr);
+    BOOST_TEST((same->service == ask.service && same->deadline_ms == ask.deadline_ms && same->again && back->from == "10.0.0.1:80"));
+    std::mt19937 random(5);
+    for (int n = 0; n < 20'000; ++n) {
+        std::string noise = bytes.substr(4);
+        for (int flips = 0; flips < 3; ++flips) noise[random() % noise.size()] = static_cast<char>(random());
+        read(noise);  // must not crash, whatever it makes of it
+    }
+    Frames frames;
+    frames.add(std::string("\xff\xff\xff\xff", 4));
+    const bool refused = leaf::try_handle_all([&]() -> leaf::result<bool> { BOOST_LEAF_CHECK(frames.next()); return false; }, [] { return true; });
+    BOOST_TEST(refused);
+}
+
+BOOST_AUTO_TEST_CASE(the_split_moves_share_to_the_faster_runner_by_clamped_steps) {
+    Split split;
+    split.enter("slow", 8), split.enter("fast", 8);
+    BOOST_TEST(split.shares()[0].fraction == 0.5);
+    Micros now = 1'000'000;
+    double last = 0.5;
+    for (int period = 0; period < 120; ++period) {
+        for (int n = 0; n < 10; ++n) {
+            split.arrived();
+            split.sent("slow"), split.ended("slow", n % 2 ? 0.4 : 0.2);
+            split.sent("fast"), split.ended("fast", n % 2 ? 0.06 : 0.05);
+        }
+        split.advance(now += Split::kPeriod, static_cast<std::uint64_t>(period));
+        const double share = split.shares()[0].fraction;
+        BOOST_TEST(share <= last + 1e-12);
+        BOOST_TEST(share >= last / 2 - 1e-12);  // no runner loses over half its share in a period
+        BOOST_TEST(std::abs(split.shares()[0].fraction + split.shares()[1].fraction - 1) < 1e-9);
+        last = share;
+    }
+    BOOST_TEST(last < 0.4);
+    split.enter("new", 8);
+    BOOST_TEST(std::abs(split.shares()[2].fraction - 1.0 / 3) < 0.1);
+    split.leave("slow");
+    BOOST_TEST(std::abs(split.shares()[0].fraction + split.shares()[1].fraction - 1) < 1e-9);
+}
+
+std::vector<std::string> files() {
+    std::vector<std::string> all;
+    for (const auto& f : std::filesystem::directory_iterator(SCENARIOS))
+        if (f.path().extension() == ".scenario") all.push_back(f.path().string());
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+bool init() {
+    for (const std::string& path : files())
+        boost::unit_test::framework::master_test_suite().add(boost::unit_test::make_test_case(
+            [path] { Scenario(path).play(); }, std::filesystem::path(path).stem().string(), __FILE__, __LINE__));
+    return true;
+}
+
+}  // namespace
+}  // namespace gannethold::post::played
+
+int main(int argc, char** argv) { return boost::unit_test::unit_test_main(&gannethold::post::played::init, argc, argv); }
--- /dev/null
+++ b/tests/system/world.hpp
@@ -0,0 +1,157 @@
+// A whole system on simulated time: the project's state machines for cores and fronts, and stand-ins for disks, network,
+// platform, runners, clients and the operator. No sockets, no clock, no sleep. After each step it checks what must hold
+// whatever happens; a breach is told once, with its time.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "post/agreement/agreement.hpp"
+#include "post/configuration/configuration.hpp"
+#include "post/front/desk.hpp"
+#include "post/placement/planner.hpp"
+#include "post/runners/resources.hpp"
+#include "post/slots/book.hpp"
+
+namespace gannethold::post::played {
+
+// Faults put into the code under test on purpose, to show that the checks can fail.
+enum class Sabotage { none, send_before_sync, vote_after_wipe, lease_without_drift };
+
+class World {
+  public:
+    struct Shape {
+        std::size_t cores = 3, seeds = 3, fronts = 0;
+        std::uint64_t seed = 1;
+        Micros delay = 1'000;  // one way, up to four times that by chance
+        double loss = 0;
+        Sabotage sabotage = Sabotage::none;
+        std::size_t workers = 6;
+        std::int64_t worker_mb = 4096;
+    };
+    explicit World(const Shape& shape);
+    ~World();
+
+    // Functions and routes of the configurations that put() sends.
+    struct Made {
+        std::string name;
+        std::uint32_t slots = 1;
+        int boot_ms = 900, memory_mb = 128, aim_ms = 1500, timeout_ms = 4000;
+        bool idempotent = true;
+        int attempts = 2;
+    };
+    std::vector<Made> services;
+
+    void run(Micros until);
+    void at(Micros when, std::function<void()> what);
+    Micros now() const { return now_; }
+
+    // ---- what happens ----
+    void kill_core(std::size_t i, bool lose_disk = false);
+    void crash_in_write(std::size_t i);  // at its next write, which is on disk or not by chance
+    void start_core(std::size_t i);
+    std::size_t add_core();  // an empty machine at a new address
+    void disk(std::size_t i, bool works);
+    void cut(std::size_t a, std::size_t b, bool one_way = false);  // cores
+    void heal();
+    void stall_core(std::size_t i, Micros span);  // frozen: nothing in, nothing out, the clock goes on
+    void resign_core(std::size_t i);
+    void cut_front(std::size_t f, bool off);
+    void kill_front(std::size_t f);
+    void put(Number version, std::size_t core, const std::string& mark = {});
+    std::string body(Number version, const std::string& mark) const;
+    // One request at a front for that service; outcomes are counted by status.
+    void request(std::size_t front, const std::string& service, int work_ms, int deadline_ms);
+    void crash_worker(const std::string& worker);
+    void drain_worker(const std::string& worker);
+    void answers_lost(double share) { answers_lost_ = share; }
+    void reuse_address(const std::string& service);  // the runner of it ends, another has its address
+
+    // ---- what can be looked at ----
+    std::optional<std::size_t> leader() const;  // that acts
+    std::size_t leaders() const;
+    Number acknowledged() const { return acknowledged_; }
+    Number settled() const;  // at the leader; 0: none
+    std::size_t members() const;
+    std::map<int, int> statuses;  // of answers, by HTTP status
+    int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
+    std::size_t runners(const std::string& service) const;  // that live
+    std::string placed() const;                             // zone:count of all live runners
+    bool core_up(std::size_t i) const;
+    bool core_recovering(std::size_t i) const;
+    std::string told() const;  // how each core stands
+    Number front_version(std::size_t f) const;
+    std::vector<std::string> breaches;
+    std::vector<std::string> trail;  // what happened, for a scenario of a seed
+    std::size_t cores() const;
+
+  private:
+    struct Core;
+    struct Front;
+    struct Runner;
+    struct Ring;
+
+    void carry_out(Core& core, Outcome& out);
+    void deliver(std::size_t from, std::size_t to, const Message& message);
+    void look(Core& core);
+    void close_keeper(Core& core);
+    void tick_core(std::size_t i);
+    void open_core(Core& core);
+    void keeper_step(Core& core);
+    void post(std::size_t core, std::vector<FrontMail>& mail);
+    void to_keeper(std::size_t front, const Message& message);
+    void tick_front(std::size_t f);
+    void deeds(std::size_t f, Deeds& d);
+    void begin(std::size_t core, Number life, const Begin& begin, Number fence);
+    void breach(const std::string& what);
+    bool joined(std::size_t a, std::size_t b) const { return !cuts_.count({a, b}); }
+    Micros hop();
+    bool chance(double p);
+
+    Shape shape_;
+    std::mt19937_64 random_;
+    Micros now_ = 1'000'000;
+    struct Later {
+        Micros at;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator<(const Later& o) const { return at != o.at ? at > o.at : order > o.order; }
+    };
+    std::priority_queue<Later> later_;
+    std::uint64_t order_ = 0;
+    std::vector<std::unique_ptr<Core>> cores_;
+    std::vector<std::unique_ptr<Front>> fronts_;
+    std::vector<std::string> seeds_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    Number acknowledged_ = 0, ticket_ = 0;
+    std::map<Number, std::string> acked_bodies_, seen_bodies_;
+    std::map<Number, std::pair<Number, std::size_t>> tickets_;  // version, core
+    std::map<Number, std::string> ticket_bodies_;
+    std::map<Number, std::size_t> term_leader_;
+    std::map<std::string, std::unique_ptr<Runner>> runners_;  // by id
+    std::map<std::string, std::string> nonces_;               // service + nonce: runner
+    std::set<std::string> workers_down_, workers_draining_;
+    Number fence_ = 0;
+    std::string fence_holder_;
+    std::uint64_t made_ = 0, session_ = 0, request_ = 0;
+    double answers_lost_ = 0;
+    struct Try {
+        std::size_t front = 0;
+        std::string service, at;  // at: the runner that works on it
+        int work_ms = 0, runs = 0;
+        bool idempotent = true, answered = false, promised = false;
+        Micros came = 0;
+        Micros aim = 0;
+    };
+    std::map<RequestId, Try> tries_;
+};
+
+}  // namespace gannethold::post::played
