--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
 // The command line: serve, check, version.
 #include <boost/program_options.hpp>
 
+#include <unistd.h>
+
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
@@ -101,6 +103,18 @@
 }  // namespace
 
 int main(int count, char** words) {
+    // The system's programs stand beside this one: `gannethold counter`, `sorter` and `explain` become them.
+    if (count > 1)
+        for (const char* const name : {"counter", "sorter", "explain"})
+            if (std::strcmp(words[1], name) == 0) {
+                const std::string self(words[0]);
+                const auto slash = self.rfind('/');
+                const std::string other = (slash == std::string::npos ? "" : self.substr(0, slash + 1)) + "gannethold-" + name;
+                ::execvp(other.c_str(), words + 1);
+                std::cerr << other << " is not there: build with -DGANNETHOLD_SYSTEM=ON\n";
+                return kUsage;
+            }
+
     std::string command, operators_path, in_force, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "",
                                          level = "info";
     control::Errand errand;
--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -27,9 +27,9 @@
 void Desk::arrived(Micros now, RequestId id, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Deeds& out) {
     Request& r = requests_[id];
     r.configuration = configuration_;
-    if (!configuration_) return give_up(id, r, Kind::not_offered, 500, out);
+    if (!configuration_) return give_up(now, id, r, Kind::not_offered, 500, out);
     r.route = configuration_->route(host, path);
-    if (!r.route) return give_up(id, r, Kind::no_route, 0, out);
+    if (!r.route) return give_up(now, id, r, Kind::no_route, 0, out);
     r.came = now;
     r.aim_at = now + r.route->aim;
     r.deadline_at = now + std::min<Micros>(deadline_ms * 1000LL, r.route->timeout);
@@ -71,12 +71,14 @@
     if (!drawn) drawn = office.split.draw(at, fits(false));
     if (office.free && drawn && !r.again) {
         r.free = true;
+        note(now, id, r, drawn->runner, "drawn_unasked");
         return send(now, id, r, runners_[drawn->runner], out);
     }
     r.state = State::asking;
     r.ask = ++last_ask_ ? last_ask_ : ++last_ask_;
     r.asked_at = now;
     asks_[r.ask] = id;
+    r.drawn_number = drawn ? runners_[drawn->runner].number : 0;
     const auto left = [now](Micros until) { return static_cast<std::uint32_t>(std::max<Micros>(0, until - now) / 1000); };
     out.mails.push_back(Ask{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service, left(r.aim_at), left(r.deadline_at),
                             r.route->priority, r.route->shape, r.again});
@@ -92,7 +94,7 @@
 bool Desk::send_alone(Micros now, RequestId id, Request& r, Deeds& out) {
     // A second runner is drawn from the common budget, which cannot be asked.
     if (r.again) {
-        give_up(id, r, Kind::no_slot, kSoon, out);
+        give_up(now, id, r, Kind::no_slot, kSoon, out);
         return true;
     }
     Office& office = offices_[r.service];
@@ -108,6 +110,7 @@
     if (!drawn) drawn = office.split.draw(at, fits(false));
     if (!drawn) return false;
     r.free = office.free;
+    note(now, id, r, drawn->runner, "drawn_without_keeper");
     send(now, id, r, runners_[drawn->runner], out);
     return true;
 }
@@ -122,6 +125,17 @@
     out.forwards.push_back({id, r.runner, runner.what.address, static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
 }
 
+void Desk::note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why) {
+    decisions_.add({now, r.came > 0 ? now - r.came : 0, id, r.service, runner, why});
+}
+
+std::vector<Desk::Share> Desk::shares() const {
+    std::vector<Share> all;
+    for (const auto& [service, office] : offices_)
+        for (const Split::Share& s : office.split.shares()) all.push_back({service, s.runner, s.fraction, s.latency, s.out, office.free});
+    return all;
+}
+
 void Desk::release(Micros now, Request& r, Ended how, Deeds& out) {
     const auto runner = runners_.find(r.runner);
     Office& office = offices_[r.service];
@@ -167,8 +181,9 @@
     if (keeper_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
 }
 
-void Desk::give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
+void Desk::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
     if (r.client) out.replies.push_back({id, kind, retry_ms});
+    note(now, id, r, r.runner, answer_to(kind).name);
     close(id);
 }
 
@@ -248,7 +263,7 @@
         out.relays.push_back(id);
         return close(id);
     }
-    give_up(id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
+    give_up(now, id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
 }
 
 // ---- the keeper ----------------------------------------------------------------------------------------------
@@ -356,9 +371,10 @@
             out.mails.push_back(Release{m->id, m->runner, Ended::unused, 0});
             r.ask = 0;
             if (!usable && now + 20'000 < r.deadline_at) return seek(now, id, r, out);
-            return give_up(id, r, Kind::not_offered, 0, out);
+            return give_up(now, id, r, Kind::not_offered, 0, out);
         }
         r.by_slot = true;
+        note(now, id, r, runner->second, r.again ? "granted_again" : r.drawn_number == m->runner ? "granted_as_drawn" : r.drawn_number == 0 ? "granted_none_known" : "granted_another_drawn_is_full");
         send(now, id, r, runners_[runner->second], out);
     } else if (const auto* m = std::get_if<Mode>(&message)) {
         set_mode(*m, out);
@@ -366,7 +382,7 @@
         const auto ask = asks_.find(m->id);
         if (ask == asks_.end()) return;
         const RequestId id = ask->second;
-        give_up(id, requests_.at(id), Kind::no_slot, m->retry_ms, out);
+        give_up(now, id, requests_.at(id), Kind::no_slot, m->retry_ms, out);
     }
 }
 
@@ -380,10 +396,10 @@
             offices_[r.service].split.ended(r.runner, static_cast<double>(r.route->timeout) / 1e6);
             release(now, r, Ended::failed, out);
             out.abandons.push_back(id);
-            give_up(id, r, Kind::time_over, 0, out);
+            give_up(now, id, r, Kind::time_over, 0, out);
         } else {
             if (r.state == State::asking && keeper_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
-            give_up(id, r, Kind::not_offered, 0, out);
+            give_up(now, id, r, Kind::not_offered, 0, out);
         }
     }
     if (!keeper_) {
--- a/src/post/front/desk.hpp
+++ b/src/post/front/desk.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "post/base/error.hpp"
+#include "post/base/record.hpp"
 #include "post/configuration/configuration.hpp"
 #include "post/split/split.hpp"
 #include "post/wire/messages.hpp"
@@ -52,8 +53,17 @@
     may_have_run,
 };
 
+// Why a request went where it went, or what it was answered with.
+struct Decision {
+    Micros at = 0, waited = 0;  // waited: since it came
+    RequestId request = 0;
+    std::string service, runner;
+    const char* why = "";
+};
+
 class Desk {
   public:
+    static constexpr std::size_t kDecisions = 256;
     struct Terms {
         std::string name, zone;
         Number incarnation = 1;
@@ -82,6 +92,14 @@
     void reached(Micros now, const std::string& address, bool up, Deeds& out);
 
     void tick(Micros now, Deeds& out);
+    const Record<Decision>& decisions() const { return decisions_; }
+    struct Share {
+        std::string service, runner;
+        double fraction = 0, latency = 0;
+        std::uint32_t out = 0;
+        bool free = false;
+    };
+    std::vector<Share> shares() const;
     std::size_t open() const { return requests_.size(); }
     Micros next_deadline() const { return deadlines_.empty() ? 0 : deadlines_.begin()->first; }
 
@@ -97,6 +115,7 @@
         bool by_slot = false;  // the runner's slot was granted, and is to be released
         bool client = true;    // it still waits
         bool again = false, free = false;
+        std::uint32_t drawn_number = 0;  // the runner that the keeper was told
     };
     struct Runner {
         Holding what;
@@ -118,8 +137,9 @@
     void release(Micros now, Request& r, Ended how, Deeds& out);
     void set_mode(const Mode& m, Deeds& out);
     void report(Micros now, Deeds& out);
-    void give_up(RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
+    void give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
     void close(RequestId id);
+    void note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why);
     void told(const RunnerTold& m, Deeds& out);
     void drop_runner(const std::string& runner, Deeds& out);
     std::uint32_t part(const Runner& runner) const;
@@ -137,6 +157,7 @@
     bool keeper_ = false;
     std::uint32_t rank_ = 0, fronts_ = 1, last_ask_ = 0;
     Micros reported_ = 0;
+    Record<Decision> decisions_{kDecisions};
     std::uint64_t chance_;
 };
 
--- a/src/post/programs/counter.cpp
+++ b/src/post/programs/counter.cpp
@@ -12,6 +12,7 @@
 #include "post/base/events.hpp"
 #include "post/configuration/delta.hpp"
 #include "post/front/desk.hpp"
+#include "post/programs/admin.hpp"
 #include "post/programs/process.hpp"
 #include "post/transport/http_caller.hpp"
 #include "post/transport/http_service.hpp"
@@ -44,6 +45,7 @@
                    static_cast<std::size_t>(std::max<std::int64_t>(64, settings_.descriptors * 6 / 10))),
           readiness_(loop, address_or_end(settings_.readiness, "listen_addresses.readiness"),
                      {[this](HttpService::Exchange e, HttpMessage&&) { ready(e); }, [](HttpService::Exchange) {}}, 64),
+          explain_(loop, [this](const std::string& what) { return explain(what); }),
           timer_(loop, [this] { due(); }),
           term_(loop, SIGTERM, [this] { leave(); }),
           int_(loop, SIGINT, [this] { leave(); }) {
@@ -250,6 +252,24 @@
         say(ConfigurationHeld{desk_.version()});
     }
 
+    json::Value explain(const std::string& what) const {
+        const Micros now = net::Loop::now();
+        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("counter"))}, {"version", told(static_cast<double>(desk_.version()))},
+                         {"keeper", json::Value(desk_.keeper())}, {"open", told(static_cast<double>(desk_.open()))}, {"malformed_lines", told(static_cast<double>(Line::malformed()))}};
+        json::List requests, splits;
+        if (what.empty() || what == "requests")
+            for (const Decision& d : desk_.decisions().kept())
+                requests.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"request", told(static_cast<double>(d.request))}, {"service", told(d.service)},
+                                                   {"runner", told(d.runner)}, {"waited_ms", told_ms(d.waited)}, {"why", told(std::string(d.why))}});
+        if (what.empty() || what == "splits")
+            for (const Desk::Share& s : desk_.shares())
+                splits.emplace_back(json::Object{{"service", told(s.service)}, {"runner", told(s.runner)}, {"fraction", told(s.fraction)}, {"latency_ms", told(s.latency * 1e3)},
+                                                 {"out", told(s.out)}, {"mode", told(std::string(s.free ? "free" : "kept"))}});
+        if (what.empty() || what == "requests") all["requests"] = json::Value(std::move(requests));
+        if (what.empty() || what == "splits") all["splits"] = json::Value(std::move(splits));
+        return json::Value(std::move(all));
+    }
+
     // ---- time ----
 
     void due() {
@@ -284,6 +304,7 @@
             old_.clear();
             clients_.sweep(now);
             readiness_.sweep(now);
+            explain_.sweep(now);
             runners_.sweep(now);
             if (now >= next_look_) next_look_ = now + 2'000'000, watch_.look(false);
         }
@@ -330,6 +351,7 @@
     std::size_t next_core_ = static_cast<std::size_t>(getpid());
     Micros dialed_at_ = -1'000'000, said_at_ = 0, next_sweep_ = 0, next_look_ = 0, leaving_ = 0;
     bool welcomed_ = false, closed_ = false;
+    ExplainResource explain_;
     net::Timer timer_;
     net::Signal term_, int_;
 };
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -4,6 +4,7 @@
 
 #include "post/base/events.hpp"
 #include "post/configuration/delta.hpp"
+#include "post/programs/admin.hpp"
 
 namespace gannethold::post {
 namespace {
@@ -191,12 +192,14 @@
             Event("start", said == BeginAnswer::begun ? Level::info : Level::warning)
                 .with("service", call.begin.service).with("worker", call.begin.worker).with("why", call.begin.why)
                 .with("answer", answered ? std::to_string(answer.status) : "none").with("runner", begun.runner);
+            deeds_.add({now, call.begin.service, call.begin.worker, begun.runner, answered ? std::to_string(answer.status) : "none", call.begin.why, true});
             planner_.begin_answered(now, call.begin.nonce, said);
             break;
         }
         case Call::What::stop: {
             const bool done = answered && stop_.done(answer);
             Event("stop").with("runner", call.stop.runner).with("why", call.stop.why).with("done", done);
+            deeds_.add({now, {}, {}, call.stop.runner, answered ? std::to_string(answer.status) : "none", call.stop.why, false});
             planner_.stop_answered(call.stop.runner, done);
             if (done) book_.gone(now, call.stop.runner, "stopped", mail);
             break;
@@ -227,6 +230,35 @@
     }
 }
 
+void Office::explain(const std::string& what, json::Object& into) const {
+    const Micros now = net::Loop::now();
+    const auto asked = [&](const char* part) { return what.empty() || what == part; };
+    json::List starts, functions, waiting, fronts;
+    if (asked("starts"))
+        for (const Deed& d : deeds_.kept())
+            starts.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"deed", told(std::string(d.start ? "start" : "stop"))}, {"service", told(d.service)},
+                                             {"worker", told(d.worker)}, {"runner", told(d.runner)}, {"why", told(std::string(d.why))}, {"answer", told(d.answer)}});
+    for (const auto& [name, f] : book_.functions()) {
+        if (asked("functions") && (f->active || !f->runners.empty())) {
+            double busy = 0;
+            for (const std::uint32_t number : f->runners) busy += book_.runner(number).out();
+            functions.emplace_back(json::Object{{"function", told(name)}, {"mode", told(std::string(f->free ? "free" : "kept"))}, {"runners", told(static_cast<double>(f->runners.size()))},
+                                                {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
+        }
+        if (asked("waiting"))
+            for (const Function::Waiting& w : f->waiting)
+                waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(book_.name_of(w.front) ? *book_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
+                                                  {"waited_ms", told_ms(now - w.since)}, {"aim_left_ms", told_ms(w.aim_at - now)}, {"deadline_left_ms", told_ms(w.deadline_at - now)}});
+    }
+    if (asked("fronts"))
+        for (const auto& [session, front] : fronts_)
+            fronts.emplace_back(json::Object{{"front", told(front.name)}, {"version_held", told(static_cast<double>(front.version))}, {"version_sent", told(static_cast<double>(front.sent))}});
+    if (asked("starts")) into["starts"] = json::Value(std::move(starts));
+    if (asked("functions")) into["functions"] = json::Value(std::move(functions));
+    if (asked("waiting")) into["waiting"] = json::Value(std::move(waiting));
+    if (asked("fronts")) into["fronts"] = json::Value(std::move(fronts));
+}
+
 void Office::tick(Micros now) {
     if (now < next_tick_) return;
     next_tick_ = now + Book::kSample;
--- a/src/post/programs/office.hpp
+++ b/src/post/programs/office.hpp
@@ -9,6 +9,8 @@
 #include <set>
 #include <string>
 
+#include "json/json.hpp"
+#include "post/base/record.hpp"
 #include "post/base/settings.hpp"
 #include "post/placement/planner.hpp"
 #include "post/runners/listing.hpp"
@@ -29,6 +31,8 @@
     void tick(Micros now);
     Micros next_tick() const { return next_tick_; }
     Number term() const { return term_; }
+    // For operators: what is asked of starts, functions, waiting, fronts; empty: all.
+    void explain(const std::string& what, json::Object& into) const;
 
   private:
     struct Call {
@@ -70,6 +74,13 @@
     std::map<Number, std::string> patches_;  // to version_, by base
     Micros next_tick_ = 0, next_workers_ = 0, welcome_at_ = 0;
     bool workers_out_ = false;
+    struct Deed {
+        Micros at = 0;
+        std::string service, worker, runner, answer;
+        const char* why = "";
+        bool start = true;
+    };
+    Record<Deed> deeds_{512};
 };
 
 }  // namespace gannethold::post
--- a/src/post/programs/sorter.cpp
+++ b/src/post/programs/sorter.cpp
@@ -8,6 +8,7 @@
 #include "net/listener.hpp"
 #include "post/agreement/agreement.hpp"
 #include "post/base/events.hpp"
+#include "post/programs/admin.hpp"
 #include "post/programs/office.hpp"
 #include "post/programs/process.hpp"
 #include "post/store/store.hpp"
@@ -29,6 +30,7 @@
                    {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); }, [this](HttpService::Exchange e) { puts_.erase(e); }}, 512),
           listener_(loop, net::Door(address_or_end(settings_.ip_address + ":" + std::to_string(settings_.internal_port), "internal_port_range")),
                     [this](evutil_socket_t s) { accepted(s); }, [] {}),
+          explain_(loop, [this](const std::string& what) { return explain(what); }),
           timer_(loop, [this] { due(); }),
           term_(loop, SIGTERM, [this] { leave(); }),
           int_(loop, SIGINT, [this] { leave(); }) {
@@ -259,6 +261,28 @@
         control_.answer(exchange, answer);
     }
 
+    json::Value explain(const std::string& what) const {
+        const Micros now = net::Loop::now();
+        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("sorter"))}};
+        if (!agreement_) return all["state"] = told(std::string("its disk can not be used")), json::Value(std::move(all));
+        all["term"] = told(static_cast<double>(agreement_->term()));
+        all["leader"] = told(agreement_->leader());
+        all["leads"] = json::Value(agreement_->leads(now));
+        all["recovering"] = json::Value(agreement_->recovering());
+        all["fence"] = told(office_ ? static_cast<double>(office_->term()) : 0);
+        all["version"] = told(agreement_->settled() ? static_cast<double>(agreement_->settled()->version) : 0);
+        all["malformed_lines"] = told(static_cast<double>(Line::malformed()));
+        json::List core;
+        if (what.empty() || what == "core")
+            for (const std::string& m : agreement_->members()) {
+                const Micros heard = agreement_->heard_from(m);
+                core.emplace_back(json::Object{{"member", told(m)}, {"itself", json::Value(m == settings_.control_plane)}, {"heard_ms_ago", heard > 0 ? told_ms(now - heard) : json::Value()}});
+            }
+        if (!core.empty()) all["core"] = json::Value(std::move(core));
+        if (office_) office_->explain(what, all);
+        return json::Value(std::move(all));
+    }
+
     // ---- time ----
 
     void due() {
@@ -277,6 +301,7 @@
     void sweep(Micros now) {
         next_sweep_ = now + 500'000;
         control_.sweep(now);
+        explain_.sweep(now);
         old_lines_.clear();
         shut_.clear();
         for (auto& [key, guest] : guests_)
@@ -345,6 +370,7 @@
     Session last_session_ = 0;
     Micros reopen_at_ = 0, next_sweep_ = 0, next_look_ = 0;
     bool leaving_ = false;
+    ExplainResource explain_;
     net::Timer timer_;
     net::Signal term_, int_;
     std::optional<net::Timer> end_;
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -66,6 +66,11 @@
     return at == fronts_.end() ? nullptr : &at->second.zone;
 }
 
+const std::string* Book::name_of(Session front) const {
+    const auto at = fronts_.find(front);
+    return at == fronts_.end() ? nullptr : &at->second.name;
+}
+
 double Book::usual(std::uint16_t shape) const {
     const auto at = usual_.find(shape);
     return at == usual_.end() ? kGuess : at->second.get(kGuess);
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -137,6 +137,7 @@
     std::int64_t used_mb(const std::string& worker) const;
     std::size_t fronts() const { return fronts_.size(); }
     const std::string* zone_of(Session front) const;
+    const std::string* name_of(Session front) const;
     double usual(std::uint16_t shape) const;
     // When a slot of the function is likely to come free for one more, from now on; 0 if one is.
     double expected_wait(Micros now, const Function& function) const;
--- a/src/post/transport/line.cpp
+++ b/src/post/transport/line.cpp
@@ -3,6 +3,11 @@
 #include "post/base/events.hpp"
 
 namespace gannethold::post {
+namespace {
+std::uint64_t malformed_lines = 0;
+}
+
+std::uint64_t Line::malformed() { return malformed_lines; }
 
 Line::Line(net::Loop& loop, evutil_socket_t accepted, Events events)
     : events_(std::move(events)), open_(true), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, accepted)) {}
@@ -43,6 +48,7 @@
                 return {};
             },
             [&](Kind kind, const Detail& detail) {
+                ++malformed_lines;
                 Event("line_closed", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
                 close();
                 events_.ended();
--- a/src/post/transport/line.hpp
+++ b/src/post/transport/line.hpp
@@ -24,6 +24,7 @@
     void send(const Message& message, std::string_view from = {});
     void close();
     Micros heard() const { return heard_; }
+    static std::uint64_t malformed();  // lines of this process that were closed for bytes that were no message
     std::size_t unsent() const { return connection_ ? connection_->unsent_bytes() : 0; }
 
   private:
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -333,6 +333,13 @@
         k.planner.list_read(now_);
     }
     k.book.tick(now_, mail);
+    // What was granted by this keeper itself, never more than there are slots.
+    for (const auto& [number, r] : k.book.runners()) {
+        std::set<std::pair<Session, std::uint32_t>> granted;
+        for (const Slots::Given& g : r.given)
+            if (g.ask > 0 && !granted.insert({g.front, g.ask}).second) breach("one ask has two slots of " + r.what.runner);
+        if (granted.size() > r.what.slots) breach("more granted than " + r.what.runner + " has slots");
+    }
     k.planner.plan_all(now_, k.book, mail);
     Orders orders;
     k.planner.due(now_, orders);
