A change of members breaks neither the leader's lease nor its hearing

Cause: replaced_core lost its leader for 1 s as a machine joined while another was down: agreement.cpp lease_start() counted the newcomer as silent in the new majority, tick() took the oldest kept round for the last answer, and a new leader counted who was never heard as dead since ever. Ruled out: votes (no ballot was sent before). Change: the lease holds by either set of members, a leader steps down by whom it heard, each member has the whole time anew under a new leader.

--- a/src/post/agreement/agreement.cpp
+++ b/src/post/agreement/agreement.cpp
@@ -45,15 +45,18 @@
 }
 
 // Of the newest round that a majority has answered, when it was sent: until then nobody could have voted against us.
-Micros Agreement::lease_start() const {
+// While a change of members is not settled a majority of either set will do: any two of them share a member.
+Micros Agreement::lease_start() const { return std::max(lease_start(members()), lease_start(settled_.members)); }
+
+Micros Agreement::lease_start(const std::vector<std::string>& group) const {
     std::vector<Number> answered;
-    for (const std::string& m : members()) {
+    for (const std::string& m : group) {
         const auto at = peers_.find(m);
         answered.push_back(m == terms_.self ? round_ : at == peers_.end() ? 0 : at->second.round);
     }
     if (answered.empty()) return 0;
     std::sort(answered.rbegin(), answered.rend());
-    const auto at = rounds_.find(answered[majority() - 1]);
+    const auto at = rounds_.find(answered[group.size() / 2]);
     return at == rounds_.end() ? 0 : at->second;
 }
 
@@ -79,8 +82,9 @@
     now_ = now;
     if (role_ == Role::leader) {
         // A leader that no majority answers is none: who asks it should look for another.
-        const Micros start = std::max(lease_start(), rounds_.empty() ? now : rounds_.begin()->second);
-        if (now > start + 2 * terms_.patience) {
+        std::size_t heard = 1;
+        for (const std::string& m : members()) heard += m != terms_.self && now <= heard_from(m) + 2 * terms_.patience;
+        if (heard < majority()) {
             become_follower(durable_.term, out);
         } else {
             next_change(out);
@@ -191,6 +195,8 @@
     rounds_.clear();
     applicants_.clear();
     for (auto& [who, peer] : peers_) peer.round = 0, peer.held = {}, peer.carried = 0;
+    // From here on each has the whole time to be heard.
+    for (const std::string& m : members()) peers_[m].heard = now_;
     // What an earlier term left half done is settled, or not, with the first entry of this one.
     begin(durable_.entry, out);
 }
--- a/src/post/agreement/agreement.hpp
+++ b/src/post/agreement/agreement.hpp
@@ -120,6 +120,7 @@
     bool is_member(const std::string& who) const;
     std::size_t majority() const { return members().size() / 2 + 1; }
     Micros lease_start() const;
+    Micros lease_start(const std::vector<std::string>& group) const;
     void fail_waiting(Outcome& out);
 
     Terms terms_;
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -111,6 +111,7 @@
         World& x = *world_;
         const std::string& verb = w.at(0);
         if (verb == "expect") return expect(w);
+        if (verb == "tell") return std::printf("%s\n", x.told().c_str()), void();  // how each core stands
         if (verb == "kill" && w.at(1) == "all") for (std::size_t i = 0; i < x.cores(); ++i) x.kill_core(i);
         else if (verb == "kill" && w.at(1) == "front") x.kill_front(std::stoul(w.at(2)));
         else if (verb == "kill") x.kill_core(core(w.at(1)));
