--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <iostream>
 #include <string>
+#include <vector>
 
 #include "control/commands.hpp"
 #include "dispatcher/dispatcher.hpp"
@@ -103,14 +104,19 @@
 }  // namespace
 
 int main(int count, char** words) {
-    // The system's programs stand beside this one: `gannethold counter`, `sorter` and `explain` become them.
+    // The system's programs stand beside this one: `gannethold counter`, `sorter`, `explain` and
+    // `waiting` become them.
     if (count > 1)
-        for (const char* const name : {"counter", "sorter", "explain"})
+        for (const char* const name : {"counter", "sorter", "explain", "waiting"})
             if (std::strcmp(words[1], name) == 0) {
                 const std::string self(words[0]);
                 const auto slash = self.rfind('/');
-                const std::string other = (slash == std::string::npos ? "" : self.substr(0, slash + 1)) + "gannethold-" + name;
-                ::execvp(other.c_str(), words + 1);
+                const std::string other = (slash == std::string::npos ? "" : self.substr(0, slash + 1)) + "gannethold-" + (std::strcmp(name, "waiting") == 0 ? "explain" : name);
+                std::vector<char*> with(words + 1, words + count);
+                std::string only = "--what=waiting";
+                if (std::strcmp(name, "waiting") == 0) with.push_back(only.data());
+                with.push_back(nullptr);
+                ::execvp(other.c_str(), with.data());
                 std::cerr << other << " is not there: build with -DGANNETHOLD_SYSTEM=ON\n";
                 return kUsage;
             }
--- a/src/post/base/settings.cpp
+++ b/src/post/base/settings.cpp
@@ -113,6 +113,10 @@
     BOOST_LEAF_CHECK(reader.number("bounds.retry_budget_ratio", s.budget_ratio));
     BOOST_LEAF_CHECK(reader.number("bounds.retry_budget_slack", s.budget_slack));
     BOOST_LEAF_CHECK(reader.number("bounds.rejection_slack", s.rejection_slack));
+    double turn = s.late_turn;
+    BOOST_LEAF_CHECK(reader.number("urgency.late_turn", turn));
+    if (turn < 2 || turn > 100) return failure(Kind::settings_invalid, "urgency.late_turn is not from 2 to 100");
+    s.late_turn = static_cast<int>(turn);
     return s;
 }
 
--- a/src/post/base/settings.hpp
+++ b/src/post/base/settings.hpp
@@ -28,6 +28,7 @@
     double budget_ratio = 0.2, budget_slack = 0;
     Micros budget_window = 10'000'000;
     double rejection_slack = 10;
+    int late_turn = 4;  // urgency.late_turn: of so many slots one goes to those who are late
 
     // Errors: settings_unreadable, settings_invalid.
     static leaf::result<Settings> read(const std::string& path);
--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -8,7 +8,6 @@
 
 constexpr std::uint32_t kSoon = 150;        // ms, where a slot is likely to come free
 constexpr Micros kMargin = 15'000;          // for an answer on its way to the client
-constexpr Micros kStale = 400'000;          // a grant older than that was slept over
 
 }  // namespace
 
--- a/src/post/programs/counter.cpp
+++ b/src/post/programs/counter.cpp
@@ -23,6 +23,7 @@
 
 constexpr Micros kConnect = 350'000, kAnswer = 500'000, kReach = 800'000, kBeat = 250'000, kRedial = 60'000;
 constexpr Micros kWatchEach = 40'000;
+constexpr Micros kAsleep = 1'000'000;  // timers are at most 0.2 s apart
 constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner", kNotRun[] = "X-Request-Not-Run";
 
 Desk::Terms desk_terms(const Settings& s) {
@@ -214,6 +215,12 @@
 
     void got(const Message& message) {
         const Micros now = net::Loop::now();
+        // It stood still for so long that the keeper has given its slots to others: nothing is sent by old grants.
+        if (now > turned_ + kAsleep) {
+            turned_ = now;
+            Event("woke", Level::warning);
+            return drop_line();
+        }
         Deeds deeds;
         if (const auto* m = std::get_if<Referral>(&message)) {
             referred_ = m->leader;
@@ -274,6 +281,8 @@
 
     void due() {
         const Micros now = net::Loop::now();
+        if (now > turned_ + kAsleep && line_) Event("woke", Level::warning), drop_line();
+        turned_ = now;
         if (line_) {
             const Micros quiet = welcomed_ ? kReach : kAnswer;
             if (now > std::max(line_->heard(), dialed_at_) + quiet) drop_line();
@@ -349,6 +358,7 @@
     std::vector<std::string> members_;
     std::string referred_, body_;
     std::size_t next_core_ = static_cast<std::size_t>(getpid());
+    Micros turned_ = net::Loop::now();
     Micros dialed_at_ = -1'000'000, said_at_ = 0, next_sweep_ = 0, next_look_ = 0, leaving_ = 0;
     bool welcomed_ = false, closed_ = false;
     ExplainResource explain_;
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -15,6 +15,7 @@
 Book::Terms book_terms(const Settings& s) {
     Book::Terms t;
     t.budget_slack = s.budget_slack, t.budget_window = s.budget_window, t.rejection_slack = s.rejection_slack;
+    t.late_turn = s.late_turn;
     return t;
 }
 
@@ -243,7 +244,7 @@
             double busy = 0;
             for (const std::uint32_t number : f->runners) busy += book_.runner(number).out();
             functions.emplace_back(json::Object{{"function", told(name)}, {"mode", told(std::string(f->free ? "free" : "kept"))}, {"runners", told(static_cast<double>(f->runners.size()))},
-                                                {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
+                                                {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"overtaken", told(static_cast<double>(f->overtaken))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
         }
         if (asked("waiting"))
             for (const Function::Waiting& w : f->waiting)
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -15,6 +15,7 @@
 constexpr Micros kPause = 5'000'000;     // without a request: what was seen before says nothing any more
 constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
 constexpr double kGuess = 100'000;       // of work never seen, microseconds
+constexpr Micros kRank = 100'000;        // of time left, for each step of priority
 constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
 
 // Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it full.
@@ -206,18 +207,23 @@
 
 void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
     while (!f.waiting.empty()) {
-        // Most urgent first: what can still be in aim, by when; then what can not, by its deadline.
+        // Most urgent first: what can still be in aim, by the time that is left, a lower rank's counted longer; then what can
+        // not, whoever came first. A late one never pushes out one that can be in aim but in its turn (docs/urgency.md).
+        const auto late = [&](const Function::Waiting& w) { return now + static_cast<Micros>(usual(w.ask.shape)) > w.aim_at; };
+        const bool turn = f.turns + 1 >= terms_.late_turn && std::any_of(f.waiting.begin(), f.waiting.end(), late);
         const auto key = [&](const Function::Waiting& w) {
-            const bool late = now + static_cast<Micros>(usual(w.ask.shape)) > w.aim_at;
-            return std::tuple(late, late ? w.deadline_at : w.aim_at, w.ask.priority);
+            const bool is_late = late(w);
+            return std::tuple(is_late != turn, is_late ? w.since : w.aim_at + w.ask.priority * kRank, w.since);
         };
-        const auto best = std::min_element(f.waiting.begin(), f.waiting.end(), [&](const auto& a, const auto& b) { return key(a) < key(b); });
+        const auto best = std::min_element(f.waiting.begin(), f.waiting.end(), [&](const auto& x, const auto& y) { return key(x) < key(y); });
         const auto front = fronts_.find(best->front);
         Slots* const r = front != fronts_.end() ? choose(now, f, best->ask, front->second.zone) : nullptr;
         if (front != fronts_.end() && !r) return;
         const Function::Waiting next = *best;
         f.waiting.erase(best);
         if (!r) continue;
+        f.turns = late(next) ? 0 : f.turns + 1;
+        f.overtaken += std::any_of(f.waiting.begin(), f.waiting.end(), [&](const Function::Waiting& w) { return w.since < next.since; });
         front->second.waiting.erase(next.ask.id);
         grant(now, *r, next.front, next.ask, out);
     }
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -94,6 +94,8 @@
     double rate = 0;                      // requests a second
     Micros last_used = 0, used_since = 0;  // since: without a long pause
     std::deque<Micros> tried_again, turned_away;
+    int turns = 0;                // slots given to waiting ones since a late one had its turn
+    std::uint64_t overtaken = 0;  // times that a more urgent one went before one that came earlier
     bool active = false;
 };
 
@@ -105,6 +107,9 @@
         double rejection_slack = 10;  // what runners of one function may turn away in 5 s
         std::uint32_t first_number = 1;
         bool may_free = true;
+        // Of so many slots that come free one goes to those who can not be in aim any more, while there are any: so
+        // whoever waits in a function gets through, however many urgent ones come.
+        int late_turn = 4;
     };
     explicit Book(const Terms& terms) : terms_(terms), next_number_(terms.first_number) {}
 
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -1,6 +1,7 @@
 // Plays the text files of scenarios/, each a test of its own, on simulated time. Words of a line:
 //   cores N seeds N fronts N delay MS loss P workers N memory MB      the world, first
-//   service NAME slots N boot MS memory MB aim MS timeout MS [once]   in every configuration that is put
+//   service NAME slots N boot MS memory MB aim MS timeout MS priority N [of NAME] [once]
+//                                         in every configuration that is put; of: a further route to that service
 //   at S WORDS                                                        S seconds after the start; times never fall
 // What may happen, and be expected, stands in act() and look() below.
 #define BOOST_TEST_NO_MAIN
@@ -79,6 +80,9 @@
             m.memory_mb = static_cast<int>(value(w, "memory", 128));
             m.aim_ms = static_cast<int>(value(w, "aim", 1500));
             m.timeout_ms = static_cast<int>(value(w, "timeout", 4000));
+            m.priority = static_cast<int>(value(w, "priority", 1));
+            for (std::size_t i = 0; i + 1 < w.size(); ++i)
+                if (w[i] == "of") m.of = w[i + 1];
             m.idempotent = w.back() != "once";
             m.attempts = m.idempotent ? 2 : 1;
             world_->services.push_back(m);
@@ -169,7 +173,10 @@
         if (name == "refused") return x.statuses[503];
         if (name == "failed") return x.statuses[502] + x.statuses[504];
         if (name == "unrouted") return x.statuses[404];
-        if (name == "late") return x.late;
+        if (name == "late") return arg.empty() ? x.late : x.late_of[arg];
+        if (name == "got") return x.answered_of[arg];
+        if (name == "given-up") return x.refused_of[arg];
+        if (name == "worst-ms") return static_cast<double>(x.worst_of[arg]) / 1e3;
         if (name == "starts") return x.starts;
         if (name == "stops") return x.stops;
         if (name == "ran") return x.ran;
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -531,6 +531,7 @@
         t.answered = true;
         const Answer a = answer_to(reply.kind);
         ++statuses[a.status];
+        ++refused_of[t.service];
         if (a.promise) t.promised = true;
         if (a.promise && t.runs > 0 && !t.idempotent) breach("refused as not run, and it has run");
     }
@@ -539,7 +540,9 @@
         if (t.answered) breach("answered twice");
         t.answered = true;
         ++statuses[200];
-        if (now_ > t.came + t.aim) ++late;
+        if (now_ > t.came + t.aim) ++late, ++late_of[t.service];
+        ++answered_of[t.service];
+        worst_of[t.service] = std::max(worst_of[t.service], now_ - t.came);
     }
     // A runner drops what is broken off.
     for (const RequestId id : d.abandons)
@@ -616,12 +619,14 @@
         const Made& m = services[i];
         text << (i ? "," : "") << "{\"name\":\"r-" << m.name << "\",\"host\":\"h.example\",\"path_prefix\":\"/" << m.name << "/\",\"route_kind\":\""
              << (m.idempotent ? "idempotent" : "non_idempotent") << "\",\"timeout_ms\":" << m.timeout_ms << ",\"target_latency_ms\":" << m.aim_ms
-             << ",\"priority\":1,\"service\":\"" << m.name << "\",\"max_attempts\":" << m.attempts << "}";
+             << ",\"priority\":" << m.priority << ",\"service\":\"" << (m.of.empty() ? m.name : m.of) << "\",\"max_attempts\":" << m.attempts << "}";
     }
     text << "],\"services\":[";
+    bool any = false;
     for (std::size_t i = 0; i < services.size(); ++i) {
         const Made& m = services[i];
-        text << (i ? "," : "") << "{\"name\":\"" << m.name << "\",\"connection_limit\":20,\"memory_mb\":" << m.memory_mb << ",\"boot_duration_ms\":" << m.boot_ms
+        if (!m.of.empty()) continue;
+        text << (std::exchange(any, true) ? "," : "") << "{\"name\":\"" << m.name << "\",\"connection_limit\":20,\"memory_mb\":" << m.memory_mb << ",\"boot_duration_ms\":" << m.boot_ms
              << ",\"max_concurrency\":" << m.slots << "}";
     }
     text << "],\"mark\":\"" << mark << "\"}";
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -47,6 +47,8 @@
         int boot_ms = 900, memory_mb = 128, aim_ms = 1500, timeout_ms = 4000;
         bool idempotent = true;
         int attempts = 2;
+        std::string of;  // a further route to that service, with aims of its own
+        int priority = 1;
     };
     std::vector<Made> services;
 
@@ -82,6 +84,8 @@
     Number settled() const;  // at the leader; 0: none
     std::size_t members() const;
     std::map<int, int> statuses;  // of answers, by HTTP status
+    std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
+    std::map<std::string, Micros> worst_of;                        // longest time to a whole answer
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::size_t runners(const std::string& service) const;  // that live
     std::string placed() const;                             // zone:count of all live runners
