--- a/src/post/agreement/agreement.cpp
+++ b/src/post/agreement/agreement.cpp
@@ -140,10 +140,7 @@
     const bool hears = role_ == Role::leader ? leads(now_) : now_ < heard_leader_ + terms_.patience;
     const bool newer = m.held >= durable_.entry.stamp;
     if (m.trial) {
-        const bool would = m.term > durable_.term && newer && !hears;
-        // Against votes that are split: who would vote for it lets it try first.
-        if (would && role_ != Role::leader) election_at_ = std::max(election_at_, now_ + terms_.patience / 3);
-        out.sends.push_back({from, Vote{m.term, would, true}});
+        out.sends.push_back({from, Vote{m.term, m.term > durable_.term && newer && !hears, true}});
         return;
     }
     // Against one that did not hear what all others hear. A leader that hands over has given up its lease itself.
