--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -67,8 +67,10 @@
 // What the front lacks, as the difference to what it holds.
 void Office::push(Session session, Front& front) {
     if (version_ == 0 || front.version >= version_ || front.sent == version_) return;
-    const auto base = bodies_.find(front.version);
-    const Number from = base == bodies_.end() ? 0 : front.version;
+    // What was sent it will hold when this comes: a connection keeps the order. If it could not take it, it says so.
+    const Number holds = std::max(front.version, front.sent);
+    const auto base = bodies_.find(holds);
+    const Number from = base == bodies_.end() ? 0 : holds;
     std::string& patch = patches_[from];
     if (patch.empty()) patch = delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
     front.sent = version_;
