--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Micros kSilent = 1'000'000;  // before a stop without an answer is said again
+// A runner that is started for each request costs its start each time; one that is kept, its idle time. It is kept where
+// more than one request is expected in so many starts' time.
+constexpr double kHold = 2;
 constexpr double kStartPays = 0.8;    // of a start's time: a slot that comes free sooner is waited for
 constexpr double kNearRate = 12;       // requests a second of a zone that are worth a gigabyte near them
 
@@ -89,7 +92,7 @@
         for (const auto& [name, rate] : rates) regions += rate > kNearRate / 4 * static_cast<double>(s.memory_mb) / 1024;
         const std::size_t near = std::max(zones, regions);
         if (near > wish.count) wish.count = near, wish.why = "near";
-    } else if (f.load_slow > 0.02) {
+    } else if (f.rate * kHold * static_cast<double>(s.boot) / 1e6 > 1 || f.load_slow > 0.5) {
         wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil((f.load_slow + std::sqrt(f.load_slow)) / slots - 0.3)));
         wish.why = "load";
     }
@@ -100,7 +103,11 @@
         int many = 0;
         for (const auto& [zone, count] : zones)
             if (count > many) many = count, wish.zone = zone;
-        if (starting * s.most < f.waiting.size() && book.expected_wait(now, f) > kStartPays * static_cast<double>(s.boot)) {
+        // One more where a start is over before a slot comes free, and what is coming up already would be too late for the aim.
+        const double wait = book.expected_wait(now, f);
+        const auto last = std::max_element(f.waiting.begin(), f.waiting.end(), [](const auto& a, const auto& b) { return a.since < b.since; });
+        const bool late = static_cast<double>(now) + wait + book.usual(last->ask.shape) > static_cast<double>(last->aim_at);
+        if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) && (have == 0 || late)) {
             if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
         }
     }
@@ -139,7 +146,7 @@
     }
     // Stopped once it has been too many for as long as a start is worth.
     const Micros since = surplus_since_.try_emplace(f.name, now).first->second;
-    const Micros keep = 2 * f.service->boot + 500'000;
+    const Micros keep = want.count == 0 ? f.service->boot : 2 * f.service->boot + 500'000;
     if (now < since + keep) return;
     const Slots* chosen = nullptr;
     std::map<std::string, int> there;
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -32,6 +32,14 @@
     mean_ += (took - mean_) / weight_;
 }
 
+void Demand::sample(double work, double span) {
+    const double keep = std::exp(-span / seconds_);
+    sum_ = sum_ * keep + work;
+    seen_ = seen_ * keep + span;
+}
+
+double Demand::slots() const { return sum_ / std::max(seen_, kLeast); }
+
 Function& Book::function(const std::string& name) {
     std::unique_ptr<Function>& f = functions_[name];
     if (!f) {
@@ -158,7 +166,7 @@
         return nullptr;
     }
     Function& f = *known->second;
-    if (now > f.last_used + kPause) f.used_since = now;
+    if (now > f.last_used + kPause) f.used_since = now, f.fast = Demand(0.7), f.slow = Demand(6);
     f.last_used = now;
     touch(f);
     if (f.interested.insert(session).second) {
@@ -176,6 +184,7 @@
         f.tried_again.push_back(now);
     } else {
         ++f.places[front->second.zone].asked;
+        f.came += usual(ask.shape) / 1e6;
     }
     if (Slots* const r = f.waiting.empty() ? choose(now, f, ask, front->second.zone) : nullptr) {
         grant(now, *r, session, ask, out);
@@ -438,16 +447,20 @@
     std::erase_if(ended_, [&](const auto& one) { return one.second + 60'000'000 < now; });
     for (auto i = active_.begin(); i != active_.end();) {
         Function& f = **i;
-        double load = static_cast<double>(f.waiting.size());
-        for (const std::uint32_t number : f.runners) load += runners_.at(number).out();
+        double out_now = 0, free_load = 0;
+        for (const std::uint32_t number : f.runners) out_now += runners_.at(number).out();
         std::map<std::string, double> reported;
         for (const auto& [session, part] : f.parts) {
             if (now > part.at + 3'000'000) continue;
-            load += part.load;
+            free_load += part.load;
             if (const std::string* zone = zone_of(session)) reported[*zone] += part.rate;
         }
-        f.load_fast += (load - f.load_fast) * std::min(1.0, kStep / 0.7);
-        f.load_slow += (load - f.load_slow) * std::min(1.0, kStep / 6.0);
+        const double came = std::exchange(f.came, 0) + free_load * kStep;
+        f.fast.sample(came, kStep), f.slow.sample(came, kStep);
+        f.busy_fast += (out_now - f.busy_fast) * (kStep / 0.7);
+        f.busy_slow += (out_now - f.busy_slow) * (kStep / 6.0);
+        f.load_fast = std::max(f.busy_fast, f.fast.slots());
+        f.load_slow = std::max(f.busy_slow, f.slow.slots());
         for (const auto& [zone, rate] : reported) f.places[zone];
         f.rate = 0;
         for (auto& [zone, place] : f.places) {
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -43,6 +43,19 @@
     double mean_ = 0, weight_ = 0;
 };
 
+// Demand for slots: what came, each counted with the time that work of its shape takes, as a mean over about so long. The
+// mean is over the time really seen, so that the first requests after a pause count at once and not by and by.
+class Demand {
+  public:
+    explicit Demand(double seconds) : seconds_(seconds) {}
+    void sample(double work, double span);  // seconds of work that came in span seconds
+    double slots() const;
+
+  private:
+    static constexpr double kLeast = 0.3;  // seconds: less tells little
+    double seconds_, sum_ = 0, seen_ = 0;
+};
+
 struct Function;
 
 struct Slots {  // one runner
@@ -90,7 +103,12 @@
     std::vector<Waiting> waiting;  // in no order; few
     std::map<Session, Part> parts;
     std::map<std::string, Place> places;  // by zone
-    double load_fast = 0, load_slow = 0;  // slots busy or wanted
+    // Slots that the work which comes would fill, had each request one at once. What waits is no demand of its own: it is
+    // work that has been counted as it came.
+    Demand fast{0.7}, slow{6};
+    double came = 0;                      // seconds of work asked for since the last sample
+    double busy_fast = 0, busy_slow = 0;  // slots at work, smoothed: where work takes longer than is known
+    double load_fast = 0, load_slow = 0;  // of demand and slots at work the larger
     double rate = 0;                      // requests a second
     Micros last_used = 0, used_since = 0;  // since: without a long pause
     std::deque<Micros> tried_again, turned_away;
