--- a/src/post/agreement/agreement.cpp
+++ b/src/post/agreement/agreement.cpp
@@ -61,7 +61,7 @@
 }
 
 bool Agreement::leads(Micros now) const {
-    if (role_ != Role::leader || settled_.stamp.term != durable_.term || resigned_) return false;
+    if (!holds()) return false;
     const Micros start = lease_start();
     return start > 0 && now < start + terms_.lease;
 }
@@ -204,6 +204,7 @@
 void Agreement::begin(Entry entry, Outcome& out) {
     entry.stamp = {durable_.term, durable_.entry.stamp.index + 1};
     durable_.entry = std::move(entry);
+    patches_.clear();
     out.write = true;
     bodies_[durable_.entry.stamp] = durable_.entry.body;
     while (bodies_.size() > kBodies) bodies_.erase(bodies_.begin());
@@ -233,7 +234,9 @@
         if (base == Stamp{} && !peer.whole && bodies_.size() > 1) base = std::prev(bodies_.end(), 2)->first;
         const auto known = bodies_.find(base);
         if (known != bodies_.end()) m.base = base;
-        m.patch = {m.base.index, delta(known != bodies_.end() ? known->second : std::string(), durable_.entry.body)};
+        std::string& patch = patches_[m.base];
+        if (patch.empty()) patch = delta(known != bodies_.end() ? known->second : std::string(), durable_.entry.body);
+        m.patch = {m.base.index, patch};
     }
     out.sends.push_back({to, std::move(m)});
 }
--- a/src/post/agreement/agreement.hpp
+++ b/src/post/agreement/agreement.hpp
@@ -71,7 +71,11 @@
     void restated(std::vector<std::string> seeds) { terms_.seeds = std::move(seeds); }
 
     const Durable& durable() const { return durable_; }
-    bool leads(Micros now) const;  // elected, its first entry settled, and the lease of a majority holds
+    // Elected for the term, its first entry settled. It may act only while it leads, too.
+    bool holds() const { return role_ == Role::leader && settled_.stamp.term == durable_.term && !resigned_; }
+    // Holds, and the lease of a majority has not run out. A lease that ran out for a while and came back in the same term
+    // was nobody else's meanwhile: who has voted for another answers this term no more.
+    bool leads(Micros now) const;
     // The newest entry that is known to be settled; nullptr: none yet.
     const Entry* settled() const { return settled_.stamp > Stamp{} ? &settled_ : nullptr; }
     const std::string& leader() const { return leader_; }  // empty: not known
@@ -133,7 +137,8 @@
     std::map<std::string, Peer> peers_;
     std::map<Number, Micros> rounds_;  // when sent
     Number round_ = 0;
-    std::map<Stamp, std::string> bodies_;  // lately held ones, for differences
+    std::map<Stamp, std::string> bodies_;   // lately held ones, for differences
+    std::map<Stamp, std::string> patches_;  // from each of them to the head, as far as they were needed
     std::vector<Waiting> waiting_;
     std::set<std::string> applicants_;
     Number nonce_ = 0;
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -46,10 +46,11 @@
 
 // ---- configuration and fronts --------------------------------------------------------------------------------
 
-void Office::settled(const Entry& entry) {
+void Office::settled(const Entry& entry, std::shared_ptr<const Configuration> read) {
     if (entry.members != members_) members_ = entry.members, welcome_at_ = net::Loop::now();
     if (entry.version <= version_) return;
-    leaf::try_handle_all(
+    if (read) book_.configure(std::move(read));
+    else leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(configuration, Configuration::read(entry.body));
             book_.configure(std::move(configuration));
--- a/src/post/programs/office.hpp
+++ b/src/post/programs/office.hpp
@@ -24,7 +24,8 @@
   public:
     Office(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say);
 
-    void settled(const Entry& entry);  // a newer configuration, or other members
+    // A newer configuration, or other members. read: the entry's configuration where it has been read already.
+    void settled(const Entry& entry, std::shared_ptr<const Configuration> read);
     void came(Session front, const Greeting& greeting);
     void left(Session front);
     void said(Session front, const Message& message);
--- a/src/post/programs/sorter.cpp
+++ b/src/post/programs/sorter.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr Micros kConnect = 400'000, kRedial = 250'000, kDeaf = 1'500'000, kReopen = 300'000;
+constexpr std::size_t kMostHeld = 20'000;  // letters of fronts while a lease has run out
 
 class Sorter {
   public:
@@ -122,20 +123,42 @@
     void look() {
         if (!agreement_) return;
         const Micros now = net::Loop::now();
-        const bool leads = agreement_->leads(now) && !leaving_;
-        if (office_ && (!leads || office_->term() != agreement_->term())) close_office();
+        const bool leads = acts(now);
+        // A lease that runs out while this machine is short of time comes back with the next round: until then nothing is
+        // said and nothing taken, but the office stays. To close it would make all fronts greet anew at the worst moment.
+        if (office_ && (!agreement_->holds() || leaving_ || office_->term() != agreement_->term())) close_office();
         if (leads && !office_) {
             office_ = std::make_unique<Office>(loop_, settings_, agreement_->term(), [this](Session s, const Message& m) { tell(s, m); });
             for (auto& [key, guest] : guests_)
                 if (guest->front) office_->came(guest->session, guest->greeting);
         }
-        if (office_ && agreement_->settled()) office_->settled(*agreement_->settled());
+        if (!office_ || !leads) return;
+        if (const Entry* const entry = agreement_->settled()) {
+            const bool same = read_ && read_->version() == entry->version && read_body_ == entry->body;
+            office_->settled(*entry, same ? read_ : nullptr);
+        }
+        for (const auto& [session, message] : std::exchange(held_out_, {})) tell(session, message);
+        for (const auto& [session, message] : std::exchange(held_in_, {})) take(session, message);
+    }
+
+    bool acts(Micros now) const { return agreement_ && !leaving_ && agreement_->leads(now); }
+
+    // What a front says to the office.
+    void take(Session session, const Message& message) {
+        if (!acts(net::Loop::now())) {
+            if (held_in_.size() < kMostHeld) held_in_.emplace_back(session, message);
+            else close_office();  // its books would be wrong: fronts greet the next one
+            return;
+        }
+        if (const auto* greeting = std::get_if<Greeting>(&message)) office_->came(session, *greeting);
+        else office_->said(session, message);
     }
 
     void close_office() {
         if (!office_) return;
         Event("office_closed").with("term", office_->term());
         shut_.push_back(std::move(office_));
+        held_in_.clear(), held_out_.clear();
         for (auto& [key, guest] : guests_)
             if (guest->front) guest->line->close(), gone_.push_back(key);
     }
@@ -192,8 +215,10 @@
         if (const auto* greeting = std::get_if<Greeting>(&letter.message)) {
             guest.front = true;
             guest.greeting = *greeting;
+            const bool fresh = !office_;
             look();
-            if (office_) return office_->came(guest.session, *greeting);
+            if (office_ && fresh) return;  // it was told of all guests as it opened
+            if (office_) return take(guest.session, letter.message);
             const std::string leader = agreement_ ? agreement_->leader() : std::string();
             // A front that has nothing yet is better off with what is known to be settled here.
             if (agreement_ && agreement_->settled() && agreement_->settled()->version > greeting->version && greeting->version == 0)
@@ -201,12 +226,13 @@
             guest.line->send(Referral{leader == settings_.control_plane ? std::string() : leader});
             return;
         }
-        if (office_ && guest.front) office_->said(guest.session, letter.message);
+        if (office_ && guest.front) take(guest.session, letter.message);
     }
 
     static std::string delta_of(const std::string& body);
 
     void tell(Session session, const Message& message) {
+        if (!acts(net::Loop::now())) return held_out_.emplace_back(session, message), void();
         const auto at = by_session_.find(session);
         if (at != by_session_.end() && at->second->line->open()) at->second->line->send(message);
     }
@@ -238,6 +264,7 @@
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(configuration, Configuration::read(m.body));
+                read_ = configuration, read_body_ = m.body;
                 const Number ticket = ++last_ticket_;
                 puts_[exchange] = ticket;
                 Outcome out;
@@ -293,7 +320,7 @@
             agreement_->tick(now, out);
             carry_out(out);
         }
-        if (office_) office_->tick(now);
+        if (office_ && acts(now)) office_->tick(now);
         if (now >= next_sweep_) sweep(now);
         set_timer();
     }
@@ -326,7 +353,7 @@
         Micros next = next_sweep_;
         if (agreement_) next = std::min(next, agreement_->next_tick());
         else next = std::min(next, reopen_at_);
-        if (office_) next = std::min(next, office_->next_tick());
+        if (office_ && acts(net::Loop::now())) next = std::min(next, office_->next_tick());
         timer_.set(next);
     }
 
@@ -360,6 +387,9 @@
     std::optional<Agreement> agreement_;
     std::unique_ptr<Office> office_;
     std::vector<std::unique_ptr<Office>> shut_;
+    std::vector<std::pair<Session, Message>> held_in_, held_out_;  // until the lease is back
+    std::shared_ptr<const Configuration> read_;  // the newest that was handed in, and its text
+    std::string read_body_;
     std::map<std::string, Peer> peers_;
     std::vector<std::unique_ptr<Line>> old_lines_;
     std::map<Guest*, std::unique_ptr<Guest>> guests_;
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -181,6 +181,7 @@
         if (name == "stops") return x.stops;
         if (name == "ran") return x.ran;
         if (name == "turned-away") return x.turned_away;
+        if (name == "greetings") return static_cast<double>(x.greetings());
         if (name == "fence-refused") return x.fence_refused;
         if (name == "runners") return static_cast<double>(x.runners(arg));
         if (name == "recovering") return x.core_recovering(core(arg));
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -171,7 +171,7 @@
             carry_out(core, out);
         }
         if (core.up && core.agreement) look(core);
-        if (core.up && core.keeper && now_ >= core.keeper->next) keeper_step(core);
+        if (core.up && core.keeper && now_ >= core.keeper->next && core.agreement->leads(now_)) keeper_step(core);
         if (core.up && core.agreement) next = std::min(next, std::max(now_ + 1'000, core.agreement->next_tick()));
     }
     if (!core.up || core.life != life) return;
@@ -268,7 +268,7 @@
         if (!fresh && known->second != i) breach("two leaders in term " + std::to_string(core.agreement->term()));
         if (leaders() > 1) breach("two act as leader at once");
     }
-    if (core.keeper && (!leads || core.keeper->term != core.agreement->term())) close_keeper(core);
+    if (core.keeper && (!core.agreement->holds() || core.keeper->term != core.agreement->term())) close_keeper(core);
     if (leads && !core.keeper && !fronts_.empty()) {
         Book::Terms b;
         b.budget_slack = 20;
@@ -279,7 +279,7 @@
         for (const char* z : {"z0", "z1", "z2"}) p.region_of[z] = "r";
         core.keeper = std::make_unique<Core::Keeper>(core.agreement->term(), b, p, now_);
     }
-    if (core.keeper && core.agreement->settled() && core.agreement->settled()->version > core.keeper->version) {
+    if (leads && core.keeper && core.agreement->settled() && core.agreement->settled()->version > core.keeper->version) {
         core.keeper->version = core.agreement->settled()->version;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
@@ -401,7 +401,7 @@
         }
         at(now_ + hop(), [this, core, life, b, answer, begun] {
             Core& c = *cores_[core];
-            if (c.life != life || !c.keeper) return;
+            if (c.life != life || !c.keeper || !c.agreement || !c.agreement->leads(now_)) return;
             std::vector<FrontMail> mail;
             if (answer == BeginAnswer::begun) c.keeper->book.began(now_, begun, mail);
             c.keeper->planner.begin_answered(now_, b.nonce, answer);
@@ -438,26 +438,33 @@
     const std::size_t core = *front.core;
     const Number life = front.core_life, term = front.term;
     const Session session = front.session;
-    at(now_ + shape_.delay, [this, f, core, life, term, session, message] {
-        Core& c = *cores_[core];
-        if (!c.up || c.life != life || !c.keeper || c.keeper->term != term || fronts_[f]->off || now_ < c.stalled_until) return;
-        std::vector<FrontMail> mail;
-        Book& book = c.keeper->book;
-        if (const auto* m = std::get_if<Ask>(&message)) {
-            Function* const fn = book.ask(now_, session, *m, mail);
-            if (fn && !fn->waiting.empty()) {
-                c.keeper->planner.plan(now_, book, *fn, mail);
-                Orders orders;
-                c.keeper->planner.due(now_, orders);
-                for (const Begin& b : orders.begins) begin(core, life, b, term);
-            }
+    at(now_ + shape_.delay, [this, f, core, life, term, session, message] { take(f, core, life, term, session, message); });
+}
+
+void World::take(std::size_t f, std::size_t core, Number life, Number term, Session session, const Message& message) {
+    Core& c = *cores_[core];
+    if (!c.up || c.life != life || !c.keeper || c.keeper->term != term || fronts_[f]->off) return;
+    if (now_ < c.stalled_until || !c.agreement || !c.agreement->leads(now_)) {
+        // Held by the connection until it wakes, and by the office until the lease is back.
+        at(std::max(now_, c.stalled_until) + 2'000, [=, this] { take(f, core, life, term, session, message); });
+        return;
+    }
+    std::vector<FrontMail> mail;
+    Book& book = c.keeper->book;
+    if (const auto* m = std::get_if<Ask>(&message)) {
+        Function* const fn = book.ask(now_, session, *m, mail);
+        if (fn && !fn->waiting.empty()) {
+            c.keeper->planner.plan(now_, book, *fn, mail);
+            Orders orders;
+            c.keeper->planner.due(now_, orders);
+            for (const Begin& b : orders.begins) begin(core, life, b, term);
         }
-        if (const auto* m = std::get_if<Release>(&message)) book.release(now_, session, *m, mail);
-        if (const auto* m = std::get_if<Up>(&message)) book.up(now_, session, *m, mail);
-        if (const auto* m = std::get_if<Loads>(&message)) book.loads(now_, session, *m);
-        if (const auto* m = std::get_if<Outs>(&message)) book.outs(now_, session, *m);
-        post(core, mail);
-    });
+    }
+    if (const auto* m = std::get_if<Release>(&message)) book.release(now_, session, *m, mail);
+    if (const auto* m = std::get_if<Up>(&message)) book.up(now_, session, *m, mail);
+    if (const auto* m = std::get_if<Loads>(&message)) book.loads(now_, session, *m);
+    if (const auto* m = std::get_if<Outs>(&message)) book.outs(now_, session, *m);
+    post(core, mail);
 }
 
 void World::tick_front(std::size_t f) {
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -83,6 +83,7 @@
     Number acknowledged() const { return acknowledged_; }
     Number settled() const;  // at the leader; 0: none
     std::size_t members() const;
+    std::uint64_t greetings() const { return session_; }  // of fronts, so far
     std::map<int, int> statuses;  // of answers, by HTTP status
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
     std::map<std::string, Micros> worst_of;                        // longest time to a whole answer
@@ -112,6 +113,7 @@
     void keeper_step(Core& core);
     void post(std::size_t core, std::vector<FrontMail>& mail);
     void to_keeper(std::size_t front, const Message& message);
+    void take(std::size_t front, std::size_t core, Number life, Number term, Session session, const Message& message);
     void tick_front(std::size_t f);
     void deeds(std::size_t f, Deeds& d);
     void begin(std::size_t core, Number life, const Begin& begin, Number fence);
