--- a/src/post/agreement/agreement.cpp
+++ b/src/post/agreement/agreement.cpp
@@ -11,11 +11,12 @@
 constexpr std::size_t kBodies = 6;     // kept for differences
 constexpr Micros kAgain = 400'000;     // before a head that was not confirmed is carried again
 constexpr Micros kInquiry = 250'000;
+constexpr Micros kEager = 1'200'000, kEagerEach = 40'000;  // after a start, who led before asks so often for votes
 
 }  // namespace
 
 Agreement::Agreement(Terms terms, Durable durable, Micros now, Outcome& out)
-    : terms_(std::move(terms)), durable_(std::move(durable)), now_(now), heard_leader_(now), chance_(terms_.chance * 2 + 1) {
+    : terms_(std::move(terms)), durable_(std::move(durable)), now_(now), started_(now), heard_leader_(now), chance_(terms_.chance * 2 + 1) {
     if (!durable_.member && terms_.first_start &&
         std::find(terms_.seeds.begin(), terms_.seeds.end(), terms_.self) != terms_.seeds.end()) {
         // All founders were told the same seeds, so all found the same core; whoever is no founder asks to be let in.
@@ -41,6 +42,11 @@
 
 void Agreement::set_election() {
     chance_ ^= chance_ << 13, chance_ ^= chance_ >> 7, chance_ ^= chance_ << 17;
+    if (durable_.followed == terms_.self && role_ != Role::leader && now_ < started_ + kEager) {
+        // It led when it went down: whoever is up again may vote for it at once.
+        election_at_ = now_ + kEagerEach + static_cast<Micros>(chance_ % kEagerEach);
+        return;
+    }
     election_at_ = now_ + terms_.patience + static_cast<Micros>(chance_ % static_cast<std::uint64_t>(terms_.patience * 2 / 3));
 }
 
@@ -137,7 +143,7 @@
 
 void Agreement::heed(const std::string& from, const Ballot& m, Outcome& out) {
     if (role_ == Role::stranger) return;  // a new disk may have promised anything before
-    const bool hears = role_ == Role::leader ? leads(now_) : now_ < heard_leader_ + terms_.patience;
+    const bool hears = role_ == Role::leader ? leads(now_) : owes(from);
     const bool newer = m.held >= durable_.entry.stamp;
     if (m.trial) {
         out.sends.push_back({from, Vote{m.term, m.term > durable_.term && newer && !hears, true}});
@@ -197,6 +203,7 @@
     for (auto& [who, peer] : peers_) peer.round = 0, peer.held = {}, peer.carried = 0;
     // From here on each has the whole time to be heard.
     for (const std::string& m : members()) peers_[m].heard = now_;
+    durable_.followed = terms_.self;  // written with the first entry
     // What an earlier term left half done is settled, or not, with the first entry of this one.
     begin(durable_.entry, out);
 }
@@ -258,6 +265,7 @@
     if (m.term > durable_.term || role_ != Role::follower) become_follower(m.term, out);
     leader_ = from;
     heard_leader_ = now_;
+    if (durable_.followed != from) durable_.followed = from, out.write = true;  // before the answer that grants the lease
     set_election();
     if (m.carries && m.head > durable_.entry.stamp) {
         const auto base = bodies_.find(m.base);
--- a/src/post/agreement/agreement.hpp
+++ b/src/post/agreement/agreement.hpp
@@ -29,6 +29,8 @@
     std::string voted_for;
     Number abstains = 0;  // votes in no term up to this one: its lost disk may have
     Entry entry;
+    // Whose order was answered last, or itself: the only one to whom a lease may still be owed after a start.
+    std::string followed;
 };
 
 struct Outcome {
@@ -58,8 +60,9 @@
         std::uint64_t chance = 1;
     };
 
-    // now: any steady clock. A machine that starts waits for a whole patience before it votes: it does not know
-    // whether it had heard a leader just before it went down.
+    // now: any steady clock. A machine that starts waits for a whole patience before it votes against the leader whose
+    // order it answered last: it does not know how long ago that was. That leader itself, if it asks for the vote, has a
+    // new life and no lease, so it gets it at once; and it asks at once, many times, as it starts.
     Agreement(Terms terms, Durable durable, Micros now, Outcome& out);
 
     void receive(Micros now, const std::string& from, const Message& message, Outcome& out);
@@ -122,6 +125,10 @@
     void inquire(Outcome& out);
     void set_election();
     bool is_member(const std::string& who) const;
+    // Whether a lease may be owed to another than that one.
+    bool owes(const std::string& candidate) const {
+        return now_ < heard_leader_ + terms_.patience && durable_.followed != candidate;
+    }
     std::size_t majority() const { return members().size() / 2 + 1; }
     Micros lease_start() const;
     Micros lease_start(const std::vector<std::string>& group) const;
@@ -132,7 +139,7 @@
     Entry settled_;
     Role role_ = Role::stranger;
     std::string leader_;
-    Micros now_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
+    Micros now_ = 0, started_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
     std::set<std::string> votes_;
     std::map<std::string, Peer> peers_;
     std::map<Number, Micros> rounds_;  // when sent
--- a/src/post/programs/sorter.cpp
+++ b/src/post/programs/sorter.cpp
@@ -18,7 +18,7 @@
 namespace gannethold::post {
 namespace {
 
-constexpr Micros kConnect = 400'000, kRedial = 250'000, kDeaf = 1'500'000, kReopen = 300'000;
+constexpr Micros kConnect = 400'000, kRedial = 100'000, kDeaf = 1'500'000, kReopen = 300'000;
 constexpr std::size_t kMostHeld = 20'000;  // letters of fronts while a lease has run out
 
 class Sorter {
--- a/src/post/store/store.cpp
+++ b/src/post/store/store.cpp
@@ -46,7 +46,8 @@
             if (!said || !held) return Durable{};
             written_ = held->entry.stamp;
             has_entry_ = true;
-            return Durable{p.from == "member", said->term, said->leader, said->nonce, std::move(held->entry)};
+            const auto& followed = said->entry.members;
+            return Durable{p.from == "member", said->term, said->leader, said->nonce, std::move(held->entry), followed.empty() ? std::string() : followed.front()};
         },
         [] { return Durable{}; });
 }
@@ -54,7 +55,10 @@
 leaf::result<void> Store::write(const Durable& durable) {
     if (!base_) return failure(Kind::disk_failed, "not open");
     leveldb::WriteBatch batch;
-    batch.Put(kPromise, encode(Recollection{durable.abstains, durable.term, durable.voted_for, {}}, durable.member ? "member" : "none"));
+    // The promise has no entry of its own; who was followed stands where that would have its members.
+    Entry promised;
+    if (!durable.followed.empty()) promised.members = {durable.followed};
+    batch.Put(kPromise, encode(Recollection{durable.abstains, durable.term, durable.voted_for, promised}, durable.member ? "member" : "none"));
     const bool entry = !has_entry_ || written_ != durable.entry.stamp;
     if (entry) batch.Put(kEntry, encode(Recollection{0, 0, {}, durable.entry}));
     leveldb::WriteOptions writing;
