--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -93,6 +93,7 @@
 bool Desk::send_alone(Micros now, RequestId id, Request& r, Deeds& out) {
     // A second runner is drawn from the common budget, which cannot be asked.
     if (r.again) {
+        r.slowed = Loss::Cause::keeper;
         give_up(now, id, r, Kind::no_slot, kSoon, out);
         return true;
     }
@@ -107,7 +108,7 @@
     const double at = unit();
     const Split::Share* drawn = office.split.draw(at, fits(true));
     if (!drawn) drawn = office.split.draw(at, fits(false));
-    if (!drawn) return false;
+    if (!drawn) return r.slowed = Loss::Cause::keeper, false;
     r.free = office.free;
     note(now, id, r, drawn->runner, "drawn_without_keeper");
     send(now, id, r, runners_[drawn->runner], out);
@@ -182,10 +183,28 @@
 
 void Desk::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
     if (r.client) out.replies.push_back({id, kind, retry_ms});
+    if (r.client && r.route) lost(now, r, kind == Kind::may_have_run || kind == Kind::time_over ? Loss::How::failed : Loss::How::refused);
     note(now, id, r, r.runner, answer_to(kind).name);
     close(id);
 }
 
+const char* Loss::name(Cause cause) {
+    static constexpr std::array<const char*, kCauses> names{"cold_start", "slot", "memory", "keeper_away", "runner_lost", "work", "budget", "route"};
+    return names[static_cast<std::size_t>(cause)];
+}
+
+const char* Loss::name(How how) {
+    static constexpr std::array<const char*, kHows> names{"late", "refused", "failed"};
+    return names[static_cast<std::size_t>(how)];
+}
+
+void Desk::lost(Micros now, const Request& r, Loss::How how) {
+    const Loss loss{now, now - r.came, r.service, r.slowed, how};
+    losses_.add(loss);
+    ++loss_counts_[static_cast<std::size_t>(loss.cause)][static_cast<std::size_t>(how)];
+    if (new_losses_.size() < kDecisions) new_losses_.push_back(loss);
+}
+
 void Desk::close(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end()) return;
@@ -224,6 +243,7 @@
             split.ended(runner, static_cast<double>(std::max<Micros>(took, 100)) / 1e6);
             release(now, r, Ended::answered, out);
             if (r.client) out.relays.push_back(id);
+            if (r.client && now > r.aim_at) lost(now, r, Loss::How::late);
             return close(id);
         case RunEnd::failed:
             split.ended(runner, whole);
@@ -250,6 +270,7 @@
             release(now, r, Ended::failed, out);
             break;
     }
+    r.slowed = how == RunEnd::not_run ? Loss::Cause::slot : Loss::Cause::runner;
     const bool ran = how == RunEnd::failed || how == RunEnd::may_have_run;
     if (!r.client) return close(id);
     const bool may_again = (!ran || r.route->idempotent) && r.sends < r.route->attempts && now + 20'000 < r.deadline_at;
@@ -260,6 +281,7 @@
     // The runner's own failure is the client's to see; what has not run is said to be so.
     if (how == RunEnd::failed) {
         out.relays.push_back(id);
+        lost(now, r, Loss::How::failed);
         return close(id);
     }
     give_up(now, id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
@@ -349,6 +371,12 @@
     watched_.erase(at);
 }
 
+void Desk::held_up(Request& r, WaitedFor by) {
+    if (by == WaitedFor::start) r.slowed = Loss::Cause::start;
+    if (by == WaitedFor::slot) r.slowed = Loss::Cause::slot;
+    if (by == WaitedFor::memory) r.slowed = Loss::Cause::memory;
+}
+
 void Desk::said(Micros now, const Message& message, Deeds& out) {
     if (const auto* m = std::get_if<Welcome>(&message)) {
         rank_ = m->rank, fronts_ = std::max(1U, m->fronts);
@@ -373,6 +401,7 @@
             return give_up(now, id, r, Kind::not_offered, 0, out);
         }
         r.by_slot = true;
+        held_up(r, m->waited);
         note(now, id, r, runner->second, r.again ? "granted_again" : r.drawn_number == m->runner ? "granted_as_drawn" : r.drawn_number == 0 ? "granted_none_known" : "granted_another_drawn_is_full");
         send(now, id, r, runners_[runner->second], out);
     } else if (const auto* m = std::get_if<Mode>(&message)) {
@@ -381,7 +410,10 @@
         const auto ask = asks_.find(m->id);
         if (ask == asks_.end()) return;
         const RequestId id = ask->second;
-        give_up(now, id, requests_.at(id), Kind::no_slot, m->retry_ms, out);
+        Request& r = requests_.at(id);
+        if (r.again && m->waited == WaitedFor::nothing) r.slowed = Loss::Cause::budget;
+        held_up(r, m->waited);
+        give_up(now, id, r, Kind::no_slot, m->retry_ms, out);
     }
 }
 
--- a/src/post/front/desk.hpp
+++ b/src/post/front/desk.hpp
@@ -6,12 +6,14 @@
 // No I/O and no clock: inputs are noted, and what is to be done is collected in Deeds.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "post/base/error.hpp"
@@ -61,8 +63,22 @@
     const char* why = "";
 };
 
+// Why an answer earned less than its whole worth, and how much less: late, refused (it has not run) or failed.
+struct Loss {
+    enum class Cause : std::uint8_t { start, slot, memory, keeper, runner, work, budget, route };
+    enum class How : std::uint8_t { late, refused, failed };
+    static constexpr std::size_t kCauses = 8, kHows = 3;
+    static const char* name(Cause cause);
+    static const char* name(How how);
+    Micros at = 0, took = 0;
+    std::string service;
+    Cause cause = Cause::work;
+    How how = How::late;
+};
+
 class Desk {
   public:
+    using LossCounts = std::array<std::array<std::uint64_t, Loss::kHows>, Loss::kCauses>;
     static constexpr std::size_t kDecisions = 256;
     struct Terms {
         std::string name, zone;
@@ -93,6 +109,10 @@
 
     void tick(Micros now, Deeds& out);
     const Record<Decision>& decisions() const { return decisions_; }
+    const Record<Loss>& losses() const { return losses_; }
+    const LossCounts& loss_counts() const { return loss_counts_; }
+    // The newest ones, once each: for the log.
+    std::vector<Loss> new_losses() { return std::exchange(new_losses_, {}); }
     struct Share {
         std::string service, runner;
         double fraction = 0, latency = 0;
@@ -116,6 +136,7 @@
         bool client = true;    // it still waits
         bool again = false, free = false;
         std::uint32_t drawn_number = 0;  // the runner that the keeper was told
+        Loss::Cause slowed = Loss::Cause::work;  // by what it was held up last
     };
     struct Runner {
         Holding what;
@@ -139,6 +160,8 @@
     void report(Micros now, Deeds& out);
     void give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
     void close(RequestId id);
+    void lost(Micros now, const Request& r, Loss::How how);
+    static void held_up(Request& r, WaitedFor by);
     void note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why);
     void told(const RunnerTold& m, Deeds& out);
     void drop_runner(const std::string& runner, Deeds& out);
@@ -158,6 +181,9 @@
     std::uint32_t rank_ = 0, fronts_ = 1, last_ask_ = 0;
     Micros reported_ = 0;
     Record<Decision> decisions_{kDecisions};
+    Record<Loss> losses_{kDecisions};
+    LossCounts loss_counts_{};
+    std::vector<Loss> new_losses_;
     std::uint64_t chance_;
 };
 
--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -134,6 +134,7 @@
     if (have < want.count) {
         surplus_since_.erase(f.name);
         const Worker* const worker = place(now, f, book, want.zone);
+        f.no_room = !worker;
         if (!worker) return;
         const std::string nonce = terms_.nonce_prefix + std::to_string(++count_);
         begins_[nonce] = {{f.name, worker->name, nonce, want.why}, f.service->memory_mb, now, false, 0};
--- a/src/post/programs/counter.cpp
+++ b/src/post/programs/counter.cpp
@@ -163,6 +163,8 @@
 
     void carry_out(Deeds& deeds) {
         for (const Message& mail : deeds.mails) say(mail);
+        for (const Loss& l : desk_.new_losses())
+            Event("lost").with("how", Loss::name(l.how)).with("cause", Loss::name(l.cause)).with("service", l.service).with("took_ms", l.took / 1000);
         for (const Deeds::Reply& r : deeds.replies) {
             clients_.answer(r.request, r.kind, {}, r.retry_ms);
         }
@@ -272,6 +274,15 @@
             for (const Desk::Share& s : desk_.shares())
                 splits.emplace_back(json::Object{{"service", told(s.service)}, {"runner", told(s.runner)}, {"fraction", told(s.fraction)}, {"latency_ms", told(s.latency * 1e3)},
                                                  {"out", told(s.out)}, {"mode", told(std::string(s.free ? "free" : "kept"))}});
+        if (what.empty() || what == "losses") {
+            json::List losses;
+            for (std::size_t cause = 0; cause < Loss::kCauses; ++cause)
+                for (std::size_t how = 0; how < Loss::kHows; ++how)
+                    if (const auto count = desk_.loss_counts()[cause][how]; count > 0)
+                        losses.emplace_back(json::Object{{"cause", told(std::string(Loss::name(static_cast<Loss::Cause>(cause))))}, {"how", told(std::string(Loss::name(static_cast<Loss::How>(how))))},
+                                                         {"count", told(static_cast<double>(count))}});
+            all["losses"] = json::Value(std::move(losses));
+        }
         if (what.empty() || what == "requests") all["requests"] = json::Value(std::move(requests));
         if (what.empty() || what == "splits") all["splits"] = json::Value(std::move(splits));
         return json::Value(std::move(all));
--- a/src/post/programs/explain.cpp
+++ b/src/post/programs/explain.cpp
@@ -13,7 +13,7 @@
 
 ABSL_FLAG(std::string, at, "127.0.0.1:9800", "ip:port that the process was given as --admin");
 ABSL_FLAG(bool, json, false, "print the JSON as it came");
-ABSL_FLAG(std::string, what, "", "only that part: requests, starts, functions, waiting, fronts, core, splits; empty: all");
+ABSL_FLAG(std::string, what, "", "only that part: requests, losses, splits (a counter); core, starts, functions, waiting, overtakings, fronts (a sorter); empty: all");
 ABSL_FLAG(int, wait_ms, 3000, "milliseconds to wait for the answer");
 
 namespace {
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -254,6 +254,14 @@
                 waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(book_.name_of(w.front) ? *book_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
                                                   {"waited_ms", told_ms(now - w.since)}, {"aim_left_ms", told_ms(w.aim_at - now)}, {"deadline_left_ms", told_ms(w.deadline_at - now)}});
     }
+    if (asked("overtakings")) {
+        json::List all;
+        const auto name = [&](Session s) { return told(book_.name_of(s) ? *book_.name_of(s) : std::string()); };
+        for (const Overtaking& o : book_.overtakings().kept())
+            all.emplace_back(json::Object{{"ago_ms", told_ms(now - o.at)}, {"function", told(o.service)}, {"went", name(o.front)}, {"priority", told(o.priority)}, {"aim_left_ms", told_ms(o.aim_left)},
+                                          {"before", name(o.before_front)}, {"its_priority", told(o.before_priority)}, {"its_aim_left_ms", told_ms(o.before_aim_left)}, {"why", told(std::string(o.why))}});
+        into["overtakings"] = json::Value(std::move(all));
+    }
     if (asked("fronts"))
         for (const auto& [session, front] : fronts_)
             fronts.emplace_back(json::Object{{"front", told(front.name)}, {"version_held", told(static_cast<double>(front.version))}, {"version_sent", told(static_cast<double>(front.sent))}});
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -187,10 +187,10 @@
         f.came += usual(ask.shape) / 1e6;
     }
     if (Slots* const r = f.waiting.empty() ? choose(now, f, ask, front->second.zone) : nullptr) {
-        grant(now, *r, session, ask, out);
+        grant(now, *r, session, ask, WaitedFor::nothing, out);
         return &f;
     }
-    f.waiting.push_back({session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL});
+    f.waiting.push_back({session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL, lacks(f)});
     front->second.waiting[ask.id] = &f;
     serve(now, f, out);
     return &f;
@@ -208,10 +208,17 @@
     return best;
 }
 
-void Book::grant(Micros now, Slots& r, Session session, const Ask& ask, std::vector<FrontMail>& out) {
+// What a request that finds no slot is waiting for.
+WaitedFor Book::lacks(const Function& f) const {
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) return WaitedFor::slot;
+    return f.no_room ? WaitedFor::memory : WaitedFor::start;
+}
+
+void Book::grant(Micros now, Slots& r, Session session, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out) {
     r.given.push_back({session, ask.id, ask.shape, now});
     if (!r.told.count(session)) tell(r, session, out);
-    out.push_back({session, Grant{ask.id, r.number}});
+    out.push_back({session, Grant{ask.id, r.number, waited}});
 }
 
 void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
@@ -232,9 +239,14 @@
         f.waiting.erase(best);
         if (!r) continue;
         f.turns = late(next) ? 0 : f.turns + 1;
-        f.overtaken += std::any_of(f.waiting.begin(), f.waiting.end(), [&](const Function::Waiting& w) { return w.since < next.since; });
+        if (const auto first = std::min_element(f.waiting.begin(), f.waiting.end(), [](const auto& x, const auto& y) { return x.since < y.since; });
+            first != f.waiting.end() && first->since < next.since) {
+            ++f.overtaken;
+            overtakings_.add({now, f.name, next.front, first->front, next.ask.id, first->ask.id, next.ask.priority, first->ask.priority,
+                              next.aim_at - now, first->aim_at - now, turn ? "turn_of_a_late_one" : late(*first) ? "it_can_be_in_aim" : "less_time_left"});
+        }
         front->second.waiting.erase(next.ask.id);
-        grant(now, *r, next.front, next.ask, out);
+        grant(now, *r, next.front, next.ask, next.waits_for, out);
     }
 }
 
@@ -473,7 +485,7 @@
         // What can not be in time any more is answered at once.
         std::erase_if(f.waiting, [&](const Function::Waiting& w) {
             if (now + static_cast<Micros>(usual(w.ask.shape) / 2) <= w.deadline_at) return false;
-            out.push_back({w.front, Denial{w.ask.id, 0}});
+            out.push_back({w.front, Denial{w.ask.id, 0, w.waits_for}});
             if (const auto front = fronts_.find(w.front); front != fronts_.end()) front->second.waiting.erase(w.ask.id);
             return true;
         });
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -20,6 +20,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "post/base/record.hpp"
 #include "post/configuration/configuration.hpp"
 #include "post/wire/messages.hpp"
 #include "types.hpp"
@@ -84,6 +85,7 @@
         Session front = 0;
         Ask ask;
         Micros since = 0, aim_at = 0, deadline_at = 0;
+        WaitedFor waits_for = WaitedFor::nothing;
     };
     struct Place {  // a zone's part
         int asked = 0;     // since the last sample
@@ -115,6 +117,18 @@
     int turns = 0;                // slots given to waiting ones since a late one had its turn
     std::uint64_t overtaken = 0;  // times that a more urgent one went before one that came earlier
     bool active = false;
+    bool no_room = false;         // the last start that was wanted found no worker; the planner's word
+};
+
+// One that came later went before one that came earlier.
+struct Overtaking {
+    Micros at = 0;
+    std::string service;
+    Session front = 0, before_front = 0;
+    std::uint32_t ask = 0, before_ask = 0;
+    int priority = 0, before_priority = 0;
+    Micros aim_left = 0, before_aim_left = 0;
+    const char* why = "";
 };
 
 class Book {
@@ -153,6 +167,7 @@
     static constexpr Micros kSample = 100'000;
     void tick(Micros now, std::vector<FrontMail>& out);
 
+    const Record<Overtaking>& overtakings() const { return overtakings_; }
     const std::unordered_set<Function*>& active() const { return active_; }
     const std::unordered_map<std::string, std::unique_ptr<Function>>& functions() const { return functions_; }
     const std::unordered_map<std::uint32_t, Slots>& runners() const { return runners_; }
@@ -174,7 +189,8 @@
     Function& function(const std::string& name);
     void touch(Function& f);
     Slots* choose(Micros now, Function& f, const Ask& ask, const std::string& zone);
-    void grant(Micros now, Slots& runner, Session front, const Ask& ask, std::vector<FrontMail>& out);
+    void grant(Micros now, Slots& runner, Session front, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out);
+    WaitedFor lacks(const Function& f) const;
     void serve(Micros now, Function& f, std::vector<FrontMail>& out);
     void tell(Slots& runner, Session front, std::vector<FrontMail>& out, bool watch = false);
     void tell_all(Slots& runner, std::vector<FrontMail>& out);
@@ -198,6 +214,7 @@
     std::unordered_map<std::uint16_t, Usual> usual_;
     std::unordered_map<std::string, Micros> ended_;  // runners that are gone: the list shows them for some time still
     std::uint32_t next_number_;
+    Record<Overtaking> overtakings_{256};
 };
 
 }  // namespace gannethold::post
--- a/src/post/wire/codec.cpp
+++ b/src/post/wire/codec.cpp
@@ -9,6 +9,9 @@
 namespace gannethold::post {
 namespace {
 
+// A value of a later version counts as none.
+WaitedFor waited_for(std::uint8_t value) { return value <= static_cast<std::uint8_t>(WaitedFor::memory) ? static_cast<WaitedFor>(value) : WaitedFor::nothing; }
+
 namespace cp = capnproto;
 
 void put(cp::Stamp::Builder to, const Stamp& s) { to.setTerm(s.term), to.setIndex(s.index); }
@@ -103,10 +106,12 @@
     void operator()(const Grant& m) {
         auto to = e.initGrant();
         to.setId(m.id), to.setRunner(m.runner);
+        to.setWaited(static_cast<std::uint8_t>(m.waited));
     }
     void operator()(const Denial& m) {
         auto to = e.initDenial();
         to.setId(m.id), to.setRetryMs(m.retry_ms);
+        to.setWaited(static_cast<std::uint8_t>(m.waited));
     }
     void operator()(const Release& m) {
         auto to = e.initRelease();
@@ -188,8 +193,8 @@
             const auto m = e.getAsk();
             return Ask{m.getId(), m.getDrawn(), text(m.getService()), m.getAimMs(), m.getDeadlineMs(), m.getPriority(), m.getShape(), m.getAgain()};
         }
-        case E::GRANT: return Grant{e.getGrant().getId(), e.getGrant().getRunner()};
-        case E::DENIAL: return Denial{e.getDenial().getId(), e.getDenial().getRetryMs()};
+        case E::GRANT: return Grant{e.getGrant().getId(), e.getGrant().getRunner(), waited_for(e.getGrant().getWaited())};
+        case E::DENIAL: return Denial{e.getDenial().getId(), e.getDenial().getRetryMs(), waited_for(e.getDenial().getWaited())};
         case E::RELEASE: {
             const auto m = e.getRelease();
             if (m.getHow() > static_cast<std::uint8_t>(Ended::gone)) break;
--- a/src/post/wire/messages.hpp
+++ b/src/post/wire/messages.hpp
@@ -109,11 +109,14 @@
     std::uint16_t shape = 0;  // of the work, by route: what has one shape takes alike long
     bool again = false;       // a second runner for the same request
 };
+enum class WaitedFor : std::uint8_t { nothing, start, slot, memory };  // memory: a start that no worker has room for
 struct Grant {
     std::uint32_t id = 0, runner = 0;
+    WaitedFor waited = WaitedFor::nothing;
 };
 struct Denial {
     std::uint32_t id = 0, retry_ms = 0;
+    WaitedFor waited = WaitedFor::nothing;
 };
 enum class Ended : std::uint8_t { unused, answered, failed, turned_away, unreachable, gone };
 struct Release {
--- a/src/post/wire/post.capnp
+++ b/src/post/wire/post.capnp
@@ -41,8 +41,8 @@
       id @47 :UInt32; drawn @48 :UInt32; service @49 :Text; aimMs @50 :UInt32; deadlineMs @51 :UInt32;
       priority @52 :UInt8; shape @53 :UInt16; again @54 :Bool;
     }
-    grant :group { id @55 :UInt32; runner @56 :UInt32; }
-    denial :group { id @57 :UInt32; retryMs @58 :UInt32; }
+    grant :group { id @55 :UInt32; runner @56 :UInt32; waited @71 :UInt8; }
+    denial :group { id @57 :UInt32; retryMs @58 :UInt32; waited @72 :UInt8; }
     release :group { id @59 :UInt32; how @60 :UInt8; tookMs @61 :UInt32; runner @65 :UInt32; }
     up :group { runner @62 :UInt32; up @63 :Bool; }
     mode :group { service @66 :Text; free @67 :Bool; }
