--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <functional>
 
+#include "post/slots/urgency.hpp"
+
 namespace gannethold::post {
 namespace {
 
@@ -53,8 +55,8 @@
     r.runner.clear();
     r.by_slot = r.free = false;
     if (!keeper_) {
-        if (!send_alone(now, id, r, out)) r.state = State::held;
-        return;
+        r.state = State::held;
+        return serve_alone(now, std::string(r.service), out);
     }
     Office& office = offices_[r.service];
     // The design's draw; near ones first, since what crosses zones is paid for and slower.
@@ -90,6 +92,28 @@
     return (runner.what.slots + n - 1 - (rank_ + shift) % n) / n;
 }
 
+// In the keeper's order, as far as this front's own requests go: one that comes does not take the slot for which a more
+// urgent one waits here.
+void Desk::serve_alone(Micros now, const std::string& service, Deeds& out) {
+    Office& office = offices_[service];
+    std::vector<RequestId> held;
+    for (const auto& [id, r] : requests_)
+        if (r.state == State::held && r.service == service) held.push_back(id);
+    while (!held.empty()) {
+        const auto late = [&](RequestId id) { return now > requests_.at(id).aim_at; };
+        const bool turn = office.turns + 1 >= terms_.late_turn && std::any_of(held.begin(), held.end(), late);
+        const auto place = [&](RequestId id) {
+            const Request& r = requests_.at(id);
+            return std::pair(place_in_line({r.came, r.aim_at, r.route->priority, late(id)}, turn), id);
+        };
+        const auto first = std::min_element(held.begin(), held.end(), [&](RequestId a, RequestId b) { return place(a) < place(b); });
+        const bool was_late = late(*first);
+        if (!send_alone(now, *first, requests_.at(*first), out)) return;
+        office.turns = was_late ? 0 : office.turns + 1;
+        held.erase(first);
+    }
+}
+
 bool Desk::send_alone(Micros now, RequestId id, Request& r, Deeds& out) {
     // A second runner is drawn from the common budget, which cannot be asked.
     if (r.again) {
@@ -233,7 +257,12 @@
 void Desk::ended(Micros now, RequestId id, RunEnd how, Deeds& out) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.state != State::out) return;
-    Request& r = at->second;
+    const std::string service = at->second.service;
+    finish(now, id, at->second, how, out);
+    if (!keeper_) serve_alone(now, service, out);  // the slot that came free
+}
+
+void Desk::finish(Micros now, RequestId id, Request& r, RunEnd how, Deeds& out) {
     Split& split = offices_[r.service].split;
     const Micros took = now - r.sent_at;
     const double whole = static_cast<double>(r.route->timeout) / 1e6;
@@ -317,11 +346,10 @@
     if (!keeper_) return;
     keeper_ = false;
     asks_.clear();
-    std::vector<RequestId> waiting;
+    std::set<std::string> services;
     for (auto& [id, r] : requests_)
-        if (r.state == State::asking) r.ask = 0, waiting.push_back(id);
-    for (const RequestId id : waiting)
-        if (const auto at = requests_.find(id); at != requests_.end()) seek(now, id, at->second, out);
+        if (r.state == State::asking) r.ask = 0, r.state = State::held, services.insert(r.service);
+    for (const std::string& service : services) serve_alone(now, service, out);
 }
 
 void Desk::drop_runner(const std::string& runner, Deeds& out) {
@@ -434,11 +462,10 @@
         }
     }
     if (!keeper_) {
-        std::vector<RequestId> held;
+        std::set<std::string> services;
         for (const auto& [id, r] : requests_)
-            if (r.state == State::held) held.push_back(id);
-        for (const RequestId id : held)
-            if (const auto at = requests_.find(id); at != requests_.end()) send_alone(now, id, at->second, out);
+            if (r.state == State::held) services.insert(r.service);
+        for (const std::string& service : services) serve_alone(now, service, out);
     }
     report(now, out);
 }
--- a/src/post/front/desk.hpp
+++ b/src/post/front/desk.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -85,6 +86,7 @@
         Number incarnation = 1;
         Micros reach = 700'000;  // without a word from the keeper for so long, it is taken for lost
         std::uint64_t chance = 1;
+        int late_turn = 4;  // as the keeper's (slots/book.hpp): of so many slots one goes to a late one
     };
     explicit Desk(Terms terms) : terms_(std::move(terms)), chance_(terms_.chance * 2 + 1) {}
 
@@ -150,10 +152,13 @@
         bool free = false;  // no slot is asked for
         std::uint32_t count = 0;
         Micros busy = 0;  // since the last report
+        int turns = 0;    // without a keeper: slots taken since a late one had its turn
     };
 
+    void finish(Micros now, RequestId id, Request& r, RunEnd how, Deeds& out);
     void seek(Micros now, RequestId id, Request& r, Deeds& out);
     bool send_alone(Micros now, RequestId id, Request& r, Deeds& out);
+    void serve_alone(Micros now, const std::string& service, Deeds& out);
     void send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out);
     void release(Micros now, Request& r, Ended how, Deeds& out);
     void set_mode(const Mode& m, Deeds& out);
--- a/src/post/programs/counter.cpp
+++ b/src/post/programs/counter.cpp
@@ -28,7 +28,7 @@
 
 Desk::Terms desk_terms(const Settings& s) {
     std::random_device chance;
-    return {s.node_name, s.zone, (static_cast<Number>(chance()) << 16) + 1, kReach, (static_cast<Number>(chance()) << 32) | chance()};
+    return {s.node_name, s.zone, (static_cast<Number>(chance()) << 16) + 1, kReach, (static_cast<Number>(chance()) << 32) | chance(), s.late_turn};
 }
 
 class Counter {
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -295,6 +295,16 @@
         c.what = Call::What::workers;
         call(std::move(c), workers_.get(), kCallLimit);
     }
+    // What was decided since the last look, as far as the record still holds it.
+    const auto& overtakings = book_.overtakings();
+    const std::size_t fresh = std::min(overtakings.all() - overtakings_told_, overtakings.kept().size());
+    for (std::size_t i = overtakings.kept().size() - fresh; i < overtakings.kept().size(); ++i) {
+        const Overtaking& o = overtakings.kept()[i];
+        const auto front = [&](Session s) { return book_.name_of(s) ? *book_.name_of(s) : std::string(); };
+        Event("overtaken").with("function", o.service).with("front", front(o.front)).with("ask", o.ask).with("aim_left_ms", o.aim_left / 1000).with("priority", o.priority)
+            .with("before_front", front(o.before_front)).with("before_ask", o.before_ask).with("before_aim_left_ms", o.before_aim_left / 1000).with("why", o.why);
+    }
+    overtakings_told_ = overtakings.all();
     if (welcome_at_ > 0 && now >= welcome_at_) welcome_at_ = 0, welcome();
     std::vector<FrontMail> mail;
     book_.tick(now, mail);
--- a/src/post/programs/office.hpp
+++ b/src/post/programs/office.hpp
@@ -75,6 +75,7 @@
     std::map<Number, std::string> patches_;  // to version_, by base
     Micros next_tick_ = 0, next_workers_ = 0, welcome_at_ = 0;
     bool workers_out_ = false;
+    std::size_t overtakings_told_ = 0;
     struct Deed {
         Micros at = 0;
         std::string service, worker, runner, answer;
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <tuple>
 
+#include "post/slots/urgency.hpp"
+
 namespace gannethold::post {
 namespace {
 
@@ -15,7 +17,6 @@
 constexpr Micros kPause = 5'000'000;     // without a request: what was seen before says nothing any more
 constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
 constexpr double kGuess = 100'000;       // of work never seen, microseconds
-constexpr Micros kRank = 100'000;        // of time left, for each step of priority
 constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
 
 // Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it full.
@@ -223,13 +224,11 @@
 
 void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
     while (!f.waiting.empty()) {
-        // Most urgent first: what can still be in aim, by the time that is left, a lower rank's counted longer; then what can
-        // not, whoever came first. A late one never pushes out one that can be in aim but in its turn (docs/urgency.md).
+        // A late one never pushes out one that can be in aim but in its turn.
         const auto late = [&](const Function::Waiting& w) { return now + static_cast<Micros>(usual(w.ask.shape)) > w.aim_at; };
         const bool turn = f.turns + 1 >= terms_.late_turn && std::any_of(f.waiting.begin(), f.waiting.end(), late);
         const auto key = [&](const Function::Waiting& w) {
-            const bool is_late = late(w);
-            return std::tuple(is_late != turn, is_late ? w.since : w.aim_at + w.ask.priority * kRank, w.since);
+            return place_in_line({w.since, w.aim_at, w.ask.priority, late(w)}, turn);
         };
         const auto best = std::min_element(f.waiting.begin(), f.waiting.end(), [&](const auto& x, const auto& y) { return key(x) < key(y); });
         const auto front = fronts_.find(best->front);
