--- a/src/post/front/desk.cpp
+++ b/src/post/front/desk.cpp
@@ -200,6 +200,7 @@
     for (auto& [service, office] : offices_) {
         if (office.free && (office.count > 0 || office.busy > 0))
             loads.loads.push_back({service, office.count, static_cast<std::uint32_t>(office.busy / 1000)});
+        office.last = {service, office.count, static_cast<std::uint32_t>(office.busy / 1000)};
         office.count = 0, office.busy = 0;
     }
     if (keeper_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
@@ -319,14 +320,18 @@
 // ---- the keeper ----------------------------------------------------------------------------------------------
 
 Greeting Desk::greeting() const {
-    Greeting g{terms_.name, terms_.zone, terms_.incarnation, version(), {}};
+    Greeting g{terms_.name, terms_.zone, terms_.incarnation, version(), {}, {}};
     for (const auto& [id, r] : runners_) {
         if (r.state == RunnerState::gone && r.out == 0) continue;
         Holding h = r.what;
-        h.out = r.out;
+        const auto office = offices_.find(h.service);
+        const bool free = office != offices_.end() && office->second.free;
+        h.out = free ? 0 : r.out;  // of what is sent unasked no end is told
         h.up = r.state == RunnerState::ready;
         g.holdings.push_back(std::move(h));
     }
+    for (const auto& [service, office] : offices_)
+        if (office.free) g.free.push_back({service, office.last.count, office.last.busy_ms});
     return g;
 }
 
@@ -335,9 +340,10 @@
     asks_.clear();
     by_number_.clear();
     for (auto& [id, r] : runners_) r.number = 0;
-    for (auto& [name, office] : offices_) office.free = false;  // until this keeper says so
+    // What was free stays so until this keeper says otherwise: it has been told with the greeting. All functions kept at
+    // once, after a change of keepers, would be more asks than one keeper can answer.
     for (auto& [id, r] : requests_) {
-        if (r.state == State::out) r.ask = 0, r.free = false;  // counted with the greeting
+        if (r.state == State::out) r.ask = 0;  // counted with the greeting
         if (r.state == State::held || r.state == State::asking) seek(now, id, r, out);
     }
 }
--- a/src/post/front/desk.hpp
+++ b/src/post/front/desk.hpp
@@ -152,6 +152,7 @@
         bool free = false;  // no slot is asked for
         std::uint32_t count = 0;
         Micros busy = 0;  // since the last report
+        Load last;        // what that report said, a second of it
         int turns = 0;    // without a keeper: slots taken since a late one had its turn
     };
 
--- a/src/post/placement/planner.cpp
+++ b/src/post/placement/planner.cpp
@@ -10,6 +10,8 @@
 // A runner that is started for each request costs its start each time; one that is kept, its idle time. It is kept where
 // more than one request is expected in so many starts' time.
 constexpr double kHold = 2;
+constexpr std::size_t kShortLine = 8;
+constexpr Micros kPlanEach = 20'000;
 constexpr double kStartPays = 0.8;    // of a start's time: a slot that comes free sooner is waited for
 constexpr double kNearRate = 12;       // requests a second of a zone that are worth a gigabyte near them
 
@@ -98,15 +100,15 @@
     }
     if (!f.waiting.empty()) {
         std::map<std::string, int> zones;
-        for (const Function::Waiting& w : f.waiting)
+        for (const auto& [place, w] : f.waiting.all())
             if (const std::string* zone = book.zone_of(w.front)) ++zones[*zone];
         int many = 0;
         for (const auto& [zone, count] : zones)
             if (count > many) many = count, wish.zone = zone;
         // One more where a start is over before a slot comes free, and what is coming up already would be too late for the aim.
         const double wait = book.expected_wait(now, f);
-        const auto last = std::max_element(f.waiting.begin(), f.waiting.end(), [](const auto& a, const auto& b) { return a.since < b.since; });
-        const bool late = static_cast<double>(now) + wait + book.usual(last->ask.shape) > static_cast<double>(last->aim_at);
+        const WaitQueue::Waiting& last = *f.waiting.newest();
+        const bool late = static_cast<double>(now) + wait + static_cast<double>(last.work) > static_cast<double>(last.aim_at);
         if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) && (have == 0 || late)) {
             if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
         }
@@ -114,8 +116,17 @@
     return wish;
 }
 
+void Planner::plan_waiting(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail) {
+    // What one more in a long line changes is little, and to look at all of it for each costs more than there is.
+    if (f.waiting.size() > kShortLine && now < f.planned_at + kPlanEach) return;
+    f.planned_at = now;
+    plan(now, book, f, mail);
+}
+
 void Planner::plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail) {
     if (!settled(now)) return;
+    // Nobody asks, nothing runs, none is to be warm.
+    if (f.service && f.runners.empty() && f.waiting.empty() && f.rate < 0.01 && !f.service->warm() && !begins_of_.count(f.name)) return;
     if (!f.service) {
         for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
             book.retire(now, number, mail);
--- a/src/post/placement/planner.hpp
+++ b/src/post/placement/planner.hpp
@@ -50,7 +50,8 @@
         const auto at = workers_.find(worker);
         return at == workers_.end() ? std::string() : at->second.zone;
     }
-    // For one function: cheap, to be called where something waits.
+    // For one function, where one more has come to wait.
+    void plan_waiting(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail);
     void plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail);
     // For all that are active; then what is due is said. Call each Book::kSample.
     void plan_all(Micros now, Book& book, std::vector<FrontMail>& mail);
--- a/src/post/programs/office.cpp
+++ b/src/post/programs/office.cpp
@@ -216,7 +216,7 @@
 // For one function, or with the sample for all.
 void Office::plan(Micros now, Function* one) {
     std::vector<FrontMail> mail;
-    if (one) planner_.plan(now, book_, *one, mail);
+    if (one) planner_.plan_waiting(now, book_, *one, mail);
     else planner_.plan_all(now, book_, mail);
     post(mail);
     Orders orders;
@@ -250,7 +250,7 @@
                                                 {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"overtaken", told(static_cast<double>(f->overtaken))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
         }
         if (asked("waiting"))
-            for (const Function::Waiting& w : f->waiting)
+            for (const auto& [place, w] : f->waiting.all())
                 waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(book_.name_of(w.front) ? *book_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
                                                   {"waited_ms", told_ms(now - w.since)}, {"aim_left_ms", told_ms(w.aim_at - now)}, {"deadline_left_ms", told_ms(w.deadline_at - now)}});
     }
--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -139,6 +139,31 @@
         touch(*r.function);
         tell(r, session, out);
     }
+    // What it takes unasked was free under the keeper before: so it stays, unless it has been kept here already; by the
+    // loads that are told with it the next sample judges it like any other.
+    for (const Load& l : greeting.free) {
+        Function& f = function(l.service);
+        f.interested.insert(session);
+        if (now < f.kept_until) {
+            out.push_back({session, Mode{f.name, false}});
+            continue;
+        }
+        f.used_since = std::min(f.used_since, now - kKnown);
+        f.last_used = now;
+        f.parts[session] = {static_cast<double>(l.busy_ms) / 1e3, static_cast<double>(l.count), now};
+        touch(f);
+        if (!f.free) {
+            f.free = true;
+            for (const Session other : f.interested)
+                if (other != session) out.push_back({other, Mode{f.name, true}});
+        }
+    }
+    // One that kept on asking for what is free by now.
+    std::set<std::string> kept;
+    for (const Holding& held : greeting.holdings) kept.insert(held.service);
+    for (const Load& l : greeting.free) kept.erase(l.service);
+    for (const std::string& name : kept)
+        if (function(name).free) out.push_back({session, Mode{name, true}});
     for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
 }
 
@@ -147,7 +172,7 @@
     for (auto& [name, f] : functions_) {
         f->interested.erase(session);
         f->parts.erase(session);
-        std::erase_if(f->waiting, [&](const Function::Waiting& w) { return w.front == session; });
+        f->waiting.front_left(session);
     }
     for (auto& [number, r] : runners_) {
         r.told.erase(session);
@@ -191,8 +216,12 @@
         grant(now, *r, session, ask, WaitedFor::nothing, out);
         return &f;
     }
-    f.waiting.push_back({session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL, lacks(f)});
-    front->second.waiting[ask.id] = &f;
+    if (const std::uint32_t later = too_long(f, ask); later > 0) {
+        out.push_back({session, Denial{ask.id, later, lacks(f)}});
+        return &f;
+    }
+    const WaitQueue::Waiting waiting{session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL, static_cast<Micros>(usual(ask.shape)), lacks(f)};
+    front->second.waiting[ask.id] = {&f, f.waiting.add(waiting)};
     serve(now, f, out);
     return &f;
 }
@@ -209,6 +238,19 @@
     return best;
 }
 
+// Against a line so long that whoever comes now would be given up at its end: it is told at once when the line will have
+// shrunk, and what is in the line has a chance. Two fifths of its time are left for the new try. 0: it may wait.
+std::uint32_t Book::too_long(const Function& f, const Ask& ask) const {
+    double slots = 0;
+    for (const std::uint32_t number : f.runners)
+        if (const Slots& r = runners_.at(number); !r.draining) slots += r.what.slots;
+    if (slots == 0) return 0;
+    const double wait_ms = f.waiting.work() / slots / 1e3;
+    const double bearable = std::max<double>(ask.aim_ms, ask.deadline_ms * 0.6);
+    if (wait_ms <= bearable) return 0;
+    return static_cast<std::uint32_t>(std::clamp(wait_ms - bearable / 2, 100.0, 3000.0));
+}
+
 // What a request that finds no slot is waiting for.
 WaitedFor Book::lacks(const Function& f) const {
     for (const std::uint32_t number : f.runners)
@@ -223,26 +265,22 @@
 }
 
 void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
-    while (!f.waiting.empty()) {
-        // A late one never pushes out one that can be in aim but in its turn.
-        const auto late = [&](const Function::Waiting& w) { return now + static_cast<Micros>(usual(w.ask.shape)) > w.aim_at; };
-        const bool turn = f.turns + 1 >= terms_.late_turn && std::any_of(f.waiting.begin(), f.waiting.end(), late);
-        const auto key = [&](const Function::Waiting& w) {
-            return place_in_line({w.since, w.aim_at, w.ask.priority, late(w)}, turn);
-        };
-        const auto best = std::min_element(f.waiting.begin(), f.waiting.end(), [&](const auto& x, const auto& y) { return key(x) < key(y); });
-        const auto front = fronts_.find(best->front);
-        Slots* const r = front != fronts_.end() ? choose(now, f, best->ask, front->second.zone) : nullptr;
+    WaitQueue::Place place = 0;
+    // A late one never pushes out one that can be in aim but in its turn.
+    while (const WaitQueue::Waiting* const first = f.waiting.first(now, f.turns + 1 >= terms_.late_turn, place)) {
+        const auto front = fronts_.find(first->front);
+        Slots* const r = front != fronts_.end() ? choose(now, f, first->ask, front->second.zone) : nullptr;
         if (front != fronts_.end() && !r) return;
-        const Function::Waiting next = *best;
-        f.waiting.erase(best);
+        const WaitQueue::Waiting next = *first;
+        const bool late = f.waiting.is_late(place), turn = f.turns + 1 >= terms_.late_turn;
+        f.waiting.leave(place);
         if (!r) continue;
-        f.turns = late(next) ? 0 : f.turns + 1;
-        if (const auto first = std::min_element(f.waiting.begin(), f.waiting.end(), [](const auto& x, const auto& y) { return x.since < y.since; });
-            first != f.waiting.end() && first->since < next.since) {
+        f.turns = late ? 0 : f.turns + 1;
+        if (const WaitQueue::Waiting* const oldest = f.waiting.oldest(); oldest && oldest->since < next.since) {
             ++f.overtaken;
-            overtakings_.add({now, f.name, next.front, first->front, next.ask.id, first->ask.id, next.ask.priority, first->ask.priority,
-                              next.aim_at - now, first->aim_at - now, turn ? "turn_of_a_late_one" : late(*first) ? "it_can_be_in_aim" : "less_time_left"});
+            const bool passed = now > oldest->aim_at - oldest->work;
+            overtakings_.add({now, f.name, next.front, oldest->front, next.ask.id, oldest->ask.id, next.ask.priority, oldest->ask.priority, next.aim_at - now,
+                              oldest->aim_at - now, late && turn ? "turn_of_a_late_one" : passed ? "it_can_be_in_aim" : "less_time_left"});
         }
         front->second.waiting.erase(next.ask.id);
         grant(now, *r, next.front, next.ask, next.waits_for, out);
@@ -253,7 +291,7 @@
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return;
     if (const auto waits = front->second.waiting.find(m.id); m.id > 0 && waits != front->second.waiting.end()) {
-        std::erase_if(waits->second->waiting, [&](const Function::Waiting& w) { return w.front == session && w.ask.id == m.id; });
+        waits->second.first->waiting.leave(waits->second.second);
         front->second.waiting.erase(waits);
         return;
     }
@@ -443,10 +481,10 @@
     const auto later = std::greater<>();
     std::make_heap(free_in.begin(), free_in.end(), later);
     double last = free_in.front();
-    for (const Function::Waiting& w : f.waiting) {
+    for (const auto& [place, w] : f.waiting.all()) {
         std::pop_heap(free_in.begin(), free_in.end(), later);
         last = free_in.back();
-        free_in.back() += usual(w.ask.shape);
+        free_in.back() += static_cast<double>(w.work);
         std::push_heap(free_in.begin(), free_in.end(), later);
     }
     return last;
@@ -482,12 +520,12 @@
             f.rate += place.rate;
         }
         // What can not be in time any more is answered at once.
-        std::erase_if(f.waiting, [&](const Function::Waiting& w) {
-            if (now + static_cast<Micros>(usual(w.ask.shape) / 2) <= w.deadline_at) return false;
-            out.push_back({w.front, Denial{w.ask.id, 0, w.waits_for}});
-            if (const auto front = fronts_.find(w.front); front != fronts_.end()) front->second.waiting.erase(w.ask.id);
-            return true;
-        });
+        WaitQueue::Place place = 0;
+        while (const WaitQueue::Waiting* const w = f.waiting.hopeless(now, place)) {
+            out.push_back({w->front, Denial{w->ask.id, 0, w->waits_for}});
+            if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
+            f.waiting.leave(place);
+        }
         settle_mode(now, f, out);
         if (!f.waiting.empty()) serve(now, f, out);
         // A function that is to be warm is planned for whether or not anyone asks.
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -22,13 +22,12 @@
 
 #include "post/base/record.hpp"
 #include "post/configuration/configuration.hpp"
+#include "post/slots/wait_queue.hpp"
 #include "post/wire/messages.hpp"
 #include "types.hpp"
 
 namespace gannethold::post {
 
-using Session = std::uint64_t;  // one connection of one front
-
 struct FrontMail {
     Session to = 0;
     Message message;
@@ -81,12 +80,6 @@
 };
 
 struct Function {
-    struct Waiting {
-        Session front = 0;
-        Ask ask;
-        Micros since = 0, aim_at = 0, deadline_at = 0;
-        WaitedFor waits_for = WaitedFor::nothing;
-    };
     struct Place {  // a zone's part
         int asked = 0;     // since the last sample
         double rate = 0;   // requests a second, smoothed
@@ -102,7 +95,7 @@
     Micros kept_until = 0;
     std::vector<std::uint32_t> runners;
     std::set<Session> interested;
-    std::vector<Waiting> waiting;  // in no order; few
+    WaitQueue waiting;
     std::map<Session, Part> parts;
     std::map<std::string, Place> places;  // by zone
     // Slots that the work which comes would fill, had each request one at once. What waits is no demand of its own: it is
@@ -117,6 +110,7 @@
     int turns = 0;                // slots given to waiting ones since a late one had its turn
     std::uint64_t overtaken = 0;  // times that a more urgent one went before one that came earlier
     bool active = false;
+    Micros planned_at = 0;        // for those who wait; the planner's
     bool no_room = false;         // the last start that was wanted found no worker; the planner's word
 };
 
@@ -183,7 +177,7 @@
   private:
     struct Front {
         std::string name, zone;
-        std::unordered_map<std::uint32_t, Function*> waiting;
+        std::unordered_map<std::uint32_t, std::pair<Function*, WaitQueue::Place>> waiting;  // by ask
     };
 
     Function& function(const std::string& name);
@@ -191,6 +185,7 @@
     Slots* choose(Micros now, Function& f, const Ask& ask, const std::string& zone);
     void grant(Micros now, Slots& runner, Session front, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out);
     WaitedFor lacks(const Function& f) const;
+    std::uint32_t too_long(const Function& f, const Ask& ask) const;
     void serve(Micros now, Function& f, std::vector<FrontMail>& out);
     void tell(Slots& runner, Session front, std::vector<FrontMail>& out, bool watch = false);
     void tell_all(Slots& runner, std::vector<FrontMail>& out);
--- a/src/post/wire/codec.cpp
+++ b/src/post/wire/codec.cpp
@@ -10,6 +10,19 @@
 namespace {
 
 // A value of a later version counts as none.
+// Loads of functions, in a report and in a greeting.
+template <class List>
+void put_loads(List all, const std::vector<Load>& loads) {
+    for (unsigned i = 0; i < loads.size(); ++i) all[i].setService(loads[i].service), all[i].setCount(loads[i].count), all[i].setBusyMs(loads[i].busy_ms);
+}
+
+template <class List>
+std::vector<Load> get_loads(const List& all) {
+    std::vector<Load> loads;
+    for (const auto l : all) loads.push_back({l.getService().cStr(), l.getCount(), l.getBusyMs()});
+    return loads;
+}
+
 WaitedFor waited_for(std::uint8_t value) { return value <= static_cast<std::uint8_t>(WaitedFor::memory) ? static_cast<WaitedFor>(value) : WaitedFor::nothing; }
 
 namespace cp = capnproto;
@@ -81,6 +94,7 @@
         to.setName(m.name), to.setZone(m.zone), to.setIncarnation(m.incarnation), to.setVersion(m.version);
         auto all = to.initHoldings(static_cast<unsigned>(m.holdings.size()));
         for (unsigned i = 0; i < m.holdings.size(); ++i) put(all[i], m.holdings[i]);
+        put_loads(to.initFree(static_cast<unsigned>(m.free.size())), m.free);
     }
     void operator()(const Referral& m) { e.setReferral(m.leader); }
     void operator()(const Welcome& m) {
@@ -128,9 +142,7 @@
     void operator()(const Loads& m) {
         auto to = e.initLoads();
         to.setSpanMs(m.span_ms);
-        auto all = to.initLoads(static_cast<unsigned>(m.loads.size()));
-        for (unsigned i = 0; i < m.loads.size(); ++i)
-            all[i].setService(m.loads[i].service), all[i].setCount(m.loads[i].count), all[i].setBusyMs(m.loads[i].busy_ms);
+        put_loads(to.initLoads(static_cast<unsigned>(m.loads.size())), m.loads);
     }
     void operator()(const Outs& m) {
         auto all = e.initOuts(static_cast<unsigned>(m.by_runner.size()));
@@ -170,8 +182,9 @@
         case E::SUCCESSION: return Succession{e.getSuccession()};
         case E::GREETING: {
             const auto m = e.getGreeting();
-            Greeting to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}};
+            Greeting to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}, {}};
             for (const auto h : m.getHoldings()) to.holdings.push_back(get(h));
+            to.free = get_loads(m.getFree());
             return to;
         }
         case E::REFERRAL: return Referral{text(e.getReferral())};
@@ -203,9 +216,7 @@
         case E::MODE: return Mode{text(e.getMode().getService()), e.getMode().getFree()};
         case E::LOADS: {
             const auto m = e.getLoads();
-            Loads to{m.getSpanMs(), {}};
-            for (const auto l : m.getLoads()) to.loads.push_back({text(l.getService()), l.getCount(), l.getBusyMs()});
-            return to;
+            return Loads{m.getSpanMs(), get_loads(m.getLoads())};
         }
         case E::OUTS: {
             Outs to;
--- a/src/post/wire/messages.hpp
+++ b/src/post/wire/messages.hpp
@@ -74,10 +74,15 @@
     std::uint32_t slots = 1, out = 0;
     bool up = false;
 };
+struct Load {  // of one free function at one front, since its last report
+    std::string service;
+    std::uint32_t count = 0, busy_ms = 0;  // requests; time that they took together
+};
 struct Greeting {
     std::string name, zone;
     Number incarnation = 0, version = 0;
     std::vector<Holding> holdings;
+    std::vector<Load> free;  // functions whose slots it takes unasked, and its part of each in the last second
 };
 struct Referral {  // not me
     std::string leader;
@@ -133,10 +138,6 @@
     std::string service;
     bool free = false;
 };
-struct Load {  // of one free function at one front, since its last report
-    std::string service;
-    std::uint32_t count = 0, busy_ms = 0;  // requests; time that they took together
-};
 struct Loads {
     std::uint32_t span_ms = 0;
     std::vector<Load> loads;
--- a/src/post/wire/post.capnp
+++ b/src/post/wire/post.capnp
@@ -30,7 +30,7 @@
     admission @28 :Void;
     succession @29 :UInt64;
     greeting :group {
-      name @30 :Text; zone @31 :Text; incarnation @32 :UInt64; version @33 :UInt64; holdings @34 :List(Runner);
+      name @30 :Text; zone @31 :Text; incarnation @32 :UInt64; version @33 :UInt64; holdings @34 :List(Runner); free @73 :List(Load);
     }
     referral @35 :Text;
     welcome :group { term @36 :UInt64; rank @37 :UInt32; fronts @38 :UInt32; members @39 :List(Text); }
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -454,7 +454,7 @@
     if (const auto* m = std::get_if<Ask>(&message)) {
         Function* const fn = book.ask(now_, session, *m, mail);
         if (fn && !fn->waiting.empty()) {
-            c.keeper->planner.plan(now_, book, *fn, mail);
+            c.keeper->planner.plan_waiting(now_, book, *fn, mail);
             Orders orders;
             c.keeper->planner.due(now_, orders);
             for (const Begin& b : orders.begins) begin(core, life, b, term);
