--- a/src/post/slots/book.cpp
+++ b/src/post/slots/book.cpp
@@ -17,6 +17,7 @@
 constexpr Micros kPause = 5'000'000;     // without a request: what was seen before says nothing any more
 constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
 constexpr double kGuess = 100'000;       // of work never seen, microseconds
+constexpr std::uint32_t kComeBack = 1000;  // ms, for who is given up in a line that is too long
 constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
 
 // Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it full.
@@ -238,12 +239,17 @@
     return best;
 }
 
-// Against a line so long that whoever comes now would be given up at its end: it is told at once when the line will have
-// shrunk, and what is in the line has a chance. Two fifths of its time are left for the new try. 0: it may wait.
-std::uint32_t Book::too_long(const Function& f, const Ask& ask) const {
+double Book::slots_of(const Function& f) const {
     double slots = 0;
     for (const std::uint32_t number : f.runners)
         if (const Slots& r = runners_.at(number); !r.draining) slots += r.what.slots;
+    return slots;
+}
+
+// Against a line so long that whoever comes now would be given up at its end: it is told at once when the line will have
+// shrunk, and what is in the line has a chance. Two fifths of its time are left for the new try. 0: it may wait.
+std::uint32_t Book::too_long(const Function& f, const Ask& ask) const {
+    const double slots = slots_of(f);
     if (slots == 0) return 0;
     const double wait_ms = f.waiting.work() / slots / 1e3;
     const double bearable = std::max<double>(ask.aim_ms, ask.deadline_ms * 0.6);
@@ -519,13 +525,23 @@
             place.rate += (seen - place.rate) * std::min(1.0, kStep / 3.0);
             f.rate += place.rate;
         }
-        // What can not be in time any more is answered at once.
+        // What can not be in time any more is answered at once; so is who has become late and whose turn would come too late.
         WaitQueue::Place place = 0;
         while (const WaitQueue::Waiting* const w = f.waiting.hopeless(now, place)) {
             out.push_back({w->front, Denial{w->ask.id, 0, w->waits_for}});
             if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
             f.waiting.leave(place);
         }
+        const double slots = slots_of(f);
+        while (slots > 0 && !f.waiting.empty()) {
+            const double work = f.waiting.work() / static_cast<double>(f.waiting.size());
+            const double per_place = work / slots * (f.waiting.any_in_aim() ? terms_.late_turn : 1);
+            const WaitQueue::Waiting* const w = f.waiting.out_of_reach(now, per_place, place);
+            if (!w) break;
+            out.push_back({w->front, Denial{w->ask.id, kComeBack, w->waits_for}});
+            if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
+            f.waiting.leave(place);
+        }
         settle_mode(now, f, out);
         if (!f.waiting.empty()) serve(now, f, out);
         // A function that is to be warm is planned for whether or not anyone asks.
--- a/src/post/slots/book.hpp
+++ b/src/post/slots/book.hpp
@@ -185,6 +185,7 @@
     Slots* choose(Micros now, Function& f, const Ask& ask, const std::string& zone);
     void grant(Micros now, Slots& runner, Session front, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out);
     WaitedFor lacks(const Function& f) const;
+    double slots_of(const Function& f) const;  // of all its runners, those that start too
     std::uint32_t too_long(const Function& f, const Ask& ask) const;
     void serve(Micros now, Function& f, std::vector<FrontMail>& out);
     void tell(Slots& runner, Session front, std::vector<FrontMail>& out, bool watch = false);
--- a/src/post/slots/wait_queue.hpp
+++ b/src/post/slots/wait_queue.hpp
@@ -40,6 +40,11 @@
     // One that would hardly end within its deadline any more; nullptr: none.
     const Waiting* hopeless(Micros now, Place& place) const;
 
+    // The last of those who are late, if at per_place microseconds for each before it its turn would come too late;
+    // nullptr: it would not, or nobody is late.
+    const Waiting* out_of_reach(Micros now, double per_place, Place& place);
+    bool any_in_aim() const { return !in_aim_.empty(); }
+
     bool empty() const { return all_.empty(); }
     std::size_t size() const { return all_.size(); }
     double work() const { return work_; }  // of all together, microseconds
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -181,6 +181,8 @@
         if (name == "stops") return x.stops;
         if (name == "ran") return x.ran;
         if (name == "turned-away") return x.turned_away;
+        if (name == "worst-refusal-ms") return static_cast<double>(x.refusal_worst_of[arg]) / 1e3;
+        if (name == "free") return x.is_free(arg);
         if (name == "greetings") return static_cast<double>(x.greetings());
         if (name == "fence-refused") return x.fence_refused;
         if (name == "runners") return static_cast<double>(x.runners(arg));
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -539,6 +539,7 @@
         const Answer a = answer_to(reply.kind);
         ++statuses[a.status];
         ++refused_of[t.service];
+        if (a.promise) refusal_worst_of[t.service] = std::max(refusal_worst_of[t.service], now_ - t.came);
         if (a.promise) t.promised = true;
         if (a.promise && t.runs > 0 && !t.idempotent) breach("refused as not run, and it has run");
     }
@@ -717,6 +718,14 @@
     const auto l = leader();
     return l ? cores_[*l]->agreement->members().size() : 0;
 }
+bool World::is_free(const std::string& service) const {
+    const auto l = leader();
+    if (!l || !cores_[*l]->keeper) return false;
+    const auto& all = cores_[*l]->keeper->book.functions();
+    const auto f = all.find(service);
+    return f != all.end() && f->second->free;
+}
+
 std::size_t World::runners(const std::string& service) const {
     std::size_t n = 0;
     for (const auto& [id, r] : runners_) n += r->service == service && !r->ended;
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -88,7 +88,9 @@
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
     std::map<std::string, Micros> worst_of;                        // longest time to a whole answer
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
+    std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
     std::size_t runners(const std::string& service) const;  // that live
+    bool is_free(const std::string& service) const;  // at the leader: fronts take its slots unasked
     std::string placed() const;                             // zone:count of all live runners
     bool core_up(std::size_t i) const;
     bool core_recovering(std::size_t i) const;
