--- a/tests/system/search.cpp
+++ b/tests/system/search.cpp
@@ -28,7 +28,7 @@
     World::Shape shape;
     shape.cores = pick(4) == 0 ? 5 : 3;
     shape.seeds = 3;
-    shape.fronts = pick(12) == 0 ? 3 : 0;
+    shape.fronts = pick(6) == 0 ? 3 : 0;
     shape.seed = seed;
     shape.delay = static_cast<Micros>(200 + pick(4) * 3'000);
     shape.loss = pick(3) == 0 ? 0.02 : 0;
@@ -36,6 +36,7 @@
     World world(shape);
     world.services.push_back({"a", 2, 600, 128, 1500, 4000, true, 2});
     world.services.push_back({"b", 1, 600, 128, 1500, 4000, false, 1});
+    world.services.push_back({"u", 1, 600, 128, 400, 4000, true, 2, "b", 0});  // urgent work of the same function
     std::ostringstream story;
     story << "cores " << shape.cores << " seeds 3 fronts " << shape.fronts << " delay " << static_cast<double>(shape.delay) / 1e3 << " loss " << shape.loss
           << " seed " << seed << "\n";
@@ -62,6 +63,16 @@
         } else if (whole && i < world.cores()) {
             const Micros span = static_cast<Micros>(300'000 + pick(2'500'000));
             const std::string which = std::to_string(i);
+            const std::size_t f = shape.fronts > 0 ? pick(shape.fronts) : 0;
+            // Troubles of fronts: the keeper's words come up to 2 s late, a path is cut, a process goes.
+            if (shape.fronts > 0 && pick(2) == 0) switch (pick(3)) {
+                    case 0: world.delay_front(f, static_cast<Micros>(pick(2'000'000))), say("words to front " + std::to_string(f) + " come late"); break;
+                    case 1:
+                        world.cut_front(f, true), say("front " + std::to_string(f) + " off");
+                        world.at(world.now() + span, [&world, f] { world.cut_front(f, false); });
+                        break;
+                    default: world.kill_front(f), say("front " + std::to_string(f) + " killed"); break;
+                }
             switch (pick(12)) {
                 case 0: world.kill_core(i), say("kill " + which); break;
                 case 1: world.kill_core(i, true), say("wipe " + which); break;
@@ -123,7 +134,10 @@
         }
         if (shape.fronts > 0)
             for (std::size_t f = 0; f < shape.fronts; ++f)
-                for (int n = 0; n < 4; ++n) world.request(f, pick(2) ? "a" : "b", static_cast<int>(40 + pick(200)), 3000);
+                for (int n = 0; n < 6; ++n) {
+                    const char* const names[] = {"a", "b", "u"};
+                    world.request(f, names[pick(3)], static_cast<int>(40 + pick(200)), 3000);
+                }
         at += static_cast<Micros>(20'000 + pick(400'000));
     }
     world.heal();
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -26,6 +26,7 @@
         std::set<std::size_t> fronts;
         Number version = 0;
         Micros next = 0;
+        std::size_t overtakings = 0;  // looked at
         Keeper(Number t, const Book::Terms& b, const Planner::Terms& p, Micros now) : term(t), book(b), planner(p, now), listing({20, 400'000}, now) {}
     };
     std::unique_ptr<Keeper> keeper;
@@ -340,6 +341,19 @@
             if (g.ask > 0 && !granted.insert({g.front, g.ask}).second) breach("one ask has two slots of " + r.what.runner);
         if (granted.size() > r.what.slots) breach("more granted than " + r.what.runner + " has slots");
     }
+    // Nobody goes before one that came earlier but by having less time left, or where that one can not be in aim, or as a
+    // late one in its turn.
+    const auto& overtakings = k.book.overtakings();
+    const std::size_t fresh = std::min(overtakings.all() - k.overtakings, overtakings.kept().size());
+    k.overtakings = overtakings.all();
+    for (std::size_t n = overtakings.kept().size() - fresh; n < overtakings.kept().size(); ++n) {
+        const Overtaking& o = overtakings.kept()[n];
+        const bool urgent = o.aim_left + o.priority * kRank <= o.before_aim_left + o.before_priority * kRank;
+        const bool past = std::string(o.why) != "less_time_left";
+        if (!past && !urgent) breach("one with more time left went first in " + o.service);
+        if (std::string(o.why) == "it_can_be_in_aim" && o.aim_left <= 0) breach("one that is late itself went before a late one in " + o.service);
+    }
+    overtaken += fresh;
     k.planner.plan_all(now_, k.book, mail);
     Orders orders;
     k.planner.due(now_, orders);
@@ -601,6 +615,7 @@
 }
 
 void World::cut_front(std::size_t f, bool off) { fronts_[f]->off = off; }
+void World::delay_front(std::size_t f, Micros span) { fronts_[f]->next = std::max(fronts_[f]->next, now_) + span; }
 
 void World::kill_front(std::size_t f) {
     Front& front = *fronts_[f];
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -68,6 +68,7 @@
     void resign_core(std::size_t i);
     void cut_front(std::size_t f, bool off);
     void kill_front(std::size_t f);
+    void delay_front(std::size_t f, Micros span);  // what the keeper says to it comes so much later, in order
     void put(Number version, std::size_t core, const std::string& mark = {});
     std::string body(Number version, const std::string& mark) const;
     // One request at a front for that service; outcomes are counted by status.
@@ -87,6 +88,7 @@
     std::map<int, int> statuses;  // of answers, by HTTP status
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
     std::map<std::string, Micros> worst_of;                        // longest time to a whole answer
+    std::uint64_t overtaken = 0;
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
     std::size_t runners(const std::string& service) const;  // that live
