--- a/src/post/agreement/agreement.cpp
+++ b/src/post/agreement/agreement.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kBodies = 6;     // kept for differences
 constexpr Micros kAgain = 400'000;     // before a head that was not confirmed is carried again
 constexpr Micros kInquiry = 250'000;
+constexpr Micros kRecovered = 1'500'000;  // after a lost disk was made good, others are left to elect
 constexpr Micros kEager = 1'200'000, kEagerEach = 40'000;  // after a start, who led before asks so often for votes
 
 }  // namespace
@@ -128,8 +129,11 @@
     set_election();
     leader_.clear();
     if (!is_member(terms_.self)) return;
+    // Those whose disks are whole elect among themselves first: each vote that can not be given is a term in vain.
+    if (abstains(durable_.term + 1) && now_ < recovered_ + kRecovered) return;
     role_ = trial ? Role::trying : Role::candidate;
-    votes_ = {terms_.self};
+    votes_.clear();
+    if (!abstains(durable_.term + 1)) votes_.insert(terms_.self);
     if (!trial) {
         ++durable_.term;
         durable_.voted_for = terms_.self;
@@ -146,14 +150,16 @@
     const bool hears = role_ == Role::leader ? leads(now_) : owes(from);
     const bool newer = m.held >= durable_.entry.stamp;
     if (m.trial) {
-        out.sends.push_back({from, Vote{m.term, m.term > durable_.term && newer && !hears, true}});
+        // Later on a term in vain is what it takes to come to one in which this machine may vote.
+        const bool would = !abstains(m.term) || now_ >= recovered_ + kRecovered;
+        out.sends.push_back({from, Vote{m.term, m.term > durable_.term && newer && !hears && would, true}});
         return;
     }
     // Against one that did not hear what all others hear. A leader that hands over has given up its lease itself.
     if (hears && !m.handed) return;
     if (m.term > durable_.term) become_follower(m.term, out);
     const bool grant = m.term == durable_.term && newer && role_ == Role::follower &&
-                       m.term > durable_.abstains && (durable_.voted_for.empty() || durable_.voted_for == from);
+                       !abstains(m.term) && (durable_.voted_for.empty() || durable_.voted_for == from);
     if (grant) {
         if (durable_.voted_for.empty()) durable_.voted_for = from, out.write = true;
         set_election();
@@ -423,6 +429,7 @@
     // it tried again: in those no vote either.
     durable_.voted_for = terms_.self;
     durable_.abstains = durable_.term + 2;
+    recovered_ = now_;
     durable_.entry = newest->entry;
     bodies_[durable_.entry.stamp] = durable_.entry.body;
     out.write = true;
--- a/src/post/agreement/agreement.hpp
+++ b/src/post/agreement/agreement.hpp
@@ -129,6 +129,8 @@
     bool owes(const std::string& candidate) const {
         return now_ < heard_leader_ + terms_.patience && durable_.followed != candidate;
     }
+    // Its lost disk may have voted in that term: it gives no vote there, nor counts its own.
+    bool abstains(Number term) const { return term <= durable_.abstains; }
     std::size_t majority() const { return members().size() / 2 + 1; }
     Micros lease_start() const;
     Micros lease_start(const std::vector<std::string>& group) const;
@@ -139,7 +141,7 @@
     Entry settled_;
     Role role_ = Role::stranger;
     std::string leader_;
-    Micros now_ = 0, started_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
+    Micros now_ = 0, started_ = 0, recovered_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
     std::set<std::string> votes_;
     std::map<std::string, Peer> peers_;
     std::map<Number, Micros> rounds_;  // when sent
