--- a/rehearsal/system/try_system.cpp
+++ b/rehearsal/system/try_system.cpp
@@ -1,5 +1,5 @@
-// gannethold-try-system: three sorters, three counters and this project's own stand-in of a platform on loopback; a minute
-// of load with a burst and a killed sorter. Prints what was answered once, late, refused and failed, and runners against
+// gannethold-try-system: three controllers, three proxies and this project's own stand-in of a platform on loopback; a minute
+// of load with a burst and a killed controller. Prints what was answered once, late, refused and failed, and runners against
 // load over time (text, and SVG to a file).
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -21,12 +21,12 @@
 
 #include "json/json.hpp"
 #include "net/loop.hpp"
-#include "post/transport/http_caller.hpp"
-#include "post/transport/http_service.hpp"
+#include "cluster/transport/http_caller.hpp"
+#include "cluster/transport/http_service.hpp"
 
 ABSL_FLAG(int, seconds, 60, "seconds of load");
 ABSL_FLAG(double, rate, 60, "requests a second outside the burst; the burst is three times that, for a sixth of the time");
-ABSL_FLAG(std::string, programs, "", "folder of gannethold-counter and gannethold-sorter; empty: where this program stands");
+ABSL_FLAG(std::string, programs, "", "folder of gannethold-proxy and gannethold-controller; empty: where this program stands");
 ABSL_FLAG(std::string, svg, "system.svg", "file for the plot; empty: none");
 ABSL_FLAG(std::string, folder, "", "folder for settings and disks; empty: a new one, removed at the end");
 
@@ -35,7 +35,7 @@
 namespace {
 
 using namespace gannethold;
-using post::HttpMessage;
+using cluster::HttpMessage;
 
 constexpr int kCores = 3, kFronts = 3, kWorkers = 6;
 
@@ -64,7 +64,7 @@
         for (int i = 0; i < kFronts; ++i) start("front-" + std::to_string(i));
         next_put_ = net::Loop::now() + 800'000;
         timer_.set(net::Loop::now() + 20'000);
-        std::printf("three sorters and three counters on loopback; load begins in 6 s, for %d s\n", absl::GetFlag(FLAGS_seconds));
+        std::printf("three controllers and three proxies on loopback; load begins in 6 s, for %d s\n", absl::GetFlag(FLAGS_seconds));
         std::fflush(stdout);
     }
     ~Trial() {
@@ -93,8 +93,8 @@
         const FunctionMade* made = nullptr;
         Micros ready_at = 0, listed_at = 0;
         int busy = 0;
-        std::unique_ptr<post::HttpService> service_at;
-        std::map<post::HttpService::Exchange, std::unique_ptr<net::Timer>> work;
+        std::unique_ptr<cluster::HttpService> service_at;
+        std::map<cluster::HttpService::Exchange, std::unique_ptr<net::Timer>> work;
     };
     struct Try {
         Micros sent = 0;
@@ -119,7 +119,7 @@
         s.close();
         std::string programs = absl::GetFlag(FLAGS_programs);
         if (programs.empty()) programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-        const std::string program = programs + (is_core ? "/gannethold-sorter" : "/gannethold-counter");
+        const std::string program = programs + (is_core ? "/gannethold-controller" : "/gannethold-proxy");
         const std::string settings = "--settings=" + place + "/settings.conf", admin = "--admin=" + ip + ":18900";
         std::vector<char*> words = {const_cast<char*>(program.c_str()), const_cast<char*>(settings.c_str()), const_cast<char*>(admin.c_str()), nullptr};
         pid_t pid = 0;
@@ -132,7 +132,7 @@
 
     // ---- the platform ----
 
-    void answer(post::HttpService& at, post::HttpService::Exchange e, int status, std::string body) {
+    void answer(cluster::HttpService& at, cluster::HttpService::Exchange e, int status, std::string body) {
         HttpMessage m;
         m.status = status;
         m.fields.emplace_back("Content-Type", "application/json");
@@ -140,7 +140,7 @@
         at.answer(e, m);
     }
 
-    void platform(post::HttpService::Exchange e, const HttpMessage& m) {
+    void platform(cluster::HttpService::Exchange e, const HttpMessage& m) {
         const Micros now = net::Loop::now();
         if (m.target.starts_with("/runners")) {
             std::string body = "{\"instances\":[";
@@ -191,9 +191,9 @@
         answer_begun(e, made);
     }
 
-    void answer_begun(post::HttpService::Exchange e, const Runner& r) { answer(platform_, e, 200, "{\"runner_id\":\"" + r.id + "\",\"address\":\"" + r.address + "\"}"); }
+    void answer_begun(cluster::HttpService::Exchange e, const Runner& r) { answer(platform_, e, 200, "{\"runner_id\":\"" + r.id + "\",\"address\":\"" + r.address + "\"}"); }
 
-    void work(Runner& r, post::HttpService::Exchange e, const HttpMessage& m) {
+    void work(Runner& r, cluster::HttpService::Exchange e, const HttpMessage& m) {
         HttpMessage a;
         a.fields.emplace_back("X-Attempt-Id", std::string(m.field("X-Attempt-Id")));
         if (m.field("X-Expected-Runner") != r.id || r.busy >= r.made->slots) {
@@ -251,16 +251,16 @@
         caller_.call(call_, "127.0.2.1" + std::to_string(call_ % kFronts) + ":18269", m);
     }
 
-    void ended(post::HttpCaller::Call id, post::CallEnd how, const HttpMessage& m) {
+    void ended(cluster::HttpCaller::Call id, cluster::CallEnd how, const HttpMessage& m) {
         if (id == put_call_) {
-            if (how == post::CallEnd::answered && m.status == 200) put_done_ = true;
+            if (how == cluster::CallEnd::answered && m.status == 200) put_done_ = true;
             next_put_ = net::Loop::now() + 200'000;
             return;
         }
         const auto at = tries_.find(id);
         if (at == tries_.end()) return;
         const Micros took = net::Loop::now() - at->second.sent;
-        if (how != post::CallEnd::answered || (m.status != 200 && m.status != 503)) ++failed_;
+        if (how != cluster::CallEnd::answered || (m.status != 200 && m.status != 503)) ++failed_;
         else if (m.status == 503) ++refused_;
         else if (took <= at->second.made->aim_ms * 1000LL) ++in_aim_;
         else ++late_;
@@ -273,8 +273,8 @@
         for (auto& [id, r] : runners_)
             if (!r->service_at && now >= r->ready_at) {
                 Runner* const runner = r.get();
-                r->service_at = std::make_unique<post::HttpService>(loop_, *net::Address::read(r->address),
-                    post::HttpService::Events{[this, runner](auto e, HttpMessage&& m) { work(*runner, e, m); }, [](auto) {}}, 256);
+                r->service_at = std::make_unique<cluster::HttpService>(loop_, *net::Address::read(r->address),
+                    cluster::HttpService::Events{[this, runner](auto e, HttpMessage&& m) { work(*runner, e, m); }, [](auto) {}}, 256);
             }
         const double seconds = static_cast<double>(now - start_) / 1e6, all = absl::GetFlag(FLAGS_seconds);
         if (seconds >= 0 && seconds < all) {
@@ -285,7 +285,7 @@
             if (seconds_.size() <= second) seconds_.resize(second + 1), seconds_[second] = {static_cast<int>(asked_ - asked_before_), static_cast<int>(runners_.size())}, asked_before_ = asked_;
             if (seconds > all * 2 / 3 && !killed_) {
                 killed_ = true;
-                std::printf("second %.0f: sorter core-0 is killed\n", seconds);
+                std::printf("second %.0f: controller core-0 is killed\n", seconds);
                 ::kill(processes_["core-0"], SIGKILL);
                 waitpid(processes_["core-0"], nullptr, 0);
                 processes_.erase("core-0");
@@ -327,18 +327,18 @@
     net::Loop& loop_;
     std::string folder_;
     bool remove_ = false;
-    post::HttpService platform_;
-    post::HttpCaller caller_;
+    cluster::HttpService platform_;
+    cluster::HttpCaller caller_;
     net::Timer timer_;
     std::map<std::string, pid_t> processes_;
     std::map<std::string, std::unique_ptr<Runner>> runners_;
     std::vector<std::unique_ptr<Runner>> ended_;
     std::map<std::string, std::string> nonces_;
     std::map<std::string, int> runs_;
-    std::map<post::HttpCaller::Call, Try> tries_;
+    std::map<cluster::HttpCaller::Call, Try> tries_;
     std::vector<std::pair<int, int>> seconds_;
     std::mt19937 random_{7};
-    post::HttpCaller::Call call_ = 0, put_call_ = 0;
+    cluster::HttpCaller::Call call_ = 0, put_call_ = 0;
     std::uint64_t fence_ = 0;
     std::size_t asked_ = 0, asked_before_ = 0;
     int made_ = 0, starts_ = 0, stops_ = 0, turned_away_ = 0, in_aim_ = 0, late_ = 0, refused_ = 0, failed_ = 0, twice_ = 0, put_at_ = 0;
@@ -356,9 +356,9 @@
     net::Loop loop(4096);
     int code = 1;
     {
-        Trial trial(loop);
+        Trial pre_vote(loop);
         loop.run([] {});
-        code = trial.report();
+        code = pre_vote.report();
     }
     return code;
 }
--- a/src/post/base/error.cpp
+++ b/src/cluster/base/error.cpp
@@ -1,6 +1,6 @@
-#include "post/base/error.hpp"
+#include "cluster/base/error.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 Answer answer_to(Kind kind) {
     switch (kind) {
@@ -27,4 +27,4 @@
     return {"unknown", 500, false};
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/error.hpp
+++ b/src/cluster/base/error.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 namespace leaf = boost::leaf;
 
@@ -49,4 +49,4 @@
 
 inline leaf::error_id failure(Kind kind, std::string detail = {}) { return leaf::new_error(kind, Detail{std::move(detail)}); }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/events.cpp
+++ b/src/cluster/base/events.cpp
@@ -1,11 +1,11 @@
-#include "post/base/events.hpp"
+#include "cluster/base/events.hpp"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 log4cplus::LogLevel rank(Level level) {
@@ -64,4 +64,4 @@
     if (on_) logger->log(rank(level_), line_);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/events.hpp
+++ b/src/cluster/base/events.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 enum class Level { debug, info, warning, error };
 
@@ -36,4 +36,4 @@
     std::string line_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/record.hpp
+++ b/src/cluster/base/record.hpp
@@ -5,7 +5,7 @@
 #include <deque>
 #include <utility>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 template <class T>
 class Record {
@@ -24,4 +24,4 @@
     std::deque<T> kept_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/settings.cpp
+++ b/src/cluster/base/settings.cpp
@@ -1,11 +1,11 @@
-#include "post/base/settings.hpp"
+#include "cluster/base/settings.hpp"
 
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <fstream>
 #include <sstream>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 using Table = std::map<std::string, std::string>;
@@ -124,4 +124,4 @@
     return control.substr(0, control.rfind(':') + 1) + std::to_string(internal_port);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/base/settings.hpp
+++ b/src/cluster/base/settings.hpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "post/base/error.hpp"
+#include "cluster/base/error.hpp"
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct Settings {
     std::string node_name, zone, ip_address;
@@ -37,4 +37,4 @@
     std::string internal_of(const std::string& control) const;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/configuration/configuration.cpp
+++ b/src/cluster/configuration/configuration.cpp
@@ -1,4 +1,4 @@
-#include "post/configuration/configuration.hpp"
+#include "cluster/configuration/configuration.hpp"
 
 #include <simdjson.h>
 
@@ -7,7 +7,7 @@
 #include <map>
 #include <tuple>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 using simdjson::dom::element;
@@ -200,4 +200,4 @@
     }
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/configuration/configuration.hpp
+++ b/src/cluster/configuration/configuration.hpp
@@ -8,10 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "post/base/error.hpp"
+#include "cluster/base/error.hpp"
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct Service {
     std::string name;
@@ -69,4 +69,4 @@
     std::unordered_map<std::string, std::size_t> route_at_;  // by host, a line end, prefix
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/configuration/delta.cpp
+++ b/src/cluster/configuration/delta.cpp
@@ -1,14 +1,14 @@
-#include "post/configuration/delta.hpp"
+#include "cluster/configuration/delta.hpp"
 
 #include <zlib.h>
 
 #include <cstdint>
 #include <unordered_map>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
-constexpr std::size_t kMost = 64U << 20;  // of a text: against a length that is a stranger's word
+constexpr std::size_t kMost = 64U << 20;  // of a text: against a length that is a non_member's word
 
 void put(std::string& to, std::uint64_t n) {
     for (; n >= 0x80; n >>= 7) to += static_cast<char>(n | 0x80);
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-std::string delta(std::string_view base, std::string_view text) {
+std::string make_delta(std::string_view base, std::string_view text) {
     std::unordered_map<std::string_view, std::size_t> places;
     for (std::size_t at = 0; at < base.size();) {
         const std::size_t end = piece_end(base, at);
@@ -86,7 +86,7 @@
     return out;
 }
 
-leaf::result<std::string> patched(std::string_view base, std::string_view difference) {
+leaf::result<std::string> apply_delta(std::string_view base, std::string_view difference) {
     const auto bad = [](const char* why) { return failure(Kind::bytes_malformed, why); };
     std::uint64_t size = 0, base_check = 0, text_check = 0;
     if (!take(difference, size) || size > kMost) return bad("a difference without its length");
@@ -112,4 +112,4 @@
     return text;
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/configuration/delta.hpp
+++ b/src/cluster/configuration/delta.hpp
@@ -5,13 +5,13 @@
 #include <string>
 #include <string_view>
 
-#include "post/base/error.hpp"
+#include "cluster/base/error.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 // base may be empty; then the whole text is carried. Either way the result is compressed.
-std::string delta(std::string_view base, std::string_view text);
+std::string make_delta(std::string_view base, std::string_view text);
 // Error: bytes_malformed, also where base is not the one that the difference was made to.
-leaf::result<std::string> patched(std::string_view base, std::string_view difference);
+leaf::result<std::string> apply_delta(std::string_view base, std::string_view difference);
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/placement/planner.cpp
+++ b/src/cluster/placement/planner.cpp
@@ -1,9 +1,9 @@
-#include "post/placement/planner.hpp"
+#include "cluster/placement/planner.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr Micros kSilent = 1'000'000;  // before a stop without an answer is said again
@@ -24,7 +24,7 @@
 
 bool Planner::spend(Micros now) {
     // Under the platform's rate, shared by all who could hold the duty one after the other.
-    tokens_ = std::min(std::max(4.0, terms_.duty_per_s / 8), tokens_ + static_cast<double>(now - tokens_at_) / 1e6 * terms_.duty_per_s * 0.8);
+    tokens_ = std::min(std::max(4.0, options_.duty_per_s / 8), tokens_ + static_cast<double>(now - tokens_at_) / 1e6 * options_.duty_per_s * 0.8);
     tokens_at_ = now;
     if (tokens_ < 1) return false;
     tokens_ -= 1;
@@ -32,16 +32,16 @@
 }
 
 std::string Planner::region(const std::string& zone) const {
-    const auto at = terms_.region_of.find(zone);
-    return at == terms_.region_of.end() ? zone : at->second;
+    const auto at = options_.region_of.find(zone);
+    return at == options_.region_of.end() ? zone : at->second;
 }
 
 // In the zone that needs it if there is room, then in its region, then anywhere; there on the worker that has none of the
 // function yet, so that one crash leaves some; then on the emptiest.
-const Worker* Planner::place(Micros now, const Function& f, const Book& book, const std::string& zone) const {
+const Worker* Planner::place(Micros now, const Function& f, const SlotTable& slot_table, const std::string& zone) const {
     std::map<std::string, int> there;
     for (const std::uint32_t number : f.runners)
-        if (const Slots& r = book.runner(number); !r.draining) ++there[r.what.worker];
+        if (const Slots& r = slot_table.runner(number); !r.draining) ++there[r.what.worker];
     std::map<std::string, std::int64_t> promised;
     for (const auto& [nonce, p] : begins_) {
         promised[p.begin.worker] += p.memory;
@@ -61,7 +61,7 @@
     return best;
 }
 
-Planner::Wish Planner::wish(Micros now, const Book& book, const Function& f, std::size_t have, std::size_t starting) const {
+Planner::Wish Planner::wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have, std::size_t starting) const {
     const Service& s = *f.service;
     const double slots = s.most;
     const double load = std::max(f.load_fast, f.load_slow);
@@ -70,7 +70,7 @@
     // Where one more is best: the zone with most requests for each runner there.
     std::map<std::string, double> there;
     for (const std::uint32_t number : f.runners)
-        if (const Slots& r = book.runner(number); !r.draining) there[r.what.zone] += 1;
+        if (const Slots& r = slot_table.runner(number); !r.draining) there[r.what.zone] += 1;
     if (const auto of = begins_of_.find(f.name); of != begins_of_.end())
         for (const std::string& nonce : of->second)
             if (const auto p = begins_.find(nonce); p != begins_.end()) there[zone_of(p->second.begin.worker)] += 1;
@@ -101,12 +101,12 @@
     if (!f.waiting.empty()) {
         std::map<std::string, int> zones;
         for (const auto& [place, w] : f.waiting.all())
-            if (const std::string* zone = book.zone_of(w.front)) ++zones[*zone];
+            if (const std::string* zone = slot_table.zone_of(w.front)) ++zones[*zone];
         int many = 0;
         for (const auto& [zone, count] : zones)
             if (count > many) many = count, wish.zone = zone;
         // One more where a start is over before a slot comes free, and what is coming up already would be too late for the aim.
-        const double wait = book.expected_wait(now, f);
+        const double wait = slot_table.expected_wait(now, f);
         const WaitQueue::Waiting& last = *f.waiting.newest();
         const bool late = static_cast<double>(now) + wait + static_cast<double>(last.work) > static_cast<double>(last.aim_at);
         if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) && (have == 0 || late)) {
@@ -116,38 +116,38 @@
     return wish;
 }
 
-void Planner::plan_waiting(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail) {
+void Planner::plan_waiting(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail) {
     // What one more in a long line changes is little, and to look at all of it for each costs more than there is.
     if (f.waiting.size() > kShortLine && now < f.planned_at + kPlanEach) return;
     f.planned_at = now;
-    plan(now, book, f, mail);
+    plan(now, slot_table, f, mail);
 }
 
-void Planner::plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail) {
-    if (!settled(now)) return;
+void Planner::plan(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail) {
+    if (!committed(now)) return;
     // Nobody asks, nothing runs, none is to be warm.
     if (f.service && f.runners.empty() && f.waiting.empty() && f.rate < 0.01 && !f.service->warm() && !begins_of_.count(f.name)) return;
     if (!f.service) {
         for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
-            book.retire(now, number, mail);
-            leaving_.try_emplace(book.runner(number).what.runner, Leaving{number, 0, false});
+            slot_table.retire(now, number, mail);
+            leaving_.try_emplace(slot_table.runner(number).what.runner, Leaving{number, 0, false});
         }
         return;
     }
     std::size_t have = 0, starting = 0;
     for (const std::uint32_t number : f.runners) {
-        const Slots& r = book.runner(number);
+        const Slots& r = slot_table.runner(number);
         have += !r.draining;
         starting += !r.draining && r.state == RunnerState::starting;
     }
     if (const auto of = begins_of_.find(f.name); of != begins_of_.end()) have += of->second.size(), starting += of->second.size();
-    const Wish want = wish(now, book, f, have, starting);
+    const Wish want = wish(now, slot_table, f, have, starting);
     if (have < want.count) {
         surplus_since_.erase(f.name);
-        const Worker* const worker = place(now, f, book, want.zone);
+        const Worker* const worker = place(now, f, slot_table, want.zone);
         f.no_room = !worker;
         if (!worker) return;
-        const std::string nonce = terms_.nonce_prefix + std::to_string(++count_);
+        const std::string nonce = options_.nonce_prefix + std::to_string(++count_);
         begins_[nonce] = {{f.name, worker->name, nonce, want.why}, f.service->memory_mb, now, false, 0};
         begins_of_[f.name].push_back(nonce);
         return;
@@ -163,33 +163,33 @@
     const Slots* chosen = nullptr;
     std::map<std::string, int> there;
     for (const std::uint32_t number : f.runners)
-        if (const Slots& r = book.runner(number); !r.draining) ++there[r.what.zone];
+        if (const Slots& r = slot_table.runner(number); !r.draining) ++there[r.what.zone];
     const auto spare = [&](const Slots& r) {
         const auto place = f.places.find(r.what.zone);
         return there[r.what.zone] / (0.01 + (place == f.places.end() ? 0 : place->second.rate));
     };
     for (const std::uint32_t number : f.runners) {
-        const Slots& r = book.runner(number);
-        if (r.draining || r.state != RunnerState::ready || (!f.free && (r.out() > 0 || now < r.idle_since + keep / 2))) continue;
+        const Slots& r = slot_table.runner(number);
+        if (r.draining || r.state != RunnerState::ready || (!f.unrestricted && (r.out() > 0 || now < r.idle_since + keep / 2))) continue;
         if (!chosen || spare(r) > spare(*chosen) || (spare(r) == spare(*chosen) && r.idle_since < chosen->idle_since)) chosen = &r;
     }
     if (!chosen) return;
     const std::uint32_t number = chosen->number;
     leaving_.try_emplace(chosen->what.runner, Leaving{number, 0, false});
-    book.retire(now, number, mail);
+    slot_table.retire(now, number, mail);
 }
 
-void Planner::plan_all(Micros now, Book& book, std::vector<FrontMail>& mail) {
+void Planner::plan_all(Micros now, SlotTable& slot_table, std::vector<FrontMail>& mail) {
     used_.clear();
-    for (const auto& [number, r] : book.runners())
+    for (const auto& [number, r] : slot_table.runners())
         if (r.function->service) used_[r.what.worker] += r.function->service->memory_mb;
-    for (Function* const f : std::vector<Function*>(book.active().begin(), book.active().end())) plan(now, book, *f, mail);
+    for (Function* const f : std::vector<Function*>(slot_table.active().begin(), slot_table.active().end())) plan(now, slot_table, *f, mail);
     // What was retired is stopped once nothing is under way to it.
     for (auto& [runner, l] : leaving_)
-        if (l.next == 0 && book.retire(now, l.number, mail)) l.next = now;
+        if (l.next == 0 && slot_table.retire(now, l.number, mail)) l.next = now;
 }
 
-void Planner::due(Micros now, Orders& orders) {
+void Planner::due(Micros now, PlatformOrders& orders) {
     for (auto& [nonce, p] : begins_) {
         if (p.out || now < p.next) continue;
         if (!spend(now)) return;
@@ -240,4 +240,4 @@
     if (done) leaving_.erase(runner);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/placement/planner.hpp
+++ b/src/cluster/placement/planner.hpp
@@ -1,5 +1,5 @@
 // How many runners each function has, and on which worker each is started. One planner acts at a time: the leader of the
-// core, under its term as the fence. It reads the book of slots and says what to start and stop; no I/O and no clock.
+// core, under its term as the fence. It reads the slot table and says what to start and stop; no I/O and no clock.
 #pragma once
 
 #include <map>
@@ -7,9 +7,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "post/slots/book.hpp"
+#include "cluster/slots/slot_table.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct Worker {
     std::string name, zone;
@@ -26,7 +26,7 @@
     const char* why = "";
 };
 
-struct Orders {
+struct PlatformOrders {
     std::vector<Begin> begins;
     std::vector<Stop> stops;
 };
@@ -35,27 +35,27 @@
 
 class Planner {
   public:
-    struct Terms {
-        std::string nonce_prefix;  // unique to this keeper's term and life
+    struct Options {
+        std::string nonce_prefix;  // unique to this coordinator's term and life
         double duty_per_s = 1;
-        Micros settle = 1'500'000;  // after coming into office, before what is not listed is started anew
+        Micros settle = 1'500'000;  // after coming into coordinator, before what is not listed is started anew
         std::map<std::string, std::string> region_of;  // by zone
     };
-    Planner(const Terms& terms, Micros now) : terms_(terms), since_(now), tokens_at_(now) {}
+    Planner(const Options& terms, Micros now) : options_(terms), since_(now), tokens_at_(now) {}
 
     void workers(Micros now, std::vector<Worker> all);
     void list_read(Micros now) { listed_ = now; }
-    bool settled(Micros now) const { return listed_ > 0 && !workers_.empty() && now >= since_ + terms_.settle; }
+    bool committed(Micros now) const { return listed_ > 0 && !workers_.empty() && now >= since_ + options_.settle; }
     std::string zone_of(const std::string& worker) const {
         const auto at = workers_.find(worker);
         return at == workers_.end() ? std::string() : at->second.zone;
     }
     // For one function, where one more has come to wait.
-    void plan_waiting(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail);
-    void plan(Micros now, Book& book, Function& f, std::vector<FrontMail>& mail);
-    // For all that are active; then what is due is said. Call each Book::kSample.
-    void plan_all(Micros now, Book& book, std::vector<FrontMail>& mail);
-    void due(Micros now, Orders& orders);
+    void plan_waiting(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail);
+    void plan(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail);
+    // For all that are active; then what is due is said. Call each SlotTable::kSample.
+    void plan_all(Micros now, SlotTable& slot_table, std::vector<FrontMail>& mail);
+    void due(Micros now, PlatformOrders& orders);
     void begin_answered(Micros now, const std::string& nonce, BeginAnswer answer);
     void stop_answered(const std::string& runner, bool done);
 
@@ -77,16 +77,16 @@
         const char* why = "";
         std::string zone;  // where one more is best; empty: wherever there is room
     };
-    Wish wish(Micros now, const Book& book, const Function& f, std::size_t have, std::size_t starting) const;
-    const Worker* place(Micros now, const Function& f, const Book& book, const std::string& zone) const;
+    Wish wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have, std::size_t starting) const;
+    const Worker* place(Micros now, const Function& f, const SlotTable& slot_table, const std::string& zone) const;
     std::string region(const std::string& zone) const;
     bool spend(Micros now);
 
-    Terms terms_;
+    Options options_;
     Micros since_, listed_ = 0, tokens_at_;
     double tokens_ = 0;
     std::map<std::string, Worker> workers_;
-    std::map<std::string, std::int64_t> used_;  // by worker, of runners that the book knows; counted anew each plan_all
+    std::map<std::string, std::int64_t> used_;  // by worker, of runners that the slot table knows; counted anew each plan_all
     std::map<std::string, Micros> full_until_;
     std::map<std::string, Pending> begins_;  // by nonce
     std::unordered_map<std::string, std::vector<std::string>> begins_of_;  // nonces, by function
@@ -95,4 +95,4 @@
     std::uint64_t count_ = 0;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/admin.cpp
+++ b/src/cluster/programs/admin.cpp
@@ -1,15 +1,15 @@
-#include "post/programs/admin.hpp"
+#include "cluster/programs/admin.hpp"
 
 #include <absl/flags/flag.h>
 
 #include <cmath>
 #include <cstdio>
 
-#include "post/programs/process.hpp"
+#include "cluster/programs/process.hpp"
 
 ABSL_FLAG(std::string, admin, "", "ip:port at which operators may ask what was decided and why (gannethold explain); empty: nowhere");
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 ExplainResource::ExplainResource(net::Loop& loop, Tell tell) : tell_(std::move(tell)) {
     const std::string at = absl::GetFlag(FLAGS_admin);
@@ -38,4 +38,4 @@
 json::Value told(std::string text) { return json::Value(std::move(text)); }
 json::Value told_ms(Micros span) { return told(std::round(static_cast<double>(span) / 1e3)); }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/admin.hpp
+++ b/src/cluster/programs/admin.hpp
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "json/json.hpp"
-#include "post/transport/http_service.hpp"
+#include "cluster/transport/http_service.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class ExplainResource {
   public:
@@ -32,4 +32,4 @@
 json::Value told(std::string text);
 json::Value told_ms(Micros span);
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/sorter.cpp
+++ b/src/cluster/programs/controller.cpp
@@ -1,4 +1,4 @@
-// gannethold-sorter: a core machine. Keeps the shared state with the other core machines, answers the operator, and, while
+// gannethold-controller: a core machine. Keeps the shared state with the other core machines, answers the operator, and, while
 // it leads, keeps slots and places runners for all fronts.
 #include <csignal>
 #include <filesystem>
@@ -6,24 +6,24 @@
 #include <random>
 
 #include "net/listener.hpp"
-#include "post/agreement/agreement.hpp"
-#include "post/base/events.hpp"
-#include "post/programs/admin.hpp"
-#include "post/programs/office.hpp"
-#include "post/programs/process.hpp"
-#include "post/store/store.hpp"
-#include "post/transport/http_service.hpp"
-#include "post/transport/line.hpp"
-
-namespace gannethold::post {
+#include "cluster/consensus/consensus.hpp"
+#include "cluster/base/events.hpp"
+#include "cluster/programs/admin.hpp"
+#include "cluster/programs/coordinator.hpp"
+#include "cluster/programs/process.hpp"
+#include "cluster/store/store.hpp"
+#include "cluster/transport/http_service.hpp"
+#include "cluster/transport/message_connection.hpp"
+
+namespace gannethold::cluster {
 namespace {
 
 constexpr Micros kConnect = 400'000, kRedial = 100'000, kDeaf = 1'500'000, kReopen = 300'000;
 constexpr std::size_t kMostHeld = 20'000;  // letters of fronts while a lease has run out
 
-class Sorter {
+class Controller {
   public:
-    Sorter(net::Loop& loop, Settings settings)
+    Controller(net::Loop& loop, Settings settings)
         : loop_(loop),
           settings_(std::move(settings)),
           watch_(loop, [this](const Settings& s) { restated(s); }),
@@ -44,36 +44,36 @@
 
   private:
     struct Peer {
-        std::unique_ptr<Line> line;
+        std::unique_ptr<MessageConnection> line;
         Micros dialed = 0, heard = 0;
     };
     struct Guest {  // who dialed us
-        std::unique_ptr<Line> line;
+        std::unique_ptr<MessageConnection> line;
         std::string member;
         Session session = 0;
         bool front = false;
-        Greeting greeting;
+        Register registration;
     };
 
-    // ---- disk and agreement ----
+    // ---- disk and consensus ----
 
     void open() {
         const Micros now = net::Loop::now();
-        agreement_.reset();
+        consensus_.reset();
         reopen_at_ = now + kReopen;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
                 std::error_code ignored;
                 std::filesystem::create_directories(settings_.data_directory, ignored);
-                BOOST_LEAF_AUTO(durable, store_.open(settings_.data_directory));
-                Agreement::Terms terms;
+                BOOST_LEAF_AUTO(state, store_.open(settings_.data_directory));
+                Consensus::Options terms;
                 terms.self = settings_.control_plane;
                 terms.seeds = settings_.seeds;
-                terms.first_start = settings_.initial_start && !durable.member;
+                terms.first_start = settings_.initial_start && !state.member;
                 terms.chance = std::random_device()();
-                Outcome out;
-                Event("disk_opened").with("member", durable.member).with("term", durable.term).with("version", durable.entry.version);
-                agreement_.emplace(std::move(terms), std::move(durable), now, out);
+                Output out;
+                Event("disk_opened").with("member", state.member).with("term", state.term).with("version", state.entry.version);
+                consensus_.emplace(std::move(terms), std::move(state), now, out);
                 carry_out(out);
                 return {};
             },
@@ -82,11 +82,11 @@
     }
 
     // First what is written, then what follows from it.
-    void carry_out(Outcome& out) {
+    void carry_out(Output& out) {
         if (out.write) {
             const bool done = leaf::try_handle_all(
                 [&]() -> leaf::result<bool> {
-                    BOOST_LEAF_CHECK(store_.write(agreement_->durable()));
+                    BOOST_LEAF_CHECK(store_.write(consensus_->state()));
                     return true;
                 },
                 [&](Kind kind, const Detail& detail) {
@@ -100,64 +100,64 @@
                 return;
             }
         }
-        for (const Outcome::Mail& mail : out.sends) send(mail.to, mail.message);
-        for (const Outcome::Verdict& v : out.verdicts) {
+        for (const Output::Envelope& mail : out.sends) send(mail.to, mail.message);
+        for (const Output::ProposalResult& v : out.results) {
             const auto at = std::find_if(puts_.begin(), puts_.end(), [&](const auto& p) { return p.second == v.ticket; });
             if (at == puts_.end()) continue;
             const HttpService::Exchange exchange = at->first;
             puts_.erase(at);
-            if (v.settled) acknowledge(exchange);
+            if (v.committed) acknowledge(exchange);
             else control_.answer(exchange, Kind::no_majority, {}, 200);
         }
         look();
     }
 
     void step_back() {
-        close_office();
-        agreement_.reset();
+        close_coordinator();
+        consensus_.reset();
         reopen_at_ = net::Loop::now() + kReopen;
         for (const auto& [exchange, ticket] : std::exchange(puts_, {})) control_.answer(exchange, Kind::disk_failed, {}, 300);
     }
 
-    // Whether this machine leads, and what is settled, may have changed.
+    // Whether this machine leads, and what is committed, may have changed.
     void look() {
-        if (!agreement_) return;
+        if (!consensus_) return;
         const Micros now = net::Loop::now();
         const bool leads = acts(now);
         // A lease that runs out while this machine is short of time comes back with the next round: until then nothing is
-        // said and nothing taken, but the office stays. To close it would make all fronts greet anew at the worst moment.
-        if (office_ && (!agreement_->holds() || leaving_ || office_->term() != agreement_->term())) close_office();
-        if (leads && !office_) {
-            office_ = std::make_unique<Office>(loop_, settings_, agreement_->term(), [this](Session s, const Message& m) { tell(s, m); });
+        // said and nothing taken, but the coordinator stays. To close it would make all fronts greet anew at the worst moment.
+        if (coordinator_ && (!consensus_->holds() || leaving_ || coordinator_->term() != consensus_->term())) close_coordinator();
+        if (leads && !coordinator_) {
+            coordinator_ = std::make_unique<Coordinator>(loop_, settings_, consensus_->term(), [this](Session s, const Message& m) { tell(s, m); });
             for (auto& [key, guest] : guests_)
-                if (guest->front) office_->came(guest->session, guest->greeting);
+                if (guest->front) coordinator_->came(guest->session, guest->registration);
         }
-        if (!office_ || !leads) return;
-        if (const Entry* const entry = agreement_->settled()) {
+        if (!coordinator_ || !leads) return;
+        if (const LogEntry* const entry = consensus_->committed()) {
             const bool same = read_ && read_->version() == entry->version && read_body_ == entry->body;
-            office_->settled(*entry, same ? read_ : nullptr);
+            coordinator_->committed(*entry, same ? read_ : nullptr);
         }
         for (const auto& [session, message] : std::exchange(held_out_, {})) tell(session, message);
         for (const auto& [session, message] : std::exchange(held_in_, {})) take(session, message);
     }
 
-    bool acts(Micros now) const { return agreement_ && !leaving_ && agreement_->leads(now); }
+    bool acts(Micros now) const { return consensus_ && !leaving_ && consensus_->leads(now); }
 
-    // What a front says to the office.
+    // What a front says to the coordinator.
     void take(Session session, const Message& message) {
         if (!acts(net::Loop::now())) {
             if (held_in_.size() < kMostHeld) held_in_.emplace_back(session, message);
-            else close_office();  // its books would be wrong: fronts greet the next one
+            else close_coordinator();  // its books would be wrong: fronts greet the next one
             return;
         }
-        if (const auto* greeting = std::get_if<Greeting>(&message)) office_->came(session, *greeting);
-        else office_->said(session, message);
+        if (const auto* registration = std::get_if<Register>(&message)) coordinator_->came(session, *registration);
+        else coordinator_->said(session, message);
     }
 
-    void close_office() {
-        if (!office_) return;
-        Event("office_closed").with("term", office_->term());
-        shut_.push_back(std::move(office_));
+    void close_coordinator() {
+        if (!coordinator_) return;
+        Event("coordinator_closed").with("term", coordinator_->term());
+        closed_coordinators_.push_back(std::move(coordinator_));
         held_in_.clear(), held_out_.clear();
         for (auto& [key, guest] : guests_)
             if (guest->front) guest->line->close(), gone_.push_back(key);
@@ -179,57 +179,57 @@
         const auto address = net::Address::read(settings_.internal_of(to));
         if (!address) return;
         peer.dialed = net::Loop::now();
-        Line::Events events;
-        events.letter = [](const Letter&) {};
+        MessageConnection::Events events;
+        events.message_received = [](const ReceivedMessage&) {};
         events.ended = [this, to] {
             Peer& p = peers_[to];
             if (p.line) old_lines_.push_back(std::move(p.line));
         };
-        peer.line = std::make_unique<Line>(loop_, *address, kConnect, std::move(events));
+        peer.line = std::make_unique<MessageConnection>(loop_, *address, kConnect, std::move(events));
     }
 
     void accepted(evutil_socket_t socket) {
         auto guest = std::make_unique<Guest>();
         Guest* const key = guest.get();
-        Line::Events events;
-        events.letter = [this, key](const Letter& letter) { got(*key, letter); };
+        MessageConnection::Events events;
+        events.message_received = [this, key](const ReceivedMessage& message_received) { got(*key, message_received); };
         events.ended = [this, key] { gone_.push_back(key); };
-        guest->line = std::make_unique<Line>(loop_, socket, std::move(events));
+        guest->line = std::make_unique<MessageConnection>(loop_, socket, std::move(events));
         guest->session = ++last_session_;
         by_session_[guest->session] = key;
         guests_[key] = std::move(guest);
     }
 
-    void got(Guest& guest, const Letter& letter) {
+    void got(Guest& guest, const ReceivedMessage& message_received) {
         const Micros now = net::Loop::now();
-        if (!letter.from.empty()) {
-            guest.member = letter.from;
-            peers_[letter.from].heard = now;
-            if (!agreement_) return;
-            Outcome out;
-            agreement_->receive(now, letter.from, letter.message, out);
+        if (!message_received.from.empty()) {
+            guest.member = message_received.from;
+            peers_[message_received.from].heard = now;
+            if (!consensus_) return;
+            Output out;
+            consensus_->receive(now, message_received.from, message_received.message, out);
             carry_out(out);
             set_timer();
             return;
         }
-        if (const auto* greeting = std::get_if<Greeting>(&letter.message)) {
+        if (const auto* registration = std::get_if<Register>(&message_received.message)) {
             guest.front = true;
-            guest.greeting = *greeting;
-            const bool fresh = !office_;
+            guest.registration = *registration;
+            const bool fresh = !coordinator_;
             look();
-            if (office_ && fresh) return;  // it was told of all guests as it opened
-            if (office_) return take(guest.session, letter.message);
-            const std::string leader = agreement_ ? agreement_->leader() : std::string();
-            // A front that has nothing yet is better off with what is known to be settled here.
-            if (agreement_ && agreement_->settled() && agreement_->settled()->version > greeting->version && greeting->version == 0)
-                guest.line->send(ConfigurationSent{agreement_->settled()->version, {0, delta_of(agreement_->settled()->body)}});
-            guest.line->send(Referral{leader == settings_.control_plane ? std::string() : leader});
+            if (coordinator_ && fresh) return;  // it was told of all guests as it opened
+            if (coordinator_) return take(guest.session, message_received.message);
+            const std::string leader = consensus_ ? consensus_->leader() : std::string();
+            // A front that has nothing yet is better off with what is known to be committed here.
+            if (consensus_ && consensus_->committed() && consensus_->committed()->version > registration->version && registration->version == 0)
+                guest.line->send(ConfigurationSent{consensus_->committed()->version, {0, whole_delta(consensus_->committed()->body)}});
+            guest.line->send(Redirect{leader == settings_.control_plane ? std::string() : leader});
             return;
         }
-        if (office_ && guest.front) take(guest.session, letter.message);
+        if (coordinator_ && guest.front) take(guest.session, message_received.message);
     }
 
-    static std::string delta_of(const std::string& body);
+    static std::string whole_delta(const std::string& body);
 
     void tell(Session session, const Message& message) {
         if (!acts(net::Loop::now())) return held_out_.emplace_back(session, message), void();
@@ -244,8 +244,8 @@
         if (path != "/v1/configuration") return control_.answer(exchange, Kind::no_route, path);
         if (m.method != "PUT" && m.method != "GET") return control_.answer(exchange, Kind::request_malformed, "PUT or GET");
         const Micros now = net::Loop::now();
-        if (leaving_ || !agreement_ || !agreement_->leads(now)) {
-            const std::string leader = agreement_ && !leaving_ ? agreement_->leader() : std::string();
+        if (leaving_ || !consensus_ || !consensus_->leads(now)) {
+            const std::string leader = consensus_ && !leaving_ ? consensus_->leader() : std::string();
             if (leader.empty() || leader == settings_.control_plane) return control_.answer(exchange, Kind::no_majority, {}, 200);
             HttpMessage answer;
             answer.status = answer_to(Kind::not_leading).status;
@@ -253,7 +253,7 @@
             return control_.answer(exchange, answer);
         }
         if (m.method == "GET") {
-            const Entry* const entry = agreement_->settled();
+            const LogEntry* const entry = consensus_->committed();
             if (!entry || entry->version == 0) return control_.answer(exchange, Kind::no_majority, "no configuration yet", 200);
             HttpMessage answer;
             answer.status = 200;
@@ -267,8 +267,8 @@
                 read_ = configuration, read_body_ = m.body;
                 const Number ticket = ++last_ticket_;
                 puts_[exchange] = ticket;
-                Outcome out;
-                agreement_->propose(now, ticket, configuration->version(), std::move(m.body), out);
+                Output out;
+                consensus_->propose(now, ticket, configuration->version(), std::move(m.body), out);
                 carry_out(out);
                 set_timer();
                 return {};
@@ -290,23 +290,23 @@
 
     json::Value explain(const std::string& what) const {
         const Micros now = net::Loop::now();
-        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("sorter"))}};
-        if (!agreement_) return all["state"] = told(std::string("its disk can not be used")), json::Value(std::move(all));
-        all["term"] = told(static_cast<double>(agreement_->term()));
-        all["leader"] = told(agreement_->leader());
-        all["leads"] = json::Value(agreement_->leads(now));
-        all["recovering"] = json::Value(agreement_->recovering());
-        all["fence"] = told(office_ ? static_cast<double>(office_->term()) : 0);
-        all["version"] = told(agreement_->settled() ? static_cast<double>(agreement_->settled()->version) : 0);
-        all["malformed_lines"] = told(static_cast<double>(Line::malformed()));
+        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("controller"))}};
+        if (!consensus_) return all["state"] = told(std::string("its disk can not be used")), json::Value(std::move(all));
+        all["term"] = told(static_cast<double>(consensus_->term()));
+        all["leader"] = told(consensus_->leader());
+        all["leads"] = json::Value(consensus_->leads(now));
+        all["recovering"] = json::Value(consensus_->recovering());
+        all["fence"] = told(coordinator_ ? static_cast<double>(coordinator_->term()) : 0);
+        all["version"] = told(consensus_->committed() ? static_cast<double>(consensus_->committed()->version) : 0);
+        all["malformed_lines"] = told(static_cast<double>(MessageConnection::malformed()));
         json::List core;
         if (what.empty() || what == "core")
-            for (const std::string& m : agreement_->members()) {
-                const Micros heard = agreement_->heard_from(m);
+            for (const std::string& m : consensus_->members()) {
+                const Micros heard = consensus_->heard_from(m);
                 core.emplace_back(json::Object{{"member", told(m)}, {"itself", json::Value(m == settings_.control_plane)}, {"heard_ms_ago", heard > 0 ? told_ms(now - heard) : json::Value()}});
             }
         if (!core.empty()) all["core"] = json::Value(std::move(core));
-        if (office_) office_->explain(what, all);
+        if (coordinator_) coordinator_->explain(what, all);
         return json::Value(std::move(all));
     }
 
@@ -314,13 +314,13 @@
 
     void due() {
         const Micros now = net::Loop::now();
-        if (!agreement_ && now >= reopen_at_) open();
-        if (agreement_) {
-            Outcome out;
-            agreement_->tick(now, out);
+        if (!consensus_ && now >= reopen_at_) open();
+        if (consensus_) {
+            Output out;
+            consensus_->tick(now, out);
             carry_out(out);
         }
-        if (office_ && acts(now)) office_->tick(now);
+        if (coordinator_ && acts(now)) coordinator_->tick(now);
         if (now >= next_sweep_) sweep(now);
         set_timer();
     }
@@ -330,13 +330,13 @@
         control_.sweep(now);
         explain_.sweep(now);
         old_lines_.clear();
-        shut_.clear();
+        closed_coordinators_.clear();
         for (auto& [key, guest] : guests_)
             if (now > guest->line->heard() + kDeaf) guest->line->close(), gone_.push_back(key);
         for (Guest* const key : std::exchange(gone_, {})) {
             const auto at = guests_.find(key);
             if (at == guests_.end()) continue;
-            if (office_ && key->front) office_->left(key->session);
+            if (coordinator_ && key->front) coordinator_->left(key->session);
             by_session_.erase(key->session);
             guests_.erase(at);
         }
@@ -351,27 +351,27 @@
 
     void set_timer() {
         Micros next = next_sweep_;
-        if (agreement_) next = std::min(next, agreement_->next_tick());
+        if (consensus_) next = std::min(next, consensus_->next_tick());
         else next = std::min(next, reopen_at_);
-        if (office_ && acts(net::Loop::now())) next = std::min(next, office_->next_tick());
+        if (coordinator_ && acts(net::Loop::now())) next = std::min(next, coordinator_->next_tick());
         timer_.set(next);
     }
 
     void restated(const Settings& s) {
         settings_.seeds = s.seeds;
-        if (agreement_) agreement_->restated(s.seeds);
+        if (consensus_) consensus_->restated(s.seeds);
     }
 
     void leave() {
         if (leaving_) return;
         leaving_ = true;
         Event("leaving");
-        if (agreement_) {
-            Outcome out;
-            agreement_->resign(net::Loop::now(), out);
+        if (consensus_) {
+            Output out;
+            consensus_->resign(net::Loop::now(), out);
             carry_out(out);
         }
-        close_office();
+        close_coordinator();
         control_.say_goodbye();
         control_.close_idle();
         end_.emplace(loop_, [this] { loop_.stop(); });
@@ -384,14 +384,14 @@
     HttpService control_;
     net::Listener listener_;
     Store store_;
-    std::optional<Agreement> agreement_;
-    std::unique_ptr<Office> office_;
-    std::vector<std::unique_ptr<Office>> shut_;
+    std::optional<Consensus> consensus_;
+    std::unique_ptr<Coordinator> coordinator_;
+    std::vector<std::unique_ptr<Coordinator>> closed_coordinators_;
     std::vector<std::pair<Session, Message>> held_in_, held_out_;  // until the lease is back
     std::shared_ptr<const Configuration> read_;  // the newest that was handed in, and its text
     std::string read_body_;
     std::map<std::string, Peer> peers_;
-    std::vector<std::unique_ptr<Line>> old_lines_;
+    std::vector<std::unique_ptr<MessageConnection>> old_lines_;
     std::map<Guest*, std::unique_ptr<Guest>> guests_;
     std::map<Session, Guest*> by_session_;
     std::vector<Guest*> gone_;
@@ -407,19 +407,19 @@
 };
 
 }  // namespace
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
 
-#include "post/configuration/delta.hpp"
+#include "cluster/configuration/delta.hpp"
 
-std::string gannethold::post::Sorter::delta_of(const std::string& body) { return delta({}, body); }
+std::string gannethold::cluster::Controller::whole_delta(const std::string& body) { return make_delta({}, body); }
 
 int main(int argc, char** argv) {
     using namespace gannethold;
-    const post::Settings settings = post::begin_process(argc, argv,
-        "gannethold-sorter keeps the system's shared state and, while it leads, its slots and runners.\n"
+    const cluster::Settings settings = cluster::begin_process(argc, argv,
+        "gannethold-controller keeps the system's shared state and, while it leads, its slots and runners.\n"
         "It takes its addresses and bounds from the settings file.");
-    net::Loop loop(post::blocks_for(settings));
-    post::Sorter sorter(loop, settings);
+    net::Loop loop(cluster::blocks_for(settings));
+    cluster::Controller controller(loop, settings);
     loop.run([] {});
     return 0;
 }
--- a/src/post/programs/office.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -1,26 +1,26 @@
-#include "post/programs/office.hpp"
+#include "cluster/programs/coordinator.hpp"
 
 #include <algorithm>
 
-#include "post/base/events.hpp"
-#include "post/configuration/delta.hpp"
-#include "post/programs/admin.hpp"
+#include "cluster/base/events.hpp"
+#include "cluster/configuration/delta.hpp"
+#include "cluster/programs/admin.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr std::size_t kBodies = 8;
 constexpr Micros kWorkers = 1'000'000, kCallLimit = 1'200'000;
 
-Book::Terms book_terms(const Settings& s) {
-    Book::Terms t;
+SlotTable::Options slot_table_options(const Settings& s) {
+    SlotTable::Options t;
     t.budget_slack = s.budget_slack, t.budget_window = s.budget_window, t.rejection_slack = s.rejection_slack;
     t.late_turn = s.late_turn;
     return t;
 }
 
-Planner::Terms planner_terms(const Settings& s, Number term) {
-    Planner::Terms t;
+Planner::Options planner_options(const Settings& s, Number term) {
+    Planner::Options t;
     t.nonce_prefix = s.node_name + "-" + std::to_string(term) + "-";
     t.duty_per_s = s.duty_per_s;
     t.region_of = s.region_of;
@@ -31,101 +31,101 @@
 
 }  // namespace
 
-Office::Office(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say)
+Coordinator::Coordinator(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say)
     : settings_(settings),
       term_(term),
       say_(std::move(say)),
-      book_(book_terms(settings)),
-      planner_(planner_terms(settings, term), net::Loop::now()),
+      slot_table_(slot_table_options(settings)),
+      planner_(planner_options(settings, term), net::Loop::now()),
       listing_({settings.list_rate_per_s, 400'000}, net::Loop::now()),
       platform_(loop, {600'000, 8'000'000, 4, 16U << 20, {}},
                 {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool) { ended(id, how, answer); }, [](const std::string&) {}, [](const std::string&) {}}) {
-    Event("office_opened").with("term", term);
+    Event("coordinator_opened").with("term", term);
     next_tick_ = net::Loop::now();
 }
 
 // ---- configuration and fronts --------------------------------------------------------------------------------
 
-void Office::settled(const Entry& entry, std::shared_ptr<const Configuration> read) {
-    if (entry.members != members_) members_ = entry.members, welcome_at_ = net::Loop::now();
+void Coordinator::committed(const LogEntry& entry, std::shared_ptr<const Configuration> read) {
+    if (entry.members != members_) members_ = entry.members, announce_at_ = net::Loop::now();
     if (entry.version <= version_) return;
-    if (read) book_.configure(std::move(read));
+    if (read) slot_table_.configure(std::move(read));
     else leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(configuration, Configuration::read(entry.body));
-            book_.configure(std::move(configuration));
+            slot_table_.configure(std::move(configuration));
             return {};
         },
-        [&] { Event("settled_configuration_unreadable", Level::error).with("version", entry.version); });
+        [&] { Event("committed_configuration_unreadable", Level::error).with("version", entry.version); });
     version_ = entry.version;
     bodies_[version_] = entry.body;
     while (bodies_.size() > kBodies) bodies_.erase(bodies_.begin());
-    patches_.clear();
+    deltas_.clear();
     for (auto& [session, front] : fronts_) push(session, front);
     plan(net::Loop::now());
 }
 
 // What the front lacks, as the difference to what it holds.
-void Office::push(Session session, Front& front) {
+void Coordinator::push(Session session, Front& front) {
     if (version_ == 0 || front.version >= version_ || front.sent == version_) return;
     // What was sent it will hold when this comes: a connection keeps the order. If it could not take it, it says so.
     const Number holds = std::max(front.version, front.sent);
     const auto base = bodies_.find(holds);
     const Number from = base == bodies_.end() ? 0 : holds;
-    std::string& patch = patches_[from];
-    if (patch.empty()) patch = delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
+    std::string& delta = deltas_[from];
+    if (delta.empty()) delta = make_delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
     front.sent = version_;
-    say_(session, ConfigurationSent{version_, {from, patch}});
+    say_(session, ConfigurationSent{version_, {from, delta}});
 }
 
-void Office::welcome() {
+void Coordinator::announce_registered() {
     std::vector<std::pair<std::string, Session>> order;
     for (const auto& [session, front] : fronts_) order.emplace_back(front.name, session);
     std::sort(order.begin(), order.end());
     for (std::uint32_t rank = 0; rank < order.size(); ++rank)
-        say_(order[rank].second, Welcome{term_, rank, static_cast<std::uint32_t>(order.size()), members_});
+        say_(order[rank].second, Registered{term_, rank, static_cast<std::uint32_t>(order.size()), members_});
 }
 
-void Office::came(Session session, const Greeting& greeting) {
+void Coordinator::came(Session session, const Register& registration) {
     Front& front = fronts_[session];
-    front.name = greeting.name, front.version = greeting.version;
-    say_(session, Welcome{term_, 0, static_cast<std::uint32_t>(std::max<std::size_t>(1, fronts_.size())), members_});
+    front.name = registration.name, front.version = registration.version;
+    say_(session, Registered{term_, 0, static_cast<std::uint32_t>(std::max<std::size_t>(1, fronts_.size())), members_});
     push(session, front);
     std::vector<FrontMail> mail;
-    book_.front_came(net::Loop::now(), session, greeting, mail);
+    slot_table_.front_came(net::Loop::now(), session, registration, mail);
     post(mail);
-    if (welcome_at_ == 0) welcome_at_ = net::Loop::now() + 300'000;
+    if (announce_at_ == 0) announce_at_ = net::Loop::now() + 300'000;
 }
 
-void Office::left(Session session) {
+void Coordinator::left(Session session) {
     if (fronts_.erase(session) == 0) return;
     std::vector<FrontMail> mail;
-    book_.front_left(net::Loop::now(), session, mail);
+    slot_table_.front_left(net::Loop::now(), session, mail);
     post(mail);
-    if (welcome_at_ == 0) welcome_at_ = net::Loop::now() + 2'000'000;
+    if (announce_at_ == 0) announce_at_ = net::Loop::now() + 2'000'000;
 }
 
-void Office::post(std::vector<FrontMail>& mail) {
+void Coordinator::post(std::vector<FrontMail>& mail) {
     for (const FrontMail& one : mail) say_(one.to, one.message);
     mail.clear();
 }
 
-void Office::said(Session session, const Message& message) {
+void Coordinator::said(Session session, const Message& message) {
     const auto at = fronts_.find(session);
     if (at == fronts_.end()) return;
     const Micros now = net::Loop::now();
     std::vector<FrontMail> mail;
-    if (const auto* ask = std::get_if<Ask>(&message)) {
-        Function* const f = book_.ask(now, session, *ask, mail);
+    if (const auto* ask = std::get_if<AcquireRequest>(&message)) {
+        Function* const f = slot_table_.ask(now, session, *ask, mail);
         post(mail);
         if (f && !f->waiting.empty()) plan(now, f);
         return;
     }
-    if (const auto* release = std::get_if<Release>(&message)) book_.release(now, session, *release, mail);
-    if (const auto* up = std::get_if<Up>(&message)) book_.up(now, session, *up, mail);
-    if (const auto* loads = std::get_if<Loads>(&message)) book_.loads(now, session, *loads);
-    if (const auto* outs = std::get_if<Outs>(&message)) book_.outs(now, session, *outs);
-    if (std::holds_alternative<Beat>(message)) say_(session, Beat{});
+    if (const auto* release = std::get_if<Release>(&message)) slot_table_.release(now, session, *release, mail);
+    if (const auto* up = std::get_if<RunnerReachable>(&message)) slot_table_.up(now, session, *up, mail);
+    if (const auto* loads = std::get_if<LoadReport>(&message)) slot_table_.loads(now, session, *loads);
+    if (const auto* outs = std::get_if<OutstandingReport>(&message)) slot_table_.outs(now, session, *outs);
+    if (std::holds_alternative<Heartbeat>(message)) say_(session, Heartbeat{});
     if (const auto* held = std::get_if<ConfigurationHeld>(&message)) {
         at->second.version = held->version, at->second.sent = 0;
         push(session, at->second);
@@ -135,14 +135,14 @@
 
 // ---- the platform --------------------------------------------------------------------------------------------
 
-void Office::call(Call call, const HttpMessage& request, Micros limit) {
+void Coordinator::call(Call call, const HttpMessage& request, Micros limit) {
     const HttpCaller::Call id = ++last_call_;
     call.until = net::Loop::now() + limit;
     calls_[id] = std::move(call);
     platform_.call(id, settings_.platform, request);
 }
 
-void Office::ended(HttpCaller::Call id, CallEnd how, const HttpMessage& answer) {
+void Coordinator::ended(HttpCaller::Call id, CallEnd how, const HttpMessage& answer) {
     const auto at = calls_.find(id);
     if (at == calls_.end()) return;
     const Call call = std::move(at->second);
@@ -159,8 +159,8 @@
                     bool whole = false;
                     std::vector<std::string> gone;
                     listing_.page(now, page, whole, gone);
-                    for (const Listed& one : page.runners) book_.listed(now, one.what, one.draining, mail);
-                    for (const std::string& runner : gone) book_.gone(now, runner, "not listed any more", mail);
+                    for (const Listed& one : page.runners) slot_table_.listed(now, one.what, one.draining, mail);
+                    for (const std::string& runner : gone) slot_table_.gone(now, runner, "not listed any more", mail);
                     if (whole) planner_.list_read(now);
                     return {};
                 },
@@ -191,21 +191,21 @@
             if (said == BeginAnswer::begun) {
                 begun.service = call.begin.service, begun.worker = call.begin.worker;
                 begun.zone = planner_.zone_of(call.begin.worker);
-                book_.began(now, begun, mail);
+                slot_table_.began(now, begun, mail);
             }
             Event("start", said == BeginAnswer::begun ? Level::info : Level::warning)
                 .with("service", call.begin.service).with("worker", call.begin.worker).with("why", call.begin.why)
                 .with("answer", answered ? std::to_string(answer.status) : "none").with("runner", begun.runner);
-            deeds_.add({now, call.begin.service, call.begin.worker, begun.runner, answered ? std::to_string(answer.status) : "none", call.begin.why, true});
+            recent_actions_.add({now, call.begin.service, call.begin.worker, begun.runner, answered ? std::to_string(answer.status) : "none", call.begin.why, true});
             planner_.begin_answered(now, call.begin.nonce, said);
             break;
         }
         case Call::What::stop: {
             const bool done = answered && stop_.done(answer);
             Event("stop").with("runner", call.stop.runner).with("why", call.stop.why).with("done", done);
-            deeds_.add({now, {}, {}, call.stop.runner, answered ? std::to_string(answer.status) : "none", call.stop.why, false});
+            recent_actions_.add({now, {}, {}, call.stop.runner, answered ? std::to_string(answer.status) : "none", call.stop.why, false});
             planner_.stop_answered(call.stop.runner, done);
-            if (done) book_.gone(now, call.stop.runner, "stopped", mail);
+            if (done) slot_table_.gone(now, call.stop.runner, "stopped", mail);
             break;
         }
     }
@@ -214,12 +214,12 @@
 }
 
 // For one function, or with the sample for all.
-void Office::plan(Micros now, Function* one) {
+void Coordinator::plan(Micros now, Function* one) {
     std::vector<FrontMail> mail;
-    if (one) planner_.plan_waiting(now, book_, *one, mail);
-    else planner_.plan_all(now, book_, mail);
+    if (one) planner_.plan_waiting(now, slot_table_, *one, mail);
+    else planner_.plan_all(now, slot_table_, mail);
     post(mail);
-    Orders orders;
+    PlatformOrders orders;
     planner_.due(now, orders);
     const Fence fence{settings_.node_name, term_};
     for (const Begin& begin : orders.begins) {
@@ -234,30 +234,30 @@
     }
 }
 
-void Office::explain(const std::string& what, json::Object& into) const {
+void Coordinator::explain(const std::string& what, json::Object& into) const {
     const Micros now = net::Loop::now();
     const auto asked = [&](const char* part) { return what.empty() || what == part; };
     json::List starts, functions, waiting, fronts;
     if (asked("starts"))
-        for (const Deed& d : deeds_.kept())
+        for (const PlatformAction& d : recent_actions_.kept())
             starts.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"deed", told(std::string(d.start ? "start" : "stop"))}, {"service", told(d.service)},
                                              {"worker", told(d.worker)}, {"runner", told(d.runner)}, {"why", told(std::string(d.why))}, {"answer", told(d.answer)}});
-    for (const auto& [name, f] : book_.functions()) {
+    for (const auto& [name, f] : slot_table_.functions()) {
         if (asked("functions") && (f->active || !f->runners.empty())) {
             double busy = 0;
-            for (const std::uint32_t number : f->runners) busy += book_.runner(number).out();
-            functions.emplace_back(json::Object{{"function", told(name)}, {"mode", told(std::string(f->free ? "free" : "kept"))}, {"runners", told(static_cast<double>(f->runners.size()))},
+            for (const std::uint32_t number : f->runners) busy += slot_table_.runner(number).out();
+            functions.emplace_back(json::Object{{"function", told(name)}, {"mode", told(std::string(f->unrestricted ? "unrestricted" : "coordinated"))}, {"runners", told(static_cast<double>(f->runners.size()))},
                                                 {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"overtaken", told(static_cast<double>(f->overtaken))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
         }
         if (asked("waiting"))
             for (const auto& [place, w] : f->waiting.all())
-                waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(book_.name_of(w.front) ? *book_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
+                waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(slot_table_.name_of(w.front) ? *slot_table_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
                                                   {"waited_ms", told_ms(now - w.since)}, {"aim_left_ms", told_ms(w.aim_at - now)}, {"deadline_left_ms", told_ms(w.deadline_at - now)}});
     }
     if (asked("overtakings")) {
         json::List all;
-        const auto name = [&](Session s) { return told(book_.name_of(s) ? *book_.name_of(s) : std::string()); };
-        for (const Overtaking& o : book_.overtakings().kept())
+        const auto name = [&](Session s) { return told(slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string()); };
+        for (const Overtaking& o : slot_table_.overtakings().kept())
             all.emplace_back(json::Object{{"ago_ms", told_ms(now - o.at)}, {"function", told(o.service)}, {"went", name(o.front)}, {"priority", told(o.priority)}, {"aim_left_ms", told_ms(o.aim_left)},
                                           {"before", name(o.before_front)}, {"its_priority", told(o.before_priority)}, {"its_aim_left_ms", told_ms(o.before_aim_left)}, {"why", told(std::string(o.why))}});
         into["overtakings"] = json::Value(std::move(all));
@@ -271,9 +271,9 @@
     if (asked("fronts")) into["fronts"] = json::Value(std::move(fronts));
 }
 
-void Office::tick(Micros now) {
+void Coordinator::tick(Micros now) {
     if (now < next_tick_) return;
-    next_tick_ = now + Book::kSample;
+    next_tick_ = now + SlotTable::kSample;
     std::vector<HttpCaller::Call> late;
     for (const auto& [id, call] : calls_)
         if (now >= call.until) late.push_back(id);
@@ -296,20 +296,20 @@
         call(std::move(c), workers_.get(), kCallLimit);
     }
     // What was decided since the last look, as far as the record still holds it.
-    const auto& overtakings = book_.overtakings();
+    const auto& overtakings = slot_table_.overtakings();
     const std::size_t fresh = std::min(overtakings.all() - overtakings_told_, overtakings.kept().size());
     for (std::size_t i = overtakings.kept().size() - fresh; i < overtakings.kept().size(); ++i) {
         const Overtaking& o = overtakings.kept()[i];
-        const auto front = [&](Session s) { return book_.name_of(s) ? *book_.name_of(s) : std::string(); };
+        const auto front = [&](Session s) { return slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string(); };
         Event("overtaken").with("function", o.service).with("front", front(o.front)).with("ask", o.ask).with("aim_left_ms", o.aim_left / 1000).with("priority", o.priority)
             .with("before_front", front(o.before_front)).with("before_ask", o.before_ask).with("before_aim_left_ms", o.before_aim_left / 1000).with("why", o.why);
     }
     overtakings_told_ = overtakings.all();
-    if (welcome_at_ > 0 && now >= welcome_at_) welcome_at_ = 0, welcome();
+    if (announce_at_ > 0 && now >= announce_at_) announce_at_ = 0, announce_registered();
     std::vector<FrontMail> mail;
-    book_.tick(now, mail);
+    slot_table_.tick(now, mail);
     post(mail);
     plan(now);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/office.hpp
+++ b/src/cluster/programs/coordinator.hpp
@@ -1,4 +1,4 @@
-// The keeper's office, open while this core machine leads: fronts' sessions, the book of slots, the planner, and the
+// The coordinator's coordinator, open while this core machine leads: fronts' sessions, the slots of slots, the planner, and the
 // platform's calls. It is opened anew with each term and knows nothing of the one before but what fronts and the list
 // tell.
 #pragma once
@@ -10,23 +10,23 @@
 #include <string>
 
 #include "json/json.hpp"
-#include "post/base/record.hpp"
-#include "post/base/settings.hpp"
-#include "post/placement/planner.hpp"
-#include "post/runners/listing.hpp"
-#include "post/runners/resources.hpp"
-#include "post/slots/book.hpp"
-#include "post/transport/http_caller.hpp"
+#include "cluster/base/record.hpp"
+#include "cluster/base/settings.hpp"
+#include "cluster/placement/planner.hpp"
+#include "cluster/runners/listing.hpp"
+#include "cluster/runners/resources.hpp"
+#include "cluster/slots/slot_table.hpp"
+#include "cluster/transport/http_caller.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
-class Office {
+class Coordinator {
   public:
-    Office(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say);
+    Coordinator(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say);
 
     // A newer configuration, or other members. read: the entry's configuration where it has been read already.
-    void settled(const Entry& entry, std::shared_ptr<const Configuration> read);
-    void came(Session front, const Greeting& greeting);
+    void committed(const LogEntry& entry, std::shared_ptr<const Configuration> read);
+    void came(Session front, const Register& registration);
     void left(Session front);
     void said(Session front, const Message& message);
     void tick(Micros now);
@@ -49,7 +49,7 @@
     };
 
     void push(Session session, Front& front);
-    void welcome();
+    void announce_registered();
     void post(std::vector<FrontMail>& mail);
     void plan(Micros now, Function* one = nullptr);
     void call(Call call, const HttpMessage& request, Micros limit);
@@ -58,7 +58,7 @@
     const Settings& settings_;
     Number term_;
     std::function<void(Session, const Message&)> say_;
-    Book book_;
+    SlotTable slot_table_;
     Planner planner_;
     Listing listing_;
     RunnersResource runners_;
@@ -69,20 +69,20 @@
     std::map<HttpCaller::Call, Call> calls_;
     HttpCaller::Call last_call_ = 0;
     std::map<Session, Front> fronts_;
-    std::map<Number, std::string> bodies_;  // lately settled ones, by version
+    std::map<Number, std::string> bodies_;  // lately committed ones, by version
     std::vector<std::string> members_;
     Number version_ = 0;
-    std::map<Number, std::string> patches_;  // to version_, by base
-    Micros next_tick_ = 0, next_workers_ = 0, welcome_at_ = 0;
+    std::map<Number, std::string> deltas_;  // to version_, by base
+    Micros next_tick_ = 0, next_workers_ = 0, announce_at_ = 0;
     bool workers_out_ = false;
     std::size_t overtakings_told_ = 0;
-    struct Deed {
+    struct PlatformAction {
         Micros at = 0;
         std::string service, worker, runner, answer;
         const char* why = "";
         bool start = true;
     };
-    Record<Deed> deeds_{512};
+    Record<PlatformAction> recent_actions_{512};
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/explain.cpp
+++ b/src/cluster/programs/explain.cpp
@@ -1,4 +1,4 @@
-// gannethold-explain: asks a running counter or sorter at its --admin address, and prints tables or the JSON as it came.
+// gannethold-explain: asks a running counter or controller at its --admin address, and prints tables or the JSON as it came.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -9,11 +9,11 @@
 
 #include "json/json.hpp"
 #include "net/loop.hpp"
-#include "post/transport/http_caller.hpp"
+#include "cluster/transport/http_caller.hpp"
 
 ABSL_FLAG(std::string, at, "127.0.0.1:9800", "ip:port that the process was given as --admin");
 ABSL_FLAG(bool, json, false, "print the JSON as it came");
-ABSL_FLAG(std::string, what, "", "only that part: requests, losses, splits (a counter); core, starts, functions, waiting, overtakings, fronts (a sorter); empty: all");
+ABSL_FLAG(std::string, what, "", "only that part: requests, losses, splits (a counter); core, starts, functions, waiting, overtakings, fronts (a controller); empty: all");
 ABSL_FLAG(int, wait_ms, 3000, "milliseconds to wait for the answer");
 
 namespace {
@@ -67,13 +67,13 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    absl::SetProgramUsageMessage("gannethold explain asks a running counter or sorter what it decided lately and why.");
+    absl::SetProgramUsageMessage("gannethold explain asks a running counter or controller what it decided lately and why.");
     absl::ParseCommandLine(argc, argv);
     net::Loop loop(64);
     int code = 1;
-    post::HttpCaller caller(loop, {1'000'000, 1'000'000, 1, 64U << 20, {}},
-                            {[&](post::HttpCaller::Call, post::CallEnd how, post::HttpMessage&& answer, bool) {
-                                 if (how == post::CallEnd::answered && answer.status == 200) code = print(answer.body);
+    cluster::HttpCaller caller(loop, {1'000'000, 1'000'000, 1, 64U << 20, {}},
+                            {[&](cluster::HttpCaller::Call, cluster::CallEnd how, cluster::HttpMessage&& answer, bool) {
+                                 if (how == cluster::CallEnd::answered && answer.status == 200) code = print(answer.body);
                                  else std::fprintf(stderr, "no answer at %s\n", absl::GetFlag(FLAGS_at).c_str());
                                  loop.stop();
                              },
@@ -83,7 +83,7 @@
         loop.stop();
     });
     limit.set(net::Loop::now() + absl::GetFlag(FLAGS_wait_ms) * 1000LL);
-    post::HttpMessage request;
+    cluster::HttpMessage request;
     request.method = "GET", request.target = "/explain?what=" + absl::GetFlag(FLAGS_what);
     request.fields.emplace_back("Host", "gannethold");
     caller.call(1, absl::GetFlag(FLAGS_at), request);
--- a/src/post/programs/process.cpp
+++ b/src/cluster/programs/process.cpp
@@ -1,4 +1,4 @@
-#include "post/programs/process.hpp"
+#include "cluster/programs/process.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -9,12 +9,12 @@
 #include <fstream>
 #include <sstream>
 
-#include "post/base/events.hpp"
+#include "cluster/base/events.hpp"
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file (lines a.b=value); empty: what GANNETHOLD_CONFIG names");
 ABSL_FLAG(std::string, log_level, "warning", "least level of the events that are logged: debug, info, warning or error");
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 std::string path() {
@@ -78,4 +78,4 @@
     return static_cast<std::size_t>(settings.memory_mb) * 1024 / 8 / 4;  // a quarter of the memory, in blocks of 8 KB
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/process.hpp
+++ b/src/cluster/programs/process.hpp
@@ -6,9 +6,9 @@
 
 #include "net/address.hpp"
 #include "net/loop.hpp"
-#include "post/base/settings.hpp"
+#include "cluster/base/settings.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 // Reads the flags and the settings file and opens the log; on a fault one line names what is wrong, and the process
 // ends with 2.
@@ -30,4 +30,4 @@
 net::Address address_or_end(const std::string& text, const char* key);
 std::size_t blocks_for(const Settings& settings);
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/programs/counter.cpp
+++ b/src/cluster/programs/proxy.cpp
@@ -1,4 +1,4 @@
-// gannethold-counter: a front. Takes requests from clients, draws their runners, asks the keeper for slots, and brings the
+// gannethold-proxy: a front. Takes requests from clients, draws their runners, asks the coordinator for slots, and brings the
 // answers back.
 #include <unistd.h>
 
@@ -9,16 +9,16 @@
 #include <optional>
 #include <random>
 
-#include "post/base/events.hpp"
-#include "post/configuration/delta.hpp"
-#include "post/front/desk.hpp"
-#include "post/programs/admin.hpp"
-#include "post/programs/process.hpp"
-#include "post/transport/http_caller.hpp"
-#include "post/transport/http_service.hpp"
-#include "post/transport/line.hpp"
+#include "cluster/base/events.hpp"
+#include "cluster/configuration/delta.hpp"
+#include "cluster/proxy/request_handler.hpp"
+#include "cluster/programs/admin.hpp"
+#include "cluster/programs/process.hpp"
+#include "cluster/transport/http_caller.hpp"
+#include "cluster/transport/http_service.hpp"
+#include "cluster/transport/message_connection.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr Micros kConnect = 350'000, kAnswer = 500'000, kReach = 800'000, kBeat = 250'000, kRedial = 60'000;
@@ -26,18 +26,18 @@
 constexpr Micros kAsleep = 1'000'000;  // timers are at most 0.2 s apart
 constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner", kNotRun[] = "X-Request-Not-Run";
 
-Desk::Terms desk_terms(const Settings& s) {
+RequestHandler::Options handler_options(const Settings& s) {
     std::random_device chance;
     return {s.node_name, s.zone, (static_cast<Number>(chance()) << 16) + 1, kReach, (static_cast<Number>(chance()) << 32) | chance(), s.late_turn};
 }
 
-class Counter {
+class Proxy {
   public:
-    Counter(net::Loop& loop, Settings settings)
+    Proxy(net::Loop& loop, Settings settings)
         : loop_(loop),
           settings_(std::move(settings)),
           watch_(loop, [this](const Settings& s) { settings_.seeds = s.seeds; }),
-          desk_(desk_terms(settings_)),
+          handler_(handler_options(settings_)),
           runners_(loop, {500'000, 8'000'000, 6, 16U << 20, kId},
                    {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) { ended(id, how, std::move(answer), fresh); },
                     [this](const std::string& a) { reached(a); }, [this](const std::string& a) { refused(a); }}),
@@ -63,7 +63,7 @@
 
     void ready(HttpService::Exchange exchange) {
         if (leaving_) return readiness_.answer(exchange, Kind::leaving, {}, 1000);
-        if (!desk_.configuration()) return readiness_.answer(exchange, Kind::no_majority, "no configuration yet", 500);
+        if (!handler_.configuration()) return readiness_.answer(exchange, Kind::no_majority, "no configuration yet", 500);
         HttpMessage answer;
         answer.status = 200;
         readiness_.answer(exchange, answer);
@@ -77,20 +77,20 @@
         (void)end;
         const std::string host(m.field("Host")), target = m.target;
         requests_[exchange] = std::move(m);
-        Deeds deeds;
-        desk_.arrived(net::Loop::now(), exchange, host, target, deadline, deeds);
-        carry_out(deeds);
+        Actions actions;
+        handler_.arrived(net::Loop::now(), exchange, host, target, deadline, actions);
+        carry_out(actions);
     }
 
     void left(HttpService::Exchange exchange) {
-        Deeds deeds;
-        desk_.client_left(net::Loop::now(), exchange, deeds);
-        carry_out(deeds);
+        Actions actions;
+        handler_.client_left(net::Loop::now(), exchange, actions);
+        carry_out(actions);
     }
 
     // ---- runners ----
 
-    void forward(const Deeds::Forward& f) {
+    void forward(const Actions::Forward& f) {
         const auto at = requests_.find(f.request);
         if (at == requests_.end()) return;
         const HttpMessage& from = at->second;
@@ -127,9 +127,9 @@
             }
         }
         answers_[id] = std::move(answer);
-        Deeds deeds;
-        desk_.ended(net::Loop::now(), id, end, deeds);
-        carry_out(deeds);
+        Actions actions;
+        handler_.ended(net::Loop::now(), id, end, actions);
+        carry_out(actions);
         answers_.erase(id);
     }
 
@@ -146,9 +146,9 @@
 
     void reached(const std::string& address) {
         if (watches_.erase(address) == 0) return;
-        Deeds deeds;
-        desk_.reached(net::Loop::now(), address, true, deeds);
-        carry_out(deeds);
+        Actions actions;
+        handler_.reached(net::Loop::now(), address, true, actions);
+        carry_out(actions);
     }
 
     void refused(const std::string& address) {
@@ -159,26 +159,26 @@
         set_timer();
     }
 
-    // ---- deeds ----
+    // ---- actions ----
 
-    void carry_out(Deeds& deeds) {
-        for (const Message& mail : deeds.mails) say(mail);
-        for (const Loss& l : desk_.new_losses())
+    void carry_out(Actions& actions) {
+        for (const Message& mail : actions.mails) say(mail);
+        for (const Loss& l : handler_.new_losses())
             Event("lost").with("how", Loss::name(l.how)).with("cause", Loss::name(l.cause)).with("service", l.service).with("took_ms", l.took / 1000);
-        for (const Deeds::Reply& r : deeds.replies) {
+        for (const Actions::Reply& r : actions.replies) {
             clients_.answer(r.request, r.kind, {}, r.retry_ms);
         }
-        for (const RequestId id : deeds.relays) relay(id);
-        for (const RequestId id : deeds.abandons) runners_.abandon(id);
-        for (const Deeds::Forward& f : deeds.forwards) forward(f);
-        for (const std::string& address : deeds.forgets) runners_.forget(address);
-        for (const std::string& address : deeds.watches) watches_.try_emplace(address, Watch{net::Loop::now(), net::Loop::now(), false});
-        for (const Deeds::Reply& r : deeds.replies) requests_.erase(r.request);
-        for (const RequestId id : deeds.relays) requests_.erase(id);
+        for (const RequestId id : actions.relays) relay(id);
+        for (const RequestId id : actions.abandons) runners_.abandon(id);
+        for (const Actions::Forward& f : actions.forwards) forward(f);
+        for (const std::string& address : actions.forgets) runners_.forget(address);
+        for (const std::string& address : actions.watches) watches_.try_emplace(address, Watch{net::Loop::now(), net::Loop::now(), false});
+        for (const Actions::Reply& r : actions.replies) requests_.erase(r.request);
+        for (const RequestId id : actions.relays) requests_.erase(id);
         set_timer();
     }
 
-    // ---- the keeper ----
+    // ---- the coordinator ----
 
     void say(const Message& message) {
         if (!line_ || !line_->open()) return;
@@ -190,14 +190,14 @@
         if (!line_) return;
         line_->close();
         old_.push_back(std::move(line_));
-        welcomed_ = false;
-        Deeds deeds;
-        desk_.keeper_lost(net::Loop::now(), deeds);
-        carry_out(deeds);
+        registered_ = false;
+        Actions actions;
+        handler_.coordinator_lost(net::Loop::now(), actions);
+        carry_out(actions);
     }
 
     void dial(Micros now) {
-        std::string to = std::exchange(referred_, {});
+        std::string to = std::exchange(redirected_to_, {});
         if (to.empty()) {
             std::vector<std::string> all = members_;
             for (const std::string& seed : settings_.seeds)
@@ -208,77 +208,77 @@
         dialed_at_ = now;
         const auto address = net::Address::read(settings_.internal_of(to));
         if (!address) return;
-        Line::Events events;
-        events.up = [this] { line_->send(desk_.greeting()); };
-        events.letter = [this](const Letter& letter) { got(letter.message); };
+        MessageConnection::Events events;
+        events.up = [this] { line_->send(handler_.registration()); };
+        events.message_received = [this](const ReceivedMessage& message_received) { got(message_received.message); };
         events.ended = [this] { drop_line(); };
-        line_ = std::make_unique<Line>(loop_, *address, kConnect, std::move(events));
+        line_ = std::make_unique<MessageConnection>(loop_, *address, kConnect, std::move(events));
     }
 
     void got(const Message& message) {
         const Micros now = net::Loop::now();
-        // It stood still for so long that the keeper has given its slots to others: nothing is sent by old grants.
+        // It stood still for so long that the coordinator has given its slots to others: nothing is sent by old grants.
         if (now > turned_ + kAsleep) {
             turned_ = now;
             Event("woke", Level::warning);
             return drop_line();
         }
-        Deeds deeds;
-        if (const auto* m = std::get_if<Referral>(&message)) {
-            referred_ = m->leader;
+        Actions actions;
+        if (const auto* m = std::get_if<Redirect>(&message)) {
+            redirected_to_ = m->leader;
             drop_line();
-            if (referred_.empty()) dialed_at_ = now;
+            if (redirected_to_.empty()) dialed_at_ = now;
             else dialed_at_ = 0;
             return;
         }
         if (const auto* m = std::get_if<ConfigurationSent>(&message)) return take(*m);
-        desk_.said(now, message, deeds);
-        if (const auto* m = std::get_if<Welcome>(&message)) {
+        handler_.said(now, message, actions);
+        if (const auto* m = std::get_if<Registered>(&message)) {
             members_ = m->members;
-            if (!welcomed_) {
-                welcomed_ = true;
-                desk_.keeper_up(now, deeds);
+            if (!registered_) {
+                registered_ = true;
+                handler_.coordinator_connected(now, actions);
             }
         }
-        carry_out(deeds);
+        carry_out(actions);
     }
 
     void take(const ConfigurationSent& m) {
-        if (m.version <= desk_.version()) return;
+        if (m.version <= handler_.version()) return;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
-                if (m.patch.base != 0 && m.patch.base != desk_.version()) return failure(Kind::bytes_malformed, "a difference to a version that is not held");
-                BOOST_LEAF_AUTO(body, patched(m.patch.base == 0 ? std::string() : body_, m.patch.bytes));
+                if (m.delta.base != 0 && m.delta.base != handler_.version()) return failure(Kind::bytes_malformed, "a difference to a version that is not held");
+                BOOST_LEAF_AUTO(body, apply_delta(m.delta.base == 0 ? std::string() : body_, m.delta.bytes));
                 BOOST_LEAF_AUTO(configuration, Configuration::read(body));
                 body_ = std::move(body);
                 clients_.limit(configuration->limits());
-                desk_.configure(std::move(configuration));
-                Event("configuration").with("version", desk_.version());
+                handler_.configure(std::move(configuration));
+                Event("configuration").with("version", handler_.version());
                 return {};
             },
             [&](Kind kind, const Detail& detail) { Event("configuration_passed_over", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text); },
             [] {});
-        say(ConfigurationHeld{desk_.version()});
+        say(ConfigurationHeld{handler_.version()});
     }
 
     json::Value explain(const std::string& what) const {
         const Micros now = net::Loop::now();
-        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("counter"))}, {"version", told(static_cast<double>(desk_.version()))},
-                         {"keeper", json::Value(desk_.keeper())}, {"open", told(static_cast<double>(desk_.open()))}, {"malformed_lines", told(static_cast<double>(Line::malformed()))}};
+        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("proxy"))}, {"version", told(static_cast<double>(handler_.version()))},
+                         {"coordinator", json::Value(handler_.coordinator())}, {"open", told(static_cast<double>(handler_.open()))}, {"malformed_lines", told(static_cast<double>(MessageConnection::malformed()))}};
         json::List requests, splits;
         if (what.empty() || what == "requests")
-            for (const Decision& d : desk_.decisions().kept())
+            for (const Decision& d : handler_.decisions().kept())
                 requests.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"request", told(static_cast<double>(d.request))}, {"service", told(d.service)},
                                                    {"runner", told(d.runner)}, {"waited_ms", told_ms(d.waited)}, {"why", told(std::string(d.why))}});
         if (what.empty() || what == "splits")
-            for (const Desk::Share& s : desk_.shares())
+            for (const RequestHandler::Share& s : handler_.shares())
                 splits.emplace_back(json::Object{{"service", told(s.service)}, {"runner", told(s.runner)}, {"fraction", told(s.fraction)}, {"latency_ms", told(s.latency * 1e3)},
-                                                 {"out", told(s.out)}, {"mode", told(std::string(s.free ? "free" : "kept"))}});
+                                                 {"out", told(s.out)}, {"mode", told(std::string(s.unrestricted ? "unrestricted" : "coordinated"))}});
         if (what.empty() || what == "losses") {
             json::List losses;
             for (std::size_t cause = 0; cause < Loss::kCauses; ++cause)
                 for (std::size_t how = 0; how < Loss::kHows; ++how)
-                    if (const auto count = desk_.loss_counts()[cause][how]; count > 0)
+                    if (const auto count = handler_.loss_counts()[cause][how]; count > 0)
                         losses.emplace_back(json::Object{{"cause", told(std::string(Loss::name(static_cast<Loss::Cause>(cause))))}, {"how", told(std::string(Loss::name(static_cast<Loss::How>(how))))},
                                                          {"count", told(static_cast<double>(count))}});
             all["losses"] = json::Value(std::move(losses));
@@ -295,14 +295,14 @@
         if (now > turned_ + kAsleep && line_) Event("woke", Level::warning), drop_line();
         turned_ = now;
         if (line_) {
-            const Micros quiet = welcomed_ ? kReach : kAnswer;
+            const Micros quiet = registered_ ? kReach : kAnswer;
             if (now > std::max(line_->heard(), dialed_at_) + quiet) drop_line();
-            else if (welcomed_ && now >= std::max(line_->heard(), said_at_) + kBeat) say(Beat{});
+            else if (registered_ && now >= std::max(line_->heard(), said_at_) + kBeat) say(Heartbeat{});
         }
         if (!line_ && now >= dialed_at_ + kRedial) dial(now);
-        Deeds deeds;
-        desk_.tick(now, deeds);
-        carry_out(deeds);
+        Actions actions;
+        handler_.tick(now, actions);
+        carry_out(actions);
         std::vector<std::string> given_up;
         for (auto& [address, w] : watches_) {
             if (w.out || now < w.next) continue;
@@ -315,8 +315,8 @@
         }
         for (const std::string& address : given_up) {
             watches_.erase(address);
-            Deeds more;
-            desk_.reached(now, address, false, more);
+            Actions more;
+            handler_.reached(now, address, false, more);
             carry_out(more);
         }
         if (now >= next_sweep_) {
@@ -340,9 +340,9 @@
         const Micros now = net::Loop::now();
         Micros next = std::min(next_sweep_, now + 200'000);
         if (!line_) next = std::min(next, dialed_at_ + kRedial);
-        else if (welcomed_) next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
-        if (desk_.next_deadline() > 0) next = std::min(next, desk_.next_deadline());
-        if (!desk_.keeper() && desk_.open() > 0) next = std::min(next, now + 30'000);
+        else if (registered_) next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
+        if (handler_.next_deadline() > 0) next = std::min(next, handler_.next_deadline());
+        if (!handler_.coordinator() && handler_.open() > 0) next = std::min(next, now + 30'000);
         for (const auto& [address, w] : watches_)
             if (!w.out) next = std::min(next, w.next);
         timer_.set(next);
@@ -351,7 +351,7 @@
     void leave() {
         if (leaving_) return;
         leaving_ = net::Loop::now();
-        Event("leaving").with("open", desk_.open());
+        Event("leaving").with("open", handler_.open());
         clients_.say_goodbye();
         set_timer();
     }
@@ -359,34 +359,34 @@
     net::Loop& loop_;
     Settings settings_;
     SettingsWatch watch_;
-    Desk desk_;
+    RequestHandler handler_;
     HttpCaller runners_;
     HttpService clients_, readiness_;
     std::unordered_map<RequestId, HttpMessage> requests_, answers_;
     std::map<std::string, Watch> watches_;
-    std::unique_ptr<Line> line_;
-    std::vector<std::unique_ptr<Line>> old_;
+    std::unique_ptr<MessageConnection> line_;
+    std::vector<std::unique_ptr<MessageConnection>> old_;
     std::vector<std::string> members_;
-    std::string referred_, body_;
+    std::string redirected_to_, body_;
     std::size_t next_core_ = static_cast<std::size_t>(getpid());
     Micros turned_ = net::Loop::now();
     Micros dialed_at_ = -1'000'000, said_at_ = 0, next_sweep_ = 0, next_look_ = 0, leaving_ = 0;
-    bool welcomed_ = false, closed_ = false;
+    bool registered_ = false, closed_ = false;
     ExplainResource explain_;
     net::Timer timer_;
     net::Signal term_, int_;
 };
 
 }  // namespace
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
 
 int main(int argc, char** argv) {
     using namespace gannethold;
-    const post::Settings settings = post::begin_process(argc, argv,
-        "gannethold-counter takes requests from clients and brings them to runners.\n"
+    const cluster::Settings settings = cluster::begin_process(argc, argv,
+        "gannethold-proxy takes requests from clients and brings them to runners.\n"
         "It takes its addresses and bounds from the settings file.");
-    net::Loop loop(post::blocks_for(settings));
-    post::Counter counter(loop, settings);
+    net::Loop loop(cluster::blocks_for(settings));
+    cluster::Proxy counter(loop, settings);
     loop.run([] {});
     return 0;
 }
--- a/src/post/front/desk.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -1,11 +1,11 @@
-#include "post/front/desk.hpp"
+#include "cluster/proxy/request_handler.hpp"
 
 #include <algorithm>
 #include <functional>
 
-#include "post/slots/urgency.hpp"
+#include "cluster/slots/urgency.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr std::uint32_t kSoon = 150;        // ms, where a slot is likely to come free
@@ -13,19 +13,19 @@
 
 }  // namespace
 
-double Desk::unit() {
+double RequestHandler::unit() {
     chance_ ^= chance_ << 13, chance_ ^= chance_ >> 7, chance_ ^= chance_ << 17;
     return static_cast<double>(chance_ >> 11) * 0x1.0p-53;
 }
 
-void Desk::configure(std::shared_ptr<const Configuration> configuration) {
+void RequestHandler::configure(std::shared_ptr<const Configuration> configuration) {
     if (!configuration || (configuration_ && configuration->version() <= configuration_->version())) return;
     configuration_ = std::move(configuration);
 }
 
 // ---- requests ------------------------------------------------------------------------------------------------
 
-void Desk::arrived(Micros now, RequestId id, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Deeds& out) {
+void RequestHandler::arrived(Micros now, RequestId id, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Actions& out) {
     Request& r = requests_[id];
     r.configuration = configuration_;
     if (!configuration_) return give_up(now, id, r, Kind::not_offered, 500, out);
@@ -51,27 +51,27 @@
 }
 
 // Asks for a slot, or takes one of the own part.
-void Desk::seek(Micros now, RequestId id, Request& r, Deeds& out) {
+void RequestHandler::seek(Micros now, RequestId id, Request& r, Actions& out) {
     r.runner.clear();
-    r.by_slot = r.free = false;
-    if (!keeper_) {
+    r.by_slot = r.unrestricted = false;
+    if (!coordinator_) {
         r.state = State::held;
         return serve_alone(now, std::string(r.service), out);
     }
-    Office& office = offices_[r.service];
+    Coordinator& coordinator = offices_[r.service];
     // The design's draw; near ones first, since what crosses zones is paid for and slower.
     const auto fits = [&](bool near) {
         return [this, near, now](const Split::Share& s) {
             const auto at = runners_.find(s.runner);
             return at != runners_.end() && at->second.state == RunnerState::ready && at->second.number > 0 && s.out < s.slots &&
-                   now >= at->second.aside_until && (!near || at->second.what.zone == terms_.zone);
+                   now >= at->second.aside_until && (!near || at->second.what.zone == options_.zone);
         };
     };
     const double at = unit();
-    const Split::Share* drawn = office.split.draw(at, fits(true));
-    if (!drawn) drawn = office.split.draw(at, fits(false));
-    if (office.free && drawn && !r.again) {
-        r.free = true;
+    const Split::Share* drawn = coordinator.split.draw(at, fits(true));
+    if (!drawn) drawn = coordinator.split.draw(at, fits(false));
+    if (coordinator.unrestricted && drawn && !r.again) {
+        r.unrestricted = true;
         note(now, id, r, drawn->runner, "drawn_unasked");
         return send(now, id, r, runners_[drawn->runner], out);
     }
@@ -81,27 +81,27 @@
     asks_[r.ask] = id;
     r.drawn_number = drawn ? runners_[drawn->runner].number : 0;
     const auto left = [now](Micros until) { return static_cast<std::uint32_t>(std::max<Micros>(0, until - now) / 1000); };
-    out.mails.push_back(Ask{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service, left(r.aim_at), left(r.deadline_at),
+    out.mails.push_back(AcquireRequest{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service, left(r.aim_at), left(r.deadline_at),
                             r.route->priority, r.route->shape, r.again});
 }
 
 // So much of a runner's slots is this front's while nobody keeps them for all: the parts of all fronts add up to them.
-std::uint32_t Desk::part(const Runner& runner) const {
+std::uint32_t RequestHandler::part(const Runner& runner) const {
     const std::uint32_t n = std::max(1U, fronts_);
     const auto shift = static_cast<std::uint32_t>(std::hash<std::string>()(runner.what.runner) % n);
     return (runner.what.slots + n - 1 - (rank_ + shift) % n) / n;
 }
 
-// In the keeper's order, as far as this front's own requests go: one that comes does not take the slot for which a more
+// In the coordinator's order, as far as this front's own requests go: one that comes does not take the slot for which a more
 // urgent one waits here.
-void Desk::serve_alone(Micros now, const std::string& service, Deeds& out) {
-    Office& office = offices_[service];
+void RequestHandler::serve_alone(Micros now, const std::string& service, Actions& out) {
+    Coordinator& coordinator = offices_[service];
     std::vector<RequestId> held;
     for (const auto& [id, r] : requests_)
         if (r.state == State::held && r.service == service) held.push_back(id);
     while (!held.empty()) {
         const auto late = [&](RequestId id) { return now > requests_.at(id).aim_at; };
-        const bool turn = office.turns + 1 >= terms_.late_turn && std::any_of(held.begin(), held.end(), late);
+        const bool turn = coordinator.turns + 1 >= options_.late_turn && std::any_of(held.begin(), held.end(), late);
         const auto place = [&](RequestId id) {
             const Request& r = requests_.at(id);
             return std::pair(place_in_line({r.came, r.aim_at, r.route->priority, late(id)}, turn), id);
@@ -109,37 +109,37 @@
         const auto first = std::min_element(held.begin(), held.end(), [&](RequestId a, RequestId b) { return place(a) < place(b); });
         const bool was_late = late(*first);
         if (!send_alone(now, *first, requests_.at(*first), out)) return;
-        office.turns = was_late ? 0 : office.turns + 1;
+        coordinator.turns = was_late ? 0 : coordinator.turns + 1;
         held.erase(first);
     }
 }
 
-bool Desk::send_alone(Micros now, RequestId id, Request& r, Deeds& out) {
+bool RequestHandler::send_alone(Micros now, RequestId id, Request& r, Actions& out) {
     // A second runner is drawn from the common budget, which cannot be asked.
     if (r.again) {
-        r.slowed = Loss::Cause::keeper;
+        r.slowed = Loss::Cause::coordinator;
         give_up(now, id, r, Kind::no_slot, kSoon, out);
         return true;
     }
-    Office& office = offices_[r.service];
+    Coordinator& coordinator = offices_[r.service];
     const auto fits = [&](bool near) {
-        return [this, near, now, &office](const Split::Share& s) {
+        return [this, near, now, &coordinator](const Split::Share& s) {
             const auto at = runners_.find(s.runner);
             if (at == runners_.end() || at->second.state != RunnerState::ready || now < at->second.aside_until) return false;
-            return at->second.out < (office.free ? at->second.what.slots : part(at->second)) && (!near || at->second.what.zone == terms_.zone);
+            return at->second.out < (coordinator.unrestricted ? at->second.what.slots : part(at->second)) && (!near || at->second.what.zone == options_.zone);
         };
     };
     const double at = unit();
-    const Split::Share* drawn = office.split.draw(at, fits(true));
-    if (!drawn) drawn = office.split.draw(at, fits(false));
-    if (!drawn) return r.slowed = Loss::Cause::keeper, false;
-    r.free = office.free;
+    const Split::Share* drawn = coordinator.split.draw(at, fits(true));
+    if (!drawn) drawn = coordinator.split.draw(at, fits(false));
+    if (!drawn) return r.slowed = Loss::Cause::coordinator, false;
+    r.unrestricted = coordinator.unrestricted;
     note(now, id, r, drawn->runner, "drawn_without_keeper");
     send(now, id, r, runners_[drawn->runner], out);
     return true;
 }
 
-void Desk::send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out) {
+void RequestHandler::send(Micros now, RequestId id, Request& r, Runner& runner, Actions& out) {
     r.state = State::out;
     r.runner = runner.what.runner;
     r.sent_at = now;
@@ -149,64 +149,64 @@
     out.forwards.push_back({id, r.runner, runner.what.address, static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
 }
 
-void Desk::note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why) {
+void RequestHandler::note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why) {
     decisions_.add({now, r.came > 0 ? now - r.came : 0, id, r.service, runner, why});
 }
 
-std::vector<Desk::Share> Desk::shares() const {
+std::vector<RequestHandler::Share> RequestHandler::shares() const {
     std::vector<Share> all;
-    for (const auto& [service, office] : offices_)
-        for (const Split::Share& s : office.split.shares()) all.push_back({service, s.runner, s.fraction, s.latency, s.out, office.free});
+    for (const auto& [service, coordinator] : offices_)
+        for (const Split::Share& s : coordinator.split.shares()) all.push_back({service, s.runner, s.fraction, s.latency, s.out, coordinator.unrestricted});
     return all;
 }
 
-void Desk::release(Micros now, Request& r, Ended how, Deeds& out) {
+void RequestHandler::release(Micros now, Request& r, Ended how, Actions& out) {
     const auto runner = runners_.find(r.runner);
-    Office& office = offices_[r.service];
+    Coordinator& coordinator = offices_[r.service];
     const Micros took = now - r.sent_at;
     std::uint32_t number = 0;
     if (runner != runners_.end()) {
         if (runner->second.out > 0) --runner->second.out;
         number = runner->second.number;
     }
-    if (r.free) ++office.count, office.busy += took;
-    // Of what was sent unasked only what went wrong is told, or what the keeper counts meanwhile.
-    const bool tell = r.ask > 0 || (number > 0 && (!r.free || how == Ended::turned_away || how == Ended::unreachable || how == Ended::gone));
-    if (keeper_ && tell) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
+    if (r.unrestricted) ++coordinator.count, coordinator.busy += took;
+    // Of what was sent unasked only what went wrong is told, or what the coordinator counts meanwhile.
+    const bool tell = r.ask > 0 || (number > 0 && (!r.unrestricted || how == Ended::turned_away || how == Ended::unreachable || how == Ended::gone));
+    if (coordinator_ && tell) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
     asks_.erase(r.ask);
     r.ask = 0;
     r.by_slot = false;
 }
 
-void Desk::set_mode(const Mode& m, Deeds& out) {
-    Office& office = offices_[m.service];
-    if (office.free == m.free) return;
-    office.free = m.free;
-    if (m.free) return;
-    // What is out unasked is counted by the keeper from here on, and released to it.
+void RequestHandler::set_mode(const Mode& m, Actions& out) {
+    Coordinator& coordinator = offices_[m.service];
+    if (coordinator.unrestricted == m.unrestricted) return;
+    coordinator.unrestricted = m.unrestricted;
+    if (m.unrestricted) return;
+    // What is out unasked is counted by the coordinator from here on, and released to it.
     std::map<std::uint32_t, std::uint32_t> outs;
     for (auto& [id, r] : requests_) {
-        if (r.state != State::out || !r.free || r.service != m.service) continue;
-        r.free = false;
+        if (r.state != State::out || !r.unrestricted || r.service != m.service) continue;
+        r.unrestricted = false;
         if (const auto runner = runners_.find(r.runner); runner != runners_.end() && runner->second.number > 0) ++outs[runner->second.number];
     }
-    if (!outs.empty()) out.mails.push_back(Outs{{outs.begin(), outs.end()}});
+    if (!outs.empty()) out.mails.push_back(OutstandingReport{{outs.begin(), outs.end()}});
 }
 
-void Desk::report(Micros now, Deeds& out) {
+void RequestHandler::report(Micros now, Actions& out) {
     if (now < reported_ + 1'000'000) return;
-    Loads loads{static_cast<std::uint32_t>(std::min<Micros>(now - reported_, 10'000'000) / 1000), {}};
+    LoadReport loads{static_cast<std::uint32_t>(std::min<Micros>(now - reported_, 10'000'000) / 1000), {}};
     reported_ = now;
-    for (auto& [service, office] : offices_) {
-        if (office.free && (office.count > 0 || office.busy > 0))
-            loads.loads.push_back({service, office.count, static_cast<std::uint32_t>(office.busy / 1000)});
-        office.last = {service, office.count, static_cast<std::uint32_t>(office.busy / 1000)};
-        office.count = 0, office.busy = 0;
+    for (auto& [service, coordinator] : offices_) {
+        if (coordinator.unrestricted && (coordinator.count > 0 || coordinator.busy > 0))
+            loads.loads.push_back({service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)});
+        coordinator.last = {service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)};
+        coordinator.count = 0, coordinator.busy = 0;
     }
-    if (keeper_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
+    if (coordinator_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
 }
 
-void Desk::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out) {
+void RequestHandler::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Actions& out) {
     if (r.client) out.replies.push_back({id, kind, retry_ms});
     if (r.client && r.route) lost(now, r, kind == Kind::may_have_run || kind == Kind::time_over ? Loss::How::failed : Loss::How::refused);
     note(now, id, r, r.runner, answer_to(kind).name);
@@ -223,14 +223,14 @@
     return names[static_cast<std::size_t>(how)];
 }
 
-void Desk::lost(Micros now, const Request& r, Loss::How how) {
+void RequestHandler::lost(Micros now, const Request& r, Loss::How how) {
     const Loss loss{now, now - r.came, r.service, r.slowed, how};
     losses_.add(loss);
     ++loss_counts_[static_cast<std::size_t>(loss.cause)][static_cast<std::size_t>(how)];
     if (new_losses_.size() < kDecisions) new_losses_.push_back(loss);
 }
 
-void Desk::close(RequestId id) {
+void RequestHandler::close(RequestId id) {
     const auto at = requests_.find(id);
     if (at == requests_.end()) return;
     asks_.erase(at->second.ask);
@@ -243,27 +243,27 @@
     requests_.erase(at);
 }
 
-void Desk::client_left(Micros now, RequestId id, Deeds& out) {
+void RequestHandler::client_left(Micros now, RequestId id, Actions& out) {
     const auto at = requests_.find(id);
     if (at == requests_.end()) return;
     Request& r = at->second;
     r.client = false;
     // What is at work ends by itself: a runner that is broken off has worked for nothing.
     if (r.state == State::out) return;
-    if (r.state == State::asking && keeper_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+    if (r.state == State::asking && coordinator_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
     (void)now;
     close(id);
 }
 
-void Desk::ended(Micros now, RequestId id, RunEnd how, Deeds& out) {
+void RequestHandler::ended(Micros now, RequestId id, RunEnd how, Actions& out) {
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.state != State::out) return;
     const std::string service = at->second.service;
     finish(now, id, at->second, how, out);
-    if (!keeper_) serve_alone(now, service, out);  // the slot that came free
+    if (!coordinator_) serve_alone(now, service, out);  // the slot that came free
 }
 
-void Desk::finish(Micros now, RequestId id, Request& r, RunEnd how, Deeds& out) {
+void RequestHandler::finish(Micros now, RequestId id, Request& r, RunEnd how, Actions& out) {
     Split& split = offices_[r.service].split;
     const Micros took = now - r.sent_at;
     const double whole = static_cast<double>(r.route->timeout) / 1e6;
@@ -317,40 +317,40 @@
     give_up(now, id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
 }
 
-// ---- the keeper ----------------------------------------------------------------------------------------------
+// ---- the coordinator ----------------------------------------------------------------------------------------------
 
-Greeting Desk::greeting() const {
-    Greeting g{terms_.name, terms_.zone, terms_.incarnation, version(), {}, {}};
+Register RequestHandler::registration() const {
+    Register g{options_.name, options_.zone, options_.incarnation, version(), {}, {}};
     for (const auto& [id, r] : runners_) {
         if (r.state == RunnerState::gone && r.out == 0) continue;
         Holding h = r.what;
-        const auto office = offices_.find(h.service);
-        const bool free = office != offices_.end() && office->second.free;
-        h.out = free ? 0 : r.out;  // of what is sent unasked no end is told
+        const auto coordinator = offices_.find(h.service);
+        const bool unrestricted = coordinator != offices_.end() && coordinator->second.unrestricted;
+        h.out = unrestricted ? 0 : r.out;  // of what is sent unasked no end is told
         h.up = r.state == RunnerState::ready;
         g.holdings.push_back(std::move(h));
     }
-    for (const auto& [service, office] : offices_)
-        if (office.free) g.free.push_back({service, office.last.count, office.last.busy_ms});
+    for (const auto& [service, coordinator] : offices_)
+        if (coordinator.unrestricted) g.unrestricted.push_back({service, coordinator.last.count, coordinator.last.busy_ms});
     return g;
 }
 
-void Desk::keeper_up(Micros now, Deeds& out) {
-    keeper_ = true;
+void RequestHandler::coordinator_connected(Micros now, Actions& out) {
+    coordinator_ = true;
     asks_.clear();
     by_number_.clear();
     for (auto& [id, r] : runners_) r.number = 0;
-    // What was free stays so until this keeper says otherwise: it has been told with the greeting. All functions kept at
-    // once, after a change of keepers, would be more asks than one keeper can answer.
+    // What was free stays so until this coordinator says otherwise: it has been told with the registration. All functions kept at
+    // once, after a change of coordinators, would be more asks than one coordinator can answer.
     for (auto& [id, r] : requests_) {
-        if (r.state == State::out) r.ask = 0;  // counted with the greeting
+        if (r.state == State::out) r.ask = 0;  // counted with the registration
         if (r.state == State::held || r.state == State::asking) seek(now, id, r, out);
     }
 }
 
-void Desk::keeper_lost(Micros now, Deeds& out) {
-    if (!keeper_) return;
-    keeper_ = false;
+void RequestHandler::coordinator_lost(Micros now, Actions& out) {
+    if (!coordinator_) return;
+    coordinator_ = false;
     asks_.clear();
     std::set<std::string> services;
     for (auto& [id, r] : requests_)
@@ -358,12 +358,12 @@
     for (const std::string& service : services) serve_alone(now, service, out);
 }
 
-void Desk::drop_runner(const std::string& runner, Deeds& out) {
+void RequestHandler::drop_runner(const std::string& runner, Actions& out) {
     const auto at = runners_.find(runner);
     if (at == runners_.end()) return;
-    Office& office = offices_[at->second.what.service];
-    office.split.leave(runner);
-    std::erase(office.runners, runner);
+    Coordinator& coordinator = offices_[at->second.what.service];
+    coordinator.split.leave(runner);
+    std::erase(coordinator.runners, runner);
     out.forgets.push_back(at->second.what.address);
     at->second.state = RunnerState::gone;
     if (at->second.out > 0) return;  // its last answers still release their slots
@@ -371,7 +371,7 @@
     runners_.erase(at);
 }
 
-void Desk::told(const RunnerTold& m, Deeds& out) {
+void RequestHandler::told(const RunnerTold& m, Actions& out) {
     if (m.state == RunnerState::gone) {
         if (const auto at = by_number_.find(m.number); at != by_number_.end()) drop_runner(std::string(at->second), out);
         return;
@@ -385,38 +385,38 @@
     r.number = m.number;
     by_number_[m.number] = m.runner.runner;
     r.state = m.state;
-    Office& office = offices_[m.runner.service];
-    if (fresh) office.runners.push_back(m.runner.runner);
-    if (m.state == RunnerState::ready) office.split.enter(m.runner.runner, m.runner.slots);
+    Coordinator& coordinator = offices_[m.runner.service];
+    if (fresh) coordinator.runners.push_back(m.runner.runner);
+    if (m.state == RunnerState::ready) coordinator.split.enter(m.runner.runner, m.runner.slots);
     if (m.watch && m.state == RunnerState::starting) {
         watched_[m.runner.address].push_back(m.runner.runner);
         out.watches.push_back(m.runner.address);
     }
 }
 
-void Desk::reached(Micros, const std::string& address, bool up, Deeds& out) {
+void RequestHandler::reached(Micros, const std::string& address, bool up, Actions& out) {
     const auto at = watched_.find(address);
     if (at == watched_.end()) return;
     for (const std::string& runner : at->second) {
         const auto r = runners_.find(runner);
         if (r == runners_.end() || r->second.number == 0) continue;
-        if (keeper_) out.mails.push_back(Up{r->second.number, up});
+        if (coordinator_) out.mails.push_back(RunnerReachable{r->second.number, up});
     }
     watched_.erase(at);
 }
 
-void Desk::held_up(Request& r, WaitedFor by) {
+void RequestHandler::held_up(Request& r, WaitedFor by) {
     if (by == WaitedFor::start) r.slowed = Loss::Cause::start;
     if (by == WaitedFor::slot) r.slowed = Loss::Cause::slot;
     if (by == WaitedFor::memory) r.slowed = Loss::Cause::memory;
 }
 
-void Desk::said(Micros now, const Message& message, Deeds& out) {
-    if (const auto* m = std::get_if<Welcome>(&message)) {
+void RequestHandler::said(Micros now, const Message& message, Actions& out) {
+    if (const auto* m = std::get_if<Registered>(&message)) {
         rank_ = m->rank, fronts_ = std::max(1U, m->fronts);
     } else if (const auto* m = std::get_if<RunnerTold>(&message)) {
         told(*m, out);
-    } else if (const auto* m = std::get_if<Grant>(&message)) {
+    } else if (const auto* m = std::get_if<AcquireGranted>(&message)) {
         const auto ask = asks_.find(m->id);
         if (ask == asks_.end()) {
             // The client has left meanwhile, or its time is over.
@@ -440,7 +440,7 @@
         send(now, id, r, runners_[runner->second], out);
     } else if (const auto* m = std::get_if<Mode>(&message)) {
         set_mode(*m, out);
-    } else if (const auto* m = std::get_if<Denial>(&message)) {
+    } else if (const auto* m = std::get_if<AcquireDenied>(&message)) {
         const auto ask = asks_.find(m->id);
         if (ask == asks_.end()) return;
         const RequestId id = ask->second;
@@ -453,7 +453,7 @@
 
 // ---- time ----------------------------------------------------------------------------------------------------
 
-void Desk::tick(Micros now, Deeds& out) {
+void RequestHandler::tick(Micros now, Actions& out) {
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         const RequestId id = deadlines_.begin()->second;
         Request& r = requests_.at(id);
@@ -463,11 +463,11 @@
             out.abandons.push_back(id);
             give_up(now, id, r, Kind::time_over, 0, out);
         } else {
-            if (r.state == State::asking && keeper_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+            if (r.state == State::asking && coordinator_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
             give_up(now, id, r, Kind::not_offered, 0, out);
         }
     }
-    if (!keeper_) {
+    if (!coordinator_) {
         std::set<std::string> services;
         for (const auto& [id, r] : requests_)
             if (r.state == State::held) services.insert(r.service);
@@ -476,4 +476,4 @@
     report(now, out);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/front/desk.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -1,9 +1,9 @@
 // What a front does with each request, from its head to its answer. Routes are looked up in the configuration in force,
-// the runner is drawn by the function's split, the slot is asked for at the keeper (slots/book.hpp); what the answer may
-// be follows from whether the request may have run. While no keeper answers, a front uses its own part of each
+// the runner is drawn by the function's split, the slot is asked for at the coordinator (slots/slot_table.hpp); what the answer may
+// be follows from whether the request may have run. While no coordinator answers, a front uses its own part of each
 // runner's slots, so that all fronts together keep the limit.
 //
-// No I/O and no clock: inputs are noted, and what is to be done is collected in Deeds.
+// No I/O and no clock: inputs are noted, and what is to be done is collected in Actions.
 #pragma once
 
 #include <array>
@@ -17,17 +17,17 @@
 #include <utility>
 #include <vector>
 
-#include "post/base/error.hpp"
-#include "post/base/record.hpp"
-#include "post/configuration/configuration.hpp"
-#include "post/split/split.hpp"
-#include "post/wire/messages.hpp"
+#include "cluster/base/error.hpp"
+#include "cluster/base/record.hpp"
+#include "cluster/configuration/configuration.hpp"
+#include "cluster/split/split.hpp"
+#include "cluster/wire/messages.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 using RequestId = std::uint64_t;
 
-struct Deeds {
+struct Actions {
     struct Forward {
         RequestId request = 0;
         std::string runner, address;
@@ -38,7 +38,7 @@
         Kind kind = Kind::no_slot;
         std::uint32_t retry_ms = 0;
     };
-    std::vector<Message> mails;  // to the keeper
+    std::vector<Message> mails;  // to the coordinator
     std::vector<Forward> forwards;
     std::vector<Reply> replies;
     std::vector<RequestId> relays;    // the runner's answer goes to the client as it is
@@ -66,7 +66,7 @@
 
 // Why an answer earned less than its whole worth, and how much less: late, refused (it has not run) or failed.
 struct Loss {
-    enum class Cause : std::uint8_t { start, slot, memory, keeper, runner, work, budget, route };
+    enum class Cause : std::uint8_t { start, slot, memory, coordinator, runner, work, budget, route };
     enum class How : std::uint8_t { late, refused, failed };
     static constexpr std::size_t kCauses = 8, kHows = 3;
     static const char* name(Cause cause);
@@ -77,39 +77,39 @@
     How how = How::late;
 };
 
-class Desk {
+class RequestHandler {
   public:
     using LossCounts = std::array<std::array<std::uint64_t, Loss::kHows>, Loss::kCauses>;
     static constexpr std::size_t kDecisions = 256;
-    struct Terms {
+    struct Options {
         std::string name, zone;
         Number incarnation = 1;
-        Micros reach = 700'000;  // without a word from the keeper for so long, it is taken for lost
+        Micros reach = 700'000;  // without a word from the coordinator for so long, it is taken for lost
         std::uint64_t chance = 1;
-        int late_turn = 4;  // as the keeper's (slots/book.hpp): of so many slots one goes to a late one
+        int late_turn = 4;  // as the coordinator's (slots/slot_table.hpp): of so many slots one goes to a late one
     };
-    explicit Desk(Terms terms) : terms_(std::move(terms)), chance_(terms_.chance * 2 + 1) {}
+    explicit RequestHandler(Options terms) : options_(std::move(terms)), chance_(options_.chance * 2 + 1) {}
 
     // A version below the one held alters nothing: a front never goes back.
     void configure(std::shared_ptr<const Configuration> configuration);
     const Configuration* configuration() const { return configuration_.get(); }
     Number version() const { return configuration_ ? configuration_->version() : 0; }
 
-    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Deeds& out);
-    void client_left(Micros now, RequestId request, Deeds& out);
-    void ended(Micros now, RequestId request, RunEnd how, Deeds& out);
+    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Actions& out);
+    void client_left(Micros now, RequestId request, Actions& out);
+    void ended(Micros now, RequestId request, RunEnd how, Actions& out);
 
-    // The keeper: a session with it begins and ends; what it says.
-    Greeting greeting() const;
-    void keeper_up(Micros now, Deeds& out);
-    void keeper_lost(Micros now, Deeds& out);
-    bool keeper() const { return keeper_; }
-    void said(Micros now, const Message& message, Deeds& out);
+    // The coordinator: a session with it begins and ends; what it says.
+    Register registration() const;
+    void coordinator_connected(Micros now, Actions& out);
+    void coordinator_lost(Micros now, Actions& out);
+    bool coordinator() const { return coordinator_; }
+    void said(Micros now, const Message& message, Actions& out);
 
     // A watched address took a connection, or did not for too long.
-    void reached(Micros now, const std::string& address, bool up, Deeds& out);
+    void reached(Micros now, const std::string& address, bool up, Actions& out);
 
-    void tick(Micros now, Deeds& out);
+    void tick(Micros now, Actions& out);
     const Record<Decision>& decisions() const { return decisions_; }
     const Record<Loss>& losses() const { return losses_; }
     const LossCounts& loss_counts() const { return loss_counts_; }
@@ -119,7 +119,7 @@
         std::string service, runner;
         double fraction = 0, latency = 0;
         std::uint32_t out = 0;
-        bool free = false;
+        bool unrestricted = false;
     };
     std::vector<Share> shares() const;
     std::size_t open() const { return requests_.size(); }
@@ -136,8 +136,8 @@
         std::uint32_t ask = 0, sends = 0;
         bool by_slot = false;  // the runner's slot was granted, and is to be released
         bool client = true;    // it still waits
-        bool again = false, free = false;
-        std::uint32_t drawn_number = 0;  // the runner that the keeper was told
+        bool again = false, unrestricted = false;
+        std::uint32_t drawn_number = 0;  // the runner that the coordinator was told
         Loss::Cause slowed = Loss::Cause::work;  // by what it was held up last
     };
     struct Runner {
@@ -146,44 +146,44 @@
         RunnerState state = RunnerState::starting;
         Micros aside_until = 0;  // for what it did to us
     };
-    struct Office {  // one function here
+    struct Coordinator {  // one function here
         Split split;
         std::vector<std::string> runners;
-        bool free = false;  // no slot is asked for
+        bool unrestricted = false;  // no slot is asked for
         std::uint32_t count = 0;
         Micros busy = 0;  // since the last report
         Load last;        // what that report said, a second of it
-        int turns = 0;    // without a keeper: slots taken since a late one had its turn
+        int turns = 0;    // without a coordinator: slots taken since a late one had its turn
     };
 
-    void finish(Micros now, RequestId id, Request& r, RunEnd how, Deeds& out);
-    void seek(Micros now, RequestId id, Request& r, Deeds& out);
-    bool send_alone(Micros now, RequestId id, Request& r, Deeds& out);
-    void serve_alone(Micros now, const std::string& service, Deeds& out);
-    void send(Micros now, RequestId id, Request& r, Runner& runner, Deeds& out);
-    void release(Micros now, Request& r, Ended how, Deeds& out);
-    void set_mode(const Mode& m, Deeds& out);
-    void report(Micros now, Deeds& out);
-    void give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Deeds& out);
+    void finish(Micros now, RequestId id, Request& r, RunEnd how, Actions& out);
+    void seek(Micros now, RequestId id, Request& r, Actions& out);
+    bool send_alone(Micros now, RequestId id, Request& r, Actions& out);
+    void serve_alone(Micros now, const std::string& service, Actions& out);
+    void send(Micros now, RequestId id, Request& r, Runner& runner, Actions& out);
+    void release(Micros now, Request& r, Ended how, Actions& out);
+    void set_mode(const Mode& m, Actions& out);
+    void report(Micros now, Actions& out);
+    void give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Actions& out);
     void close(RequestId id);
     void lost(Micros now, const Request& r, Loss::How how);
     static void held_up(Request& r, WaitedFor by);
     void note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why);
-    void told(const RunnerTold& m, Deeds& out);
-    void drop_runner(const std::string& runner, Deeds& out);
+    void told(const RunnerTold& m, Actions& out);
+    void drop_runner(const std::string& runner, Actions& out);
     std::uint32_t part(const Runner& runner) const;
     double unit();
 
-    Terms terms_;
+    Options options_;
     std::shared_ptr<const Configuration> configuration_;
     std::unordered_map<RequestId, Request> requests_;
     std::multimap<Micros, RequestId> deadlines_;
     std::unordered_map<std::uint32_t, RequestId> asks_;
-    std::unordered_map<std::string, Office> offices_;
+    std::unordered_map<std::string, Coordinator> offices_;
     std::unordered_map<std::string, Runner> runners_;
     std::unordered_map<std::uint32_t, std::string> by_number_;
     std::map<std::string, std::vector<std::string>> watched_;  // address: runners
-    bool keeper_ = false;
+    bool coordinator_ = false;
     std::uint32_t rank_ = 0, fronts_ = 1, last_ask_ = 0;
     Micros reported_ = 0;
     Record<Decision> decisions_{kDecisions};
@@ -193,4 +193,4 @@
     std::uint64_t chance_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/runners/listing.cpp
+++ b/src/cluster/runners/listing.cpp
@@ -1,8 +1,8 @@
-#include "post/runners/listing.hpp"
+#include "cluster/runners/listing.hpp"
 
 #include <algorithm>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 bool Listing::due(Micros now, std::string& token) {
     if (out_ || now < next_) return false;
@@ -16,7 +16,7 @@
     out_ = false;
     token_.clear();
     reading_.clear();
-    next_ = now + std::max<Micros>(200'000, static_cast<Micros>(2e6 / std::max(0.1, terms_.rate_per_s)));
+    next_ = now + std::max<Micros>(200'000, static_cast<Micros>(2e6 / std::max(0.1, options_.rate_per_s)));
 }
 
 void Listing::page(Micros now, const Page& page, bool& whole, std::vector<std::string>& gone) {
@@ -24,8 +24,8 @@
     for (const Listed& one : page.runners) reading_.insert(one.what.runner);
     token_ = page.next;
     whole = token_.empty();
-    const auto apart = static_cast<Micros>(1.5e6 / std::max(0.1, terms_.rate_per_s));
-    next_ = now + (whole ? std::max(terms_.pause, apart) : apart);
+    const auto apart = static_cast<Micros>(1.5e6 / std::max(0.1, options_.rate_per_s));
+    next_ = now + (whole ? std::max(options_.pause, apart) : apart);
     if (!whole) return;
     for (const std::string& runner : last_)
         if (!reading_.count(runner)) gone.push_back(runner);
@@ -33,4 +33,4 @@
     reading_.clear();
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/runners/listing.hpp
+++ b/src/cluster/runners/listing.hpp
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "post/wire/messages.hpp"
+#include "cluster/wire/messages.hpp"
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct Listed {
     Holding what;
@@ -22,11 +22,11 @@
 
 class Listing {
   public:
-    struct Terms {
+    struct Options {
         double rate_per_s = 1;  // of pages, for all processes together
         Micros pause = 400'000; // between two readings of the list
     };
-    Listing(const Terms& terms, Micros now) : terms_(terms), next_(now) {}
+    Listing(const Options& terms, Micros now) : options_(terms), next_(now) {}
 
     // The token of the page to ask for now ("": the first); false: none yet.
     bool due(Micros now, std::string& token);
@@ -37,11 +37,11 @@
     Micros next() const { return out_ ? next_ + 2'000'000 : next_; }
 
   private:
-    Terms terms_;
+    Options options_;
     Micros next_;
     bool out_ = false;
     std::string token_;
     std::set<std::string> reading_, last_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/runners/resources.cpp
+++ b/src/cluster/runners/resources.cpp
@@ -1,8 +1,8 @@
-#include "post/runners/resources.hpp"
+#include "cluster/runners/resources.hpp"
 
 #include <simdjson.h>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 using simdjson::dom::element;
@@ -119,4 +119,4 @@
 
 bool StopResource::done(const HttpMessage& answer) const { return answer.status == 200 || answer.status == 404; }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/runners/resources.hpp
+++ b/src/cluster/runners/resources.hpp
@@ -4,12 +4,12 @@
 #include <string>
 #include <vector>
 
-#include "post/base/error.hpp"
-#include "post/placement/planner.hpp"
-#include "post/runners/listing.hpp"
-#include "post/transport/http_message.hpp"
+#include "cluster/base/error.hpp"
+#include "cluster/placement/planner.hpp"
+#include "cluster/runners/listing.hpp"
+#include "cluster/transport/http_message.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 // Who acts, for calls that change something: the platform refuses an older number.
 struct Fence {
@@ -43,4 +43,4 @@
     bool done(const HttpMessage& answer) const;  // 404: there never was such a one, which is as good
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/slots/book.cpp
+++ b/src/cluster/slots/slot_table.cpp
@@ -1,13 +1,13 @@
-#include "post/slots/book.hpp"
+#include "cluster/slots/slot_table.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <tuple>
 
-#include "post/slots/urgency.hpp"
+#include "cluster/slots/urgency.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr Micros kAside = 1'500'000;     // after a runner could not be reached
@@ -42,7 +42,7 @@
 
 double Demand::slots() const { return sum_ / std::max(seen_, kLeast); }
 
-Function& Book::function(const std::string& name) {
+Function& SlotTable::function(const std::string& name) {
     std::unique_ptr<Function>& f = functions_[name];
     if (!f) {
         f = std::make_unique<Function>();
@@ -52,12 +52,12 @@
     return *f;
 }
 
-void Book::touch(Function& f) {
+void SlotTable::touch(Function& f) {
     f.active = true;
     active_.insert(&f);
 }
 
-void Book::configure(std::shared_ptr<const Configuration> configuration) {
+void SlotTable::configure(std::shared_ptr<const Configuration> configuration) {
     configuration_ = std::move(configuration);
     for (const Service& s : configuration_->services()) function(s.name);
     for (auto& [name, f] : functions_) f->service = configuration_->service(name), touch(*f);  // the next tick lets go of those that are not used
@@ -65,31 +65,31 @@
         if (r.function->service) r.what.slots = r.function->service->most;
 }
 
-std::int64_t Book::used_mb(const std::string& worker) const {
+std::int64_t SlotTable::used_mb(const std::string& worker) const {
     std::int64_t used = 0;
     for (const auto& [number, r] : runners_)
         if (r.what.worker == worker) used += memory_of(r);
     return used;
 }
 
-const std::string* Book::zone_of(Session front) const {
+const std::string* SlotTable::zone_of(Session front) const {
     const auto at = fronts_.find(front);
     return at == fronts_.end() ? nullptr : &at->second.zone;
 }
 
-const std::string* Book::name_of(Session front) const {
+const std::string* SlotTable::name_of(Session front) const {
     const auto at = fronts_.find(front);
     return at == fronts_.end() ? nullptr : &at->second.name;
 }
 
-double Book::usual(std::uint16_t shape) const {
+double SlotTable::usual(std::uint16_t shape) const {
     const auto at = usual_.find(shape);
     return at == usual_.end() ? kGuess : at->second.get(kGuess);
 }
 
 // ---- telling fronts ------------------------------------------------------------------------------------------
 
-void Book::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
+void SlotTable::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
     r.told.insert(front);
     const bool gone = r.draining || r.state == RunnerState::gone;
     RunnerTold told{r.number, gone ? RunnerState::gone : r.state, gone ? Holding{} : r.what, watch};
@@ -97,7 +97,7 @@
     out.push_back({front, std::move(told)});
 }
 
-void Book::tell_all(Slots& r, std::vector<FrontMail>& out) {
+void SlotTable::tell_all(Slots& r, std::vector<FrontMail>& out) {
     // Whoever was told of it once, and whoever uses the function.
     std::set<Session> all = r.function->interested;
     all.insert(r.told.begin(), r.told.end());
@@ -107,7 +107,7 @@
 
 // A runner refuses connections until it has started, and the platform's list shows that late: one front, of those who
 // will use it, tries until it can connect.
-void Book::watch(Slots& r, std::vector<FrontMail>& out) {
+void SlotTable::watch(Slots& r, std::vector<FrontMail>& out) {
     if (r.state != RunnerState::starting || fronts_.count(r.watcher) || fronts_.empty()) return;
     const Function& f = *r.function;
     const auto rank = [&](Session s, const Front& front) {
@@ -123,10 +123,10 @@
 
 // ---- fronts --------------------------------------------------------------------------------------------------
 
-void Book::front_came(Micros now, Session session, const Greeting& greeting, std::vector<FrontMail>& out) {
+void SlotTable::front_came(Micros now, Session session, const Register& registration, std::vector<FrontMail>& out) {
     Front& front = fronts_[session];
-    front.name = greeting.name, front.zone = greeting.zone;
-    for (const Holding& held : greeting.holdings) {
+    front.name = registration.name, front.zone = registration.zone;
+    for (const Holding& held : registration.holdings) {
         if (ended_.count(held.runner)) continue;
         const auto known = by_name_.find(held.runner);
         Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, held);
@@ -140,12 +140,12 @@
         touch(*r.function);
         tell(r, session, out);
     }
-    // What it takes unasked was free under the keeper before: so it stays, unless it has been kept here already; by the
+    // What it takes unasked was free under the coordinator before: so it stays, unless it has been kept here already; by the
     // loads that are told with it the next sample judges it like any other.
-    for (const Load& l : greeting.free) {
+    for (const Load& l : registration.unrestricted) {
         Function& f = function(l.service);
         f.interested.insert(session);
-        if (now < f.kept_until) {
+        if (now < f.coordinated_until) {
             out.push_back({session, Mode{f.name, false}});
             continue;
         }
@@ -153,22 +153,22 @@
         f.last_used = now;
         f.parts[session] = {static_cast<double>(l.busy_ms) / 1e3, static_cast<double>(l.count), now};
         touch(f);
-        if (!f.free) {
-            f.free = true;
+        if (!f.unrestricted) {
+            f.unrestricted = true;
             for (const Session other : f.interested)
                 if (other != session) out.push_back({other, Mode{f.name, true}});
         }
     }
     // One that kept on asking for what is free by now.
     std::set<std::string> kept;
-    for (const Holding& held : greeting.holdings) kept.insert(held.service);
-    for (const Load& l : greeting.free) kept.erase(l.service);
+    for (const Holding& held : registration.holdings) kept.insert(held.service);
+    for (const Load& l : registration.unrestricted) kept.erase(l.service);
     for (const std::string& name : kept)
-        if (function(name).free) out.push_back({session, Mode{name, true}});
+        if (function(name).unrestricted) out.push_back({session, Mode{name, true}});
     for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
 }
 
-void Book::front_left(Micros now, Session session, std::vector<FrontMail>& out) {
+void SlotTable::front_left(Micros now, Session session, std::vector<FrontMail>& out) {
     if (fronts_.erase(session) == 0) return;
     for (auto& [name, f] : functions_) {
         f->interested.erase(session);
@@ -184,12 +184,12 @@
     }
 }
 
-Function* Book::ask(Micros now, Session session, const Ask& ask, std::vector<FrontMail>& out) {
+Function* SlotTable::ask(Micros now, Session session, const AcquireRequest& ask, std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return nullptr;
     const auto known = functions_.find(ask.service);
     if (known == functions_.end() || !known->second->service) {
-        out.push_back({session, Denial{ask.id, 500}});
+        out.push_back({session, AcquireDenied{ask.id, 500}});
         return nullptr;
     }
     Function& f = *known->second;
@@ -199,13 +199,13 @@
     if (f.interested.insert(session).second) {
         for (const std::uint32_t number : f.runners)
             if (Slots& r = runners_.at(number); !r.draining) tell(r, session, out);
-        if (f.free) out.push_back({session, Mode{f.name, true}});
+        if (f.unrestricted) out.push_back({session, Mode{f.name, true}});
     }
     if (ask.again) {
-        while (!f.tried_again.empty() && f.tried_again.front() < now - terms_.budget_window) f.tried_again.pop_front();
-        // Two keepers in one window, each with half: the budget holds over a change of the keeper too.
-        if (static_cast<double>(f.tried_again.size()) + 1 > terms_.budget_slack / 2) {
-            out.push_back({session, Denial{ask.id, 1000}});
+        while (!f.tried_again.empty() && f.tried_again.front() < now - options_.budget_window) f.tried_again.pop_front();
+        // Two coordinators in one window, each with half: the budget holds over a change of the coordinator too.
+        if (static_cast<double>(f.tried_again.size()) + 1 > options_.budget_slack / 2) {
+            out.push_back({session, AcquireDenied{ask.id, 1000}});
             return &f;
         }
         f.tried_again.push_back(now);
@@ -218,7 +218,7 @@
         return &f;
     }
     if (const std::uint32_t later = too_long(f, ask); later > 0) {
-        out.push_back({session, Denial{ask.id, later, lacks(f)}});
+        out.push_back({session, AcquireDenied{ask.id, later, lacks(f)}});
         return &f;
     }
     const WaitQueue::Waiting waiting{session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL, static_cast<Micros>(usual(ask.shape)), lacks(f)};
@@ -227,7 +227,7 @@
     return &f;
 }
 
-Slots* Book::choose(Micros now, Function& f, const Ask& ask, const std::string& zone) {
+Slots* SlotTable::choose(Micros now, Function& f, const AcquireRequest& ask, const std::string& zone) {
     if (const auto drawn = runners_.find(ask.drawn); drawn != runners_.end() && drawn->second.function == &f && open(now, drawn->second))
         return &drawn->second;
     Slots* best = nullptr;
@@ -239,7 +239,7 @@
     return best;
 }
 
-double Book::slots_of(const Function& f) const {
+double SlotTable::slots_of(const Function& f) const {
     double slots = 0;
     for (const std::uint32_t number : f.runners)
         if (const Slots& r = runners_.at(number); !r.draining) slots += r.what.slots;
@@ -248,7 +248,7 @@
 
 // Against a line so long that whoever comes now would be given up at its end: it is told at once when the line will have
 // shrunk, and what is in the line has a chance. Two fifths of its time are left for the new try. 0: it may wait.
-std::uint32_t Book::too_long(const Function& f, const Ask& ask) const {
+std::uint32_t SlotTable::too_long(const Function& f, const AcquireRequest& ask) const {
     const double slots = slots_of(f);
     if (slots == 0) return 0;
     const double wait_ms = f.waiting.work() / slots / 1e3;
@@ -258,27 +258,27 @@
 }
 
 // What a request that finds no slot is waiting for.
-WaitedFor Book::lacks(const Function& f) const {
+WaitedFor SlotTable::lacks(const Function& f) const {
     for (const std::uint32_t number : f.runners)
         if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) return WaitedFor::slot;
     return f.no_room ? WaitedFor::memory : WaitedFor::start;
 }
 
-void Book::grant(Micros now, Slots& r, Session session, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out) {
+void SlotTable::grant(Micros now, Slots& r, Session session, const AcquireRequest& ask, WaitedFor waited, std::vector<FrontMail>& out) {
     r.given.push_back({session, ask.id, ask.shape, now});
     if (!r.told.count(session)) tell(r, session, out);
-    out.push_back({session, Grant{ask.id, r.number, waited}});
+    out.push_back({session, AcquireGranted{ask.id, r.number, waited}});
 }
 
-void Book::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
+void SlotTable::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
     WaitQueue::Place place = 0;
     // A late one never pushes out one that can be in aim but in its turn.
-    while (const WaitQueue::Waiting* const first = f.waiting.first(now, f.turns + 1 >= terms_.late_turn, place)) {
+    while (const WaitQueue::Waiting* const first = f.waiting.first(now, f.turns + 1 >= options_.late_turn, place)) {
         const auto front = fronts_.find(first->front);
         Slots* const r = front != fronts_.end() ? choose(now, f, first->ask, front->second.zone) : nullptr;
         if (front != fronts_.end() && !r) return;
         const WaitQueue::Waiting next = *first;
-        const bool late = f.waiting.is_late(place), turn = f.turns + 1 >= terms_.late_turn;
+        const bool late = f.waiting.is_late(place), turn = f.turns + 1 >= options_.late_turn;
         f.waiting.leave(place);
         if (!r) continue;
         f.turns = late ? 0 : f.turns + 1;
@@ -293,7 +293,7 @@
     }
 }
 
-void Book::release(Micros now, Session session, const Release& m, std::vector<FrontMail>& out) {
+void SlotTable::release(Micros now, Session session, const Release& m, std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return;
     if (const auto waits = front->second.waiting.find(m.id); m.id > 0 && waits != front->second.waiting.end()) {
@@ -321,12 +321,12 @@
     if (m.how == Ended::turned_away) {
         r.aside_until = std::max(r.aside_until, now + 50'000);
         f.turned_away.push_back(now);
-        if (f.free) settle_mode(now, f, out);
+        if (f.unrestricted) settle_mode(now, f, out);
     }
     if (!f.waiting.empty()) serve(now, f, out);
 }
 
-void Book::up(Micros now, Session session, const Up& m, std::vector<FrontMail>& out) {
+void SlotTable::up(Micros now, Session session, const RunnerReachable& m, std::vector<FrontMail>& out) {
     const auto at = runners_.find(m.runner);
     if (at == runners_.end() || at->second.state != RunnerState::starting) return;
     Slots& r = at->second;
@@ -343,7 +343,7 @@
 
 // ---- free functions ------------------------------------------------------------------------------------------
 
-void Book::loads(Micros now, Session session, const Loads& m) {
+void SlotTable::loads(Micros now, Session session, const LoadReport& m) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end() || m.span_ms == 0) return;
     for (const Load& l : m.loads) {
@@ -356,7 +356,7 @@
     }
 }
 
-void Book::outs(Micros now, Session session, const Outs& m) {
+void SlotTable::outs(Micros now, Session session, const OutstandingReport& m) {
     if (!fronts_.count(session)) return;
     for (const auto& [number, count] : m.by_runner) {
         const auto at = runners_.find(number);
@@ -365,17 +365,17 @@
     }
 }
 
-void Book::set_mode(Function& f, bool free, std::vector<FrontMail>& out) {
-    if (f.free == free) return;
-    f.free = free;
+void SlotTable::set_mode(Function& f, bool unrestricted, std::vector<FrontMail>& out) {
+    if (f.unrestricted == unrestricted) return;
+    f.unrestricted = unrestricted;
     f.parts.clear();
-    for (const Session front : f.interested) out.push_back({front, Mode{f.name, free}});
+    for (const Session front : f.interested) out.push_back({front, Mode{f.name, unrestricted}});
 }
 
 // By chance alone, how often would a runner be full if nobody asked?
-void Book::settle_mode(Micros now, Function& f, std::vector<FrontMail>& out) {
+void SlotTable::settle_mode(Micros now, Function& f, std::vector<FrontMail>& out) {
     while (!f.turned_away.empty() && f.turned_away.front() < now - 5'000'000) f.turned_away.pop_front();
-    if (!f.service || !terms_.may_free || f.service->most < kFewSlots) return set_mode(f, false, out);
+    if (!f.service || !options_.may_be_unrestricted || f.service->most < kFewSlots) return set_mode(f, false, out);
     std::map<std::string, double> ready;
     for (const std::uint32_t number : f.runners)
         if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) ready[r.what.zone] += 1;
@@ -393,20 +393,20 @@
         // Half as much again: chance has bad seconds too.
         turned += part * rate * 5 * blocked(1.5 * load * part / count, f.service->most);
     }
-    const double allowed = terms_.rejection_slack;
+    const double allowed = options_.rejection_slack;
     // The first one turned away is enough: of the allowed ones some more are on their way before all fronts know.
     const bool known = now >= f.used_since + kKnown && now < f.last_used + kPause;
-    if (f.free && (turned > 0.3 * allowed || !f.turned_away.empty() || !known)) {
-        f.kept_until = now + kKept;
+    if (f.unrestricted && (turned > 0.3 * allowed || !f.turned_away.empty() || !known)) {
+        f.coordinated_until = now + kKept;
         set_mode(f, false, out);
-    } else if (!f.free && known && now >= f.kept_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
+    } else if (!f.unrestricted && known && now >= f.coordinated_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
         set_mode(f, true, out);
     }
 }
 
 // ---- runners -------------------------------------------------------------------------------------------------
 
-Slots& Book::add(Micros now, const Holding& what) {
+Slots& SlotTable::add(Micros now, const Holding& what) {
     const std::uint32_t number = next_number_++;
     Slots& r = runners_[number];
     r.number = number;
@@ -423,13 +423,13 @@
     return r;
 }
 
-void Book::began(Micros now, const Holding& what, std::vector<FrontMail>& out) {
+void SlotTable::began(Micros now, const Holding& what, std::vector<FrontMail>& out) {
     if (by_name_.count(what.runner) || ended_.count(what.runner)) return;
     Slots& r = add(now, what);
     watch(r, out);
 }
 
-void Book::listed(Micros now, const Holding& what, bool draining, std::vector<FrontMail>& out) {
+void SlotTable::listed(Micros now, const Holding& what, bool draining, std::vector<FrontMail>& out) {
     const auto known = by_name_.find(what.runner);
     if (known == by_name_.end() && (draining || ended_.count(what.runner))) return;
     Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, what);
@@ -443,7 +443,7 @@
     serve(now, *r.function, out);
 }
 
-void Book::gone(Micros now, const std::string& runner, const char*, std::vector<FrontMail>& out) {
+void SlotTable::gone(Micros now, const std::string& runner, const char*, std::vector<FrontMail>& out) {
     const auto known = by_name_.find(runner);
     ended_[runner] = now;
     if (known == by_name_.end()) return;
@@ -457,7 +457,7 @@
     by_name_.erase(known);
 }
 
-bool Book::retire(Micros now, std::uint32_t number, std::vector<FrontMail>& out) {
+bool SlotTable::retire(Micros now, std::uint32_t number, std::vector<FrontMail>& out) {
     const auto at = runners_.find(number);
     if (at == runners_.end()) return true;
     Slots& r = at->second;
@@ -466,12 +466,12 @@
         r.retired = now;
         tell_all(r, out);
     }
-    return r.given.empty() && now >= r.retired + (r.function->free ? kUnderWay : 0);
+    return r.given.empty() && now >= r.retired + (r.function->unrestricted ? kUnderWay : 0);
 }
 
 // ---- time ----------------------------------------------------------------------------------------------------
 
-double Book::expected_wait(Micros now, const Function& f) const {
+double SlotTable::expected_wait(Micros now, const Function& f) const {
     // When each slot comes free, by what is at work there; then one after the other for those who wait.
     std::vector<double> free_in;
     for (const std::uint32_t number : f.runners) {
@@ -496,7 +496,7 @@
     return last;
 }
 
-void Book::tick(Micros now, std::vector<FrontMail>& out) {
+void SlotTable::tick(Micros now, std::vector<FrontMail>& out) {
     constexpr double kStep = static_cast<double>(kSample) / 1e6;
     for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
     std::erase_if(ended_, [&](const auto& one) { return one.second + 60'000'000 < now; });
@@ -528,17 +528,17 @@
         // What can not be in time any more is answered at once; so is who has become late and whose turn would come too late.
         WaitQueue::Place place = 0;
         while (const WaitQueue::Waiting* const w = f.waiting.hopeless(now, place)) {
-            out.push_back({w->front, Denial{w->ask.id, 0, w->waits_for}});
+            out.push_back({w->front, AcquireDenied{w->ask.id, 0, w->waits_for}});
             if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
             f.waiting.leave(place);
         }
         const double slots = slots_of(f);
         while (slots > 0 && !f.waiting.empty()) {
             const double work = f.waiting.work() / static_cast<double>(f.waiting.size());
-            const double per_place = work / slots * (f.waiting.any_in_aim() ? terms_.late_turn : 1);
+            const double per_place = work / slots * (f.waiting.any_in_aim() ? options_.late_turn : 1);
             const WaitQueue::Waiting* const w = f.waiting.out_of_reach(now, per_place, place);
             if (!w) break;
-            out.push_back({w->front, Denial{w->ask.id, kComeBack, w->waits_for}});
+            out.push_back({w->front, AcquireDenied{w->ask.id, kComeBack, w->waits_for}});
             if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
             f.waiting.leave(place);
         }
@@ -550,4 +550,4 @@
     }
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/slots/book.hpp
+++ b/src/cluster/slots/slot_table.hpp
@@ -20,13 +20,13 @@
 #include <unordered_set>
 #include <vector>
 
-#include "post/base/record.hpp"
-#include "post/configuration/configuration.hpp"
-#include "post/slots/wait_queue.hpp"
-#include "post/wire/messages.hpp"
+#include "cluster/base/record.hpp"
+#include "cluster/configuration/configuration.hpp"
+#include "cluster/slots/wait_queue.hpp"
+#include "cluster/wire/messages.hpp"
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct FrontMail {
     Session to = 0;
@@ -61,7 +61,7 @@
 struct Slots {  // one runner
     struct Given {
         Session front = 0;
-        std::uint32_t ask = 0;  // 0: taken over from another keeper, or sent while free
+        std::uint32_t ask = 0;  // 0: taken over from another coordinator, or sent while free
         std::uint16_t shape = 0;
         Micros since = 0;
     };
@@ -91,8 +91,8 @@
 
     std::string name;
     const Service* service = nullptr;  // nullptr: in no configuration any more
-    bool free = false;
-    Micros kept_until = 0;
+    bool unrestricted = false;
+    Micros coordinated_until = 0;
     std::vector<std::uint32_t> runners;
     std::set<Session> interested;
     WaitQueue waiting;
@@ -125,30 +125,30 @@
     const char* why = "";
 };
 
-class Book {
+class SlotTable {
   public:
-    struct Terms {
+    struct Options {
         double budget_slack = 0;
         Micros budget_window = 10'000'000;
         double rejection_slack = 10;  // what runners of one function may turn away in 5 s
         std::uint32_t first_number = 1;
-        bool may_free = true;
+        bool may_be_unrestricted = true;
         // Of so many slots that come free one goes to those who can not be in aim any more, while there are any: so
         // whoever waits in a function gets through, however many urgent ones come.
         int late_turn = 4;
     };
-    explicit Book(const Terms& terms) : terms_(terms), next_number_(terms.first_number) {}
+    explicit SlotTable(const Options& terms) : options_(terms), next_number_(terms.first_number) {}
 
     void configure(std::shared_ptr<const Configuration> configuration);
 
-    void front_came(Micros now, Session front, const Greeting& greeting, std::vector<FrontMail>& out);
+    void front_came(Micros now, Session front, const Register& registration, std::vector<FrontMail>& out);
     void front_left(Micros now, Session front, std::vector<FrontMail>& out);
     // The function asked for; nullptr: there is none.
-    Function* ask(Micros now, Session front, const Ask& ask, std::vector<FrontMail>& out);
+    Function* ask(Micros now, Session front, const AcquireRequest& ask, std::vector<FrontMail>& out);
     void release(Micros now, Session front, const Release& release, std::vector<FrontMail>& out);
-    void up(Micros now, Session front, const Up& up, std::vector<FrontMail>& out);
-    void loads(Micros now, Session front, const Loads& loads);
-    void outs(Micros now, Session front, const Outs& outs);
+    void up(Micros now, Session front, const RunnerReachable& up, std::vector<FrontMail>& out);
+    void loads(Micros now, Session front, const LoadReport& loads);
+    void outs(Micros now, Session front, const OutstandingReport& outs);
 
     // A runner that the platform says it starts; one that stands in its list; one that ended.
     void began(Micros now, const Holding& what, std::vector<FrontMail>& out);
@@ -182,16 +182,16 @@
 
     Function& function(const std::string& name);
     void touch(Function& f);
-    Slots* choose(Micros now, Function& f, const Ask& ask, const std::string& zone);
-    void grant(Micros now, Slots& runner, Session front, const Ask& ask, WaitedFor waited, std::vector<FrontMail>& out);
+    Slots* choose(Micros now, Function& f, const AcquireRequest& ask, const std::string& zone);
+    void grant(Micros now, Slots& runner, Session front, const AcquireRequest& ask, WaitedFor waited, std::vector<FrontMail>& out);
     WaitedFor lacks(const Function& f) const;
     double slots_of(const Function& f) const;  // of all its runners, those that start too
-    std::uint32_t too_long(const Function& f, const Ask& ask) const;
+    std::uint32_t too_long(const Function& f, const AcquireRequest& ask) const;
     void serve(Micros now, Function& f, std::vector<FrontMail>& out);
     void tell(Slots& runner, Session front, std::vector<FrontMail>& out, bool watch = false);
     void tell_all(Slots& runner, std::vector<FrontMail>& out);
     void watch(Slots& runner, std::vector<FrontMail>& out);
-    void set_mode(Function& f, bool free, std::vector<FrontMail>& out);
+    void set_mode(Function& f, bool unrestricted, std::vector<FrontMail>& out);
     void settle_mode(Micros now, Function& f, std::vector<FrontMail>& out);
     Slots& add(Micros now, const Holding& what);
     std::int64_t memory_of(const Slots& s) const { return s.function->service ? s.function->service->memory_mb : 0; }
@@ -199,7 +199,7 @@
         return s.state == RunnerState::ready && !s.draining && now >= s.aside_until && s.out() < s.what.slots;
     }
 
-    Terms terms_;
+    Options options_;
     std::shared_ptr<const Configuration> configuration_;
     std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
     std::unordered_set<Function*> active_;
@@ -213,4 +213,4 @@
     Record<Overtaking> overtakings_{256};
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/slots/urgency.hpp
+++ b/src/cluster/slots/urgency.hpp
@@ -1,12 +1,12 @@
-// Which of the requests that wait for slots of a function goes first (docs/urgency.md); one rule for the keeper, who
-// orders those of all fronts, and for a front that serves its own while no keeper answers.
+// Which of the requests that wait for slots of a function goes first (docs/urgency.md); one rule for the coordinator, who
+// orders those of all fronts, and for a front that serves its own while no coordinator answers.
 #pragma once
 
 #include <tuple>
 
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 constexpr Micros kRank = 100'000;  // of time left, for each step of priority
 
@@ -22,4 +22,4 @@
     return {u.late != turn, u.late ? u.since : u.aim_at + u.priority * kRank, u.since};
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/slots/wait_queue.cpp
+++ b/src/cluster/slots/wait_queue.cpp
@@ -1,8 +1,8 @@
-#include "post/slots/wait_queue.hpp"
+#include "cluster/slots/wait_queue.hpp"
 
 #include <vector>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 WaitQueue::Place WaitQueue::add(const Waiting& w) {
     const Place place = ++last_;
@@ -67,4 +67,4 @@
     return &last;
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/slots/wait_queue.hpp
+++ b/src/cluster/slots/wait_queue.hpp
@@ -1,7 +1,7 @@
 // The requests of all fronts that wait for slots of one function, in the order of slots/urgency.hpp. Adding, taking and
 // leaving cost the logarithm of its length: in an overload it is long, and whoever keeps it has a small part of a core.
 //
-// Times are of the keeper's steady clock, in microseconds. No I/O and no clock.
+// Times are of the coordinator's steady clock, in microseconds. No I/O and no clock.
 #pragma once
 
 #include <cstdint>
@@ -9,10 +9,10 @@
 #include <set>
 #include <tuple>
 
-#include "post/slots/urgency.hpp"
-#include "post/wire/messages.hpp"
+#include "cluster/slots/urgency.hpp"
+#include "cluster/wire/messages.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 using Session = std::uint64_t;  // one connection of one front
 
@@ -20,7 +20,7 @@
   public:
     struct Waiting {
         Session front = 0;
-        Ask ask;
+        AcquireRequest ask;
         Micros since = 0, aim_at = 0, deadline_at = 0;
         Micros work = 0;  // usual time of its shape: from aim_at less that on it counts as late
         WaitedFor waits_for = WaitedFor::nothing;
@@ -63,4 +63,4 @@
     Place last_ = 0;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/split/split.cpp
+++ b/src/cluster/split/split.cpp
@@ -1,11 +1,11 @@
-#include "post/split/split.hpp"
+#include "cluster/split/split.hpp"
 
 #include <algorithm>
 #include <cmath>
 
 #include "gradient/gradient.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr double kFewRequests = 3;  // the floor of the rate
@@ -106,4 +106,4 @@
     step(chance);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/split/split.hpp
+++ b/src/cluster/split/split.hpp
@@ -12,7 +12,7 @@
 
 #include "types.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class Split {
   public:
@@ -56,4 +56,4 @@
     Micros next_ = 0;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/store/store.cpp
+++ b/src/cluster/store/store.cpp
@@ -1,11 +1,11 @@
-#include "post/store/store.hpp"
+#include "cluster/store/store.hpp"
 
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
 
-#include "post/wire/codec.hpp"
+#include "cluster/wire/codec.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 constexpr char kPromise[] = "promise", kEntry[] = "entry";
@@ -15,7 +15,7 @@
 Store::Store() = default;
 Store::~Store() = default;
 
-leaf::result<Durable> Store::open(const std::string& folder) {
+leaf::result<PersistentState> Store::open(const std::string& folder) {
     base_.reset();
     has_entry_ = false;
     leveldb::Options options;
@@ -36,31 +36,31 @@
     reading.verify_checksums = true;
     std::string promise, entry;
     const auto first = base_->Get(reading, kPromise, &promise), second = base_->Get(reading, kEntry, &entry);
-    if (!first.ok() || !second.ok()) return Durable{};
+    if (!first.ok() || !second.ok()) return PersistentState{};
     return leaf::try_handle_all(
-        [&]() -> leaf::result<Durable> {
+        [&]() -> leaf::result<PersistentState> {
             BOOST_LEAF_AUTO(p, decode(std::string_view(promise).substr(4)));
             BOOST_LEAF_AUTO(e, decode(std::string_view(entry).substr(4)));
-            const auto* const said = std::get_if<Recollection>(&p.message);
-            auto* const held = std::get_if<Recollection>(&e.message);
-            if (!said || !held) return Durable{};
-            written_ = held->entry.stamp;
+            const auto* const said = std::get_if<RecoveryResponse>(&p.message);
+            auto* const held = std::get_if<RecoveryResponse>(&e.message);
+            if (!said || !held) return PersistentState{};
+            written_ = held->entry.position;
             has_entry_ = true;
-            const auto& followed = said->entry.members;
-            return Durable{p.from == "member", said->term, said->leader, said->nonce, std::move(held->entry), followed.empty() ? std::string() : followed.front()};
+            const auto& last_leader = said->entry.members;
+            return PersistentState{p.from == "member", said->term, said->leader, said->nonce, std::move(held->entry), last_leader.empty() ? std::string() : last_leader.front()};
         },
-        [] { return Durable{}; });
+        [] { return PersistentState{}; });
 }
 
-leaf::result<void> Store::write(const Durable& durable) {
+leaf::result<void> Store::write(const PersistentState& state) {
     if (!base_) return failure(Kind::disk_failed, "not open");
     leveldb::WriteBatch batch;
-    // The promise has no entry of its own; who was followed stands where that would have its members.
-    Entry promised;
-    if (!durable.followed.empty()) promised.members = {durable.followed};
-    batch.Put(kPromise, encode(Recollection{durable.abstains, durable.term, durable.voted_for, promised}, durable.member ? "member" : "none"));
-    const bool entry = !has_entry_ || written_ != durable.entry.stamp;
-    if (entry) batch.Put(kEntry, encode(Recollection{0, 0, {}, durable.entry}));
+    // The promise has no entry of its own; who was last_leader stands where that would have its members.
+    LogEntry promised;
+    if (!state.last_leader.empty()) promised.members = {state.last_leader};
+    batch.Put(kPromise, encode(RecoveryResponse{state.no_vote_through_term, state.term, state.voted_for, promised}, state.member ? "member" : "none"));
+    const bool entry = !has_entry_ || written_ != state.entry.position;
+    if (entry) batch.Put(kEntry, encode(RecoveryResponse{0, 0, {}, state.entry}));
     leveldb::WriteOptions writing;
     writing.sync = true;
     const leveldb::Status status = base_->Write(writing, &batch);
@@ -68,8 +68,8 @@
         base_.reset();
         return failure(Kind::disk_failed, status.ToString());
     }
-    if (entry) written_ = durable.entry.stamp, has_entry_ = true;
+    if (entry) written_ = state.entry.position, has_entry_ = true;
     return {};
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/store/store.hpp
+++ b/src/cluster/store/store.hpp
@@ -1,4 +1,4 @@
-// The core's durable state in LevelDB. Every write is synced before it returns; both records of a change stand in one
+// The core's state state in LevelDB. Every write is synced before it returns; both records of a change stand in one
 // batch, so that a torn one is there whole or not at all.
 //
 // Options, and why: sync on every write (what is said follows from it); paranoid_checks off at opening, since a loss of
@@ -10,14 +10,14 @@
 #include <memory>
 #include <string>
 
-#include "post/agreement/agreement.hpp"
-#include "post/base/error.hpp"
+#include "cluster/consensus/consensus.hpp"
+#include "cluster/base/error.hpp"
 
 namespace leveldb {
 class DB;
 }
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class Store {
   public:
@@ -27,14 +27,14 @@
     Store();
     ~Store();
     // Error: disk_failed. Creates the folder's database where there is none.
-    leaf::result<Durable> open(const std::string& folder);
+    leaf::result<PersistentState> open(const std::string& folder);
     // Error: disk_failed; then nothing may be taken for written, and open() is to be called anew.
-    leaf::result<void> write(const Durable& durable);
+    leaf::result<void> write(const PersistentState& state);
 
   private:
     std::unique_ptr<leveldb::DB> base_;
-    Stamp written_;
+    LogPosition written_;
     bool has_entry_ = false;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_caller.cpp
+++ b/src/cluster/transport/http_caller.cpp
@@ -1,19 +1,19 @@
-#include "post/transport/http_caller.hpp"
+#include "cluster/transport/http_caller.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class HttpCaller::Link final : net::Connection::Owner {
   public:
     Link(HttpCaller& caller, std::string address, const net::Address& to)
         : caller_(caller), address_(std::move(address)), reader_(http::Kind::answer, caller.loop_.blocks()), kept_since_(net::Loop::now()),
-          connection_(caller.loop_, *this, to, caller.terms_.connect_limit) {}
+          connection_(caller.loop_, *this, to, caller.options_.connect_limit) {}
 
     void start(Call call, const HttpMessage& request) {
         call_ = call;
-        id_ = caller_.terms_.id_field.empty() ? std::string() : std::string(request.field(caller_.terms_.id_field));
+        id_ = caller_.options_.id_field.empty() ? std::string() : std::string(request.field(caller_.options_.id_field));
         got_ = false;
         pending_ = bytes_of(request);
         if (up_) send();
@@ -32,7 +32,7 @@
     void connected() override {
         up_ = true;
         kept_since_ = net::Loop::now();
-        kept_until_ = kept_since_ + caller_.terms_.keep;
+        kept_until_ = kept_since_ + caller_.options_.keep;
         if (call_ != 0) return send();
         caller_.keep(this);
         if (std::exchange(pre_, false)) caller_.events_.connected(address_);
@@ -62,14 +62,14 @@
                     answer_ = copy_of(reader_.head());
                     continue;
                 case http::Found::body:
-                    if (answer_.body.size() + reader_.piece().size() > caller_.terms_.most_answer) return broken(CallEnd::malformed);
+                    if (answer_.body.size() + reader_.piece().size() > caller_.options_.most_answer) return broken(CallEnd::malformed);
                     answer_.body.append(reader_.piece());
                     continue;
                 case http::Found::fault: return broken(CallEnd::malformed);
                 case http::Found::end: break;
             }
             reader_.restart();
-            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.terms_.id_field);
+            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
             if (!said.empty() && said != id_) {
                 // An answer too many to an earlier request, where ours is due.
                 answer_ = {};
@@ -81,7 +81,7 @@
     }
 
     void complete(bool more) {
-        Micros keep = caller_.terms_.keep;
+        Micros keep = caller_.options_.keep;
         const std::string_view stated = answer_.field("Keep-Alive");
         if (const auto at = stated.find("timeout="); at != std::string_view::npos) {
             int seconds = 0;
@@ -121,7 +121,7 @@
         if (ending == net::Ending::ended_early && reader_.ends_by_close()) {
             reader_.restart();
             answer_.keeps_alive = false;
-            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.terms_.id_field);
+            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
             // Without a stated end a whole body can not be told from one that was cut.
             (void)said;
             return finish(CallEnd::malformed, {});
@@ -161,7 +161,7 @@
     net::Connection connection_;
 };
 
-HttpCaller::HttpCaller(net::Loop& loop, Terms terms, Events events) : loop_(loop), terms_(std::move(terms)), events_(std::move(events)) {}
+HttpCaller::HttpCaller(net::Loop& loop, Options terms, Events events) : loop_(loop), options_(std::move(terms)), events_(std::move(events)) {}
 HttpCaller::~HttpCaller() = default;
 
 void HttpCaller::call(Call call, const std::string& address, const HttpMessage& request) {
@@ -211,7 +211,7 @@
 void HttpCaller::keep(Link* link) {
     auto& kept = idle_[link->address()];
     kept.push_back(link);
-    if (kept.size() > terms_.most_idle) kept.front()->close();
+    if (kept.size() > options_.most_idle) kept.front()->close();
 }
 
 void HttpCaller::forget(const std::string& address) {
@@ -230,4 +230,4 @@
     for (Link* const link : old) link->close();
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_caller.hpp
+++ b/src/cluster/transport/http_caller.hpp
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "net/connection.hpp"
-#include "post/transport/http_message.hpp"
+#include "cluster/transport/http_message.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 enum class CallEnd {
     answered,
@@ -33,14 +33,14 @@
         std::function<void(const std::string& address)> connected = [](const std::string&) {};  // by preconnect()
         std::function<void(const std::string& address)> refused = [](const std::string&) {};
     };
-    struct Terms {
+    struct Options {
         Micros connect_limit = 600'000;
         Micros keep = 8'000'000;            // an idle connection, unless the peer states less
         std::size_t most_idle = 4;          // for each address
         std::size_t most_answer = 16 << 20;  // bytes
         std::string id_field;               // an answer whose field is another than the request's is another's: passed over
     };
-    HttpCaller(net::Loop& loop, Terms terms, Events events);
+    HttpCaller(net::Loop& loop, Options terms, Events events);
     ~HttpCaller();
 
     // Begins a call; it ends with one event, not before this returns.
@@ -57,7 +57,7 @@
     void keep(Link* link);
 
     net::Loop& loop_;
-    Terms terms_;
+    Options options_;
     Events events_;
     std::unordered_map<Link*, std::unique_ptr<Link>> links_;
     std::vector<std::unique_ptr<Link>> closed_;
@@ -65,4 +65,4 @@
     std::unordered_map<std::string, std::list<Link*>> idle_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_message.cpp
+++ b/src/cluster/transport/http_message.cpp
@@ -1,6 +1,6 @@
-#include "post/transport/http_message.hpp"
+#include "cluster/transport/http_message.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 const char* reason_of(int status) {
     switch (status) {
@@ -31,4 +31,4 @@
     return text.append("\r\n").append(m.body);
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_message.hpp
+++ b/src/cluster/transport/http_message.hpp
@@ -8,7 +8,7 @@
 
 #include "http/reader.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 struct HttpMessage {
     std::string method, target;  // of a request
@@ -42,4 +42,4 @@
 // A whole message's bytes; a length is always stated.
 std::string bytes_of(const HttpMessage& message);
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_service.cpp
+++ b/src/cluster/transport/http_service.cpp
@@ -1,10 +1,10 @@
-#include "post/transport/http_service.hpp"
+#include "cluster/transport/http_service.hpp"
 
 #include <unistd.h>
 
 #include <cstdio>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class HttpService::Guest final : net::Connection::Owner {
   public:
@@ -183,4 +183,4 @@
     for (Guest* const guest : late) guest->timed_out();
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/http_service.hpp
+++ b/src/cluster/transport/http_service.hpp
@@ -10,11 +10,11 @@
 
 #include "net/connection.hpp"
 #include "net/listener.hpp"
-#include "post/base/error.hpp"
-#include "post/configuration/configuration.hpp"
-#include "post/transport/http_message.hpp"
+#include "cluster/base/error.hpp"
+#include "cluster/configuration/configuration.hpp"
+#include "cluster/transport/http_message.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 class HttpService {
   public:
@@ -55,4 +55,4 @@
     std::unique_ptr<net::Listener> listener_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/line.cpp
+++ b/src/cluster/transport/message_connection.cpp
@@ -1,39 +1,39 @@
-#include "post/transport/line.hpp"
+#include "cluster/transport/message_connection.hpp"
 
-#include "post/base/events.hpp"
+#include "cluster/base/events.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 std::uint64_t malformed_lines = 0;
 }
 
-std::uint64_t Line::malformed() { return malformed_lines; }
+std::uint64_t MessageConnection::malformed() { return malformed_lines; }
 
-Line::Line(net::Loop& loop, evutil_socket_t accepted, Events events)
+MessageConnection::MessageConnection(net::Loop& loop, evutil_socket_t accepted, Events events)
     : events_(std::move(events)), open_(true), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, accepted)) {}
 
-Line::Line(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events)
+MessageConnection::MessageConnection(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events)
     : events_(std::move(events)), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, to, connect_limit)) {}
 
-void Line::send(const Message& message, std::string_view from) {
+void MessageConnection::send(const Message& message, std::string_view from) {
     if (closed_) return;
     // A pool that is empty is a peer that does not read: what was not said is said again by whoever needs it.
     if (!connection_->write(encode(message, from))) close(), events_.ended();
 }
 
-void Line::close() {
+void MessageConnection::close() {
     closed_ = true;
     open_ = false;
     connection_->close();
 }
 
-void Line::connected() {
+void MessageConnection::connected() {
     open_ = true;
     heard_ = net::Loop::now();
     events_.up();
 }
 
-void Line::bytes(std::string_view bytes) {
+void MessageConnection::bytes(std::string_view bytes) {
     heard_ = net::Loop::now();
     frames_.add(bytes);
     while (!closed_) {
@@ -42,9 +42,9 @@
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(frame, frames_.next());
                 if (!frame) return {};
-                BOOST_LEAF_AUTO(letter, decode(*frame));
+                BOOST_LEAF_AUTO(message_received, decode(*frame));
                 more = true;
-                events_.letter(letter);
+                events_.message_received(message_received);
                 return {};
             },
             [&](Kind kind, const Detail& detail) {
@@ -58,11 +58,11 @@
     }
 }
 
-void Line::ended(net::Ending) {
+void MessageConnection::ended(net::Ending) {
     if (closed_) return;
     closed_ = true;
     open_ = false;
     events_.ended();
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/transport/line.hpp
+++ b/src/cluster/transport/message_connection.hpp
@@ -6,19 +6,19 @@
 #include <string>
 
 #include "net/connection.hpp"
-#include "post/wire/codec.hpp"
+#include "cluster/wire/codec.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
-class Line final : net::Connection::Owner {
+class MessageConnection final : net::Connection::Owner {
   public:
     struct Events {
         std::function<void()> up = [] {};
-        std::function<void(const Letter&)> letter;
+        std::function<void(const ReceivedMessage&)> message_received;
         std::function<void()> ended;  // by the peer or a fault; not after close()
     };
-    Line(net::Loop& loop, evutil_socket_t accepted, Events events);
-    Line(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events);
+    MessageConnection(net::Loop& loop, evutil_socket_t accepted, Events events);
+    MessageConnection(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events);
 
     bool open() const { return open_; }
     void send(const Message& message, std::string_view from = {});
@@ -39,4 +39,4 @@
     std::unique_ptr<net::Connection> connection_;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
