--- a/src/post/wire/codec.cpp
+++ b/src/cluster/wire/codec.cpp
@@ -1,16 +1,16 @@
-#include "post/wire/codec.hpp"
+#include "cluster/wire/codec.hpp"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
-#include "post.capnp.h"
+#include "cluster.capnp.h"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 namespace {
 
 // A value of a later version counts as none.
-// Loads of functions, in a report and in a greeting.
+// LoadReport of functions, in a report and in a registration.
 template <class List>
 void put_loads(List all, const std::vector<Load>& loads) {
     for (unsigned i = 0; i < loads.size(); ++i) all[i].setService(loads[i].service), all[i].setCount(loads[i].count), all[i].setBusyMs(loads[i].busy_ms);
@@ -27,15 +27,15 @@
 
 namespace cp = capnproto;
 
-void put(cp::Stamp::Builder to, const Stamp& s) { to.setTerm(s.term), to.setIndex(s.index); }
-Stamp get(cp::Stamp::Reader s) { return {s.getTerm(), s.getIndex()}; }
+void put(cp::LogPosition::Builder to, const LogPosition& s) { to.setTerm(s.term), to.setIndex(s.index); }
+LogPosition get(cp::LogPosition::Reader s) { return {s.getTerm(), s.getIndex()}; }
 capnp::Data::Reader data(const std::string& bytes) {
     return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
 }
 std::string text(capnp::Data::Reader d) { return {reinterpret_cast<const char*>(d.begin()), d.size()}; }
 std::string text(capnp::Text::Reader t) { return {t.begin(), t.size()}; }
-void put(cp::Patch::Builder to, const Patch& p) { to.setBase(p.base), to.setBytes(data(p.bytes)); }
-Patch get(cp::Patch::Reader p) { return {p.getBase(), text(p.getBytes())}; }
+void put(cp::Delta::Builder to, const Delta& p) { to.setBase(p.base), to.setBytes(data(p.bytes)); }
+Delta get(cp::Delta::Reader p) { return {p.getBase(), text(p.getBytes())}; }
 
 template <class List>
 void put_all(List to, const std::vector<std::string>& from) {
@@ -59,52 +59,52 @@
 struct Put {
     cp::Envelope::Builder e;
 
-    void operator()(const Beat&) { e.setBeat(); }
-    void operator()(const Ballot& m) {
-        auto to = e.initBallot();
-        to.setTerm(m.term), put(to.initHeld(), m.held), to.setTrial(m.trial), to.setHanded(m.handed);
+    void operator()(const Heartbeat&) { e.setHeartbeat(); }
+    void operator()(const VoteRequest& m) {
+        auto to = e.initVoteRequest();
+        to.setTerm(m.term), put(to.initHeld(), m.held), to.setPreVote(m.pre_vote), to.setHanded(m.handed);
     }
-    void operator()(const Vote& m) {
-        auto to = e.initVote();
-        to.setTerm(m.term), to.setGranted(m.granted), to.setTrial(m.trial);
+    void operator()(const VoteResponse& m) {
+        auto to = e.initVoteResponse();
+        to.setTerm(m.term), to.setGranted(m.granted), to.setPreVote(m.pre_vote);
     }
-    void operator()(const Order& m) {
-        auto to = e.initOrder();
-        to.setTerm(m.term), to.setRound(m.round), put(to.initHead(), m.head), put(to.initSettled(), m.settled);
+    void operator()(const AppendRequest& m) {
+        auto to = e.initAppendRequest();
+        to.setTerm(m.term), to.setRound(m.round), put(to.initHead(), m.head), put(to.initCommitted(), m.committed);
         to.setCarries(m.carries);
         if (!m.carries) return;
         to.setVersion(m.version), put_all(to.initMembers(static_cast<unsigned>(m.members.size())), m.members);
-        put(to.initBase(), m.base), put(to.initPatch(), m.patch);
+        put(to.initBase(), m.base), put(to.initDelta(), m.delta);
     }
-    void operator()(const Receipt& m) {
-        auto to = e.initReceipt();
+    void operator()(const AppendResponse& m) {
+        auto to = e.initAppendResponse();
         to.setTerm(m.term), to.setRound(m.round), put(to.initHeld(), m.held);
     }
-    void operator()(const Inquiry& m) { e.setInquiry(m.nonce); }
-    void operator()(const Recollection& m) {
-        auto to = e.initRecollection();
-        to.setNonce(m.nonce), to.setTerm(m.term), to.setLeader(m.leader), put(to.initStamp(), m.entry.stamp);
+    void operator()(const RecoveryRequest& m) { e.setRecoveryRequest(m.nonce); }
+    void operator()(const RecoveryResponse& m) {
+        auto to = e.initRecoveryResponse();
+        to.setNonce(m.nonce), to.setTerm(m.term), to.setLeader(m.leader), put(to.initPosition(), m.entry.position);
         to.setVersion(m.entry.version), to.setBody(data(m.entry.body));
         put_all(to.initMembers(static_cast<unsigned>(m.entry.members.size())), m.entry.members);
     }
-    void operator()(const Admission&) { e.setAdmission(); }
-    void operator()(const Succession& m) { e.setSuccession(m.term); }
-    void operator()(const Greeting& m) {
-        auto to = e.initGreeting();
+    void operator()(const JoinRequest&) { e.setJoinRequest(); }
+    void operator()(const TimeoutNow& m) { e.setTimeoutNow(m.term); }
+    void operator()(const Register& m) {
+        auto to = e.initRegister();
         to.setName(m.name), to.setZone(m.zone), to.setIncarnation(m.incarnation), to.setVersion(m.version);
         auto all = to.initHoldings(static_cast<unsigned>(m.holdings.size()));
         for (unsigned i = 0; i < m.holdings.size(); ++i) put(all[i], m.holdings[i]);
-        put_loads(to.initFree(static_cast<unsigned>(m.free.size())), m.free);
+        put_loads(to.initUnrestricted(static_cast<unsigned>(m.unrestricted.size())), m.unrestricted);
     }
-    void operator()(const Referral& m) { e.setReferral(m.leader); }
-    void operator()(const Welcome& m) {
-        auto to = e.initWelcome();
+    void operator()(const Redirect& m) { e.setRedirect(m.leader); }
+    void operator()(const Registered& m) {
+        auto to = e.initRegistered();
         to.setTerm(m.term), to.setRank(m.rank), to.setFronts(m.fronts);
         put_all(to.initMembers(static_cast<unsigned>(m.members.size())), m.members);
     }
     void operator()(const ConfigurationSent& m) {
         auto to = e.initConfigurationSent();
-        to.setVersion(m.version), put(to.initPatch(), m.patch);
+        to.setVersion(m.version), put(to.initDelta(), m.delta);
     }
     void operator()(const ConfigurationHeld& m) { e.setConfigurationHeld(m.version); }
     void operator()(const RunnerTold& m) {
@@ -112,18 +112,18 @@
         to.setNumber(m.number), to.setState(static_cast<std::uint8_t>(m.state)), to.setWatch(m.watch);
         if (m.state != RunnerState::gone) put(to.initRunner(), m.runner);
     }
-    void operator()(const Ask& m) {
-        auto to = e.initAsk();
+    void operator()(const AcquireRequest& m) {
+        auto to = e.initAcquireRequest();
         to.setId(m.id), to.setDrawn(m.drawn), to.setService(m.service), to.setAimMs(m.aim_ms);
         to.setDeadlineMs(m.deadline_ms), to.setPriority(m.priority), to.setShape(m.shape), to.setAgain(m.again);
     }
-    void operator()(const Grant& m) {
-        auto to = e.initGrant();
+    void operator()(const AcquireGranted& m) {
+        auto to = e.initAcquireGranted();
         to.setId(m.id), to.setRunner(m.runner);
         to.setWaited(static_cast<std::uint8_t>(m.waited));
     }
-    void operator()(const Denial& m) {
-        auto to = e.initDenial();
+    void operator()(const AcquireDenied& m) {
+        auto to = e.initAcquireDenied();
         to.setId(m.id), to.setRetryMs(m.retry_ms);
         to.setWaited(static_cast<std::uint8_t>(m.waited));
     }
@@ -131,21 +131,21 @@
         auto to = e.initRelease();
         to.setId(m.id), to.setRunner(m.runner), to.setHow(static_cast<std::uint8_t>(m.how)), to.setTookMs(m.took_ms);
     }
-    void operator()(const Up& m) {
-        auto to = e.initUp();
+    void operator()(const RunnerReachable& m) {
+        auto to = e.initRunnerReachable();
         to.setRunner(m.runner), to.setUp(m.up);
     }
     void operator()(const Mode& m) {
         auto to = e.initMode();
-        to.setService(m.service), to.setFree(m.free);
+        to.setService(m.service), to.setUnrestricted(m.unrestricted);
     }
-    void operator()(const Loads& m) {
-        auto to = e.initLoads();
+    void operator()(const LoadReport& m) {
+        auto to = e.initLoadReport();
         to.setSpanMs(m.span_ms);
         put_loads(to.initLoads(static_cast<unsigned>(m.loads.size())), m.loads);
     }
-    void operator()(const Outs& m) {
-        auto all = e.initOuts(static_cast<unsigned>(m.by_runner.size()));
+    void operator()(const OutstandingReport& m) {
+        auto all = e.initOutstandingReport(static_cast<unsigned>(m.by_runner.size()));
         for (unsigned i = 0; i < m.by_runner.size(); ++i) all[i].setRunner(m.by_runner[i].first), all[i].setCount(m.by_runner[i].second);
     }
 };
@@ -153,48 +153,48 @@
 leaf::result<Message> get(cp::Envelope::Reader e) {
     using E = cp::Envelope;
     switch (e.which()) {
-        case E::BEAT: return Beat{};
-        case E::BALLOT: {
-            const auto m = e.getBallot();
-            return Ballot{m.getTerm(), get(m.getHeld()), m.getTrial(), m.getHanded()};
+        case E::HEARTBEAT: return Heartbeat{};
+        case E::VOTE_REQUEST: {
+            const auto m = e.getVoteRequest();
+            return VoteRequest{m.getTerm(), get(m.getHeld()), m.getPreVote(), m.getHanded()};
         }
-        case E::VOTE: {
-            const auto m = e.getVote();
-            return Vote{m.getTerm(), m.getGranted(), m.getTrial()};
+        case E::VOTE_RESPONSE: {
+            const auto m = e.getVoteResponse();
+            return VoteResponse{m.getTerm(), m.getGranted(), m.getPreVote()};
         }
-        case E::ORDER: {
-            const auto m = e.getOrder();
-            Order to{m.getTerm(), m.getRound(), get(m.getHead()), get(m.getSettled()), m.getCarries(), m.getVersion(), {}, {}, {}};
-            if (to.carries) to.members = get_all(m.getMembers()), to.base = get(m.getBase()), to.patch = get(m.getPatch());
+        case E::APPEND_REQUEST: {
+            const auto m = e.getAppendRequest();
+            AppendRequest to{m.getTerm(), m.getRound(), get(m.getHead()), get(m.getCommitted()), m.getCarries(), m.getVersion(), {}, {}, {}};
+            if (to.carries) to.members = get_all(m.getMembers()), to.base = get(m.getBase()), to.delta = get(m.getDelta());
             return to;
         }
-        case E::RECEIPT: {
-            const auto m = e.getReceipt();
-            return Receipt{m.getTerm(), m.getRound(), get(m.getHeld())};
+        case E::APPEND_RESPONSE: {
+            const auto m = e.getAppendResponse();
+            return AppendResponse{m.getTerm(), m.getRound(), get(m.getHeld())};
         }
-        case E::INQUIRY: return Inquiry{e.getInquiry()};
-        case E::RECOLLECTION: {
-            const auto m = e.getRecollection();
-            return Recollection{m.getNonce(), m.getTerm(), text(m.getLeader()),
-                                {get(m.getStamp()), m.getVersion(), get_all(m.getMembers()), text(m.getBody())}};
+        case E::RECOVERY_REQUEST: return RecoveryRequest{e.getRecoveryRequest()};
+        case E::RECOVERY_RESPONSE: {
+            const auto m = e.getRecoveryResponse();
+            return RecoveryResponse{m.getNonce(), m.getTerm(), text(m.getLeader()),
+                                {get(m.getPosition()), m.getVersion(), get_all(m.getMembers()), text(m.getBody())}};
         }
-        case E::ADMISSION: return Admission{};
-        case E::SUCCESSION: return Succession{e.getSuccession()};
-        case E::GREETING: {
-            const auto m = e.getGreeting();
-            Greeting to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}, {}};
+        case E::JOIN_REQUEST: return JoinRequest{};
+        case E::TIMEOUT_NOW: return TimeoutNow{e.getTimeoutNow()};
+        case E::REGISTER: {
+            const auto m = e.getRegister();
+            Register to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}, {}};
             for (const auto h : m.getHoldings()) to.holdings.push_back(get(h));
-            to.free = get_loads(m.getFree());
+            to.unrestricted = get_loads(m.getUnrestricted());
             return to;
         }
-        case E::REFERRAL: return Referral{text(e.getReferral())};
-        case E::WELCOME: {
-            const auto m = e.getWelcome();
-            return Welcome{m.getTerm(), m.getRank(), m.getFronts(), get_all(m.getMembers())};
+        case E::REDIRECT: return Redirect{text(e.getRedirect())};
+        case E::REGISTERED: {
+            const auto m = e.getRegistered();
+            return Registered{m.getTerm(), m.getRank(), m.getFronts(), get_all(m.getMembers())};
         }
         case E::CONFIGURATION_SENT: {
             const auto m = e.getConfigurationSent();
-            return ConfigurationSent{m.getVersion(), get(m.getPatch())};
+            return ConfigurationSent{m.getVersion(), get(m.getDelta())};
         }
         case E::CONFIGURATION_HELD: return ConfigurationHeld{e.getConfigurationHeld()};
         case E::RUNNER_TOLD: {
@@ -202,28 +202,28 @@
             if (m.getState() > static_cast<std::uint8_t>(RunnerState::gone)) break;
             return RunnerTold{m.getNumber(), static_cast<RunnerState>(m.getState()), get(m.getRunner()), m.getWatch()};
         }
-        case E::ASK: {
-            const auto m = e.getAsk();
-            return Ask{m.getId(), m.getDrawn(), text(m.getService()), m.getAimMs(), m.getDeadlineMs(), m.getPriority(), m.getShape(), m.getAgain()};
+        case E::ACQUIRE_REQUEST: {
+            const auto m = e.getAcquireRequest();
+            return AcquireRequest{m.getId(), m.getDrawn(), text(m.getService()), m.getAimMs(), m.getDeadlineMs(), m.getPriority(), m.getShape(), m.getAgain()};
         }
-        case E::GRANT: return Grant{e.getGrant().getId(), e.getGrant().getRunner(), waited_for(e.getGrant().getWaited())};
-        case E::DENIAL: return Denial{e.getDenial().getId(), e.getDenial().getRetryMs(), waited_for(e.getDenial().getWaited())};
+        case E::ACQUIRE_GRANTED: return AcquireGranted{e.getAcquireGranted().getId(), e.getAcquireGranted().getRunner(), waited_for(e.getAcquireGranted().getWaited())};
+        case E::ACQUIRE_DENIED: return AcquireDenied{e.getAcquireDenied().getId(), e.getAcquireDenied().getRetryMs(), waited_for(e.getAcquireDenied().getWaited())};
         case E::RELEASE: {
             const auto m = e.getRelease();
             if (m.getHow() > static_cast<std::uint8_t>(Ended::gone)) break;
             return Release{m.getId(), m.getRunner(), static_cast<Ended>(m.getHow()), m.getTookMs()};
         }
-        case E::MODE: return Mode{text(e.getMode().getService()), e.getMode().getFree()};
-        case E::LOADS: {
-            const auto m = e.getLoads();
-            return Loads{m.getSpanMs(), get_loads(m.getLoads())};
+        case E::MODE: return Mode{text(e.getMode().getService()), e.getMode().getUnrestricted()};
+        case E::LOAD_REPORT: {
+            const auto m = e.getLoadReport();
+            return LoadReport{m.getSpanMs(), get_loads(m.getLoads())};
         }
-        case E::OUTS: {
-            Outs to;
-            for (const auto o : e.getOuts()) to.by_runner.emplace_back(o.getRunner(), o.getCount());
+        case E::OUTSTANDING_REPORT: {
+            OutstandingReport to;
+            for (const auto o : e.getOutstandingReport()) to.by_runner.emplace_back(o.getRunner(), o.getCount());
             return to;
         }
-        case E::UP: return Up{e.getUp().getRunner(), e.getUp().getUp()};
+        case E::RUNNER_REACHABLE: return RunnerReachable{e.getRunnerReachable().getRunner(), e.getRunnerReachable().getUp()};
     }
     return failure(Kind::bytes_malformed, "no message of ours");
 }
@@ -246,13 +246,13 @@
     return framed;
 }
 
-leaf::result<Letter> decode(std::string_view packed) {
+leaf::result<ReceivedMessage> decode(std::string_view packed) {
     try {
         kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
         capnp::PackedMessageReader reader(in);
         const auto envelope = reader.getRoot<cp::Envelope>();
         BOOST_LEAF_AUTO(message, get(envelope));
-        return Letter{text(envelope.getFrom()), std::move(message)};
+        return ReceivedMessage{text(envelope.getFrom()), std::move(message)};
     } catch (const kj::Exception& wrong) {
         return failure(Kind::bytes_malformed, wrong.getDescription().cStr());
     }
@@ -269,4 +269,4 @@
     return std::optional(std::string_view(held_).substr(4, length));
 }
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/wire/codec.hpp
+++ b/src/cluster/wire/codec.hpp
@@ -5,21 +5,21 @@
 #include <string>
 #include <string_view>
 
-#include "post/base/error.hpp"
-#include "post/wire/messages.hpp"
+#include "cluster/base/error.hpp"
+#include "cluster/wire/messages.hpp"
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
-struct Letter {
+struct ReceivedMessage {
     std::string from;  // empty unless the sender named itself
     Message message;
 };
 
 std::string encode(const Message& message, std::string_view from = {});
 // Error: bytes_malformed.
-leaf::result<Letter> decode(std::string_view packed);
+leaf::result<ReceivedMessage> decode(std::string_view packed);
 
-// Cuts a stream into messages. A length over the bound is an error: against memory taken by a stranger's word.
+// Cuts a stream into messages. A length over the bound is an error: against memory taken by a non_member's word.
 class Frames {
   public:
     static constexpr std::size_t kMost = 16U << 20;
@@ -32,4 +32,4 @@
     std::size_t read_ = 0;
 };
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/src/post/wire/messages.hpp
+++ b/src/cluster/wire/messages.hpp
@@ -7,64 +7,64 @@
 #include <variant>
 #include <vector>
 
-namespace gannethold::post {
+namespace gannethold::cluster {
 
 using Number = std::uint64_t;
 
 // Where an accepted state stands among all others: later terms first, then later indexes.
-struct Stamp {
+struct LogPosition {
     Number term = 0, index = 0;
-    friend auto operator<=>(const Stamp&, const Stamp&) = default;
+    friend auto operator<=>(const LogPosition&, const LogPosition&) = default;
 };
 
 // The core's whole shared state. Each change is a new one; the newest that a majority holds is in force.
-struct Entry {
-    Stamp stamp;
+struct LogEntry {
+    LogPosition position;
     Number version = 0;                // of the configuration; 0: none yet
     std::vector<std::string> members;  // of the core
     std::string body;                  // the configuration as the operator sent it
 };
 
 // A body as the difference to one that the receiver holds; whole where base is nothing.
-struct Patch {
+struct Delta {
     Number base = 0;  // for the core: the index; for fronts: the version. 0: whole
     std::string bytes;
 };
 
 // ---- among the core ----
-struct Ballot {
+struct VoteRequest {
     Number term = 0;
-    Stamp held;
-    bool trial = false;   // would you? Nothing is promised by asking
+    LogPosition held;
+    bool pre_vote = false;   // would you? Nothing is promised by asking
     bool handed = false;  // the leader itself asked for it
 };
-struct Vote {
+struct VoteResponse {
     Number term = 0;
-    bool granted = false, trial = false;
+    bool granted = false, pre_vote = false;
 };
-struct Order {
+struct AppendRequest {
     Number term = 0, round = 0;
-    Stamp head, settled;  // what the leader holds; what a majority holds
+    LogPosition head, committed;  // what the leader holds; what a majority holds
     bool carries = false;
     Number version = 0;  // with the rest, if it carries the head
     std::vector<std::string> members;
-    Stamp base;
-    Patch patch;
+    LogPosition base;
+    Delta delta;
 };
-struct Receipt {
+struct AppendResponse {
     Number term = 0, round = 0;
-    Stamp held;
+    LogPosition held;
 };
-struct Inquiry {
+struct RecoveryRequest {
     Number nonce = 0;
 };
-struct Recollection {
+struct RecoveryResponse {
     Number nonce = 0, term = 0;
     std::string leader;  // as far as it knows
-    Entry entry;
+    LogEntry entry;
 };
-struct Admission {};  // let me in
-struct Succession {   // campaign at once: the leader leaves
+struct JoinRequest {};  // let me in
+struct TimeoutNow {   // campaign at once: the leader leaves
     Number term = 0;
 };
 
@@ -78,23 +78,23 @@
     std::string service;
     std::uint32_t count = 0, busy_ms = 0;  // requests; time that they took together
 };
-struct Greeting {
+struct Register {
     std::string name, zone;
     Number incarnation = 0, version = 0;
     std::vector<Holding> holdings;
-    std::vector<Load> free;  // functions whose slots it takes unasked, and its part of each in the last second
+    std::vector<Load> unrestricted;  // functions whose slots it takes unasked, and its part of each in the last second
 };
-struct Referral {  // not me
+struct Redirect {  // not me
     std::string leader;
 };
-struct Welcome {
+struct Registered {
     Number term = 0;
     std::uint32_t rank = 0, fronts = 1;
     std::vector<std::string> members;
 };
 struct ConfigurationSent {
     Number version = 0;
-    Patch patch;
+    Delta delta;
 };
 struct ConfigurationHeld {
     Number version = 0;
@@ -106,7 +106,7 @@
     Holding runner;
     bool watch = false;  // say when it can be reached
 };
-struct Ask {
+struct AcquireRequest {
     std::uint32_t id = 0, drawn = 0;  // drawn: the runner's number, 0: none
     std::string service;
     std::uint32_t aim_ms = 0, deadline_ms = 0;  // what is left of each
@@ -115,11 +115,11 @@
     bool again = false;       // a second runner for the same request
 };
 enum class WaitedFor : std::uint8_t { nothing, start, slot, memory };  // memory: a start that no worker has room for
-struct Grant {
+struct AcquireGranted {
     std::uint32_t id = 0, runner = 0;
     WaitedFor waited = WaitedFor::nothing;
 };
-struct Denial {
+struct AcquireDenied {
     std::uint32_t id = 0, retry_ms = 0;
     WaitedFor waited = WaitedFor::nothing;
 };
@@ -129,25 +129,25 @@
     Ended how = Ended::unused;
     std::uint32_t took_ms = 0;
 };
-struct Up {
+struct RunnerReachable {
     std::uint32_t runner = 0;
     bool up = false;  // false: given up
 };
 // How a function's slots are kept. Free: there is so much room that each front sends where its fractions say, unasked.
 struct Mode {
     std::string service;
-    bool free = false;
+    bool unrestricted = false;
 };
-struct Loads {
+struct LoadReport {
     std::uint32_t span_ms = 0;
     std::vector<Load> loads;
 };
-struct Outs {  // what a front has out of a function that is no longer free; each is released when it ends
+struct OutstandingReport {  // what a front has out of a function that is no longer free; each is released when it ends
     std::vector<std::pair<std::uint32_t, std::uint32_t>> by_runner;  // number, count
 };
-struct Beat {};
+struct Heartbeat {};
 
-using Message = std::variant<Ballot, Vote, Order, Receipt, Inquiry, Recollection, Admission, Succession, Greeting, Referral,
-                             Welcome, ConfigurationSent, ConfigurationHeld, RunnerTold, Ask, Grant, Denial, Release, Up, Beat, Mode, Loads, Outs>;
+using Message = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, RecoveryRequest, RecoveryResponse, JoinRequest, TimeoutNow, Register, Redirect,
+                             Registered, ConfigurationSent, ConfigurationHeld, RunnerTold, AcquireRequest, AcquireGranted, AcquireDenied, Release, RunnerReachable, Heartbeat, Mode, LoadReport, OutstandingReport>;
 
-}  // namespace gannethold::post
+}  // namespace gannethold::cluster
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -13,13 +13,13 @@
 #include <fstream>
 #include <sstream>
 
-#include "post/base/settings.hpp"
-#include "post/configuration/delta.hpp"
-#include "post/store/store.hpp"
-#include "post/wire/codec.hpp"
+#include "cluster/base/settings.hpp"
+#include "cluster/configuration/delta.hpp"
+#include "cluster/store/store.hpp"
+#include "cluster/wire/codec.hpp"
 #include "world.hpp"
 
-namespace gannethold::post::played {
+namespace gannethold::cluster::played {
 namespace {
 
 using Words = std::vector<std::string>;
@@ -167,7 +167,7 @@
         const std::string name = what.substr(0, colon), arg = colon == std::string::npos ? "" : what.substr(colon + 1);
         if (name == "leaders") return static_cast<double>(x.leaders());
         if (name == "acknowledged") return static_cast<double>(x.acknowledged());
-        if (name == "settled") return static_cast<double>(x.settled());
+        if (name == "committed") return static_cast<double>(x.committed());
         if (name == "members") return static_cast<double>(x.members());
         if (name == "answered") return x.statuses[200];
         if (name == "refused") return x.statuses[503];
@@ -182,7 +182,7 @@
         if (name == "ran") return x.ran;
         if (name == "turned-away") return x.turned_away;
         if (name == "worst-refusal-ms") return static_cast<double>(x.refusal_worst_of[arg]) / 1e3;
-        if (name == "free") return x.is_free(arg);
+        if (name == "free") return x.is_unrestricted(arg);
         if (name == "greetings") return static_cast<double>(x.greetings());
         if (name == "fence-refused") return x.fence_refused;
         if (name == "runners") return static_cast<double>(x.runners(arg));
@@ -236,18 +236,18 @@
 };
 
 BOOST_AUTO_TEST_CASE(a_lost_disk_counts_no_vote_of_its_own) {
-    Agreement::Terms terms;
+    Consensus::Options terms;
     terms.self = "a", terms.seeds = {"a", "b", "c"};
-    Durable durable;
-    durable.member = true, durable.term = 3, durable.voted_for = "a", durable.abstains = 5;
-    durable.entry = {{3, 4}, 1, {"a", "b", "c"}, "x"};
-    Outcome out;
-    Agreement agreement(terms, durable, 10'000'000, out);
-    agreement.tick(12'000'000, out);  // it stands, by a trial first
+    PersistentState state;
+    state.member = true, state.term = 3, state.voted_for = "a", state.no_vote_through_term = 5;
+    state.entry = {{3, 4}, 1, {"a", "b", "c"}, "x"};
+    Output out;
+    Consensus consensus(terms, state, 10'000'000, out);
+    consensus.tick(12'000'000, out);  // it stands, by a pre_vote first
     const auto ballots = [&](const std::string& from) {
         out = {};
-        agreement.receive(12'001'000, from, Vote{4, true, true}, out);
-        return std::count_if(out.sends.begin(), out.sends.end(), [](const auto& mail) { return std::holds_alternative<Ballot>(mail.message) && !std::get<Ballot>(mail.message).trial; });
+        consensus.receive(12'001'000, from, VoteResponse{4, true, true}, out);
+        return std::count_if(out.sends.begin(), out.sends.end(), [](const auto& mail) { return std::holds_alternative<VoteRequest>(mail.message) && !std::get<VoteRequest>(mail.message).pre_vote; });
     };
     // In term 4 its lost disk may have voted for another: with b alone it has one vote of three.
     BOOST_TEST(ballots("b") == 0);
@@ -260,16 +260,16 @@
         old_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":4000},";
         new_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":" + (i == 450 ? "100" : "4000") + "},";
     }
-    const std::string patch = delta(old_text, new_text);
-    BOOST_TEST(patch.size() < 150U);
+    const std::string delta = make_delta(old_text, new_text);
+    BOOST_TEST(delta.size() < 150U);
     const auto got = [](std::string_view base, std::string_view bytes) {
-        return leaf::try_handle_all([&] { return patched(base, bytes); }, [] { return std::string("refused"); });
+        return leaf::try_handle_all([&] { return apply_delta(base, bytes); }, [] { return std::string("refused"); });
     };
-    BOOST_TEST(got(old_text, patch) == new_text);
-    BOOST_TEST(got(new_text, patch) == "refused");
-    BOOST_TEST(got({}, delta({}, new_text)) == new_text);
-    for (std::size_t i = 0; i < patch.size(); ++i) {
-        std::string broken = patch;
+    BOOST_TEST(got(old_text, delta) == new_text);
+    BOOST_TEST(got(new_text, delta) == "refused");
+    BOOST_TEST(got({}, make_delta({}, new_text)) == new_text);
+    for (std::size_t i = 0; i < delta.size(); ++i) {
+        std::string broken = delta;
         broken[i] = static_cast<char>(broken[i] ^ 0x55);
         const std::string back = got(old_text, broken);
         BOOST_TEST((back == "refused" || back == new_text));
@@ -277,15 +277,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(messages_come_back_as_they_were_and_other_bytes_are_no_message) {
-    const Ask ask{7, 3, "huvo11a", 300, 4000, 1, 5, true};
+    const AcquireRequest ask{7, 3, "huvo11a", 300, 4000, 1, 5, true};
     std::string bytes = encode(ask, "10.0.0.1:80");
     const auto read = [](std::string_view packed) {
-        return leaf::try_handle_all([&]() -> leaf::result<std::optional<Letter>> { BOOST_LEAF_AUTO(l, decode(packed)); return std::optional(l); },
-                                    [] { return std::optional<Letter>(); });
+        return leaf::try_handle_all([&]() -> leaf::result<std::optional<ReceivedMessage>> { BOOST_LEAF_AUTO(l, decode(packed)); return std::optional(l); },
+                                    [] { return std::optional<ReceivedMessage>(); });
     };
     const auto back = read(std::string_view(bytes).substr(4));
     BOOST_REQUIRE(back.has_value());
-    const auto* const same = std::get_if<Ask>(&back->message);
+    const auto* const same = std::get_if<AcquireRequest>(&back->message);
     BOOST_REQUIRE(same != nullptr);
     BOOST_TEST((same->service == ask.service && same->deadline_ms == ask.deadline_ms && same->again && back->from == "10.0.0.1:80"));
     std::mt19937 random(5);
@@ -326,8 +326,8 @@
     BOOST_TEST(std::abs(split.shares()[0].fraction + split.shares()[1].fraction - 1) < 1e-9);
 }
 
-Durable kept(std::uint64_t index, std::size_t bytes) {
-    Durable d{true, index, "10.0.0.1:80", 0, {{index, index}, index, {"10.0.0.1:80"}, {}}};
+PersistentState kept(std::uint64_t index, std::size_t bytes) {
+    PersistentState d{true, index, "10.0.0.1:80", 0, {{index, index}, index, {"10.0.0.1:80"}, {}}};
     std::mt19937 random(static_cast<unsigned>(index));
     for (std::size_t n = 0; n < bytes; ++n) d.entry.body += static_cast<char>('a' + random() % 26);
     return d;
@@ -348,10 +348,10 @@
     }
 };
 
-Durable opened(Store& store, const std::string& folder) {
-    return leaf::try_handle_all([&] { return store.open(folder); }, []() -> Durable { BOOST_FAIL("the store does not open"); return {}; });
+PersistentState opened(Store& store, const std::string& folder) {
+    return leaf::try_handle_all([&] { return store.open(folder); }, []() -> PersistentState { BOOST_FAIL("the store does not open"); return {}; });
 }
-void written(Store& store, const Durable& d) {
+void written(Store& store, const PersistentState& d) {
     BOOST_TEST(leaf::try_handle_all([&]() -> leaf::result<bool> { BOOST_LEAF_CHECK(store.write(d)); return true; }, [] { return false; }));
 }
 
@@ -366,7 +366,7 @@
     for (const auto& f : folder.files()) bytes += std::filesystem::file_size(f);
     BOOST_TEST(bytes < 24U << 20, bytes);  // 30 MB were written; the disk holds 128
     Store again;
-    const Durable back = opened(again, folder.path);
+    const PersistentState back = opened(again, folder.path);
     BOOST_TEST(back.member);
     BOOST_TEST(back.entry.version == 120U);
     BOOST_TEST((back.entry.body == kept(120, 250'000).entry.body));
@@ -383,7 +383,7 @@
         for (const auto& f : folder.files())
             if (f.extension() == ".log" && std::filesystem::file_size(f) > torn) std::filesystem::resize_file(f, std::filesystem::file_size(f) - torn);
         Store store;
-        const Durable back = opened(store, folder.path);
+        const PersistentState back = opened(store, folder.path);
         BOOST_TEST((!back.member || back.entry.body == kept(back.entry.version, 1000).entry.body));
     }
 }
@@ -419,6 +419,6 @@
 }
 
 }  // namespace
-}  // namespace gannethold::post::played
+}  // namespace gannethold::cluster::played
 
-int main(int argc, char** argv) { return boost::unit_test::unit_test_main(&gannethold::post::played::init, argc, argv); }
+int main(int argc, char** argv) { return boost::unit_test::unit_test_main(&gannethold::cluster::played::init, argc, argv); }
--- a/tests/system/search.cpp
+++ b/tests/system/search.cpp
@@ -1,7 +1,7 @@
 // Plays the core's state machines through seeded troubles and checks after each step what must hold: one leader a term
 // and one that acts, one body a version, nothing acknowledged lost within what may be lost at once, fronts that never go
 // back, no request run twice, no slot given twice. A failing seed prints the scenario that replays it.
-//   post_search [seeds] [first] [sabotage]      sabotage: sync, vote or drift, to show that the checks can fail
+//   cluster_search [seeds] [first] [sabotage]      sabotage: sync, vote or drift, to show that the checks can fail
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
@@ -12,8 +12,8 @@
 #include "world.hpp"
 
 using namespace gannethold;
-using namespace gannethold::post;
-using namespace gannethold::post::played;
+using namespace gannethold::cluster;
+using namespace gannethold::cluster::played;
 
 namespace {
 
@@ -64,7 +64,7 @@
             const Micros span = static_cast<Micros>(300'000 + pick(2'500'000));
             const std::string which = std::to_string(i);
             const std::size_t f = shape.fronts > 0 ? pick(shape.fronts) : 0;
-            // Troubles of fronts: the keeper's words come up to 2 s late, a path is cut, a process goes.
+            // Troubles of fronts: the coordinator's words come up to 2 s late, a path is cut, a process goes.
             if (shape.fronts > 0 && pick(2) == 0) switch (pick(3)) {
                     case 0: world.delay_front(f, static_cast<Micros>(pick(2'000'000))), say("words to front " + std::to_string(f) + " come late"); break;
                     case 1:
@@ -146,10 +146,10 @@
     at = std::max(at, world.now()) + 9'000'000;
     world.run(at);
     if (!world.leader()) world.breaches.push_back("no leader though all is well again: " + world.told());
-    else if (world.settled() < world.acknowledged())
-        world.breaches.push_back("acknowledged " + std::to_string(world.acknowledged()) + " and settled " + std::to_string(world.settled()));
-    // Chance may find a free runner full; kept ones are never given too much while the keeper stays.
-    say("expect leaders = 1"), say("expect settled > " + std::to_string(world.acknowledged() == 0 ? 0 : world.acknowledged() - 1));
+    else if (world.committed() < world.acknowledged())
+        world.breaches.push_back("acknowledged " + std::to_string(world.acknowledged()) + " and committed " + std::to_string(world.committed()));
+    // Chance may find a free runner full; kept ones are never given too much while the coordinator stays.
+    say("expect leaders = 1"), say("expect committed > " + std::to_string(world.acknowledged() == 0 ? 0 : world.acknowledged() - 1));
     return {world.breaches, story.str()};
 }
 
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
-namespace gannethold::post::played {
+namespace gannethold::cluster::played {
 namespace {
 
 constexpr Micros kReopen = 300'000, kReach = 800'000;
@@ -15,27 +15,27 @@
     std::string name;
     bool up = false, disk_works = true, crash = false;
     Number life = 0;
-    Durable disk;
-    std::optional<Agreement> agreement;
+    PersistentState disk;
+    std::optional<Consensus> consensus;
     Micros stalled_until = 0, reopen_at = 0;
-    struct Keeper {
+    struct Coordinator {
         Number term = 0;
-        Book book;
+        SlotTable slot_table;
         Planner planner;
         Listing listing;
         std::set<std::size_t> fronts;
         Number version = 0;
         Micros next = 0;
         std::size_t overtakings = 0;  // looked at
-        Keeper(Number t, const Book::Terms& b, const Planner::Terms& p, Micros now) : term(t), book(b), planner(p, now), listing({20, 400'000}, now) {}
+        Coordinator(Number t, const SlotTable::Options& b, const Planner::Options& p, Micros now) : term(t), slot_table(b), planner(p, now), listing({20, 400'000}, now) {}
     };
-    std::unique_ptr<Keeper> keeper;
+    std::unique_ptr<Coordinator> coordinator;
     bool first = true;
 };
 
 struct World::Front {
     std::string name, zone;
-    std::unique_ptr<Desk> desk;
+    std::unique_ptr<RequestHandler> handler;
     bool up = true, off = false;
     std::optional<std::size_t> core;  // its session
     Number core_life = 0, term = 0, life = 0;
@@ -66,7 +66,7 @@
         Front& front = *fronts_[f];
         front.name = "front-" + std::to_string(f);
         front.zone = "z" + std::to_string(f % 3);
-        front.desk = std::make_unique<Desk>(Desk::Terms{front.name, front.zone, 1, kReach, shape.seed + f});
+        front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{front.name, front.zone, 1, kReach, shape.seed + f});
         at(now_ + 1'000, [this, f] { tick_front(f); });
     }
 }
@@ -93,20 +93,20 @@
 // ---- cores ---------------------------------------------------------------------------------------------------
 
 void World::open_core(Core& core) {
-    Agreement::Terms terms;
+    Consensus::Options terms;
     terms.self = core.name;
     terms.seeds = seeds_;
     terms.first_start = core.first && !core.disk.member;
     terms.chance = random_();
-    if (shape_.sabotage == Sabotage::lease_without_drift) terms.lease = 3 * terms.patience;
+    if (shape_.sabotage == Sabotage::lease_without_drift) terms.lease = 3 * terms.election_timeout;
     if (shape_.sabotage == Sabotage::vote_after_wipe && !core.first && !core.disk.member) {
         // As if an empty disk were that of a member that never voted.
         core.disk.member = true;
-        core.disk.entry.stamp = {0, 1};
+        core.disk.entry.position = {0, 1};
         core.disk.entry.members = seeds_;
     }
-    Outcome out;
-    core.agreement.emplace(std::move(terms), core.disk, now_, out);
+    Output out;
+    core.consensus.emplace(std::move(terms), core.disk, now_, out);
     carry_out(core, out);
 }
 
@@ -136,8 +136,8 @@
     core.up = false;
     ++core.life;
     core.crash = false;
-    close_keeper(core);
-    core.agreement.reset();
+    close_coordinator(core);
+    core.consensus.reset();
 }
 
 void World::crash_in_write(std::size_t i) { cores_[i]->crash = true; }
@@ -151,9 +151,9 @@
 
 void World::resign_core(std::size_t i) {
     Core& core = *cores_[i];
-    if (!core.up || !core.agreement) return;
-    Outcome out;
-    core.agreement->resign(now_, out);
+    if (!core.up || !core.consensus) return;
+    Output out;
+    core.consensus->resign(now_, out);
     carry_out(core, out);
 }
 
@@ -165,15 +165,15 @@
     if (now_ < core.stalled_until) {
         next = core.stalled_until;
     } else {
-        if (!core.agreement && now_ >= core.reopen_at && core.disk_works) open_core(core);
-        if (core.up && core.agreement) {
-            Outcome out;
-            core.agreement->tick(now_, out);
+        if (!core.consensus && now_ >= core.reopen_at && core.disk_works) open_core(core);
+        if (core.up && core.consensus) {
+            Output out;
+            core.consensus->tick(now_, out);
             carry_out(core, out);
         }
-        if (core.up && core.agreement) look(core);
-        if (core.up && core.keeper && now_ >= core.keeper->next && core.agreement->leads(now_)) keeper_step(core);
-        if (core.up && core.agreement) next = std::min(next, std::max(now_ + 1'000, core.agreement->next_tick()));
+        if (core.up && core.consensus) look(core);
+        if (core.up && core.coordinator && now_ >= core.coordinator->next && core.consensus->leads(now_)) coordinator_step(core);
+        if (core.up && core.consensus) next = std::min(next, std::max(now_ + 1'000, core.consensus->next_tick()));
     }
     if (!core.up || core.life != life) return;
     at(next, [this, i, life] {
@@ -181,21 +181,21 @@
     });
 }
 
-void World::carry_out(Core& core, Outcome& out) {
+void World::carry_out(Core& core, Output& out) {
     const std::size_t i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
     const auto send = [&] {
         for (const auto& mail : out.sends)
             for (std::size_t to = 0; to < cores_.size(); ++to)
                 if (cores_[to]->name == mail.to) deliver(i, to, mail.message);
-        for (const auto& v : out.verdicts) {
+        for (const auto& v : out.results) {
             const auto t = tickets_.find(v.ticket);
             if (t == tickets_.end()) continue;
-            if (v.settled) {
+            if (v.committed) {
                 const Number version = t->second.first;
                 acknowledged_ = std::max(acknowledged_, version);
                 // What is acknowledged under its number is the one that is held, or a higher one is.
-                const Entry* entry = core.agreement ? core.agreement->settled() : nullptr;
-                if (!entry || entry->version < version) breach("acknowledged version " + std::to_string(version) + " is not settled");
+                const LogEntry* entry = core.consensus ? core.consensus->committed() : nullptr;
+                if (!entry || entry->version < version) breach("acknowledged version " + std::to_string(version) + " is not committed");
                 else if (entry->version == version) {
                     const auto [known, fresh] = acked_bodies_.emplace(version, entry->body);
                     if (!fresh && known->second != entry->body) breach("two bodies acknowledged as version " + std::to_string(version));
@@ -210,25 +210,25 @@
             core.crash = false;
             // The power went while it was written: there whole, or not at all; nothing was said.
             const bool there = chance(0.5);
-            if (there) core.disk = core.agreement->durable();
+            if (there) core.disk = core.consensus->state();
             kill_core(i);
             at(now_ + 700'000, [this, i] { start_core(i); });
             return;
         }
         if (!core.disk_works) {
-            close_keeper(core);
-            core.agreement.reset();
+            close_coordinator(core);
+            core.consensus.reset();
             core.reopen_at = now_ + kReopen;
             return;
         }
-        core.disk = core.agreement->durable();
+        core.disk = core.consensus->state();
     }
     if (!(out.write && shape_.sabotage == Sabotage::send_before_sync)) send();
-    if (core.agreement && core.agreement->settled()) {
-        const Entry& entry = *core.agreement->settled();
+    if (core.consensus && core.consensus->committed()) {
+        const LogEntry& entry = *core.consensus->committed();
         if (entry.version > 0) {
             const auto [known, fresh] = seen_bodies_.emplace(entry.version, entry.body);
-            if (!fresh && known->second != entry.body) breach("two bodies settled as version " + std::to_string(entry.version));
+            if (!fresh && known->second != entry.body) breach("two bodies committed as version " + std::to_string(entry.version));
         }
     }
     look(core);
@@ -240,78 +240,78 @@
     const Number life = cores_[to]->life;
     std::function<void()> arrive = [this, from, to, message, life] {
         Core& core = *cores_[to];
-        if (!core.up || core.life != life || !core.agreement || !joined(from, to)) return;
+        if (!core.up || core.life != life || !core.consensus || !joined(from, to)) return;
         if (now_ < core.stalled_until) {
             at(core.stalled_until, [this, from, to, message, life] {
                 Core& woken = *cores_[to];
-                if (!woken.up || woken.life != life || !woken.agreement) return;
-                Outcome out;
-                woken.agreement->receive(now_, cores_[from]->name, message, out);
+                if (!woken.up || woken.life != life || !woken.consensus) return;
+                Output out;
+                woken.consensus->receive(now_, cores_[from]->name, message, out);
                 carry_out(woken, out);
             });
             return;
         }
-        Outcome out;
-        core.agreement->receive(now_, cores_[from]->name, message, out);
+        Output out;
+        core.consensus->receive(now_, cores_[from]->name, message, out);
         carry_out(core, out);
     };
     at(now_ + hop(), std::move(arrive));
 }
 
-// ---- the keeper ----------------------------------------------------------------------------------------------
+// ---- the coordinator ----------------------------------------------------------------------------------------------
 
 void World::look(Core& core) {
-    if (!core.up || !core.agreement || now_ < core.stalled_until) return;
-    const bool leads = core.agreement->leads(now_);
+    if (!core.up || !core.consensus || now_ < core.stalled_until) return;
+    const bool leads = core.consensus->leads(now_);
     if (leads) {
         const auto i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
-        const auto [known, fresh] = term_leader_.emplace(core.agreement->term(), i);
-        if (!fresh && known->second != i) breach("two leaders in term " + std::to_string(core.agreement->term()));
+        const auto [known, fresh] = term_leader_.emplace(core.consensus->term(), i);
+        if (!fresh && known->second != i) breach("two leaders in term " + std::to_string(core.consensus->term()));
         if (leaders() > 1) breach("two act as leader at once");
     }
-    if (core.keeper && (!core.agreement->holds() || core.keeper->term != core.agreement->term())) close_keeper(core);
-    if (leads && !core.keeper && !fronts_.empty()) {
-        Book::Terms b;
+    if (core.coordinator && (!core.consensus->holds() || core.coordinator->term != core.consensus->term())) close_coordinator(core);
+    if (leads && !core.coordinator && !fronts_.empty()) {
+        SlotTable::Options b;
         b.budget_slack = 20;
-        Planner::Terms p;
-        p.nonce_prefix = core.name + "-" + std::to_string(core.agreement->term()) + "-";
+        Planner::Options p;
+        p.nonce_prefix = core.name + "-" + std::to_string(core.consensus->term()) + "-";
         p.duty_per_s = 100;
-        p.settle = core.agreement->term() <= 1 ? 200'000 : 1'500'000;
+        p.settle = core.consensus->term() <= 1 ? 200'000 : 1'500'000;
         for (const char* z : {"z0", "z1", "z2"}) p.region_of[z] = "r";
-        core.keeper = std::make_unique<Core::Keeper>(core.agreement->term(), b, p, now_);
+        core.coordinator = std::make_unique<Core::Coordinator>(core.consensus->term(), b, p, now_);
     }
-    if (leads && core.keeper && core.agreement->settled() && core.agreement->settled()->version > core.keeper->version) {
-        core.keeper->version = core.agreement->settled()->version;
+    if (leads && core.coordinator && core.consensus->committed() && core.consensus->committed()->version > core.coordinator->version) {
+        core.coordinator->version = core.consensus->committed()->version;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(c, Configuration::read(core.agreement->settled()->body));
-                core.keeper->book.configure(c);
-                for (const std::size_t f : core.keeper->fronts) {
-                    const Number version = core.keeper->version;
+                BOOST_LEAF_AUTO(c, Configuration::read(core.consensus->committed()->body));
+                core.coordinator->slot_table.configure(c);
+                for (const std::size_t f : core.coordinator->fronts) {
+                    const Number version = core.coordinator->version;
                     at(now_ + hop(), [this, f, c, version] {
                         Front& front = *fronts_[f];
                         if (!front.up || front.off) return;
-                        if (front.desk->version() > 0 && c->version() < front.best_version && front.desk->version() < front.best_version) breach("a front went back");
-                        front.desk->configure(c);
+                        if (front.handler->version() > 0 && c->version() < front.best_version && front.handler->version() < front.best_version) breach("a front went back");
+                        front.handler->configure(c);
                         front.best_version = std::max(front.best_version, version);
-                        if (front.desk->version() < front.best_version) breach("a front went back");
+                        if (front.handler->version() < front.best_version) breach("a front went back");
                     });
                 }
                 return {};
             },
-            [&] { breach("a settled configuration can not be read"); });
+            [&] { breach("a committed configuration can not be read"); });
     }
 }
 
-void World::close_keeper(Core& core) {
-    if (!core.keeper) return;
-    core.keeper.reset();
+void World::close_coordinator(Core& core) {
+    if (!core.coordinator) return;
+    core.coordinator.reset();
 }
 
-void World::keeper_step(Core& core) {
+void World::coordinator_step(Core& core) {
     const std::size_t i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
-    Core::Keeper& k = *core.keeper;
-    k.next = now_ + Book::kSample;
+    Core::Coordinator& k = *core.coordinator;
+    k.next = now_ + SlotTable::kSample;
     std::vector<FrontMail> mail;
     // The platform's lists, as it shows them late.
     std::vector<Worker> workers;
@@ -329,13 +329,13 @@
         bool whole = false;
         std::vector<std::string> gone;
         k.listing.page(now_, page, whole, gone);
-        for (const Listed& one : page.runners) k.book.listed(now_, one.what, one.draining, mail);
-        for (const std::string& id : gone) k.book.gone(now_, id, "not listed", mail);
+        for (const Listed& one : page.runners) k.slot_table.listed(now_, one.what, one.draining, mail);
+        for (const std::string& id : gone) k.slot_table.gone(now_, id, "not listed", mail);
         k.planner.list_read(now_);
     }
-    k.book.tick(now_, mail);
-    // What was granted by this keeper itself, never more than there are slots.
-    for (const auto& [number, r] : k.book.runners()) {
+    k.slot_table.tick(now_, mail);
+    // What was granted by this coordinator itself, never more than there are slots.
+    for (const auto& [number, r] : k.slot_table.runners()) {
         std::set<std::pair<Session, std::uint32_t>> granted;
         for (const Slots::Given& g : r.given)
             if (g.ask > 0 && !granted.insert({g.front, g.ask}).second) breach("one ask has two slots of " + r.what.runner);
@@ -343,7 +343,7 @@
     }
     // Nobody goes before one that came earlier but by having less time left, or where that one can not be in aim, or as a
     // late one in its turn.
-    const auto& overtakings = k.book.overtakings();
+    const auto& overtakings = k.slot_table.overtakings();
     const std::size_t fresh = std::min(overtakings.all() - k.overtakings, overtakings.kept().size());
     k.overtakings = overtakings.all();
     for (std::size_t n = overtakings.kept().size() - fresh; n < overtakings.kept().size(); ++n) {
@@ -354,8 +354,8 @@
         if (std::string(o.why) == "it_can_be_in_aim" && o.aim_left <= 0) breach("one that is late itself went before a late one in " + o.service);
     }
     overtaken += fresh;
-    k.planner.plan_all(now_, k.book, mail);
-    Orders orders;
+    k.planner.plan_all(now_, k.slot_table, mail);
+    PlatformOrders orders;
     k.planner.due(now_, orders);
     post(i, mail);
     for (const Begin& b : orders.begins) begin(i, core.life, b, k.term);
@@ -366,10 +366,10 @@
             const auto at = runners_.find(s.runner);
             if (at != runners_.end() && !at->second->ended) at->second->ended = true, at->second->ended_at = now_;
             Core& c = *cores_[i];
-            if (c.life != life || !c.keeper || c.keeper->term != term) return;
-            c.keeper->planner.stop_answered(s.runner, true);
+            if (c.life != life || !c.coordinator || c.coordinator->term != term) return;
+            c.coordinator->planner.stop_answered(s.runner, true);
             std::vector<FrontMail> mail;
-            c.keeper->book.gone(now_, s.runner, "stopped", mail);
+            c.coordinator->slot_table.gone(now_, s.runner, "stopped", mail);
             post(i, mail);
         });
     }
@@ -415,10 +415,10 @@
         }
         at(now_ + hop(), [this, core, life, b, answer, begun] {
             Core& c = *cores_[core];
-            if (c.life != life || !c.keeper || !c.agreement || !c.agreement->leads(now_)) return;
+            if (c.life != life || !c.coordinator || !c.consensus || !c.consensus->leads(now_)) return;
             std::vector<FrontMail> mail;
-            if (answer == BeginAnswer::begun) c.keeper->book.began(now_, begun, mail);
-            c.keeper->planner.begin_answered(now_, b.nonce, answer);
+            if (answer == BeginAnswer::begun) c.coordinator->slot_table.began(now_, begun, mail);
+            c.coordinator->planner.begin_answered(now_, b.nonce, answer);
             post(core, mail);
         });
     });
@@ -436,9 +436,9 @@
                 Front& front = *fronts_[f];
                 if (!front.up || front.off || front.session != session || !front.core) return;
                 front.heard = now_;
-                Deeds d;
-                front.desk->said(now_, message, d);
-                deeds(f, d);
+                Actions d;
+                front.handler->said(now_, message, d);
+                actions(f, d);
             });
         }
     mail.clear();
@@ -446,7 +446,7 @@
 
 // ---- fronts --------------------------------------------------------------------------------------------------
 
-void World::to_keeper(std::size_t f, const Message& message) {
+void World::to_coordinator(std::size_t f, const Message& message) {
     Front& front = *fronts_[f];
     if (!front.core) return;
     const std::size_t core = *front.core;
@@ -457,27 +457,27 @@
 
 void World::take(std::size_t f, std::size_t core, Number life, Number term, Session session, const Message& message) {
     Core& c = *cores_[core];
-    if (!c.up || c.life != life || !c.keeper || c.keeper->term != term || fronts_[f]->off) return;
-    if (now_ < c.stalled_until || !c.agreement || !c.agreement->leads(now_)) {
-        // Held by the connection until it wakes, and by the office until the lease is back.
+    if (!c.up || c.life != life || !c.coordinator || c.coordinator->term != term || fronts_[f]->off) return;
+    if (now_ < c.stalled_until || !c.consensus || !c.consensus->leads(now_)) {
+        // Held by the connection until it wakes, and by the coordinator until the lease is back.
         at(std::max(now_, c.stalled_until) + 2'000, [=, this] { take(f, core, life, term, session, message); });
         return;
     }
     std::vector<FrontMail> mail;
-    Book& book = c.keeper->book;
-    if (const auto* m = std::get_if<Ask>(&message)) {
-        Function* const fn = book.ask(now_, session, *m, mail);
+    SlotTable& slot_table = c.coordinator->slot_table;
+    if (const auto* m = std::get_if<AcquireRequest>(&message)) {
+        Function* const fn = slot_table.ask(now_, session, *m, mail);
         if (fn && !fn->waiting.empty()) {
-            c.keeper->planner.plan_waiting(now_, book, *fn, mail);
-            Orders orders;
-            c.keeper->planner.due(now_, orders);
+            c.coordinator->planner.plan_waiting(now_, slot_table, *fn, mail);
+            PlatformOrders orders;
+            c.coordinator->planner.due(now_, orders);
             for (const Begin& b : orders.begins) begin(core, life, b, term);
         }
     }
-    if (const auto* m = std::get_if<Release>(&message)) book.release(now_, session, *m, mail);
-    if (const auto* m = std::get_if<Up>(&message)) book.up(now_, session, *m, mail);
-    if (const auto* m = std::get_if<Loads>(&message)) book.loads(now_, session, *m);
-    if (const auto* m = std::get_if<Outs>(&message)) book.outs(now_, session, *m);
+    if (const auto* m = std::get_if<Release>(&message)) slot_table.release(now_, session, *m, mail);
+    if (const auto* m = std::get_if<RunnerReachable>(&message)) slot_table.up(now_, session, *m, mail);
+    if (const auto* m = std::get_if<LoadReport>(&message)) slot_table.loads(now_, session, *m);
+    if (const auto* m = std::get_if<OutstandingReport>(&message)) slot_table.outs(now_, session, *m);
     post(core, mail);
 }
 
@@ -485,57 +485,57 @@
     Front& front = *fronts_[f];
     const Number life = front.life;
     if (front.up) {
-        Deeds d;
+        Actions d;
         const Core* const c = front.core ? cores_[*front.core].get() : nullptr;
-        if (c && (!c->up || c->life != front.core_life || !c->keeper || c->keeper->term != front.term || front.off)) {
+        if (c && (!c->up || c->life != front.core_life || !c->coordinator || c->coordinator->term != front.term || front.off)) {
             if (!front.off || now_ > front.heard + kReach) {
-                if (c->up && c->keeper && c->keeper->term == front.term && c->life == front.core_life) {
+                if (c->up && c->coordinator && c->coordinator->term == front.term && c->life == front.core_life) {
                     std::vector<FrontMail> mail;
-                    cores_[*front.core]->keeper->book.front_left(now_, front.session, mail);
-                    cores_[*front.core]->keeper->fronts.erase(f);
+                    cores_[*front.core]->coordinator->slot_table.front_left(now_, front.session, mail);
+                    cores_[*front.core]->coordinator->fronts.erase(f);
                     post(*front.core, mail);
                 }
                 front.core.reset();
-                front.desk->keeper_lost(now_, d);
+                front.handler->coordinator_lost(now_, d);
             }
         }
         if (!front.core && !front.off) {
             Core& next = *cores_[front.next_core++ % cores_.size()];
-            if (next.up && next.keeper && now_ >= next.stalled_until) {
+            if (next.up && next.coordinator && now_ >= next.stalled_until) {
                 front.core = (front.next_core - 1) % cores_.size();
-                front.core_life = next.life, front.term = next.keeper->term;
+                front.core_life = next.life, front.term = next.coordinator->term;
                 front.session = ++session_;
                 front.heard = front.next = now_;
-                next.keeper->fronts.insert(f);
+                next.coordinator->fronts.insert(f);
                 std::vector<FrontMail> mail;
-                const auto rank = static_cast<std::uint32_t>(std::distance(next.keeper->fronts.begin(), next.keeper->fronts.find(f)));
-                mail.push_back({front.session, Welcome{front.term, rank, static_cast<std::uint32_t>(fronts_.size()), {}}});
-                next.keeper->book.front_came(now_, front.session, front.desk->greeting(), mail);
-                if (next.agreement && next.agreement->settled() && next.agreement->settled()->version > front.desk->version())
+                const auto rank = static_cast<std::uint32_t>(std::distance(next.coordinator->fronts.begin(), next.coordinator->fronts.find(f)));
+                mail.push_back({front.session, Registered{front.term, rank, static_cast<std::uint32_t>(fronts_.size()), {}}});
+                next.coordinator->slot_table.front_came(now_, front.session, front.handler->registration(), mail);
+                if (next.consensus && next.consensus->committed() && next.consensus->committed()->version > front.handler->version())
                     leaf::try_handle_all(
                         [&]() -> leaf::result<void> {
-                            BOOST_LEAF_AUTO(configuration, Configuration::read(next.agreement->settled()->body));
-                            front.desk->configure(configuration);
-                            front.best_version = std::max(front.best_version, front.desk->version());
+                            BOOST_LEAF_AUTO(configuration, Configuration::read(next.consensus->committed()->body));
+                            front.handler->configure(configuration);
+                            front.best_version = std::max(front.best_version, front.handler->version());
                             return {};
                         },
                         [] {});
                 post(*front.core, mail);
-                front.desk->keeper_up(now_, d);
+                front.handler->coordinator_connected(now_, d);
             }
         }
-        front.desk->tick(now_, d);
-        deeds(f, d);
+        front.handler->tick(now_, d);
+        actions(f, d);
         for (auto w = front.watches.begin(); w != front.watches.end();) {
             const auto r = std::find_if(runners_.begin(), runners_.end(), [&](const auto& one) { return one.second->address == w->first && !one.second->ended; });
             if (r == runners_.end() || now_ < r->second->ready_at) {
                 ++w;
                 continue;
             }
-            Deeds more;
-            front.desk->reached(now_, w->first, true, more);
+            Actions more;
+            front.handler->reached(now_, w->first, true, more);
             w = front.watches.erase(w);
-            deeds(f, more);
+            actions(f, more);
         }
     }
     at(now_ + 20'000, [this, f, life] {
@@ -543,9 +543,9 @@
     });
 }
 
-void World::deeds(std::size_t f, Deeds& d) {
+void World::actions(std::size_t f, Actions& d) {
     Front& front = *fronts_[f];
-    for (const Message& m : d.mails) to_keeper(f, m);
+    for (const Message& m : d.mails) to_coordinator(f, m);
     for (const auto& reply : d.replies) {
         Try& t = tries_[reply.request];
         if (t.answered) breach("answered twice");
@@ -581,9 +581,9 @@
             at(now_ + hop(), [this, f, id, life, how] {
                 Front& front = *fronts_[f];
                 if (!front.up || front.life != life) return;
-                Deeds more;
-                front.desk->ended(now_, id, how, more);
-                deeds(f, more);
+                Actions more;
+                front.handler->ended(now_, id, how, more);
+                actions(f, more);
             });
         };
         at(now_ + hop(), [this, id, want, address, end] {
@@ -619,17 +619,17 @@
 
 void World::kill_front(std::size_t f) {
     Front& front = *fronts_[f];
-    if (front.core && cores_[*front.core]->keeper && cores_[*front.core]->keeper->term == front.term) {
+    if (front.core && cores_[*front.core]->coordinator && cores_[*front.core]->coordinator->term == front.term) {
         std::vector<FrontMail> mail;
-        cores_[*front.core]->keeper->book.front_left(now_, front.session, mail);
-        cores_[*front.core]->keeper->fronts.erase(f);
+        cores_[*front.core]->coordinator->slot_table.front_left(now_, front.session, mail);
+        cores_[*front.core]->coordinator->fronts.erase(f);
         post(*front.core, mail);
     }
     ++front.life;
     front.core.reset();
     front.best_version = 0;
     front.watches.clear();
-    front.desk = std::make_unique<Desk>(Desk::Terms{front.name, front.zone, front.life + 1, kReach, shape_.seed + f + front.life * 100});
+    front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{front.name, front.zone, front.life + 1, kReach, shape_.seed + f + front.life * 100});
     at(now_ + 500'000, [this, f] { tick_front(f); });
 }
 
@@ -658,18 +658,18 @@
 
 void World::put(Number version, std::size_t core, const std::string& mark) {
     Core& c = *cores_[core];
-    if (!c.up || !c.agreement || now_ < c.stalled_until) return;
+    if (!c.up || !c.consensus || now_ < c.stalled_until) return;
     // The caller follows a redirection once.
-    if (!c.agreement->leads(now_)) {
-        const std::string leader = c.agreement->leader();
+    if (!c.consensus->leads(now_)) {
+        const std::string leader = c.consensus->leader();
         for (std::size_t i = 0; i < cores_.size(); ++i)
-            if (i != core && cores_[i]->name == leader && cores_[i]->up && cores_[i]->agreement && cores_[i]->agreement->leads(now_)) return put(version, i, mark);
+            if (i != core && cores_[i]->name == leader && cores_[i]->up && cores_[i]->consensus && cores_[i]->consensus->leads(now_)) return put(version, i, mark);
         return;
     }
-    Outcome out;
+    Output out;
     const Number ticket = ++ticket_;
     tickets_[ticket] = {version, core};
-    c.agreement->propose(now_, ticket, version, body(version, mark), out);
+    c.consensus->propose(now_, ticket, version, body(version, mark), out);
     carry_out(c, out);
 }
 
@@ -681,9 +681,9 @@
     t.front = f, t.service = service, t.work_ms = work_ms, t.came = now_;
     for (const Made& m : services)
         if (m.name == service) t.idempotent = m.idempotent, t.aim = m.aim_ms * 1000LL;
-    Deeds d;
-    front.desk->arrived(now_, id, "h.example", "/" + service + "/x", static_cast<std::uint32_t>(deadline_ms), d);
-    deeds(f, d);
+    Actions d;
+    front.handler->arrived(now_, id, "h.example", "/" + service + "/x", static_cast<std::uint32_t>(deadline_ms), d);
+    actions(f, d);
 }
 
 void World::crash_worker(const std::string& worker) {
@@ -707,7 +707,7 @@
         if (r->service != service || r->ended) continue;
         r->ended = true, r->ended_at = now_;
         auto other = std::make_unique<Runner>(*r);
-        other->id = "other-" + id, other->service = "stranger", other->ended = false;
+        other->id = "other-" + id, other->service = "non_member", other->ended = false;
         runners_[other->id] = std::move(other);
         return;
     }
@@ -717,28 +717,28 @@
 
 std::size_t World::leaders() const {
     std::size_t n = 0;
-    for (const auto& c : cores_) n += c->up && c->agreement && now_ >= c->stalled_until && c->agreement->leads(now_);
+    for (const auto& c : cores_) n += c->up && c->consensus && now_ >= c->stalled_until && c->consensus->leads(now_);
     return n;
 }
 std::optional<std::size_t> World::leader() const {
     for (std::size_t i = 0; i < cores_.size(); ++i)
-        if (cores_[i]->up && cores_[i]->agreement && now_ >= cores_[i]->stalled_until && cores_[i]->agreement->leads(now_)) return i;
+        if (cores_[i]->up && cores_[i]->consensus && now_ >= cores_[i]->stalled_until && cores_[i]->consensus->leads(now_)) return i;
     return {};
 }
-Number World::settled() const {
+Number World::committed() const {
     const auto l = leader();
-    return l && cores_[*l]->agreement->settled() ? cores_[*l]->agreement->settled()->version : 0;
+    return l && cores_[*l]->consensus->committed() ? cores_[*l]->consensus->committed()->version : 0;
 }
 std::size_t World::members() const {
     const auto l = leader();
-    return l ? cores_[*l]->agreement->members().size() : 0;
+    return l ? cores_[*l]->consensus->members().size() : 0;
 }
-bool World::is_free(const std::string& service) const {
+bool World::is_unrestricted(const std::string& service) const {
     const auto l = leader();
-    if (!l || !cores_[*l]->keeper) return false;
-    const auto& all = cores_[*l]->keeper->book.functions();
+    if (!l || !cores_[*l]->coordinator) return false;
+    const auto& all = cores_[*l]->coordinator->slot_table.functions();
     const auto f = all.find(service);
-    return f != all.end() && f->second->free;
+    return f != all.end() && f->second->unrestricted;
 }
 
 std::size_t World::runners(const std::string& service) const {
@@ -755,21 +755,21 @@
     return text;
 }
 bool World::core_up(std::size_t i) const { return cores_[i]->up; }
-bool World::core_recovering(std::size_t i) const { return !cores_[i]->agreement || cores_[i]->agreement->recovering(); }
+bool World::core_recovering(std::size_t i) const { return !cores_[i]->consensus || cores_[i]->consensus->recovering(); }
 std::string World::told() const {
     std::ostringstream text;
     for (const auto& c : cores_) {
-        if (!c->agreement) {
+        if (!c->consensus) {
             text << "[" << (c->up ? "no disk" : "down") << "] ";
             continue;
         }
-        const Durable& d = c->agreement->durable();
-        text << "[term " << d.term << " voted " << d.voted_for << " abstains " << d.abstains << " entry " << d.entry.stamp.term << "." << d.entry.stamp.index
-             << " members " << d.entry.members.size() << (d.member ? "" : " stranger") << " leader " << c->agreement->leader() << "] ";
+        const PersistentState& d = c->consensus->state();
+        text << "[term " << d.term << " voted " << d.voted_for << " no_vote_through_term " << d.no_vote_through_term << " entry " << d.entry.position.term << "." << d.entry.position.index
+             << " members " << d.entry.members.size() << (d.member ? "" : " non_member") << " leader " << c->consensus->leader() << "] ";
     }
     return text.str();
 }
-Number World::front_version(std::size_t f) const { return fronts_[f]->desk->version(); }
+Number World::front_version(std::size_t f) const { return fronts_[f]->handler->version(); }
 std::size_t World::cores() const { return cores_.size(); }
 
-}  // namespace gannethold::post::played
+}  // namespace gannethold::cluster::played
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -14,14 +14,14 @@
 #include <string>
 #include <vector>
 
-#include "post/agreement/agreement.hpp"
-#include "post/configuration/configuration.hpp"
-#include "post/front/desk.hpp"
-#include "post/placement/planner.hpp"
-#include "post/runners/resources.hpp"
-#include "post/slots/book.hpp"
+#include "cluster/consensus/consensus.hpp"
+#include "cluster/configuration/configuration.hpp"
+#include "cluster/proxy/request_handler.hpp"
+#include "cluster/placement/planner.hpp"
+#include "cluster/runners/resources.hpp"
+#include "cluster/slots/slot_table.hpp"
 
-namespace gannethold::post::played {
+namespace gannethold::cluster::played {
 
 // Faults put into the code under test on purpose, to show that the checks can fail.
 enum class Sabotage { none, send_before_sync, vote_after_wipe, lease_without_drift };
@@ -68,7 +68,7 @@
     void resign_core(std::size_t i);
     void cut_front(std::size_t f, bool off);
     void kill_front(std::size_t f);
-    void delay_front(std::size_t f, Micros span);  // what the keeper says to it comes so much later, in order
+    void delay_front(std::size_t f, Micros span);  // what the coordinator says to it comes so much later, in order
     void put(Number version, std::size_t core, const std::string& mark = {});
     std::string body(Number version, const std::string& mark) const;
     // One request at a front for that service; outcomes are counted by status.
@@ -82,7 +82,7 @@
     std::optional<std::size_t> leader() const;  // that acts
     std::size_t leaders() const;
     Number acknowledged() const { return acknowledged_; }
-    Number settled() const;  // at the leader; 0: none
+    Number committed() const;  // at the leader; 0: none
     std::size_t members() const;
     std::uint64_t greetings() const { return session_; }  // of fronts, so far
     std::map<int, int> statuses;  // of answers, by HTTP status
@@ -92,7 +92,7 @@
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
     std::size_t runners(const std::string& service) const;  // that live
-    bool is_free(const std::string& service) const;  // at the leader: fronts take its slots unasked
+    bool is_unrestricted(const std::string& service) const;  // at the leader: fronts take its slots unasked
     std::string placed() const;                             // zone:count of all live runners
     bool core_up(std::size_t i) const;
     bool core_recovering(std::size_t i) const;
@@ -108,18 +108,18 @@
     struct Runner;
     struct Ring;
 
-    void carry_out(Core& core, Outcome& out);
+    void carry_out(Core& core, Output& out);
     void deliver(std::size_t from, std::size_t to, const Message& message);
     void look(Core& core);
-    void close_keeper(Core& core);
+    void close_coordinator(Core& core);
     void tick_core(std::size_t i);
     void open_core(Core& core);
-    void keeper_step(Core& core);
+    void coordinator_step(Core& core);
     void post(std::size_t core, std::vector<FrontMail>& mail);
-    void to_keeper(std::size_t front, const Message& message);
+    void to_coordinator(std::size_t front, const Message& message);
     void take(std::size_t front, std::size_t core, Number life, Number term, Session session, const Message& message);
     void tick_front(std::size_t f);
-    void deeds(std::size_t f, Deeds& d);
+    void actions(std::size_t f, Actions& d);
     void begin(std::size_t core, Number life, const Begin& begin, Number fence);
     void breach(const std::string& what);
     bool joined(std::size_t a, std::size_t b) const { return !cuts_.count({a, b}); }
@@ -164,4 +164,4 @@
     std::map<RequestId, Try> tries_;
 };
 
-}  // namespace gannethold::post::played
+}  // namespace gannethold::cluster::played
