--- a/rehearsal/ceiling/ceiling.cpp
+++ b/rehearsal/ceiling/ceiling.cpp
@@ -42,8 +42,11 @@
 class Wire {
   public:
     Wire(net::Loop& loop, int socket, std::function<void(Wire&)> heard)
-        : socket_(socket), heard_(std::move(heard)),
-          event_(event_new(loop.base(), socket, EV_READ | EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Wire*>(self)->read(); }, this),
+        : socket_(socket),
+          heard_(std::move(heard)),
+          event_(event_new(
+                     loop.base(), socket, EV_READ | EV_PERSIST,
+                     [](evutil_socket_t, short, void* self) { static_cast<Wire*>(self)->read(); }, this),
                  &event_free) {
         const int yes = 1;
         setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -93,21 +96,28 @@
     return got.size() >= end + 4 + length ? end + 4 + length : 0;
 }
 
-// ---- the runners -------------------------------------------------------------------------------------------
+// ---- the runners
+// -------------------------------------------------------------------------------------------
 
 class Echoes {
   public:
-    Echoes(const CeilingPlan& plan, const std::vector<std::pair<std::size_t, net::Address>>& places) : plan_(plan), loop_(64) {
+    Echoes(const CeilingPlan& plan, const std::vector<std::pair<std::size_t, net::Address>>& places)
+        : plan_(plan), loop_(64) {
         for (const auto& [number, at] : places) {
             const int door = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
             const int yes = 1;
             setsockopt(door, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
             if (bind(door, at.get(), at.length) != 0 || listen(door, 1024) != 0) _exit(3);
-            doors_.push_back(std::make_unique<Door>(Door{this, in_use_.size(), door, net::EventHandle(nullptr, &event_free)}));
+            doors_.push_back(std::make_unique<Door>(
+                Door{this, in_use_.size(), door, net::EventHandle(nullptr, &event_free)}));
             in_use_.push_back(0);
             Door* const d = doors_.back().get();
-            d->event.reset(event_new(loop_.base(), door, EV_READ | EV_PERSIST,
-                                     [](evutil_socket_t, short, void* self) { static_cast<Door*>(self)->echoes->accept(*static_cast<Door*>(self)); }, d));
+            d->event.reset(event_new(
+                loop_.base(), door, EV_READ | EV_PERSIST,
+                [](evutil_socket_t, short, void* self) {
+                    static_cast<Door*>(self)->echoes->accept(*static_cast<Door*>(self));
+                },
+                d));
             event_add(d->event.get(), nullptr);
         }
     }
@@ -144,7 +154,8 @@
             if (n == 0) return;
             if (head.starts_with("GET")) {
                 const std::string text = load(w.owner, false);
-                w.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+                w.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
+                        text);
             } else {
                 ++in_use_[w.owner];
                 std::string id(field(head, "X-Request-ID: "));
@@ -158,22 +169,28 @@
     }
     void answer(Wire& w, const std::string& id) {
         --in_use_[w.owner];
-        const std::string body = "{\"id\":\"" + id + "\",\"from\":\"echo\",\"state\":\"done\",\"result\":\"ok\"" +
+        const std::string body = "{\"id\":\"" + id +
+                                 "\",\"from\":\"echo\",\"state\":\"done\",\"result\":\"ok\"" +
                                  (plan_.reports ? ",\"load\":{" + load(w.owner, true) + "}" : "") + "}\n";
         w.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
     void later(Wire& w, std::string id) {
-        // A wire lives until this process is killed or its peer closes, and peers do not close while they wait.
+        // A wire lives until this process is killed or its peer closes, and peers do not close while they
+        // wait.
         struct Due {
             Echoes* echoes;
             Wire* wire;
             std::string id;
         };
-        const timeval wait{static_cast<time_t>(plan_.work / 1'000'000), static_cast<suseconds_t>(plan_.work % 1'000'000)};
-        event_base_once(loop_.base(), -1, EV_TIMEOUT, [](evutil_socket_t, short, void* what) {
-                            const std::unique_ptr<Due> due(static_cast<Due*>(what));
-                            if (!due->wire->closed) due->echoes->answer(*due->wire, due->id);
-                        }, new Due{this, &w, std::move(id)}, &wait);
+        const timeval wait{static_cast<time_t>(plan_.work / 1'000'000),
+                           static_cast<suseconds_t>(plan_.work % 1'000'000)};
+        event_base_once(
+            loop_.base(), -1, EV_TIMEOUT,
+            [](evutil_socket_t, short, void* what) {
+                const std::unique_ptr<Due> due(static_cast<Due*>(what));
+                if (!due->wire->closed) due->echoes->answer(*due->wire, due->id);
+            },
+            new Due{this, &w, std::move(id)}, &wait);
     }
 
     const CeilingPlan& plan_;
@@ -183,7 +200,8 @@
     std::vector<std::unique_ptr<Wire>> wires_;
 };
 
-// ---- the clients -------------------------------------------------------------------------------------------
+// ---- the clients
+// -------------------------------------------------------------------------------------------
 
 struct Counted {
     std::uint64_t finished = 0, bounced = 0, failed = 0;
@@ -193,7 +211,8 @@
 
 class Generator {
   public:
-    Generator(const CeilingPlan& plan, std::vector<net::Address> targets, std::size_t connections, std::uint64_t first)
+    Generator(const CeilingPlan& plan, std::vector<net::Address> targets, std::size_t connections,
+              std::uint64_t first)
         : plan_(plan), targets_(std::move(targets)), loop_(64), next_(first) {
         for (std::size_t i = 0; i < connections; ++i) connect_one(i);
     }
@@ -228,7 +247,8 @@
     void ask(Wire& w) {
         char text[256];
         const int n = std::snprintf(text, sizeof text,
-                                    "POST /render/7 HTTP/1.1\r\nHost: front\r\nX-Request-ID: c%llx\r\nX-Timeout: 5000m\r\nContent-Length: 5\r\n\r\nscene",
+                                    "POST /render/7 HTTP/1.1\r\nHost: front\r\nX-Request-ID: "
+                                    "c%llx\r\nX-Timeout: 5000m\r\nContent-Length: 5\r\n\r\nscene",
                                     static_cast<unsigned long long>(++next_));
         w.since = net::Loop::now();
         w.write({text, static_cast<std::size_t>(n)});
@@ -258,7 +278,8 @@
     Counted counted_;
 };
 
-// ---- processes ---------------------------------------------------------------------------------------------
+// ---- processes
+// ---------------------------------------------------------------------------------------------
 
 class Helpers {
   public:
@@ -315,11 +336,13 @@
     for (const int from : hears) {
         std::string text;
         char space[65536];
-        for (ssize_t n; (n = read(from, space, sizeof space)) > 0;) text.append(space, static_cast<std::size_t>(n));
+        for (ssize_t n; (n = read(from, space, sizeof space)) > 0;)
+            text.append(space, static_cast<std::size_t>(n));
         close(from);
         std::istringstream in(text);
         std::uint64_t finished = 0, bounced = 0, failed = 0, times = 0;
-        if (!(in >> finished >> bounced >> failed)) throw std::runtime_error("a generator of load ended before its time");
+        if (!(in >> finished >> bounced >> failed))
+            throw std::runtime_error("a generator of load ended before its time");
         all.finished += finished, all.bounced += bounced, all.failed += failed;
         for (Micros value = 0; in >> value >> times;) all.latencies.add(value, times);
     }
@@ -329,8 +352,10 @@
 // A fleet of one kind, told as a day, so that the configuration is the one that days have.
 Day day_of(const CeilingPlan& plan) {
     std::ostringstream text;
-    text << "length_s = 10\n[[runners]]\nname = \"echo\"\ncount = " << plan.runners << "\ncores = 64\nslots = " << plan.slots
-         << "\ntells_start = false\n[[workloads]]\nname = \"render\"\ndue_ms = 400\nexpiry_ms = 5000\n[clients]\nrate = 1\n"
+    text << "length_s = 10\n[[runners]]\nname = \"echo\"\ncount = " << plan.runners
+         << "\ncores = 64\nslots = " << plan.slots
+         << "\ntells_start = false\n[[workloads]]\nname = \"render\"\ndue_ms = 400\nexpiry_ms = "
+            "5000\n[clients]\nrate = 1\n"
          << "[dispatchers]\nprobes = false\nsockets = " << 64 + 4 * (plan.connections + plan.runners)
          << (plan.reports ? "\n" : "\nreports = []\n");
     return read_day(text.str(), "ceiling");
@@ -339,7 +364,9 @@
 void await(const std::string& where, Child& child, const std::string& log) {
     const net::Address at = address(where);
     for (const Micros until = net::Loop::now() + kComesUpIn; net::Loop::now() < until; usleep(10'000)) {
-        if (const auto how = child.ended()) throw std::runtime_error("the dispatcher did not come up: it " + *how + "\n" + last_lines(log, 5));
+        if (const auto how = child.ended())
+            throw std::runtime_error("the dispatcher did not come up: it " + *how + "\n" +
+                                     last_lines(log, 5));
         const int one = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const bool there = connect(one, at.get(), at.length) == 0;
         close(one);
@@ -350,7 +377,8 @@
 
 }  // namespace
 
-CeilingFigures measure_ceiling(const CeilingPlan& plan, const std::string& program, const std::string& folder) {
+CeilingFigures measure_ceiling(const CeilingPlan& plan, const std::string& program,
+                               const std::string& folder) {
     std::signal(SIGPIPE, SIG_IGN);
     rlimit limit{};
     getrlimit(RLIMIT_NOFILE, &limit);
@@ -363,9 +391,11 @@
     std::ostringstream known;
     known << "{\"version\":1,\"full\":true,\"servers\":[";
     for (std::size_t r = 0; r < plan.runners; ++r) {
-        const std::string at = claim.address(static_cast<unsigned>(r / 250), static_cast<unsigned>(1 + r % 250), kEchoPort);
+        const std::string at =
+            claim.address(static_cast<unsigned>(r / 250), static_cast<unsigned>(1 + r % 250), kEchoPort);
         runners.push_back(address(at));
-        known << (r > 0 ? "," : "") << "{\"id\":\"e-" << r << "\",\"addr\":\"" << at << "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,"
+        known << (r > 0 ? "," : "") << "{\"id\":\"e-" << r << "\",\"addr\":\"" << at
+              << "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,"
               << "\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}";
     }
     known << "]}";
@@ -385,20 +415,24 @@
     figures.direct_p999 = direct.latencies.at(0.999);
 
     const std::string listen = claim.address(253, 1, kDispatcherPort), log = folder + "/ceiling.log";
-    std::ofstream(folder + "/ceiling.json") << day.posting(0, listen, claim.address(254, 1, 8'500), 1, known.str());
-    Child child({program, "serve", "--configuration", folder + "/ceiling.json", "--log-level", "warning"}, log);
+    std::ofstream(folder + "/ceiling.json")
+        << day.posting(0, listen, claim.address(254, 1, 8'500), 1, known.str());
+    Child child({program, "serve", "--configuration", folder + "/ceiling.json", "--log-level", "warning"},
+                log);
     await(listen, child, log);
     const Child::Cost before = child.cost();
     const Counted through = drive(plan, {address(listen)});
     const Child::Cost after = child.cost();
-    if (const auto how = child.ended()) throw std::runtime_error("the dispatcher " + *how + "\n" + last_lines(log, 5));
+    if (const auto how = child.ended())
+        throw std::runtime_error("the dispatcher " + *how + "\n" + last_lines(log, 5));
     figures.finished = through.finished, figures.bounced = through.bounced, figures.failed = through.failed;
     figures.tasks_a_second = static_cast<double>(through.finished) / plan.seconds;
     // The warm-up's tasks cost too, and are taken to be as many a second.
     const double tasks = figures.tasks_a_second * (plan.seconds + plan.warm);
     figures.cpu_us_a_task = tasks > 0 ? (after.cpu_s - before.cpu_s) * 1e6 / tasks : 0;
     figures.memory_mb = after.memory_mb;
-    figures.p50 = through.latencies.at(0.5), figures.p99 = through.latencies.at(0.99), figures.p999 = through.latencies.at(0.999);
+    figures.p50 = through.latencies.at(0.5), figures.p99 = through.latencies.at(0.99),
+    figures.p999 = through.latencies.at(0.999);
     return figures;
 }
 
--- a/rehearsal/ceiling/keeping.cpp
+++ b/rehearsal/ceiling/keeping.cpp
@@ -38,9 +38,11 @@
 
 std::string posting(std::size_t runners) {
     std::ostringstream out;
-    out << R"({"name":"kept","listen":"127.0.0.1:)" << free_port() << R"(","discovery":"127.0.0.1:1","seed":"2a","known":{"version":1,"full":true,"servers":[)";
+    out << R"({"name":"kept","listen":"127.0.0.1:)" << free_port()
+        << R"(","discovery":"127.0.0.1:1","seed":"2a","known":{"version":1,"full":true,"servers":[)";
     for (std::size_t i = 0; i < runners; ++i)
-        out << (i ? "," : "") << R"({"id":"s-)" << i << R"(","addr":"127.0.0.1:1","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1.0,"started_ms":0})";
+        out << (i ? "," : "") << R"({"id":"s-)" << i
+            << R"(","addr":"127.0.0.1:1","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1.0,"started_ms":0})";
     out << R"(]},"settings":{"balancers":1,"registry_mode":"on_request","zones":["a"],"kinds":["m"],"workloads":[{"name":"proof","effect":"pure",)"
         << R"("due_time_us":400000,"expiry_us":5000000,"importance":1}]}})";
     return out.str();
@@ -51,7 +53,8 @@
     r.written_ms = unix_ms();
     r.dispatcher = "kept";
     for (std::size_t i = 0; i < runners; ++i)
-        r.runners.push_back({"s-" + std::to_string(i), "m", "a", "127.0.0.1:1", generation, keepsake::Bins(20, 1.5F), 0.5, 4, 0.02});
+        r.runners.push_back({"s-" + std::to_string(i), "m", "a", "127.0.0.1:1", generation,
+                             keepsake::Bins(20, 1.5F), 0.5, 4, 0.02});
     return r;
 }
 
@@ -76,7 +79,8 @@
     for (const Micros end = begun + 60'000'000; keepsakes > 0 && net::Loop::now() < end; usleep(200)) {
         loop.turn(false);
         one.end_turn();
-        if (const keepsake::Kept* const kept = one.kept(); kept && kept->written + kept->failed >= keepsakes) {
+        if (const keepsake::Kept* const kept = one.kept();
+            kept && kept->written + kept->failed >= keepsakes) {
             life.kept = *kept;
             break;
         }
@@ -110,7 +114,8 @@
         const pid_t writer = fork();
         if (writer < 0) break;
         if (writer == 0) {
-            for (std::int64_t generation = last + 1;; ++generation) shelf.put(keepsake::spell(record(generation, kRunners)));
+            for (std::int64_t generation = last + 1;; ++generation)
+                shelf.put(keepsake::spell(record(generation, kRunners)));
         }
         usleep(static_cast<useconds_t>(1'000 + 977 * round % 20'000));
         kill(writer, SIGKILL);
@@ -122,10 +127,12 @@
             found.passed_over.empty() ? ++figures.none : ++figures.torn;
             continue;
         }
-        const std::int64_t generation = found.record->runners.empty() ? -1 : found.record->runners[0].started_ms;
-        const bool whole = found.passed_over.empty() && found.record->runners.size() == kRunners && generation >= last &&
-                           std::all_of(found.record->runners.begin(), found.record->runners.end(),
-                                       [&](const keepsake::KeptRunner& r) { return r.started_ms == generation; });
+        const std::int64_t generation =
+            found.record->runners.empty() ? -1 : found.record->runners[0].started_ms;
+        const bool whole =
+            found.passed_over.empty() && found.record->runners.size() == kRunners && generation >= last &&
+            std::all_of(found.record->runners.begin(), found.record->runners.end(),
+                        [&](const keepsake::KeptRunner& r) { return r.started_ms == generation; });
         whole ? ++figures.whole : ++figures.torn;
         last = std::max(last, generation);
     }
--- a/rehearsal/day/day.cpp
+++ b/rehearsal/day/day.cpp
@@ -17,10 +17,12 @@
 
 constexpr double kDay = 86'400;
 
-Micros seconds(const Sheet& s, const std::string& name, double otherwise, double least = 0, double most = kDay) {
+Micros seconds(const Sheet& s, const std::string& name, double otherwise, double least = 0,
+               double most = kDay) {
     return static_cast<Micros>(s.number(name, otherwise, least, most) * 1e6);
 }
-Micros millis(const Sheet& s, const std::string& name, double otherwise, double least = 0, double most = kDay * 1e3) {
+Micros millis(const Sheet& s, const std::string& name, double otherwise, double least = 0,
+              double most = kDay * 1e3) {
     return static_cast<Micros>(s.number(name, otherwise, least, most) * 1e3);
 }
 
@@ -101,7 +103,8 @@
     for (const Sheet& s : all.tables("workloads")) {
         WorkloadPlan w;
         w.name = s.word("name", "task");
-        const std::string effect = s.one_of("effect", {"idempotent", "fingerprinted", "side-effecting"}, "idempotent");
+        const std::string effect =
+            s.one_of("effect", {"idempotent", "fingerprinted", "side-effecting"}, "idempotent");
         w.effect = effect == "idempotent"      ? Effects::idempotent
                    : effect == "fingerprinted" ? Effects::fingerprinted
                                                : Effects::side_effecting;
@@ -133,7 +136,8 @@
 
 void read_clients(const Sheet& s, Day& day) {
     ClientPlan& c = day.clients;
-    const std::string how = s.one_of("arrivals", {"poisson", "even", "bursts", "replayed", "closed"}, "poisson");
+    const std::string how =
+        s.one_of("arrivals", {"poisson", "even", "bursts", "replayed", "closed"}, "poisson");
     c.arrivals = how == "poisson"    ? Arrivals::poisson
                  : how == "even"     ? Arrivals::even
                  : how == "bursts"   ? Arrivals::bursts
@@ -145,7 +149,8 @@
     for (const double t : s.numbers("times_s", 0, kDay)) c.times.push_back(static_cast<Micros>(t * 1e6));
     std::sort(c.times.begin(), c.times.end());
     const bool timed = !c.times.empty();
-    if (c.arrivals == Arrivals::replayed && !timed) s.wrong("times_s", "is missing, and arrivals is \"replayed\"");
+    if (c.arrivals == Arrivals::replayed && !timed)
+        s.wrong("times_s", "is missing, and arrivals is \"replayed\"");
     if (c.arrivals != Arrivals::replayed && timed) s.wrong("times_s", "is only for arrivals = \"replayed\"");
     // Against a day that passes because nothing was asked of it.
     if (c.rate <= 0 && c.arrivals != Arrivals::replayed && c.arrivals != Arrivals::closed)
@@ -182,12 +187,14 @@
     for (const Sheet& s : all.tables("fault")) {
         FaultPlan f;
         f.what = s.word("what", "");
-        const auto known = std::find_if(kFaults.begin(), kFaults.end(), [&](const FaultWord& w) { return f.what == w.word; });
+        const auto known = std::find_if(kFaults.begin(), kFaults.end(),
+                                        [&](const FaultWord& w) { return f.what == w.word; });
         if (known == kFaults.end()) {
             std::vector<std::string> words;
             for (const FaultWord& w : kFaults) words.emplace_back(w.word);
             const std::string near = sheets::near_name(f.what, words);
-            s.wrong("what", "is no fault: \"" + f.what + "\"" + (near.empty() ? "" : "; did you mean " + near + "?"));
+            s.wrong("what",
+                    "is no fault: \"" + f.what + "\"" + (near.empty() ? "" : "; did you mean " + near + "?"));
         }
         f.kind = known->kind;
         f.at = seconds(s, "at_s", 0);
@@ -205,15 +212,18 @@
             if (!runners && f.on != "all" && !hall) {
                 const auto number = f.on.starts_with("d-") ? std::atoi(f.on.c_str() + 2) : 0;
                 if (number < 1 || static_cast<std::size_t>(number) > day.dispatchers.count)
-                    s.wrong("on", "is no dispatcher: \"" + f.on + "\"; they are d-1 to d-" + std::to_string(day.dispatchers.count));
+                    s.wrong("on", "is no dispatcher: \"" + f.on + "\"; they are d-1 to d-" +
+                                      std::to_string(day.dispatchers.count));
             }
-            if (runners && f.on.find(" of ") == std::string::npos && f.on != "all" && !f.on.starts_with("hall:") &&
-                !f.on.starts_with("kind:") &&
-                std::none_of(day.runners.begin(), day.runners.end(), [&](const RunnerPlan& r) { return r.name == f.on; })) {
+            if (runners && f.on.find(" of ") == std::string::npos && f.on != "all" &&
+                !f.on.starts_with("hall:") && !f.on.starts_with("kind:") &&
+                std::none_of(day.runners.begin(), day.runners.end(),
+                             [&](const RunnerPlan& r) { return r.name == f.on; })) {
                 std::vector<std::string> names;
                 for (const RunnerPlan& r : day.runners) names.push_back(r.name);
                 const std::string near = sheets::near_name(f.on, names);
-                s.wrong("on", "is no runner: \"" + f.on + "\"" + (near.empty() ? "" : "; did you mean " + near + "?"));
+                s.wrong("on", "is no runner: \"" + f.on + "\"" +
+                                  (near.empty() ? "" : "; did you mean " + near + "?"));
             }
         }
         if (known->strikes == FaultWord::paths) {
@@ -239,12 +249,13 @@
 double Day::tasks_a_second_at_most() const {
     double able = 0, each = 0, shares = 0;
     for (const RunnerPlan& r : runners) able += std::min(r.build.cores, r.build.slots) * r.build.speed;
-    for (const WorkloadPlan& w : workloads) each += w.share * static_cast<double>(w.work) * w.slots, shares += w.share;
+    for (const WorkloadPlan& w : workloads)
+        each += w.share * static_cast<double>(w.work) * w.slots, shares += w.share;
     return each > 0 ? able * 1e6 / (each / shares) : 0;
 }
 
-std::string Day::posting(std::size_t d, const std::string& listen, const std::string& discovery, std::uint64_t seed,
-                         const std::string& known, const std::string& more) const {
+std::string Day::posting(std::size_t d, const std::string& listen, const std::string& discovery,
+                         std::uint64_t seed, const std::string& known, const std::string& more) const {
     std::ostringstream out;
     const auto yes = [](bool b) { return b ? "true" : "false"; };
     const auto list = [&](const std::vector<std::string>& names) {
@@ -257,32 +268,37 @@
         if (std::find(kinds.begin(), kinds.end(), r.kind) == kinds.end()) kinds.push_back(r.kind);
     const Build& b = runners.front().build;
     std::size_t zone = d % halls.size();
-    out << "{\"name\":\"d-" << d + 1 << "\",\"listen\":\"" << listen << "\",\"discovery\":\"" << discovery << "\",\"seed\":\""
-        << std::hex << seed << std::dec << "\",\"limits\":{\"memory_mb\":" << dispatchers.memory_mb
-        << ",\"sockets\":" << dispatchers.sockets << "},\"known\":" << known << more << ",\"settings\":{\"balancers\":"
-        << dispatchers.count << ",\"me\":" << d << ",\"zone\":" << zone << ",\"dcs\":" << list(halls)
-        << ",\"kinds\":" << list(kinds) << ",\"registry_mode\":\"" << (dispatchers.on_request ? "on_request" : "pushed")
-        << "\",\"resolution_us\":" << dispatchers.resolution << ",\"reporting\":{\"how\":\"piggyback\",\"names\":"
-        << list(dispatchers.reports) << "},\"specifics\":{\"report_x0\":\"free slots\",\"tells_start\":"
-        << yes(b.tells_start) << "},\"clients\":{\"marks_retry\":" << yes(clients.marks)
+    out << "{\"name\":\"d-" << d + 1 << "\",\"listen\":\"" << listen << "\",\"discovery\":\"" << discovery
+        << "\",\"seed\":\"" << std::hex << seed << std::dec
+        << "\",\"limits\":{\"memory_mb\":" << dispatchers.memory_mb << ",\"sockets\":" << dispatchers.sockets
+        << "},\"known\":" << known << more << ",\"settings\":{\"balancers\":" << dispatchers.count
+        << ",\"me\":" << d << ",\"zone\":" << zone << ",\"dcs\":" << list(halls)
+        << ",\"kinds\":" << list(kinds) << ",\"registry_mode\":\""
+        << (dispatchers.on_request ? "on_request" : "pushed")
+        << "\",\"resolution_us\":" << dispatchers.resolution
+        << ",\"reporting\":{\"how\":\"piggyback\",\"names\":" << list(dispatchers.reports)
+        << "},\"specifics\":{\"report_x0\":\"free slots\",\"tells_start\":" << yes(b.tells_start)
+        << "},\"clients\":{\"marks_retry\":" << yes(clients.marks)
         << "},\"caps\":{\"cancelling\":true,\"parallel_tries\":false,\"probes\":" << yes(dispatchers.probes)
-        << ",\"may_tell\":" << yes(dispatchers.words) << ",\"connect_timeout_us\":" << dispatchers.connect_limit
-        << ",\"keepalive_us\":" << b.keeps_idle << ",\"max_assignments\":" << dispatchers.assignments
-        << ",\"retry_after\":true,\"max_retry_after_us\":" << dispatchers.longest_away << "},\"rules\":{\"cold_from\":"
-        << b.cold_from << ",\"warm_after_us\":" << b.warm_after << ",\"fall_multiple\":"
-        << (b.topples_beyond > 0 ? b.topples_beyond : 1e6) << ",\"tip_after_us\":" << b.topple_window
-        << ",\"drain_grace_us\":" << rules.grace << ",\"must_ask_in_us\":" << rules.must_ask << "},\"workloads\":[";
+        << ",\"may_tell\":" << yes(dispatchers.words)
+        << ",\"connect_timeout_us\":" << dispatchers.connect_limit << ",\"keepalive_us\":" << b.keeps_idle
+        << ",\"max_assignments\":" << dispatchers.assignments
+        << ",\"retry_after\":true,\"max_retry_after_us\":" << dispatchers.longest_away
+        << "},\"rules\":{\"cold_from\":" << b.cold_from << ",\"warm_after_us\":" << b.warm_after
+        << ",\"fall_multiple\":" << (b.topples_beyond > 0 ? b.topples_beyond : 1e6)
+        << ",\"tip_after_us\":" << b.topple_window << ",\"drain_grace_us\":" << rules.grace
+        << ",\"must_ask_in_us\":" << rules.must_ask << "},\"workloads\":[";
     for (const WorkloadPlan& w : workloads)
-        out << (&w == &workloads.front() ? "" : ",") << "{\"name\":\"" << w.name << "\",\"effect\":\"" << spelled(w.effect)
-            << "\",\"group\":\"" << spelled(w.group) << "\",\"due_time_us\":" << w.due << ",\"expiry_us\":" << w.expiry
-            << ",\"window_us\":" << w.window << ",\"importance\":" << w.importance << ",\"tardy_importance\":" << w.tardy
-            << "}";
+        out << (&w == &workloads.front() ? "" : ",") << "{\"name\":\"" << w.name << "\",\"effect\":\""
+            << spelled(w.effect) << "\",\"group\":\"" << spelled(w.group) << "\",\"due_time_us\":" << w.due
+            << ",\"expiry_us\":" << w.expiry << ",\"window_us\":" << w.window
+            << ",\"importance\":" << w.importance << ",\"tardy_importance\":" << w.tardy << "}";
     out << "]";
     if (!customers.empty()) {
         out << ",\"tenants\":[";
         for (const CustomerPlan& c : customers)
-            out << (&c == &customers.front() ? "" : ",") << "{\"name\":\"" << c.name << "\",\"allowance_per_s\":"
-                << (c.allowance > 0 ? c.allowance : 1e9) << "}";
+            out << (&c == &customers.front() ? "" : ",") << "{\"name\":\"" << c.name
+                << "\",\"allowance_per_s\":" << (c.allowance > 0 ? c.allowance : 1e9) << "}";
         out << "]";
     }
     out << "}}";
@@ -299,13 +315,15 @@
     day.length = seconds(all, "length_s", 10, 0.1);
     day.warm = seconds(all, "warm_s", 0);
     if (day.warm >= day.length) all.wrong("warm_s", "is not before the day's end");
-    for (const double seed : all.numbers("seeds", 0, 9e15)) day.seeds.push_back(static_cast<std::uint64_t>(seed));
+    for (const double seed : all.numbers("seeds", 0, 9e15))
+        day.seeds.push_back(static_cast<std::uint64_t>(seed));
     if (day.seeds.empty()) day.seeds = {1, 2, 3};
     day.halls = all.has("halls") ? all.words("halls") : std::vector<std::string>{"a"};
     if (day.halls.empty()) all.wrong("halls", "is empty");
     day.lanes = all.has("lanes") ? all.words("lanes") : std::vector<std::string>{"virtual", "sockets"};
     for (const std::string& lane : day.lanes)
-        if (lane != "virtual" && lane != "sockets") all.wrong("lanes", "holds \"" + lane + "\"; there are virtual and sockets");
+        if (lane != "virtual" && lane != "sockets")
+            all.wrong("lanes", "holds \"" + lane + "\"; there are virtual and sockets");
     day.path_delay = static_cast<Micros>(all.number("path_delay_us", 100, 0, 1e6));
     read_runners(all, day);
     read_workloads(all, day);
--- a/rehearsal/day/day.hpp
+++ b/rehearsal/day/day.hpp
@@ -1,5 +1,5 @@
-// A day: what a rehearsal plays, as its TOML file says. Read and checked whole before anything starts; what is
-// wrong is told with the line and the name (sheets::SheetError).
+// A day: what a rehearsal plays, as its TOML file says. Read and checked whole before anything starts; what
+// is wrong is told with the line and the name (sheets::SheetError).
 #pragma once
 
 #include <cstdint>
@@ -40,14 +40,14 @@
 
 struct ClientPlan {
     Arrivals arrivals{};
-    double rate = 0;              // a second, over all dispatchers
+    double rate = 0;  // a second, over all dispatchers
     Micros burst_every = 0;
-    std::vector<Micros> times;    // of a replay
-    std::size_t connections = 64; // to each dispatcher; closed loops: in all
+    std::vector<Micros> times;     // of a replay
+    std::size_t connections = 64;  // to each dispatcher; closed loops: in all
     int tries = 1;
-    Micros retry_after = 200'000; // where no answer says when to come back
+    Micros retry_after = 200'000;  // where no answer says when to come back
     bool marks = false;
-    double leaves = 0;            // the share that goes away early
+    double leaves = 0;  // the share that goes away early
     Micros connect_limit = 1'000'000;
 };
 
@@ -68,15 +68,37 @@
 };
 
 enum class FaultKind {
-    crash, hang, vanish, stall, slow, errors, garbled, cut_answers, resets, late_reports, drain, release,
-    discovery_down, discovery_lag, discovery_moved, discovery_back,
-    delay, connects_lost, cut, narrow,
-    kill, restart, reload, drain_dispatcher, hold, surge
+    crash,
+    hang,
+    vanish,
+    stall,
+    slow,
+    errors,
+    garbled,
+    cut_answers,
+    resets,
+    late_reports,
+    drain,
+    release,
+    discovery_down,
+    discovery_lag,
+    discovery_moved,
+    discovery_back,
+    delay,
+    connects_lost,
+    cut,
+    narrow,
+    kill,
+    restart,
+    reload,
+    drain_dispatcher,
+    hold,
+    surge
 };
 
 struct FaultPlan {
     FaultKind kind{};
-    std::string what;  // as the file spells it
+    std::string what;            // as the file spells it
     Micros at = 0, lasting = 0;  // lasting 0: to the end
     std::string on, from, to;
     double amount = 0;
@@ -87,8 +109,8 @@
 struct GoalPlan {
     std::optional<double> in_time, answered;  // shares of all tasks
     std::optional<Micros> p99;
-    std::optional<double> worst_second;       // share in time, of a window of one second
-    bool drained_in_time = false;             // who is drained has answered all by its deadline
+    std::optional<double> worst_second;  // share in time, of a window of one second
+    bool drained_in_time = false;        // who is drained has answered all by its deadline
 };
 
 struct Day {
@@ -113,8 +135,8 @@
     double tasks_a_second_at_most() const;
     std::string dispatcher_hall(std::size_t d) const { return halls[d % halls.size()]; }
     // The dispatchers' configuration, in the operators' spelling; what differs between lanes is passed in.
-    std::string posting(std::size_t d, const std::string& listen, const std::string& discovery, std::uint64_t seed,
-                        const std::string& known, const std::string& more = "") const;
+    std::string posting(std::size_t d, const std::string& listen, const std::string& discovery,
+                        std::uint64_t seed, const std::string& known, const std::string& more = "") const;
 };
 
 Day read_day_file(const std::string& path);
--- a/rehearsal/judge/judge.cpp
+++ b/rehearsal/judge/judge.cpp
@@ -7,15 +7,28 @@
 namespace gannethold::rehearsal {
 namespace {
 
-constexpr std::size_t kStoriesKept = 20;      // of each rehearsal: the first say enough
-constexpr Micros kRemembered = 5'000'000;     // after its end, for what is sent after it
-constexpr Micros kCrossing = 50'000;          // an end and a beginning at two runners may be seen in either order
+constexpr std::size_t kStoriesKept = 20;   // of each rehearsal: the first say enough
+constexpr Micros kRemembered = 5'000'000;  // after its end, for what is sent after it
+constexpr Micros kCrossing = 50'000;  // an end and a beginning at two runners may be seen in either order
 
-const char* const kNames[] = {"handed in",       "answered: finished", "answered: bounced", "answered: abandoned",
-                              "connection to the client cut", "client left", "reached",  "started at",
-                              "progress at",     "done at",            "failed at",         "turned away by",
-                              "lost at",         "garbled answer of",  "cut answer of",     "connection broken at",
-                              "repeat dropped by", "given up at"};
+const char* const kNames[] = {"handed in",
+                              "answered: finished",
+                              "answered: bounced",
+                              "answered: abandoned",
+                              "connection to the client cut",
+                              "client left",
+                              "reached",
+                              "started at",
+                              "progress at",
+                              "done at",
+                              "failed at",
+                              "turned away by",
+                              "lost at",
+                              "garbled answer of",
+                              "cut answer of",
+                              "connection broken at",
+                              "repeat dropped by",
+                              "given up at"};
 
 }  // namespace
 
@@ -34,8 +47,8 @@
 
 std::string Judge::story(const Case& c) const {
     std::ostringstream out;
-    out << "request " << c.task.request << " (" << day_.workloads[c.task.workload].name << ") at d-" << c.task.dispatcher + 1
-        << ", expiry " << c.task.expiry / 1000 << " ms\n";
+    out << "request " << c.task.request << " (" << day_.workloads[c.task.workload].name << ") at d-"
+        << c.task.dispatcher + 1 << ", expiry " << c.task.expiry / 1000 << " ms\n";
     for (const Sighting& s : c.seen) {
         out << "  " << s.at / 1000 << '.' << (s.at / 100) % 10 << " ms  " << kNames[static_cast<int>(s.what)];
         if (s.what >= What::reached) out << ' ' << day_.runners[s.who].name << ", assignment " << s.token;
@@ -61,7 +74,8 @@
     return false;
 }
 
-// ---- clients -----------------------------------------------------------------------------------------------
+// ---- clients
+// -----------------------------------------------------------------------------------------------
 
 void Judge::handed_in(Micros now, const Handed& task) {
     ++tasks_seen_;
@@ -83,7 +97,8 @@
     c->over = true;
     c->answer_at = now;
     due_.erase({c->task.expiry + day_.rules.slack, request});
-    if (now > c->task.expiry + day_.rules.slack && !c->excused) breach(1, now, c, "the answer came after the expiry");
+    if (now > c->task.expiry + day_.rules.slack && !c->excused)
+        breach(1, now, c, "the answer came after the expiry");
     if (how == Final::finished && (result_for != request || !c->made))
         breach(1, now, c, "the result is one that no runner made for this task");
     c->bounced = how == Final::bounced;
@@ -114,19 +129,21 @@
 
 void Judge::retire(std::uint64_t request, Micros at) { retired_.emplace_back(at + kRemembered, request); }
 
-// A bounce says that trying again is harmless: so no assignment may have run, unless a repeat is dropped or does
-// no harm wherever it goes.
+// A bounce says that trying again is harmless: so no assignment may have run, unless a repeat is dropped or
+// does no harm wherever it goes.
 void Judge::check_bounce(Case& c, Micros at) {
     const WorkloadPlan& w = day_.workloads[c.task.workload];
-    if (w.effect == Effects::idempotent || (w.effect == Effects::fingerprinted && w.group == Group::all)) return;
+    if (w.effect == Effects::idempotent || (w.effect == Effects::fingerprinted && w.group == Group::all))
+        return;
     for (const Leg& l : c.legs)
         if (!l.returned) return breach(2, at, &c, "a bounce, though an assignment may have run");
 }
 
-// ---- runners -----------------------------------------------------------------------------------------------
+// ---- runners
+// -----------------------------------------------------------------------------------------------
 
-void Judge::reached(Micros now, std::uint64_t request, std::uint64_t token, std::size_t runner, std::size_t dispatcher,
-                    Micros first_byte, Micros takes) {
+void Judge::reached(Micros now, std::uint64_t request, std::uint64_t token, std::size_t runner,
+                    std::size_t dispatcher, Micros first_byte, Micros takes) {
     ++assignments_seen_;
     cold_tokens_[token] = dispatcher;
     cold_order_.emplace_back(now, token);
@@ -135,8 +152,10 @@
     const auto known = told_[dispatcher].find(runner);
     if (known != told_[dispatcher].end() && known->second.state != RunnerState::ready &&
         first_byte - takes > known->second.at + day_.rules.grace + day_.rules.slack)
-        breach(3, now, c, "sent to " + day_.runners[runner].name + ", " + std::to_string((first_byte - takes - known->second.at) / 1000) +
-                              " ms after word that it is not to be used");
+        breach(3, now, c,
+               "sent to " + day_.runners[runner].name + ", " +
+                   std::to_string((first_byte - takes - known->second.at) / 1000) +
+                   " ms after word that it is not to be used");
     if (!c) return;
     const Leg next{token, runner, dispatcher, now, 0, false, first_byte - takes};
     if (c->over && next.sent > c->answer_at + kCrossing) breach(1, now, c, "sent after the final answer");
@@ -165,9 +184,10 @@
     Case* const c = find(word.request);
     Leg* const l = c ? leg(*c, word.token) : nullptr;
     if (!l) return;
-    static constexpr What kWhat[] = {What::started,  What::running, What::done,   What::failed,  What::returned,
-                                     What::lost,     What::garbled, What::cut,    What::broken,  What::dropped};
-    c->seen.push_back({now, word.token, static_cast<std::uint32_t>(l->runner), kWhat[static_cast<int>(word.said)]});
+    static constexpr What kWhat[] = {What::started, What::running, What::done, What::failed, What::returned,
+                                     What::lost,    What::garbled, What::cut,  What::broken, What::dropped};
+    c->seen.push_back(
+        {now, word.token, static_cast<std::uint32_t>(l->runner), kWhat[static_cast<int>(word.said)]});
     if (word.said == Said::started || word.said == Said::running) return;
     l->ended = now;
     l->returned = word.said == Said::returned;
@@ -192,13 +212,17 @@
         knew += told != told_[whose->second].end() && told->second.started_at > 0;
     }
     if (known > 0 && 3 * knew >= 2 * known)
-        breach(4, now, nullptr, day_.runners[runner].name + " was pushed over while cold: " + std::to_string(knew) + " of the last " +
-                                    std::to_string(known) + " assignments came from those told of its start");
+        breach(4, now, nullptr,
+               day_.runners[runner].name + " was pushed over while cold: " + std::to_string(knew) +
+                   " of the last " + std::to_string(known) +
+                   " assignments came from those told of its start");
 }
 
-// ---- discovery and dispatchers -----------------------------------------------------------------------------
+// ---- discovery and dispatchers
+// -----------------------------------------------------------------------------
 
-void Judge::told(Micros now, std::size_t dispatcher, std::size_t runner, RunnerState state, Micros started_at) {
+void Judge::told(Micros now, std::size_t dispatcher, std::size_t runner, RunnerState state,
+                 Micros started_at) {
     Told& t = told_[dispatcher][runner];
     // Told again is not told anew: the grace counts from the first word.
     if (t.state != state || t.at == 0) t.at = now;
@@ -224,8 +248,8 @@
         if (!c.over && c.task.dispatcher == dispatcher) c.excused = true;
 }
 
-// By how long two were out together, since an end at one runner and a beginning at another may be seen in either
-// order: one that was given up as it came was never out beside another.
+// By how long two were out together, since an end at one runner and a beginning at another may be seen in
+// either order: one that was given up as it came was never out beside another.
 void Judge::check_together(Case& c) {
     const auto end = [](const Leg& l) { return l.ended == 0 ? kNever : l.ended; };
     for (std::size_t i = 0; i < c.legs.size(); ++i)
--- a/rehearsal/judge/judge.hpp
+++ b/rehearsal/judge/judge.hpp
@@ -1,5 +1,6 @@
-// The judge holds a rehearsal against the four rules. It goes by what clients, runners and discovery saw, never
-// by what a dispatcher says of itself. No I/O; both lanes tell it the same sightings, in the order of time.
+// The judge holds a rehearsal against the four rules. It goes by what clients, runners and discovery saw,
+// never by what a dispatcher says of itself. No I/O; both lanes tell it the same sightings, in the order of
+// time.
 //
 //   1  exactly one final answer to each task taken, before its expiry, and nothing sent after it
 //   2  no effect twice, and a bounce only where trying again is harmless
@@ -48,10 +49,11 @@
 
     // ---- what runners saw ----
     // first_byte: when the first byte came; takes: what the way to it takes.
-    void reached(Micros now, std::uint64_t request, std::uint64_t token, std::size_t runner, std::size_t dispatcher,
-                 Micros first_byte, Micros takes);
+    void reached(Micros now, std::uint64_t request, std::uint64_t token, std::size_t runner,
+                 std::size_t dispatcher, Micros first_byte, Micros takes);
     void said(Micros now, const Word& word);
-    void connection_gone(Micros now, std::uint64_t request, std::uint64_t token);  // the dispatcher gave it up
+    void connection_gone(Micros now, std::uint64_t request,
+                         std::uint64_t token);  // the dispatcher gave it up
     void toppled(Micros now, std::size_t runner, const std::vector<std::uint64_t>& tokens);
 
     // ---- what discovery told, and what became of the dispatchers ----
@@ -72,8 +74,24 @@
 
   private:
     enum class What : std::uint8_t {
-        handed_in, finished, bounced, abandoned, cut_off, left, reached, started, running, done, failed, returned,
-        lost, garbled, cut, broken, dropped, given_up
+        handed_in,
+        finished,
+        bounced,
+        abandoned,
+        cut_off,
+        left,
+        reached,
+        started,
+        running,
+        done,
+        failed,
+        returned,
+        lost,
+        garbled,
+        cut,
+        broken,
+        dropped,
+        given_up
     };
     struct Sighting {
         Micros at;
@@ -111,10 +129,10 @@
 
     const Day& day_;
     std::unordered_map<std::uint64_t, Case> cases_;
-    std::set<std::pair<Micros, std::uint64_t>> due_;       // when an answer must have come
-    std::deque<std::pair<Micros, std::uint64_t>> retired_; // kept a while, for what comes after the end
-    std::vector<std::map<std::size_t, Told>> told_;        // by dispatcher and runner
-    std::map<std::uint64_t, std::size_t> cold_tokens_;     // whose assignment it was, for those lately sent
+    std::set<std::pair<Micros, std::uint64_t>> due_;        // when an answer must have come
+    std::deque<std::pair<Micros, std::uint64_t>> retired_;  // kept a while, for what comes after the end
+    std::vector<std::map<std::size_t, Told>> told_;         // by dispatcher and runner
+    std::map<std::uint64_t, std::size_t> cold_tokens_;      // whose assignment it was, for those lately sent
     std::deque<std::pair<Micros, std::uint64_t>> cold_order_;
     std::vector<bool> unreachable_;
     std::array<std::size_t, 5> counts_{};
--- a/rehearsal/main.cpp
+++ b/rehearsal/main.cpp
@@ -40,14 +40,17 @@
     std::uint64_t seed = 0;
 };
 
-std::string days_folder() { return files::is_directory("rehearsal/days") ? "rehearsal/days" : REHEARSAL_DAYS; }
+std::string days_folder() {
+    return files::is_directory("rehearsal/days") ? "rehearsal/days" : REHEARSAL_DAYS;
+}
 
 Day find_day(const std::string& named) {
     if (files::exists(named)) return read_day_file(named);
     const std::string shipped = days_folder() + "/" + named + ".toml";
     if (files::exists(shipped)) return read_day_file(shipped);
     std::vector<std::string> names;
-    for (const auto& entry : files::directory_iterator(days_folder())) names.push_back(entry.path().stem().string());
+    for (const auto& entry : files::directory_iterator(days_folder()))
+        names.push_back(entry.path().stem().string());
     const std::string near = sheets::near_name(named, names);
     throw options::error("there is no day " + named + (near.empty() ? "" : "; did you mean " + near + "?") +
                          " (gannethold_rehearse list shows them)");
@@ -67,8 +70,9 @@
     bool operator()(Micros now) {
         if (shown_ && now / 500'000 != last_) {
             last_ = now / 500'000;
-            std::cerr << "\r\033[K" << day_.name << ", seed " << seed_ << ": second " << std::min(now, day_.length) / 1'000'000 << " of "
-                      << day_.length / 1'000'000 << std::flush;
+            std::cerr << "\r\033[K" << day_.name << ", seed " << seed_ << ": second "
+                      << std::min(now, day_.length) / 1'000'000 << " of " << day_.length / 1'000'000
+                      << std::flush;
         }
         return interrupted != 0;
     }
@@ -108,23 +112,28 @@
     }
 };
 
-Result play_one(const Day& day, const Wishes& wishes, std::uint64_t seed, const std::string& policy, const std::string& folder) {
+Result play_one(const Day& day, const Wishes& wishes, std::uint64_t seed, const std::string& policy,
+                const std::string& folder) {
     Progress progress(day, seed);
     const auto stop = [&](Micros now) { return progress(now); };
     if (wishes.lane == "virtual") return play_virtual(day, seed, policy, stop);
-    return play_on_sockets(day, seed, {wishes.program.empty() ? beside_us("gannethold") : wishes.program, folder, stop});
+    return play_on_sockets(day, seed,
+                           {wishes.program.empty() ? beside_us("gannethold") : wishes.program, folder, stop});
 }
 
 Day with_keepsake(Day day, const std::string& how) {
-    if (how != "" && how != "on" && how != "off" && how != "poisoned") throw options::error("--keepsake is on, off or poisoned, not " + how);
+    if (how != "" && how != "on" && how != "off" && how != "poisoned")
+        throw options::error("--keepsake is on, off or poisoned, not " + how);
     if (!how.empty()) day.dispatchers.keepsake = how != "off", day.dispatchers.poisoned = how == "poisoned";
     return day;
 }
 
 int run(const Wishes& wishes) {
     if (wishes.words.empty()) throw options::error("run needs a day");
-    if (wishes.lane != "virtual" && wishes.lane != "sockets") throw options::error("no such lane: " + wishes.lane);
-    std::vector<std::string> policies = wishes.policies.empty() ? std::vector<std::string>{"own"} : wishes.policies;
+    if (wishes.lane != "virtual" && wishes.lane != "sockets")
+        throw options::error("no such lane: " + wishes.lane);
+    std::vector<std::string> policies =
+        wishes.policies.empty() ? std::vector<std::string>{"own"} : wishes.policies;
     if (policies == std::vector<std::string>{"all"}) policies = policy_names();
     for (const std::string& p : policies)
         if (std::find(policy_names().begin(), policy_names().end(), p) == policy_names().end())
@@ -132,12 +141,14 @@
     if (wishes.lane == "sockets" && policies != std::vector<std::string>{"own"})
         throw options::error("baselines play in virtual time only; on sockets it is the real dispatcher");
     std::vector<Day> days;
-    for (const std::string& name : wishes.words) days.push_back(with_keepsake(find_day(name), wishes.keepsake));
+    for (const std::string& name : wishes.words)
+        days.push_back(with_keepsake(find_day(name), wishes.keepsake));
     if (!wishes.out.empty()) files::create_directories(wishes.out);
     const Workplace workplace;
     std::vector<Result> results;
     for (const Day& day : days) {
-        if (!day.plays_on(wishes.lane)) throw options::error("the day " + day.name + " is not for the lane " + wishes.lane);
+        if (!day.plays_on(wishes.lane))
+            throw options::error("the day " + day.name + " is not for the lane " + wishes.lane);
         std::vector<std::uint64_t> seeds = day.seeds;
         if (wishes.seed > 0) seeds = {wishes.seed};
         if (wishes.seeds > 0) seeds.resize(std::min(seeds.size(), wishes.seeds));
@@ -149,7 +160,8 @@
                 results.push_back(play_one(day, wishes, seed, policy, workplace.path));
                 const Result& r = results.back();
                 if (!wishes.out.empty())
-                    write_file(wishes.out + "/" + day.name + "-" + r.lane + "-" + policy + "-" + std::to_string(seed) + ".json",
+                    write_file(wishes.out + "/" + day.name + "-" + r.lane + "-" + policy + "-" +
+                                   std::to_string(seed) + ".json",
                                to_json(r, r.lane == "sockets"));
             }
         }
@@ -174,7 +186,8 @@
 
 int compare(const Wishes& wishes) {
     if (wishes.words.size() != 2) throw options::error("compare needs the folders of two runs");
-    const bool differ = write_comparison(std::cout, read_folder(wishes.words[0]), read_folder(wishes.words[1]));
+    const bool differ =
+        write_comparison(std::cout, read_folder(wishes.words[0]), read_folder(wishes.words[1]));
     std::cout << (differ ? "they differ\n" : "no difference beyond noise\n");
     return kGood;
 }
@@ -185,8 +198,9 @@
         if (entry.path().extension() == ".toml") days.push_back(read_day_file(entry.path().string()));
     std::sort(days.begin(), days.end(), [](const Day& a, const Day& b) { return a.name < b.name; });
     for (const Day& d : days)
-        std::cout << std::left << std::setw(18) << d.name << std::right << std::setw(5) << d.runners.size() << " runners "
-                  << std::setw(4) << d.dispatchers.count << " dispatchers " << std::setw(4) << d.length / 1'000'000 << " s  " << d.what << '\n';
+        std::cout << std::left << std::setw(18) << d.name << std::right << std::setw(5) << d.runners.size()
+                  << " runners " << std::setw(4) << d.dispatchers.count << " dispatchers " << std::setw(4)
+                  << d.length / 1'000'000 << " s  " << d.what << '\n';
     return kGood;
 }
 
@@ -194,8 +208,9 @@
     if (wishes.words.empty()) throw options::error("check needs a day");
     for (const std::string& name : wishes.words) {
         const Day day = find_day(name);
-        std::cout << day.source << " can be played: " << day.runners.size() << " runners, " << day.dispatchers.count << " dispatchers, "
-                  << day.faults.size() << " faults, " << day.clients.rate << " calls a second of at most " << day.tasks_a_second_at_most()
+        std::cout << day.source << " can be played: " << day.runners.size() << " runners, "
+                  << day.dispatchers.count << " dispatchers, " << day.faults.size() << " faults, "
+                  << day.clients.rate << " calls a second of at most " << day.tasks_a_second_at_most()
                   << " that the fleet can do\n";
     }
     return kGood;
@@ -205,7 +220,8 @@
     Wishes first = wishes;
     first.lane = "sockets";
     first.words = {"first-try"};
-    std::cout << "Playing four runners and one dispatcher for ten seconds; a runner crashes in the fourth and is back in the sixth.\n";
+    std::cout << "Playing four runners and one dispatcher for ten seconds; a runner crashes in the fourth "
+                 "and is back in the sixth.\n";
     const int how = run(first);
     if (how == kGood) std::cout << "Served as the table says, and all four rules were kept.\n";
     return how;
@@ -215,20 +231,24 @@
     const Day day = find_day(wishes.words.empty() ? "first-try" : wishes.words[0]);
     if (day.dispatchers.count != 1) throw options::error("hold needs a day with one dispatcher");
     const Workplace workplace;
-    std::cout << "One dispatcher on " << wishes.listen << " before " << day.runners.size() << " runners. Ctrl-C ends it. Try:\n  curl -d scene -H "
-              << "'X-Request-ID: 1' -H 'X-Timeout: 5000m' http://" << wishes.listen << "/" << day.workloads.front().name << "/7\n"
+    std::cout << "One dispatcher on " << wishes.listen << " before " << day.runners.size()
+              << " runners. Ctrl-C ends it. Try:\n  curl -d scene -H "
+              << "'X-Request-ID: 1' -H 'X-Timeout: 5000m' http://" << wishes.listen << "/"
+              << day.workloads.front().name << "/7\n"
               << std::flush;
-    hold_open(day, wishes.listen, {wishes.program.empty() ? beside_us("gannethold") : wishes.program, workplace.path,
-                                   [](Micros) { return interrupted != 0; }});
+    hold_open(day, wishes.listen,
+              {wishes.program.empty() ? beside_us("gannethold") : wishes.program, workplace.path,
+               [](Micros) { return interrupted != 0; }});
     return kGood;
 }
 
 int cost() {
-    std::cout << " runners     held   arrival us       end us    period us\n" << std::fixed << std::setprecision(2);
+    std::cout << " runners     held   arrival us       end us    period us\n"
+              << std::fixed << std::setprecision(2);
     const auto one = [](std::size_t runners, std::size_t held) {
         const DecisionCost c = measure_decision(runners, held, 1);
-        std::cout << std::setw(8) << c.runners << std::setw(9) << c.held << std::setw(13) << c.arrival_us << std::setw(13) << c.end_us
-                  << std::setw(13) << c.period_us << '\n'
+        std::cout << std::setw(8) << c.runners << std::setw(9) << c.held << std::setw(13) << c.arrival_us
+                  << std::setw(13) << c.end_us << std::setw(13) << c.period_us << '\n'
                   << std::flush;
     };
     for (const std::size_t runners : {10, 100, 1'000, 10'000}) one(runners, 0);
@@ -240,16 +260,19 @@
     const int kills = wishes.words.empty() ? 500 : std::atoi(wishes.words[0].c_str());
     const Workplace workplace;
     files::create_directories(workplace.path);
-    std::cout << std::fixed << std::setprecision(2) << " runners     file MB   told ms  longest turn us  start ms  start with 50 left ms\n";
+    std::cout << std::fixed << std::setprecision(2)
+              << " runners     file MB   told ms  longest turn us  start ms  start with 50 left ms\n";
     for (const std::size_t runners : {100, 1'000, 10'000}) {
         const KeepingFigures f = measure_keeping(workplace.path, runners, 50);
-        std::cout << std::setw(8) << runners << std::setw(12) << f.file_mb << std::setw(10) << f.took_ms << std::setw(17) << f.longest_turn_us
-                  << std::setw(10) << f.start_ms << std::setw(23) << f.start_with_few_ms << '\n'
+        std::cout << std::setw(8) << runners << std::setw(12) << f.file_mb << std::setw(10) << f.took_ms
+                  << std::setw(17) << f.longest_turn_us << std::setw(10) << f.start_ms << std::setw(23)
+                  << f.start_with_few_ms << '\n'
                   << std::flush;
     }
     const KillFigures k = kill_in_writes(workplace.path, kills, [] { return interrupted != 0; });
-    std::cout << k.kills << " kills, " << k.in_write << " of them in the middle of a write: " << k.whole << " times a whole generation was read, "
-              << k.none << " times none, " << k.torn << " times anything else\n";
+    std::cout << k.kills << " kills, " << k.in_write << " of them in the middle of a write: " << k.whole
+              << " times a whole generation was read, " << k.none << " times none, " << k.torn
+              << " times anything else\n";
     return k.torn == 0 ? kGood : kBad;
 }
 
@@ -257,19 +280,22 @@
     const Workplace workplace;
     files::create_directories(workplace.path);
     const std::string program = wishes.program.empty() ? beside_us("gannethold") : wishes.program;
-    std::cout << std::fixed << std::setprecision(1) << "  conns   rounds/s   cpu us   p50 us   p99 us  p99.9 us    MB\n";
+    std::cout << std::fixed << std::setprecision(1)
+              << "  conns   rounds/s   cpu us   p50 us   p99 us  p99.9 us    MB\n";
     for (const std::size_t connections : {1, 16, 256}) {
         if (interrupted) return kInterrupted;
         const TubeFigures f = measure_tubes(connections, 4'000'000, program, workplace.path);
-        std::cout << std::setw(7) << f.connections << std::setw(11) << f.rounds_a_second << std::setw(9) << f.cpu_us_a_round << std::setw(9) << f.p50
-                  << std::setw(9) << f.p99 << std::setw(10) << f.p999 << std::setw(6) << f.memory_mb << '\n'
+        std::cout << std::setw(7) << f.connections << std::setw(11) << f.rounds_a_second << std::setw(9)
+                  << f.cpu_us_a_round << std::setw(9) << f.p50 << std::setw(9) << f.p99 << std::setw(10)
+                  << f.p999 << std::setw(6) << f.memory_mb << '\n'
                   << std::flush;
     }
     std::cout << "   jobs waiting   bytes a job   put us   due us a job   longest turn us\n";
     for (const std::size_t jobs : {100'000, 1'000'000}) {
         const QueueFigures q = measure_queue(jobs);
-        std::cout << std::setw(15) << q.jobs << std::setw(14) << q.bytes_a_job << std::setprecision(2) << std::setw(9) << q.put_us << std::setw(15)
-                  << q.due_us << std::setprecision(1) << std::setw(18) << q.longest_turn_us << '\n'
+        std::cout << std::setw(15) << q.jobs << std::setw(14) << q.bytes_a_job << std::setprecision(2)
+                  << std::setw(9) << q.put_us << std::setw(15) << q.due_us << std::setprecision(1)
+                  << std::setw(18) << q.longest_turn_us << '\n'
                   << std::flush;
     }
     return kGood;
@@ -277,19 +303,26 @@
 
 int mixed(const Wishes& wishes) {
     std::vector<std::uint64_t> seeds;
-    for (std::uint64_t s = 1; s <= std::max<std::size_t>(1, wishes.seeds); ++s) seeds.push_back(wishes.seed > 0 ? wishes.seed : s);
+    for (std::uint64_t s = 1; s <= std::max<std::size_t>(1, wishes.seeds); ++s)
+        seeds.push_back(wishes.seed > 0 ? wishes.seed : s);
     bool good = true;
-    std::cout << "  seed  put  refused   done buried  left  hands  back  late  crashes hangs breaks   tasks   200   503   502  by workers  broken\n";
+    std::cout << "  seed  put  refused   done buried  left  hands  back  late  crashes hangs breaks   tasks  "
+                 " 200   503   502  by workers  broken\n";
     for (const std::uint64_t seed : seeds) {
         const Workplace workplace;
         files::create_directories(workplace.path);
         MixedPlan plan;
         plan.seed = seed;
-        const MixedResult r = play_mixed(plan, wishes.program.empty() ? beside_us("gannethold") : wishes.program, workplace.path, [] { return interrupted != 0; });
-        std::cout << std::setw(6) << seed << std::setw(5) << r.put << std::setw(9) << r.put_refused << std::setw(7) << r.jobs_done << std::setw(7) << r.jobs_buried
-                  << std::setw(6) << r.jobs_left << std::setw(7) << r.handed_out << std::setw(6) << r.released << std::setw(6) << r.late_words << std::setw(9)
-                  << r.worker_crashes << std::setw(6) << r.worker_hangs << std::setw(7) << r.runner_breaks << std::setw(8) << r.tasks << std::setw(6) << r.answered[0]
-                  << std::setw(6) << r.answered[1] << std::setw(6) << r.answered[2] << std::setw(12) << r.tasks_by_workers << std::setw(8) << r.broken.size() << '\n'
+        const MixedResult r =
+            play_mixed(plan, wishes.program.empty() ? beside_us("gannethold") : wishes.program,
+                       workplace.path, [] { return interrupted != 0; });
+        std::cout << std::setw(6) << seed << std::setw(5) << r.put << std::setw(9) << r.put_refused
+                  << std::setw(7) << r.jobs_done << std::setw(7) << r.jobs_buried << std::setw(6)
+                  << r.jobs_left << std::setw(7) << r.handed_out << std::setw(6) << r.released << std::setw(6)
+                  << r.late_words << std::setw(9) << r.worker_crashes << std::setw(6) << r.worker_hangs
+                  << std::setw(7) << r.runner_breaks << std::setw(8) << r.tasks << std::setw(6)
+                  << r.answered[0] << std::setw(6) << r.answered[1] << std::setw(6) << r.answered[2]
+                  << std::setw(12) << r.tasks_by_workers << std::setw(8) << r.broken.size() << '\n'
                   << std::flush;
         for (const std::string& b : r.broken) std::cout << "    " << b << '\n';
         if (!r.trouble.empty()) std::cout << "    no verdict: " << r.trouble << '\n';
@@ -302,7 +335,8 @@
 int ceiling(const Wishes& wishes) {
     const Workplace workplace;
     const std::string program = wishes.program.empty() ? beside_us("gannethold") : wishes.program;
-    std::cout << "runners  conns  work ms reports    tasks/s  direct/s  cpu us   MB    p50 us    p99 us  p99.9 us   added p50       p99     p99.9  "
+    std::cout << "runners  conns  work ms reports    tasks/s  direct/s  cpu us   MB    p50 us    p99 us  "
+                 "p99.9 us   added p50       p99     p99.9  "
                  "bounced   failed\n"
               << std::fixed;
     const auto one = [&](std::size_t runners, std::size_t connections, Micros work, bool reports) {
@@ -310,15 +344,19 @@
         CeilingPlan plan;
         plan.runners = runners, plan.connections = connections, plan.work = work, plan.reports = reports;
         const CeilingFigures f = measure_ceiling(plan, program, workplace.path);
-        std::cout << std::setw(7) << runners << std::setw(7) << connections << std::setprecision(1) << std::setw(9)
-                  << static_cast<double>(work) / 1e3 << std::setw(8) << (reports ? "yes" : "no") << std::setprecision(0) << std::setw(11)
-                  << f.tasks_a_second << std::setw(10) << f.direct_a_second << std::setprecision(1) << std::setw(8) << f.cpu_us_a_task
-                  << std::setw(5) << f.memory_mb << std::setw(10) << f.p50 << std::setw(10) << f.p99 << std::setw(10) << f.p999
-                  << std::setw(12) << f.p50 - f.direct_p50 << std::setw(10) << f.p99 - f.direct_p99 << std::setw(10)
-                  << f.p999 - f.direct_p999 << std::setw(9) << f.bounced << std::setw(9) << f.failed << '\n'
+        std::cout << std::setw(7) << runners << std::setw(7) << connections << std::setprecision(1)
+                  << std::setw(9) << static_cast<double>(work) / 1e3 << std::setw(8)
+                  << (reports ? "yes" : "no") << std::setprecision(0) << std::setw(11) << f.tasks_a_second
+                  << std::setw(10) << f.direct_a_second << std::setprecision(1) << std::setw(8)
+                  << f.cpu_us_a_task << std::setw(5) << f.memory_mb << std::setw(10) << f.p50 << std::setw(10)
+                  << f.p99 << std::setw(10) << f.p999 << std::setw(12) << f.p50 - f.direct_p50
+                  << std::setw(10) << f.p99 - f.direct_p99 << std::setw(10) << f.p999 - f.direct_p999
+                  << std::setw(9) << f.bounced << std::setw(9) << f.failed << '\n'
                   << std::flush;
     };
-    const auto asked = [&](const char* word) { return std::find(wishes.words.begin(), wishes.words.end(), word) != wishes.words.end(); };
+    const auto asked = [&](const char* word) {
+        return std::find(wishes.words.begin(), wishes.words.end(), word) != wishes.words.end();
+    };
     const bool small = asked("small");
     for (const bool reports : {false, true}) {
         if (asked(reports ? "silent" : "reports")) continue;
@@ -335,15 +373,17 @@
 int main(int count, char** words) {
     Wishes wishes;
     options::options_description shown("Options");
-    shown.add_options()("help,h", "say this")
-        ("lane", options::value(&wishes.lane), "virtual (default) or sockets")
-        ("seeds", options::value(&wishes.seeds), "how many seeds to play (default: those of the day)")
-        ("seed", options::value(&wishes.seed), "this seed only")
-        ("policy", options::value(&wishes.policies)->composing(), "own (default), a baseline, or all; may stand several times")
-        ("out", options::value(&wishes.out), "a folder for results and report")
-        ("program", options::value(&wishes.program), "the dispatcher (default: gannethold beside this program)")
-        ("keepsake", options::value(&wishes.keepsake), "run: on, off or poisoned, whatever the day says")
-        ("listen", options::value(&wishes.listen), "hold: where the dispatcher listens");
+    shown.add_options()("help,h", "say this")("lane", options::value(&wishes.lane),
+                                              "virtual (default) or sockets")(
+        "seeds", options::value(&wishes.seeds), "how many seeds to play (default: those of the day)")(
+        "seed", options::value(&wishes.seed), "this seed only")(
+        "policy", options::value(&wishes.policies)->composing(),
+        "own (default), a baseline, or all; may stand several times")("out", options::value(&wishes.out),
+                                                                      "a folder for results and report")(
+        "program", options::value(&wishes.program),
+        "the dispatcher (default: gannethold beside this program)")(
+        "keepsake", options::value(&wishes.keepsake), "run: on, off or poisoned, whatever the day says")(
+        "listen", options::value(&wishes.listen), "hold: where the dispatcher listens");
     options::options_description all;
     all.add(shown).add_options()("words", options::value<std::vector<std::string>>());
     options::positional_options_description places;
@@ -357,21 +397,26 @@
                "  check DAY...  read days and say whether they can be played\n"
                "  compare A B   two folders of results: what differs by more than noise\n"
                "  report DIR    table and report.html of a folder of results\n"
-               "  ceiling       what one dispatcher can take at most, on sockets (ceiling small: four runners only;\n"
+               "  ceiling       what one dispatcher can take at most, on sockets (ceiling small: four "
+               "runners only;\n"
                "                ceiling reports, ceiling silent: only runners that report, or that do not)\n"
-               "  keepsake [N]  what keeping 10,000 runners costs, and N kills in the middle of a write (500)\n"
-               "  mixed         a day of both protocols on one dispatcher, with crashes, hangs and a drain (--seeds N)\n"
+               "  keepsake [N]  what keeping 10,000 runners costs, and N kills in the middle of a write "
+               "(500)\n"
+               "  mixed         a day of both protocols on one dispatcher, with crashes, hangs and a drain "
+               "(--seeds N)\n"
                "  tubes         what the front with tubes can take at most, and what a waiting job costs\n"
                "  cost          what one decision costs, by runners and by tasks held\n\n"
             << shown
-            << "\nExit status: 0 goals and rules held, 1 not, 2 wrong use, 3 void (the stand-ins ran late), 130 interrupted.\n";
+            << "\nExit status: 0 goals and rules held, 1 not, 2 wrong use, 3 void (the stand-ins ran late), "
+               "130 interrupted.\n";
     };
     const auto note = [](int) { interrupted = 1; };
     std::signal(SIGINT, note);
     std::signal(SIGTERM, note);
     try {
         options::variables_map given;
-        options::store(options::command_line_parser(count, words).options(all).positional(places).run(), given);
+        options::store(options::command_line_parser(count, words).options(all).positional(places).run(),
+                       given);
         options::notify(given);
         if (given.contains("help")) return explain(std::cout), kGood;
         if (given.contains("words")) wishes.words = given["words"].as<std::vector<std::string>>();
--- a/rehearsal/model/callers.hpp
+++ b/rehearsal/model/callers.hpp
@@ -1,5 +1,5 @@
-// Who calls: draws what is asked for and when, open loop. Arrivals do not wait for answers, so a time begins when
-// the call was meant to begin, however late whoever makes it is (no coordinated omission).
+// Who calls: draws what is asked for and when, open loop. Arrivals do not wait for answers, so a time begins
+// when the call was meant to begin, however late whoever makes it is (no coordinated omission).
 #pragma once
 
 #include <algorithm>
@@ -40,7 +40,8 @@
                 break;
             case Arrivals::bursts: {
                 const auto each = std::max(1.0, c.rate * surge * static_cast<double>(c.burst_every) / 1e6);
-                if (static_cast<double>(++in_burst_) > each) in_burst_ = 1, at_ += static_cast<double>(c.burst_every);
+                if (static_cast<double>(++in_burst_) > each)
+                    in_burst_ = 1, at_ += static_cast<double>(c.burst_every);
                 break;
             }
             case Arrivals::replayed:
@@ -58,19 +59,24 @@
         Call call;
         call.at = at;
         double pick = what_.uniform() * shares_;
-        while (call.workload + 1 < day_.workloads.size() && (pick -= day_.workloads[call.workload].share) >= 0) ++call.workload;
+        while (call.workload + 1 < day_.workloads.size() &&
+               (pick -= day_.workloads[call.workload].share) >= 0)
+            ++call.workload;
         const WorkloadPlan& w = day_.workloads[call.workload];
         if (!day_.customers.empty()) {
             pick = what_.uniform() * customer_shares_;
-            while (call.customer + 1 < day_.customers.size() && (pick -= day_.customers[call.customer].share) >= 0)
+            while (call.customer + 1 < day_.customers.size() &&
+                   (pick -= day_.customers[call.customer].share) >= 0)
                 ++call.customer;
         }
         const auto work = static_cast<double>(w.work);
-        call.work = std::max<Micros>(1, static_cast<Micros>(w.spread > 0 ? what_.log_normal(work, w.spread) : work));
+        call.work =
+            std::max<Micros>(1, static_cast<Micros>(w.spread > 0 ? what_.log_normal(work, w.spread) : work));
         call.key = what_.word() | 1;
         const bool leaves = what_.happens(day_.clients.leaves);
         const double after = what_.uniform();
-        if (leaves) call.leaves_after = std::max<Micros>(1, static_cast<Micros>(after * static_cast<double>(w.due)));
+        if (leaves)
+            call.leaves_after = std::max<Micros>(1, static_cast<Micros>(after * static_cast<double>(w.due)));
         return call;
     }
 
--- a/rehearsal/model/chance.hpp
+++ b/rehearsal/model/chance.hpp
@@ -15,11 +15,14 @@
 class Chance {
   public:
     // Streams of one seed are independent, so that one more draw in one place changes no other place.
-    Chance(std::uint64_t seed, std::uint64_t stream) : engine_(mixed(seed * 0x9E3779B97F4A7C15ULL + stream)) {}
+    Chance(std::uint64_t seed, std::uint64_t stream)
+        : engine_(mixed(seed * 0x9E3779B97F4A7C15ULL + stream)) {}
 
     double uniform() { return static_cast<double>(engine_() >> 11) * 0x1.0p-53; }
     bool happens(double probability) { return probability > 0 && uniform() < probability; }
-    std::size_t below(std::size_t n) { return std::min(n - 1, static_cast<std::size_t>(uniform() * static_cast<double>(n))); }
+    std::size_t below(std::size_t n) {
+        return std::min(n - 1, static_cast<std::size_t>(uniform() * static_cast<double>(n)));
+    }
     double exponential(double mean) { return -mean * std::log1p(-uniform()); }
     // Log-normal with that mean; spread is the standard deviation of the logarithm.
     double log_normal(double mean, double spread) {
--- a/rehearsal/model/paths.hpp
+++ b/rehearsal/model/paths.hpp
@@ -12,10 +12,10 @@
 // A trouble on all ways between two places, in both directions. "" stands for any place.
 struct PathTrouble {
     std::string from, to;
-    Micros delay = 0;           // one way, added
-    double loses_connects = 0;  // the share of connects that never come up
+    Micros delay = 0;                  // one way, added
+    double loses_connects = 0;         // the share of connects that never come up
     bool cut = false, resets = false;  // nothing passes: silently, or with a reset
-    double bytes_a_second = 0;  // 0: as fast as it likes
+    double bytes_a_second = 0;         // 0: as fast as it likes
 };
 
 struct Passage {
@@ -45,7 +45,8 @@
             p.cut = p.cut || t.cut;
             p.resets = p.resets || (t.cut && t.resets);
             p.takes += t.delay;
-            if (t.bytes_a_second > 0) p.takes += static_cast<Micros>(static_cast<double>(bytes) * 1e6 / t.bytes_a_second);
+            if (t.bytes_a_second > 0)
+                p.takes += static_cast<Micros>(static_cast<double>(bytes) * 1e6 / t.bytes_a_second);
             p.loses_connects = 1 - (1 - p.loses_connects) * (1 - t.loses_connects);
         }
         return p;
@@ -56,7 +57,8 @@
         // A place is "hall/name": either names it, and so does the whole.
         if (wanted.empty() || wanted == place) return true;
         const auto slash = place.find('/');
-        return slash != std::string::npos && (place.compare(0, slash, wanted) == 0 || place.compare(slash + 1, std::string::npos, wanted) == 0);
+        return slash != std::string::npos && (place.compare(0, slash, wanted) == 0 ||
+                                              place.compare(slash + 1, std::string::npos, wanted) == 0);
     }
     const Micros usual_;
     std::vector<std::pair<std::size_t, PathTrouble>> troubles_;
--- a/rehearsal/model/poison.hpp
+++ b/rehearsal/model/poison.hpp
@@ -1,5 +1,5 @@
-// What is believed, put the wrong way round: the quickest runner's beliefs go to the slowest and so on. For both
-// lanes, each with its own form of a belief.
+// What is believed, put the wrong way round: the quickest runner's beliefs go to the slowest and so on. For
+// both lanes, each with its own form of a belief.
 #pragma once
 
 #include <algorithm>
@@ -14,7 +14,8 @@
 void put_wrong_way_round(std::vector<One>& all, Mean mean, Swap swap) {
     std::vector<std::size_t> order(all.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return mean(all[a]) < mean(all[b]); });
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return mean(all[a]) < mean(all[b]); });
     for (std::size_t i = 0; i < order.size() / 2; ++i) swap(all[order[i]], all[order[order.size() - 1 - i]]);
 }
 
--- a/rehearsal/model/registry.hpp
+++ b/rehearsal/model/registry.hpp
@@ -61,7 +61,8 @@
     Bulletin since(std::optional<std::uint32_t> held) const {
         Bulletin b{version_, !held || *held > version_ || *held < first_, {}};
         for (std::size_t i = 0; i < now_held_.size(); ++i)
-            if (b.full ? now_held_[i].state != RunnerState::gone : changed_in_[i] > *held) b.entries.push_back(now_held_[i]);
+            if (b.full ? now_held_[i].state != RunnerState::gone : changed_in_[i] > *held)
+                b.entries.push_back(now_held_[i]);
         return b;
     }
     // A discovery that restarted from nothing counts from the beginning, and knows all as of now.
--- a/rehearsal/model/runner.cpp
+++ b/rehearsal/model/runner.cpp
@@ -9,7 +9,7 @@
 
 constexpr Micros kColdStep = 100'000;  // a cold runner's speed is taken as constant for so long
 constexpr Micros kLongestPast = 20'000'000;
-constexpr double kLittle = 0.5;        // microseconds of work: less is done
+constexpr double kLittle = 0.5;  // microseconds of work: less is done
 
 }  // namespace
 
@@ -18,11 +18,14 @@
 
 double Runner::warmth(Micros now) const {
     if (started_at_ == 0) return 1;
-    const double age = static_cast<double>(now - started_at_) / static_cast<double>(std::max<Micros>(1, build_.warm_after));
+    const double age =
+        static_cast<double>(now - started_at_) / static_cast<double>(std::max<Micros>(1, build_.warm_after));
     return std::min(1.0, build_.cold_from + (1 - build_.cold_from) * std::max(0.0, age));
 }
 
-double Runner::capacity(Micros now) const { return build_.cores * build_.speed * warmth(now) / trouble.slowness; }
+double Runner::capacity(Micros now) const {
+    return build_.cores * build_.speed * warmth(now) / trouble.slowness;
+}
 
 // What each slot in use gets: a core of its own, or its part where there are fewer cores than slots in use.
 double Runner::speed_of_each(Micros now) const {
@@ -34,7 +37,8 @@
     const double speed = speed_of_each(last_);
     const auto span = static_cast<double>(now - last_);
     if (span > 0 && speed > 0)
-        for (Running& r : running_) r.left -= span * speed * std::max(1.0, std::min(r.job.slots, build_.cores));
+        for (Running& r : running_)
+            r.left -= span * speed * std::max(1.0, std::min(r.job.slots, build_.cores));
     last_ = std::max(last_, now);
 }
 
@@ -54,7 +58,8 @@
     }
     if (job.slots > build_.slots || job.memory > build_.memory || queue_.size() >= build_.queue) {
         // With a free place for it nobody is turned away, however short the queue.
-        const bool fits = queue_.empty() && slots_out_ + job.slots <= build_.slots && memory_out_ + job.memory <= build_.memory;
+        const bool fits = queue_.empty() && slots_out_ + job.slots <= build_.slots &&
+                          memory_out_ + job.memory <= build_.memory;
         if (!fits) {
             out.push_back({job.token, job.request, Said::returned, 0});
             return;
@@ -93,7 +98,8 @@
         if (r.left > kLittle) {
             if (now >= r.next_word) {
                 const double whole = std::max(1.0, static_cast<double>(r.job.work));
-                out.push_back({r.job.token, r.job.request, Said::running, std::clamp(1 - r.left / whole, 0.0, 1.0)});
+                out.push_back(
+                    {r.job.token, r.job.request, Said::running, std::clamp(1 - r.left / whole, 0.0, 1.0)});
                 r.next_word = now + build_.progress_every;
             }
             ++i;
@@ -134,7 +140,8 @@
         soonest = std::min(soonest, r.next_word);
         if (speed <= 0) continue;
         const double each = speed * std::max(1.0, std::min(r.job.slots, build_.cores));
-        soonest = std::min(soonest, last_ + std::max<Micros>(1, static_cast<Micros>(std::ceil((r.left - kLittle) / each))));
+        soonest = std::min(
+            soonest, last_ + std::max<Micros>(1, static_cast<Micros>(std::ceil((r.left - kLittle) / each))));
     }
     if (soonest != kNever && warmth(last_) < 1) soonest = std::min(soonest, last_ + kColdStep);
     return soonest;
--- a/rehearsal/model/runner.hpp
+++ b/rehearsal/model/runner.hpp
@@ -29,7 +29,7 @@
     std::uint64_t fingerprint = 0;  // 0: none, a repeat runs again
     Micros work = 0;                // what a core of speed 1 takes
     double slots = 1, memory = 0;
-    Micros repeats_within = 0;      // how long a repeat of the fingerprint is dropped
+    Micros repeats_within = 0;  // how long a repeat of the fingerprint is dropped
 };
 
 // What a runner is made of.
@@ -37,28 +37,28 @@
     double cores = 4, speed = 1;  // speed: work done by a core in a microsecond
     double slots = 4;             // what may run at once
     double memory = 1e9;
-    std::size_t queue = 16;       // what may wait; one more is turned away
-    double cold_from = 0.2;       // of its speed, just started
+    std::size_t queue = 16;  // what may wait; one more is turned away
+    double cold_from = 0.2;  // of its speed, just started
     Micros warm_after = 10'000'000;
-    double topples_beyond = 4;    // sent that many times what it can do, a cold one falls over
+    double topples_beyond = 4;  // sent that many times what it can do, a cold one falls over
     Micros topple_window = 2'000'000;
-    Micros progress_every = 0;    // 0: says nothing between start and end
+    Micros progress_every = 0;  // 0: says nothing between start and end
     bool tells_start = true;
-    Micros handshake = 0;         // of one core, for each new connection
+    Micros handshake = 0;  // of one core, for each new connection
     Micros keeps_idle = 30'000'000;
 };
 
 enum class Said {
-    started,    // the job began: from here on its effect has happened
-    running,    // progress, with the share done
-    done,       // the result
-    failed,     // an error
-    returned,   // turned away: never begun
-    lost,       // killed while it ran
-    garbled,    // an answer that nobody can read
-    cut,        // an answer that ends before its last line
-    broken,     // the connection is reset
-    dropped     // a repeat, answered with the first one's result
+    started,   // the job began: from here on its effect has happened
+    running,   // progress, with the share done
+    done,      // the result
+    failed,    // an error
+    returned,  // turned away: never begun
+    lost,      // killed while it ran
+    garbled,   // an answer that nobody can read
+    cut,       // an answer that ends before its last line
+    broken,    // the connection is reset
+    dropped    // a repeat, answered with the first one's result
 };
 
 struct Word {
@@ -86,14 +86,14 @@
 
 // Troubles that may lie on a runner, each independent of the others.
 struct Trouble {
-    bool hangs = false;      // takes requests; nothing ends, no probe is answered
-    bool stalls = false;     // what runs stands still; probes are answered
-    double slowness = 1;     // all work takes so many times as long
-    double errors = 0;       // the share answered with an error at once
-    double garbles = 0;      // the share whose answer cannot be read
-    double cuts = 0;         // the share whose answer ends too early
-    double resets = 0;       // the share of uses of a kept connection that meet a reset
-    Micros reports_late = 0; // reports tell of the state so long ago
+    bool hangs = false;       // takes requests; nothing ends, no probe is answered
+    bool stalls = false;      // what runs stands still; probes are answered
+    double slowness = 1;      // all work takes so many times as long
+    double errors = 0;        // the share answered with an error at once
+    double garbles = 0;       // the share whose answer cannot be read
+    double cuts = 0;          // the share whose answer ends too early
+    double resets = 0;        // the share of uses of a kept connection that meet a reset
+    Micros reports_late = 0;  // reports tell of the state so long ago
 };
 
 class Runner {
@@ -122,7 +122,7 @@
     Micros started_at() const { return started_at_; }  // 0: before the rehearsal
     double capacity(Micros now) const;                 // work a microsecond, of all cores
     std::size_t held() const { return running_.size() + queue_.size(); }
-    double fell_by() const { return fell_by_; }        // what it was sent as a multiple of its capacity
+    double fell_by() const { return fell_by_; }             // what it was sent as a multiple of its capacity
     std::vector<std::uint64_t> take_window_tokens() const;  // of those sent in the window before it fell
 
   private:
--- a/rehearsal/model/theatre.cpp
+++ b/rehearsal/model/theatre.cpp
@@ -13,7 +13,11 @@
 }  // namespace
 
 Theatre::Theatre(const Day& day, std::uint64_t seed, Scene& scene)
-    : registry(day.runners.size()), paths(day.path_delay), silent(day.runners.size()), day_(day), scene_(scene) {
+    : registry(day.runners.size()),
+      paths(day.path_delay),
+      silent(day.runners.size()),
+      day_(day),
+      scene_(scene) {
     registry.lag = day.discovery_lag;
     // Which repeats are dropped together: by the group of the workloads, of which the widest counts.
     Group widest = Group::cell;
@@ -22,7 +26,9 @@
     std::vector<std::string> names;
     std::vector<std::size_t> of;
     for (const RunnerPlan& r : day.runners) {
-        const std::string name = widest == Group::all ? "" : widest == Group::zone ? r.hall : std::to_string(r.cell);
+        const std::string name = widest == Group::all    ? ""
+                                 : widest == Group::zone ? r.hall
+                                                         : std::to_string(r.cell);
         const auto found = std::find(names.begin(), names.end(), name);
         of.push_back(static_cast<std::size_t>(found - names.begin()));
         if (found == names.end()) names.push_back(name);
@@ -30,13 +36,16 @@
     groups_.resize(names.size());
     runners.reserve(day.runners.size());
     for (std::size_t i = 0; i < day.runners.size(); ++i)
-        runners.emplace_back(day.runners[i].name, day.runners[i].build, groups_[of[i]], Chance(seed, 1'000 + i));
+        runners.emplace_back(day.runners[i].name, day.runners[i].build, groups_[of[i]],
+                             Chance(seed, 1'000 + i));
     Chance chance(seed, 13);
     for (const FaultPlan& f : day.faults) plan(f, chance);
     std::stable_sort(edges_.begin(), edges_.end(), [](const Edge& a, const Edge& b) { return a.at < b.at; });
 }
 
-void Theatre::at(Micros when, std::function<void(Micros)> happens) { edges_.push_back({when, edges_.size(), std::move(happens)}); }
+void Theatre::at(Micros when, std::function<void(Micros)> happens) {
+    edges_.push_back({when, edges_.size(), std::move(happens)});
+}
 
 void Theatre::play(Micros now) {
     while (edge_ < edges_.size() && edges_[edge_].at <= now) edges_[edge_++].happens(now);
@@ -57,7 +66,8 @@
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < day_.runners.size(); ++i) {
         const RunnerPlan& r = day_.runners[i];
-        if (whom == "all" || whom == r.name || whom == "hall:" + r.hall || whom == "kind:" + r.kind) all.push_back(i);
+        if (whom == "all" || whom == r.name || whom == "hall:" + r.hall || whom == "kind:" + r.kind)
+            all.push_back(i);
     }
     while (all.size() > most) all.erase(all.begin() + static_cast<std::ptrdiff_t>(chance.below(all.size())));
     return all;
@@ -83,7 +93,9 @@
 
 void Theatre::plan(const FaultPlan& f, Chance& chance) {
     const Micros end = f.lasting > 0 ? f.at + f.lasting : 0;
-    const auto shade = [&](Micros to) { shades.push_back({f.at, std::min(to > 0 ? to : day_.length, day_.length), f.what}); };
+    const auto shade = [&](Micros to) {
+        shades.push_back({f.at, std::min(to > 0 ? to : day_.length, day_.length), f.what});
+    };
     const auto each = [&](const auto& begin, const auto& finish) {
         Micros last = end;
         Micros later = 0;
@@ -137,7 +149,8 @@
         case FaultKind::release: {
             Micros later = 0;
             for (const std::size_t r : struck(f.on, chance)) {
-                const Micros ends = f.at + later + day_.discovery_lag + day_.rules.grace + static_cast<Micros>(amount * 1e6);
+                const Micros ends =
+                    f.at + later + day_.discovery_lag + day_.rules.grace + static_cast<Micros>(amount * 1e6);
                 at(f.at + later, [this, r](Micros now) { list(now, r, RunnerState::draining); });
                 at(ends, [this, r](Micros now) { crash(now, r); });
                 at(ends + kStartTakes, [this, r](Micros now) { start(now, r); });
@@ -147,7 +160,8 @@
             return;
         }
         case FaultKind::hold:
-            return each([this](Micros, std::size_t r) { scene_.hold(r, true); }, [this](Micros, std::size_t r) { scene_.hold(r, false); });
+            return each([this](Micros, std::size_t r) { scene_.hold(r, true); },
+                        [this](Micros, std::size_t r) { scene_.hold(r, false); });
         case FaultKind::hang:
             return troubles([](Trouble& t, bool on) { t.hangs = on; });
         case FaultKind::stall:
@@ -163,7 +177,9 @@
         case FaultKind::resets:
             return troubles([amount](Trouble& t, bool on) { t.resets = on ? amount : 0; });
         case FaultKind::late_reports:
-            return troubles([amount](Trouble& t, bool on) { t.reports_late = on ? static_cast<Micros>(amount * 1e6) : 0; });
+            return troubles([amount](Trouble& t, bool on) {
+                t.reports_late = on ? static_cast<Micros>(amount * 1e6) : 0;
+            });
         case FaultKind::discovery_down:
             at(f.at, [this](Micros) { registry.down = true, scene_.discovery_down(true); });
             if (end > 0) at(end, [this](Micros) { registry.down = false, scene_.discovery_down(false); });
@@ -199,13 +215,16 @@
         case FaultKind::drain_dispatcher: {
             Micros later = 0;
             for (std::size_t d = 0; d < day_.dispatchers.count; ++d) {
-                if (f.on != "all" && f.on != "d-" + std::to_string(d + 1) && f.on != "hall:" + day_.dispatcher_hall(d)) continue;
+                if (f.on != "all" && f.on != "d-" + std::to_string(d + 1) &&
+                    f.on != "hall:" + day_.dispatcher_hall(d))
+                    continue;
                 const FaultKind kind = f.kind;
                 const Micros away = f.lasting;
                 if (kind == FaultKind::drain_dispatcher && away > 0)
                     at(f.at + later + away, [this, d](Micros) { scene_.undrain(d); });
                 at(f.at + later, [this, kind, d, away, amount](Micros) {
-                    if (kind == FaultKind::drain_dispatcher) scene_.drain(d, static_cast<Micros>(amount * 1e6));
+                    if (kind == FaultKind::drain_dispatcher)
+                        scene_.drain(d, static_cast<Micros>(amount * 1e6));
                     if (kind == FaultKind::kill) scene_.kill(d, away);
                     if (kind == FaultKind::restart) scene_.restart(d);
                     if (kind == FaultKind::reload) scene_.reload(d);
--- a/rehearsal/model/theatre.hpp
+++ b/rehearsal/model/theatre.hpp
@@ -1,5 +1,6 @@
-// The theatre: runners, discovery and network of a day, and the timeline of its troubles. No I/O; a lane brings the
-// time and carries what happens here to dispatchers that are real processes or instances in virtual time.
+// The theatre: runners, discovery and network of a day, and the timeline of its troubles. No I/O; a lane
+// brings the time and carries what happens here to dispatchers that are real processes or instances in
+// virtual time.
 #pragma once
 
 #include <functional>
@@ -52,13 +53,17 @@
     std::vector<Runner> runners;
     Registry registry;
     Paths paths;
-    std::vector<bool> silent;     // of the runners: vanished
+    std::vector<bool> silent;  // of the runners: vanished
     std::vector<Shade> shades;
 
     Micros next() const { return edge_ < edges_.size() ? edges_[edge_].at : kNever; }
     void play(Micros now);  // all that is due
-    std::string place_of_runner(std::size_t r) const { return day_.runners[r].hall + "/" + day_.runners[r].name; }
-    std::string place_of_dispatcher(std::size_t d) const { return day_.dispatcher_hall(d) + "/d-" + std::to_string(d + 1); }
+    std::string place_of_runner(std::size_t r) const {
+        return day_.runners[r].hall + "/" + day_.runners[r].name;
+    }
+    std::string place_of_dispatcher(std::size_t d) const {
+        return day_.dispatcher_hall(d) + "/d-" + std::to_string(d + 1);
+    }
     bool hands(std::size_t d, std::size_t r) const;  // whether anything passes between them now
 
   private:
--- a/rehearsal/results/json_report.cpp
+++ b/rehearsal/results/json_report.cpp
@@ -33,7 +33,9 @@
     return Value(std::move(list));
 }
 
-std::uint64_t count(const Value& v, const char* name) { return static_cast<std::uint64_t>(v.number(name).value_or(0)); }
+std::uint64_t count(const Value& v, const char* name) {
+    return static_cast<std::uint64_t>(v.number(name).value_or(0));
+}
 std::string text(const Value& v, const char* name) {
     const std::string* const t = v.text(name);
     return t ? *t : "";
@@ -65,17 +67,22 @@
     o["day"] = Value(r.day), o["lane"] = Value(r.lane), o["policy"] = Value(r.policy);
     o["seed"] = whole(r.seed);
     o["offered"] = whole(r.offered), o["in_time"] = whole(r.in_time), o["late"] = whole(r.late);
-    o["bounced"] = whole(r.bounced), o["abandoned"] = whole(r.abandoned), o["lost"] = whole(r.lost), o["left"] = whole(r.left);
+    o["bounced"] = whole(r.bounced), o["abandoned"] = whole(r.abandoned), o["lost"] = whole(r.lost),
+    o["left"] = whole(r.left);
     o["tries"] = whole(r.tries), o["tasks"] = whole(r.tasks), o["assignments"] = whole(r.assignments);
     o["effects"] = whole(r.effects), o["toppled"] = whole(r.toppled), o["probes"] = whole(r.probes);
     o["connections"] = whole(r.connections);
     o["worth"] = real(r.worth);
-    o["p50_us"] = whole(static_cast<std::uint64_t>(r.p50)), o["p99_us"] = whole(static_cast<std::uint64_t>(r.p99));
-    o["p999_us"] = whole(static_cast<std::uint64_t>(r.p999)), o["most_us"] = whole(static_cast<std::uint64_t>(r.most));
+    o["p50_us"] = whole(static_cast<std::uint64_t>(r.p50)),
+    o["p99_us"] = whole(static_cast<std::uint64_t>(r.p99));
+    o["p999_us"] = whole(static_cast<std::uint64_t>(r.p999)),
+    o["most_us"] = whole(static_cast<std::uint64_t>(r.most));
     if (r.aftermath.at >= 0) {
         Object after;
-        after["at_us"] = whole(static_cast<std::uint64_t>(r.aftermath.at)), after["in_time"] = real(r.aftermath.in_time);
-        after["p99_us"] = whole(static_cast<std::uint64_t>(r.aftermath.p99)), after["steady_s"] = real(r.aftermath.steady_s);
+        after["at_us"] = whole(static_cast<std::uint64_t>(r.aftermath.at)),
+        after["in_time"] = real(r.aftermath.in_time);
+        after["p99_us"] = whole(static_cast<std::uint64_t>(r.aftermath.p99)),
+        after["steady_s"] = real(r.aftermath.steady_s);
         o["aftermath"] = Value(std::move(after));
     }
     List seconds;
@@ -83,7 +90,8 @@
         Object one;
         one["offered"] = whole(s.offered), one["in_time"] = whole(s.in_time), one["late"] = whole(s.late);
         one["bounced"] = whole(s.bounced), one["abandoned"] = whole(s.abandoned), one["lost"] = whole(s.lost);
-        one["p50_us"] = whole(static_cast<std::uint64_t>(s.p50)), one["p99_us"] = whole(static_cast<std::uint64_t>(s.p99));
+        one["p50_us"] = whole(static_cast<std::uint64_t>(s.p50)),
+        one["p99_us"] = whole(static_cast<std::uint64_t>(s.p99));
         if (!s.in_flight.empty()) one["in_flight"] = row(s.in_flight);
         if (!s.fractions.empty()) one["fractions"] = row(s.fractions);
         seconds.push_back(Value(std::move(one)));
@@ -92,7 +100,8 @@
     List shades;
     for (const Shade& s : r.shades) {
         Object one;
-        one["from_us"] = whole(static_cast<std::uint64_t>(s.from)), one["to_us"] = whole(static_cast<std::uint64_t>(s.to));
+        one["from_us"] = whole(static_cast<std::uint64_t>(s.from)),
+        one["to_us"] = whole(static_cast<std::uint64_t>(s.to));
         one["what"] = Value(s.what);
         shades.push_back(Value(std::move(one)));
     }
@@ -111,7 +120,8 @@
     List breaches;
     for (const Breach& b : r.breaches) {
         Object one;
-        one["rule"] = whole(static_cast<std::uint64_t>(b.rule)), one["at_us"] = whole(static_cast<std::uint64_t>(b.at));
+        one["rule"] = whole(static_cast<std::uint64_t>(b.rule)),
+        one["at_us"] = whole(static_cast<std::uint64_t>(b.at));
         one["what"] = Value(b.what), one["story"] = Value(b.story);
         breaches.push_back(Value(std::move(one)));
     }
@@ -121,7 +131,8 @@
     if (with_machine_figures) {
         o["lateness_p99_us"] = whole(static_cast<std::uint64_t>(r.lateness_p99));
         o["lateness_most_us"] = whole(static_cast<std::uint64_t>(r.lateness_most));
-        o["cpu_us_a_task"] = real(r.cpu_us_a_task), o["memory_mb"] = real(r.memory_mb), o["wall_s"] = real(r.wall_s);
+        o["cpu_us_a_task"] = real(r.cpu_us_a_task), o["memory_mb"] = real(r.memory_mb),
+        o["wall_s"] = real(r.wall_s);
     }
     return json::write(Value(std::move(o))) + "\n";
 }
@@ -135,11 +146,14 @@
     } catch (const json::Malformed& e) {
         throw std::runtime_error(path + ": is no result: " + e.what());
     }
-    if (text(v, "format") != "gannethold-rehearsal-1") throw std::runtime_error(path + ": is no result of a rehearsal");
+    if (text(v, "format") != "gannethold-rehearsal-1")
+        throw std::runtime_error(path + ": is no result of a rehearsal");
     Result r;
     r.day = text(v, "day"), r.lane = text(v, "lane"), r.policy = text(v, "policy");
-    r.seed = count(v, "seed"), r.offered = count(v, "offered"), r.in_time = count(v, "in_time"), r.late = count(v, "late");
-    r.bounced = count(v, "bounced"), r.abandoned = count(v, "abandoned"), r.lost = count(v, "lost"), r.left = count(v, "left");
+    r.seed = count(v, "seed"), r.offered = count(v, "offered"), r.in_time = count(v, "in_time"),
+    r.late = count(v, "late");
+    r.bounced = count(v, "bounced"), r.abandoned = count(v, "abandoned"), r.lost = count(v, "lost"),
+    r.left = count(v, "left");
     r.tries = count(v, "tries"), r.tasks = count(v, "tasks"), r.assignments = count(v, "assignments");
     r.effects = count(v, "effects"), r.toppled = count(v, "toppled"), r.probes = count(v, "probes");
     r.connections = count(v, "connections");
@@ -158,17 +172,22 @@
         r.seconds.push_back(std::move(s));
     }
     for (const Value& one : list(v, "faults"))
-        r.shades.push_back({static_cast<Micros>(count(one, "from_us")), static_cast<Micros>(count(one, "to_us")), text(one, "what")});
+        r.shades.push_back({static_cast<Micros>(count(one, "from_us")),
+                            static_cast<Micros>(count(one, "to_us")), text(one, "what")});
     r.runners = texts(v, "runners");
     if (const Value* const of = v.find("workloads"); of && of->get<Object>())
-        for (const auto& [name, one] : *of->get<Object>()) r.workloads[name] = {count(one, "offered"), count(one, "in_time")};
+        for (const auto& [name, one] : *of->get<Object>())
+            r.workloads[name] = {count(one, "offered"), count(one, "in_time")};
     const auto broken = numbers(v, "broken");
-    for (std::size_t i = 0; i < broken.size() && i < 4; ++i) r.broken[i + 1] = static_cast<std::size_t>(broken[i]);
+    for (std::size_t i = 0; i < broken.size() && i < 4; ++i)
+        r.broken[i + 1] = static_cast<std::size_t>(broken[i]);
     for (const Value& one : list(v, "breaches"))
-        r.breaches.push_back({static_cast<int>(count(one, "rule")), static_cast<Micros>(count(one, "at_us")), text(one, "what"), text(one, "story")});
+        r.breaches.push_back({static_cast<int>(count(one, "rule")), static_cast<Micros>(count(one, "at_us")),
+                              text(one, "what"), text(one, "story")});
     r.missed = texts(v, "missed");
     r.void_because = text(v, "void_because"), r.cut_short = text(v, "cut_short");
-    r.lateness_p99 = static_cast<Micros>(count(v, "lateness_p99_us")), r.lateness_most = static_cast<Micros>(count(v, "lateness_most_us"));
+    r.lateness_p99 = static_cast<Micros>(count(v, "lateness_p99_us")),
+    r.lateness_most = static_cast<Micros>(count(v, "lateness_most_us"));
     r.cpu_us_a_task = v.number("cpu_us_a_task").value_or(0), r.memory_mb = v.number("memory_mb").value_or(0);
     r.wall_s = v.number("wall_s").value_or(0);
     return r;
--- a/rehearsal/results/latencies.hpp
+++ b/rehearsal/results/latencies.hpp
@@ -1,6 +1,6 @@
-// Latencies in microseconds, in the layout of HdrHistogram: each power of two is divided into 128 parts, so that
-// every value is kept to within 0.8%, from one microsecond to over an hour, in a fixed space. Debian has that
-// library for Java and Go only, which is why the layout is written out here.
+// Latencies in microseconds, in the layout of HdrHistogram: each power of two is divided into 128 parts, so
+// that every value is kept to within 0.8%, from one microsecond to over an hour, in a fixed space. Debian has
+// that library for Java and Go only, which is why the layout is written out here.
 #pragma once
 
 #include <algorithm>
@@ -35,7 +35,8 @@
     // The least value that at least that share of all does not exceed; 0 where there is none.
     Micros at(double share) const {
         if (total_ == 0) return 0;
-        const auto wanted = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(share * static_cast<double>(total_) + 0.5));
+        const auto wanted =
+            std::max<std::uint64_t>(1, static_cast<std::uint64_t>(share * static_cast<double>(total_) + 0.5));
         std::uint64_t seen = 0;
         for (std::size_t i = 0; i < counts_.size(); ++i)
             if ((seen += counts_[i]) >= wanted) return std::min(most_, highest(i));
--- a/rehearsal/results/report.hpp
+++ b/rehearsal/results/report.hpp
@@ -1,4 +1,5 @@
-// What a rehearsal leaves: JSON for machines, a table for people, and one page with plots that needs nothing else.
+// What a rehearsal leaves: JSON for machines, a table for people, and one page with plots that needs nothing
+// else.
 #pragma once
 
 #include <iosfwd>
--- a/rehearsal/results/tally.cpp
+++ b/rehearsal/results/tally.cpp
@@ -14,7 +14,8 @@
 }
 
 Second& Tally::second_of(Micros at) {
-    const auto i = std::min(static_cast<std::size_t>(std::max<Micros>(0, at) / 1'000'000), result_.seconds.size() - 1);
+    const auto i =
+        std::min(static_cast<std::size_t>(std::max<Micros>(0, at) / 1'000'000), result_.seconds.size() - 1);
     return result_.seconds[i];
 }
 
@@ -108,12 +109,16 @@
         text << what << ' ' << is << ", wanted " << wanted;
         r.missed.push_back(text.str());
     };
-    const auto share = [&](std::uint64_t n) { return judged_ > 0 ? static_cast<double>(n) / static_cast<double>(judged_) : 0; };
+    const auto share = [&](std::uint64_t n) {
+        return judged_ > 0 ? static_cast<double>(n) / static_cast<double>(judged_) : 0;
+    };
     if (judged_ == 0) r.missed.push_back("no task was asked for after the warm-up");
     const GoalPlan& g = day_.goals;
     if (g.in_time && share(judged_in_time_) < *g.in_time) goal("in time", share(judged_in_time_), *g.in_time);
-    if (g.answered && share(judged_answered_) < *g.answered) goal("answered", share(judged_answered_), *g.answered);
-    if (g.p99 && r.p99 > *g.p99) goal("p99 in ms", static_cast<double>(r.p99) / 1e3, static_cast<double>(*g.p99) / 1e3);
+    if (g.answered && share(judged_answered_) < *g.answered)
+        goal("answered", share(judged_answered_), *g.answered);
+    if (g.p99 && r.p99 > *g.p99)
+        goal("p99 in ms", static_cast<double>(r.p99) / 1e3, static_cast<double>(*g.p99) / 1e3);
     if (g.worst_second) {
         double worst = 1;
         for (std::size_t i = static_cast<std::size_t>(day_.warm / 1'000'000); i < r.seconds.size(); ++i)
--- a/rehearsal/results/tally.hpp
+++ b/rehearsal/results/tally.hpp
@@ -26,10 +26,11 @@
 
 // How it went from the first of a day's restarts and kills of dispatchers on, for half a minute at the most.
 struct Aftermath {
-    Micros at = -1;        // -1: the day has none
-    double in_time = 0;    // the share of all asked for
+    Micros at = -1;      // -1: the day has none
+    double in_time = 0;  // the share of all asked for
     Micros p99 = 0;
-    double steady_s = 0;   // from the last of them until three seconds in a row were as good as those before, less 2%; or to the end
+    double steady_s = 0;  // from the last of them until three seconds in a row were as good as those before,
+                          // less 2%; or to the end
 };
 
 // One rehearsal of one day with one seed.
@@ -37,8 +38,9 @@
     std::string day, lane, policy;
     std::uint64_t seed = 0;
     std::uint64_t offered = 0, in_time = 0, late = 0, bounced = 0, abandoned = 0, lost = 0, left = 0;
-    std::uint64_t tries = 0, tasks = 0, assignments = 0, effects = 0, toppled = 0, probes = 0, connections = 0;
-    double worth = 0;   // of all offered, the share that was earned
+    std::uint64_t tries = 0, tasks = 0, assignments = 0, effects = 0, toppled = 0, probes = 0,
+                  connections = 0;
+    double worth = 0;  // of all offered, the share that was earned
     Micros p50 = 0, p99 = 0, p999 = 0, most = 0;
     std::vector<Second> seconds;
     std::vector<Shade> shades;
@@ -55,7 +57,9 @@
 
     bool rules_held() const { return broken[1] + broken[2] + broken[3] + broken[4] == 0; }
     bool good() const { return rules_held() && missed.empty() && void_because.empty(); }
-    double share(std::uint64_t n) const { return offered > 0 ? static_cast<double>(n) / static_cast<double>(offered) : 0; }
+    double share(std::uint64_t n) const {
+        return offered > 0 ? static_cast<double>(n) / static_cast<double>(offered) : 0;
+    }
 };
 
 class Tally {
--- a/rehearsal/sockets/backstage.hpp
+++ b/rehearsal/sockets/backstage.hpp
@@ -1,5 +1,5 @@
-// What the stand-ins of one rehearsal on sockets share: the loop, the day's clock, the theatre, the judge, and an
-// agenda of what is to happen later.
+// What the stand-ins of one rehearsal on sockets share: the loop, the day's clock, the theatre, the judge,
+// and an agenda of what is to happen later.
 #pragma once
 
 #include <algorithm>
@@ -36,7 +36,9 @@
         std::uint64_t order;
         std::function<void()> happens;
     };
-    static bool later(const Due& a, const Due& b) { return std::pair(a.at, a.order) > std::pair(b.at, b.order); }
+    static bool later(const Due& a, const Due& b) {
+        return std::pair(a.at, a.order) > std::pair(b.at, b.order);
+    }
     void set() {
         if (!heap_.empty()) timer_.set(began_ + heap_.front().at);
     }
@@ -71,7 +73,9 @@
     // What the way adds to what the loopback itself takes.
     Micros delay(std::size_t d, std::size_t r, std::size_t bytes) const {
         if (theatre->paths.calm()) return 0;
-        return theatre->paths.between(theatre->place_of_dispatcher(d), theatre->place_of_runner(r), bytes).takes - day.path_delay;
+        return theatre->paths.between(theatre->place_of_dispatcher(d), theatre->place_of_runner(r), bytes)
+                   .takes -
+               day.path_delay;
     }
 };
 
--- a/rehearsal/sockets/callers_stand_in.cpp
+++ b/rehearsal/sockets/callers_stand_in.cpp
@@ -8,8 +8,8 @@
 namespace gannethold::rehearsal {
 namespace {
 
-constexpr Micros kLookEvery = 200'000;    // how often the front looks at each dispatcher
-constexpr Micros kNobodyThere = 50'000;   // until a call is tried again where no dispatcher is healthy
+constexpr Micros kLookEvery = 200'000;   // how often the front looks at each dispatcher
+constexpr Micros kNobodyThere = 50'000;  // until a call is tried again where no dispatcher is healthy
 
 }  // namespace
 
@@ -17,7 +17,9 @@
 class CallersStandIn::Line final : public net::Connection::Owner {
   public:
     Line(CallersStandIn& callers, std::size_t dispatcher)
-        : dispatcher(dispatcher), callers_(callers), reader_(http::Kind::answer, callers.backstage_.loop.blocks()),
+        : dispatcher(dispatcher),
+          callers_(callers),
+          reader_(http::Kind::answer, callers.backstage_.loop.blocks()),
           connection_(callers.backstage_.loop, *this, callers.places_[dispatcher].address,
                       callers.backstage_.day.clients.connect_limit) {}
 
@@ -73,7 +75,8 @@
                     std::optional<double> retry;
                     if (const auto field = reader_.head().field("Retry-After"); !field.empty()) {
                         double value = 0;
-                        const auto [end, wrong] = std::from_chars(field.data(), field.data() + field.size(), value);
+                        const auto [end, wrong] =
+                            std::from_chars(field.data(), field.data() + field.size(), value);
                         if (wrong == std::errc()) retry = value;
                     }
                     reader_.restart();
@@ -98,10 +101,15 @@
     bool up_ = false, any_byte_ = false;
 };
 
-CallersStandIn::CallersStandIn(Backstage& backstage, Tally& tally, std::uint64_t seed, std::vector<net::Address> dispatchers)
-    : backstage_(backstage), tally_(tally), callers_(backstage.day, seed), chance_(seed, 31),
+CallersStandIn::CallersStandIn(Backstage& backstage, Tally& tally, std::uint64_t seed,
+                               std::vector<net::Address> dispatchers)
+    : backstage_(backstage),
+      tally_(tally),
+      callers_(backstage.day, seed),
+      chance_(seed, 31),
       health_(backstage.loop, [this] { check_health(); }) {
-    for (net::Address& address : dispatchers) places_.push_back({std::move(address), false, false, 0, {}, {}});
+    for (net::Address& address : dispatchers)
+        places_.push_back({std::move(address), false, false, 0, {}, {}});
     check_health();
 }
 
@@ -211,10 +219,12 @@
     const WorkloadPlan& w = day.workloads[origin.call.workload];
     std::ostringstream out;
     const std::string body = "a scene to be drawn";
-    out << "POST /" << w.name << '/' << std::hex << origin.call.key << std::dec << " HTTP/1.1\r\nHost: front\r\nX-Request-ID: "
-        << request_text(request) << "\r\nX-Timeout: " << std::max<Micros>(1, origin.deadline - backstage_.now()) << "u\r\n";
+    out << "POST /" << w.name << '/' << std::hex << origin.call.key << std::dec
+        << " HTTP/1.1\r\nHost: front\r\nX-Request-ID: " << request_text(request)
+        << "\r\nX-Timeout: " << std::max<Micros>(1, origin.deadline - backstage_.now()) << "u\r\n";
     if (!day.customers.empty()) out << "X-Tenant-Id: " << day.customers[origin.call.customer].name << "\r\n";
-    if (w.effect == Effects::fingerprinted) out << "Idempotency-Key: k" << std::hex << origin.call.key << std::dec << "\r\n";
+    if (w.effect == Effects::fingerprinted)
+        out << "Idempotency-Key: k" << std::hex << origin.call.key << std::dec << "\r\n";
     if (day.clients.marks && origin.tries > 1) out << "X-Retried: 1\r\n";
     out << "X-Attrs: slots=" << w.slots << ",memory=" << w.memory;
     if (w.hinted) out << ",hint_us=" << origin.call.work;
@@ -222,7 +232,8 @@
     return out.str();
 }
 
-void CallersStandIn::answered(Line& line, int status, const std::string& body, std::optional<double> retry_after) {
+void CallersStandIn::answered(Line& line, int status, const std::string& body,
+                              std::optional<double> retry_after) {
     Place& place = places_[line.dispatcher];
     if (line.looks) {
         place.healthy = status == 200 && !place.dead;
@@ -241,7 +252,9 @@
     const bool refused = status == 503 || status == 429;
     const Final how = status == 200 ? Final::finished : refused ? Final::bounced : Final::abandoned;
     const std::string begins = "picture of ";
-    const auto result_for = body.starts_with(begins) ? request_number(std::string_view(body).substr(begins.size())) : std::nullopt;
+    const auto result_for = body.starts_with(begins)
+                                ? request_number(std::string_view(body).substr(begins.size()))
+                                : std::nullopt;
     backstage_.judge.answered(now, request, how, result_for.value_or(0));
     if (line.over)
         --place.lines;
@@ -251,11 +264,13 @@
     if (origin.over || origin.request != request) return;
     if (how == Final::finished) {
         const Micros took = now - origin.call.at;
-        return done_with(o, took <= backstage_.day.workloads[origin.call.workload].due ? Fate::in_time : Fate::late);
+        return done_with(
+            o, took <= backstage_.day.workloads[origin.call.workload].due ? Fate::in_time : Fate::late);
     }
     const auto stay = retry_after ? static_cast<Micros>(*retry_after * 1e6) : 0;
     const Micros wait = std::max(stay, backstage_.day.clients.retry_after);
-    if ((refused || harmless(origin)) && origin.tries < backstage_.day.clients.tries && now + wait < origin.deadline - 20'000) {
+    if ((refused || harmless(origin)) && origin.tries < backstage_.day.clients.tries &&
+        now + wait < origin.deadline - 20'000) {
         origin.request = 0;
         const auto spread = static_cast<Micros>(chance_.uniform() * static_cast<double>(wait) / 10);
         return backstage_.agenda.at(now + wait + spread, [this, o] { call(o); });
@@ -299,8 +314,8 @@
     const std::uint64_t request = line.request;
     if (origin.over || origin.request != request || ending_) return;
     const Micros now = backstage_.now();
-    const bool never_there = !line.sent || ending == net::Ending::refused || ending == net::Ending::unreachable ||
-                             ending == net::Ending::connect_timed_out;
+    const bool never_there = !line.sent || ending == net::Ending::refused ||
+                             ending == net::Ending::unreachable || ending == net::Ending::connect_timed_out;
     if (never_there) {
         // Nobody took it: the front sees that this one is gone, and the call goes to another.
         place.healthy = false;
@@ -346,12 +361,14 @@
     tally_.ended(origin.call.at, origin.call.workload, fate, backstage_.now() - origin.call.at);
     if (origin.request != 0) {
         // What comes after it is still the judge's to see, so its job is kept a while.
-        backstage_.agenda.at(backstage_.now() + 6'000'000, [this, request = origin.request] { backstage_.jobs.erase(request); });
+        backstage_.agenda.at(backstage_.now() + 6'000'000,
+                             [this, request = origin.request] { backstage_.jobs.erase(request); });
     }
     if (fate == Fate::lost)
         for (auto& line : lines_)
             if (!line->over && line->origin == o) --places_[line->dispatcher].lines, line->close();
-    if (backstage_.day.clients.arrivals == Arrivals::closed && backstage_.now() < backstage_.day.length) next_call();
+    if (backstage_.day.clients.arrivals == Arrivals::closed && backstage_.now() < backstage_.day.length)
+        next_call();
 }
 
 bool CallersStandIn::done() const { return open_ == 0 && backstage_.now() >= backstage_.day.length; }
--- a/rehearsal/sockets/callers_stand_in.hpp
+++ b/rehearsal/sockets/callers_stand_in.hpp
@@ -1,5 +1,6 @@
-// Clients on sockets, behind a front that knows which dispatchers are healthy. Open loop: a call is made when it
-// is due, whatever became of those before; in a closed loop each connection calls again once it is answered.
+// Clients on sockets, behind a front that knows which dispatchers are healthy. Open loop: a call is made when
+// it is due, whatever became of those before; in a closed loop each connection calls again once it is
+// answered.
 #pragma once
 
 #include <deque>
@@ -19,20 +20,22 @@
 
 class CallersStandIn {
   public:
-    CallersStandIn(Backstage& backstage, Tally& tally, std::uint64_t seed, std::vector<net::Address> dispatchers);
+    CallersStandIn(Backstage& backstage, Tally& tally, std::uint64_t seed,
+                   std::vector<net::Address> dispatchers);
     ~CallersStandIn();
 
     void begin();
     void surge(double factor) { callers_.surge = factor; }
-    // The dispatcher's process is gone without having answered: what it had is ours to repeat, where harmless.
+    // The dispatcher's process is gone without having answered: what it had is ours to repeat, where
+    // harmless.
     void died(std::size_t dispatcher);
-    void back(std::size_t dispatcher);     // it is being started; the front finds out by itself when it is ready
+    void back(std::size_t dispatcher);  // it is being started; the front finds out by itself when it is ready
     bool healthy(std::size_t dispatcher) const { return places_[dispatcher].healthy; }
     std::size_t open_at(std::size_t dispatcher) const;  // tasks that it took and has not answered
-    bool done() const;                     // no call is to come, and none is open
-    void give_up_all();                    // at the end: what is still open counts as lost
+    bool done() const;                                  // no call is to come, and none is open
+    void give_up_all();                                 // at the end: what is still open counts as lost
     void sweep();
-    Latencies lateness;                    // of calls, behind when they were meant
+    Latencies lateness;  // of calls, behind when they were meant
     std::uint64_t connections() const { return connections_; }
 
   private:
--- a/rehearsal/sockets/child.cpp
+++ b/rehearsal/sockets/child.cpp
@@ -23,8 +23,8 @@
     const pid_t parent = getpid();
     process_ = fork();
     if (process_ == 0) {
-        // Against dispatchers left behind by a rehearsal that was killed; one that died before this line is met
-        // by the second look.
+        // Against dispatchers left behind by a rehearsal that was killed; one that died before this line is
+        // met by the second look.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (getppid() != parent) _exit(127);
         dup2(out, STDOUT_FILENO);
--- a/rehearsal/sockets/claim.cpp
+++ b/rehearsal/sockets/claim.cpp
@@ -31,7 +31,8 @@
 Claim::~Claim() { close(socket_); }
 
 std::string Claim::address(unsigned high, unsigned low, unsigned port) const {
-    return "127." + std::to_string(part_) + '.' + std::to_string(high) + '.' + std::to_string(low) + ':' + std::to_string(port);
+    return "127." + std::to_string(part_) + '.' + std::to_string(high) + '.' + std::to_string(low) + ':' +
+           std::to_string(port);
 }
 
 }  // namespace gannethold::rehearsal
--- a/rehearsal/sockets/discovery_stand_in.cpp
+++ b/rehearsal/sockets/discovery_stand_in.cpp
@@ -29,7 +29,9 @@
 class DiscoveryStandIn::Session final : public net::Connection::Owner {
   public:
     Session(DiscoveryStandIn& discovery, std::size_t dispatcher, evutil_socket_t socket)
-        : dispatcher(dispatcher), discovery_(discovery), reader_(http::Kind::request, discovery.backstage_.loop.blocks()),
+        : dispatcher(dispatcher),
+          discovery_(discovery),
+          reader_(http::Kind::request, discovery.backstage_.loop.blocks()),
           connection_(discovery.backstage_.loop, *this, socket) {}
 
     void tell() {
@@ -77,12 +79,14 @@
             const Bulletin b = discovery_.backstage_.theatre->registry.since(std::nullopt);
             discovery_.note_told(dispatcher, b);
             const std::string text = discovery_.listing(dispatcher, b);
-            connection_.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+            connection_.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) +
+                              "\r\n\r\n" + text);
             return;
         }
         if (const auto since = target.find("since="); since != std::string::npos) {
             std::uint32_t version = 0;
-            const auto [end, wrong] = std::from_chars(target.data() + since + 6, target.data() + target.size(), version);
+            const auto [end, wrong] =
+                std::from_chars(target.data() + since + 6, target.data() + target.size(), version);
             if (wrong == std::errc() && version > 0) held = version;
         }
         watching = true;
@@ -97,8 +101,7 @@
 };
 
 DiscoveryStandIn::DiscoveryStandIn(Backstage& backstage, AddressOf address_of)
-    : backstage_(backstage), address_of_(std::move(address_of)),
-      beat_(backstage.loop, [this] {
+    : backstage_(backstage), address_of_(std::move(address_of)), beat_(backstage.loop, [this] {
           for (auto& s : sessions_)
               if (s->watching && !s->over) s->beat();
           beat_.set(net::Loop::now() + kBeat);
@@ -114,7 +117,8 @@
     at_ = places;
     gates_.clear();
     for (std::size_t d = 0; d < places.size(); ++d) {
-        gates_.push_back(std::make_unique<Gate>(backstage_.loop, places[d], [this, d](evutil_socket_t s) { accept(d, s); }));
+        gates_.push_back(std::make_unique<Gate>(backstage_.loop, places[d],
+                                                [this, d](evutil_socket_t s) { accept(d, s); }));
         gates_.back()->set(backstage_.theatre->registry.down ? Gate::State::shut : Gate::State::open);
     }
     end_watches();
@@ -143,9 +147,11 @@
 
 void DiscoveryStandIn::note_told(std::size_t dispatcher, const Bulletin& b) {
     const Registry& registry = backstage_.theatre->registry;
-    for (const Listed& e : b.entries) backstage_.judge.told(backstage_.now(), dispatcher, e.runner, e.state, e.started_at);
+    for (const Listed& e : b.entries)
+        backstage_.judge.told(backstage_.now(), dispatcher, e.runner, e.state, e.started_at);
     for (std::size_t r = 0; b.full && r < backstage_.day.runners.size(); ++r)
-        if (registry.held(r).state == RunnerState::gone) backstage_.judge.told(backstage_.now(), dispatcher, r, RunnerState::gone, 0);
+        if (registry.held(r).state == RunnerState::gone)
+            backstage_.judge.told(backstage_.now(), dispatcher, r, RunnerState::gone, 0);
 }
 
 std::string DiscoveryStandIn::listing(std::size_t dispatcher, const Bulletin& b) const {
@@ -153,12 +159,14 @@
     out << "{\"version\":" << b.version << ",\"full\":" << (b.full ? "true" : "false") << ",\"servers\":[";
     for (const Listed& e : b.entries) {
         const RunnerPlan& plan = backstage_.day.runners[e.runner];
-        out << (&e == &b.entries.front() ? "" : ",") << "{\"id\":\"" << plan.name << "\",\"addr\":\"" << address_of_(dispatcher, e.runner)
-            << "\",\"zone\":\"" << plan.hall << "\",\"kind\":\"" << plan.kind << "\",\"cell\":" << plan.cell << ",\"state\":\""
+        out << (&e == &b.entries.front() ? "" : ",") << "{\"id\":\"" << plan.name << "\",\"addr\":\""
+            << address_of_(dispatcher, e.runner) << "\",\"zone\":\"" << plan.hall << "\",\"kind\":\""
+            << plan.kind << "\",\"cell\":" << plan.cell << ",\"state\":\""
             << (e.state == RunnerState::ready      ? "SERVING"
                 : e.state == RunnerState::draining ? "DRAINING"
                                                    : "DELETED")
-            << "\",\"weight\":1.0,\"started_ms\":" << (e.started_at > 0 ? (unix_began_us_ + e.started_at) / 1000 : 0) << "}";
+            << "\",\"weight\":1.0,\"started_ms\":"
+            << (e.started_at > 0 ? (unix_began_us_ + e.started_at) / 1000 : 0) << "}";
     }
     out << "]}";
     return out.str();
--- a/rehearsal/sockets/discovery_stand_in.hpp
+++ b/rehearsal/sockets/discovery_stand_in.hpp
@@ -22,8 +22,8 @@
     void move(const std::vector<net::Address>& places);  // listens there from now on, and nowhere else
     void down(bool down);                                // watches end, calls are refused
     void end_watches();
-    void tell();                                         // what is due goes to all who watch
-    void day_begins();                                   // the day's clock stands at 0 now
+    void tell();        // what is due goes to all who watch
+    void day_begins();  // the day's clock stands at 0 now
     void sweep();
     std::string listing(std::size_t dispatcher, const Bulletin& bulletin) const;
     std::uint64_t calls() const { return calls_; }
--- a/rehearsal/sockets/gate.cpp
+++ b/rehearsal/sockets/gate.cpp
@@ -22,8 +22,8 @@
     if (state == State::silent) fill();
 }
 
-// The system drops the first packet of a connect where the queue of connections not yet accepted is full. So the
-// queue is made as short as it can be, and filled by ourselves.
+// The system drops the first packet of a connect where the queue of connections not yet accepted is full. So
+// the queue is made as short as it can be, and filled by ourselves.
 void Gate::fill() {
     const int door = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int yes = 1;
--- a/rehearsal/sockets/gate.hpp
+++ b/rehearsal/sockets/gate.hpp
@@ -1,5 +1,5 @@
-// A place where a stand-in listens, which can be shut (new connections are refused) or silent (they never come
-// up), as a process that died or a machine that vanished would look from outside.
+// A place where a stand-in listens, which can be shut (new connections are refused) or silent (they never
+// come up), as a process that died or a machine that vanished would look from outside.
 #pragma once
 
 #include <functional>
--- a/rehearsal/sockets/lane.cpp
+++ b/rehearsal/sockets/lane.cpp
@@ -30,8 +30,8 @@
 constexpr unsigned kRunnersInARow = 250, kDispatchersRow = 253, kDiscoveryRow = 254;
 constexpr Micros kComesUpIn = 10'000'000;
 constexpr Micros kLeavesIn = 5'000'000;
-constexpr Micros kFrontNotices = 500'000;  // the front here looks five times a second
-constexpr Micros kAnswersTravel = 150'000; // after the deadline, until the clients have read them
+constexpr Micros kFrontNotices = 500'000;   // the front here looks five times a second
+constexpr Micros kAnswersTravel = 150'000;  // after the deadline, until the clients have read them
 // Where what the stand-ins did came that late, a bad result would be theirs and not the dispatcher's.
 constexpr Micros kLateP99 = 20'000, kLateMost = 500'000;
 
@@ -50,30 +50,43 @@
         setrlimit(RLIMIT_NOFILE, &limit);
     }
     if (limit.rlim_cur < wanted)
-        throw std::runtime_error("this day needs " + std::to_string(wanted) + " descriptors, and only " + std::to_string(limit.rlim_cur) +
-                                 " may be open (ulimit -n)");
+        throw std::runtime_error("this day needs " + std::to_string(wanted) + " descriptors, and only " +
+                                 std::to_string(limit.rlim_cur) + " may be open (ulimit -n)");
 }
 
 class Lane final : public Scene {
   public:
     Lane(const Day& day, std::uint64_t seed, const Premises& premises)
-        : day_(day), seed_(seed), premises_(premises), loop_(kBlocks), agenda_(loop_), judge_(day), tally_(day),
-          backstage_{loop_, day, agenda_, judge_, nullptr, {}, {}, 0, 0, {}}, theatre_(day, seed, *this),
-          tick_(loop_, [this] { tick(); }), dispatchers_(day.dispatchers.count) {
+        : day_(day),
+          seed_(seed),
+          premises_(premises),
+          loop_(kBlocks),
+          agenda_(loop_),
+          judge_(day),
+          tally_(day),
+          backstage_{loop_, day, agenda_, judge_, nullptr, {}, {}, 0, 0, {}},
+          theatre_(day, seed, *this),
+          tick_(loop_, [this] { tick(); }),
+          dispatchers_(day.dispatchers.count) {
         agenda_.start();
         backstage_.theatre = &theatre_;
         backstage_.toppled = [this](std::size_t r) { toppled(r); };
-        if (day.runners.size() > kRunnersInARow * 200) throw std::runtime_error("the fleet is too large for sockets on one machine");
-        if (day.dispatchers.count > kRunnersInARow) throw std::runtime_error("too many dispatchers for sockets on one machine");
+        if (day.runners.size() > kRunnersInARow * 200)
+            throw std::runtime_error("the fleet is too large for sockets on one machine");
+        if (day.dispatchers.count > kRunnersInARow)
+            throw std::runtime_error("too many dispatchers for sockets on one machine");
         need_descriptors(64 + day.runners.size() * day.dispatchers.count * 2 +
-                         day.dispatchers.count * (8 + 2 * std::min<std::size_t>(day.clients.connections, day.dispatchers.sockets)));
+                         day.dispatchers.count * (8 + 2 * std::min<std::size_t>(day.clients.connections,
+                                                                                day.dispatchers.sockets)));
         std::filesystem::create_directories(premises.folder);
         for (std::size_t r = 0; r < day.runners.size(); ++r) {
             std::vector<net::Address> places;
-            for (std::size_t d = 0; d < day.dispatchers.count; ++d) places.push_back(address(runner_address(d, r)));
+            for (std::size_t d = 0; d < day.dispatchers.count; ++d)
+                places.push_back(address(runner_address(d, r)));
             runners_.push_back(std::make_unique<RunnerStandIn>(backstage_, r, places));
         }
-        discovery_ = std::make_unique<DiscoveryStandIn>(backstage_, [this](std::size_t d, std::size_t r) { return runner_address(d, r); });
+        discovery_ = std::make_unique<DiscoveryStandIn>(
+            backstage_, [this](std::size_t d, std::size_t r) { return runner_address(d, r); });
         discovery_->move(discovery_places());
     }
 
@@ -117,8 +130,9 @@
         r.lateness_p99 = callers_->lateness.at(0.99), r.lateness_most = callers_->lateness.most();
         Result result = tally_.finish(judge_);
         if (result.lateness_p99 > kLateP99 || result.lateness_most > kLateMost)
-            result.void_because = "generator and stand-ins ran late, p99 " + std::to_string(result.lateness_p99 / 1000) + " ms, most " +
-                                  std::to_string(result.lateness_most / 1000) + " ms: the machine was too busy";
+            result.void_because =
+                "generator and stand-ins ran late, p99 " + std::to_string(result.lateness_p99 / 1000) +
+                " ms, most " + std::to_string(result.lateness_most / 1000) + " ms: the machine was too busy";
         for (const std::string& m : crashes_) result.missed.push_back(m);
         result.lane = "sockets", result.policy = "own", result.seed = seed_;
         result.shades = theatre_.shades;
@@ -151,11 +165,14 @@
 
     // ---- places ----
     std::string runner_address(std::size_t d, std::size_t r) const {
-        return claim_.address(static_cast<unsigned>(r / kRunnersInARow), static_cast<unsigned>(1 + r % kRunnersInARow),
+        return claim_.address(static_cast<unsigned>(r / kRunnersInARow),
+                              static_cast<unsigned>(1 + r % kRunnersInARow),
                               kRunnersPort + static_cast<unsigned>(d));
     }
     std::string dispatcher_address(std::size_t d) const {
-        return !held_address_.empty() ? held_address_ : claim_.address(kDispatchersRow, static_cast<unsigned>(d + 1), kDispatcherPort);
+        return !held_address_.empty()
+                   ? held_address_
+                   : claim_.address(kDispatchersRow, static_cast<unsigned>(d + 1), kDispatcherPort);
     }
     std::vector<net::Address> discovery_places() const {
         std::vector<net::Address> all;
@@ -165,16 +182,19 @@
     std::string discovery_address(std::size_t d) const {
         return claim_.address(kDiscoveryRow, 1 + moves_ % 250, kDiscoveryPort + static_cast<unsigned>(d));
     }
-    std::string path(std::size_t d, const char* end) const { return premises_.folder + "/d-" + std::to_string(d + 1) + end; }
+    std::string path(std::size_t d, const char* end) const {
+        return premises_.folder + "/d-" + std::to_string(d + 1) + end;
+    }
     std::string log_path(std::size_t d) const { return path(d, ".log"); }
 
     // ---- processes ----
     void write_posting(std::size_t d) {
         Bulletin all{1, true, {}};
-        for (std::size_t r = 0; r < day_.runners.size(); ++r) all.entries.push_back({r, RunnerState::ready, 0});
+        for (std::size_t r = 0; r < day_.runners.size(); ++r)
+            all.entries.push_back({r, RunnerState::ready, 0});
         // Whole or not at all, as an operator would: a reload may read it at any time.
-        std::ofstream(path(d, ".new")) << day_.posting(d, dispatcher_address(d), discovery_address(d), seed_ * 1000 + d + 1,
-                                                       discovery_->listing(d, all));
+        std::ofstream(path(d, ".new")) << day_.posting(d, dispatcher_address(d), discovery_address(d),
+                                                       seed_ * 1000 + d + 1, discovery_->listing(d, all));
         std::filesystem::rename(path(d, ".new"), path(d, ".json"));
     }
     void poison(std::size_t d) {
@@ -182,8 +202,11 @@
         auto found = shelf.take();
         if (!found.record) return;
         const auto slow = [](const auto& one) { return middle_bin(one.latency); };
-        put_wrong_way_round(found.record->runners, slow, [](keepsake::KeptRunner& a, keepsake::KeptRunner& b) { swap_beliefs(a, b); });
-        put_wrong_way_round(found.record->kinds, slow, [](keepsake::KeptKind& a, keepsake::KeptKind& b) { std::swap(a.latency, b.latency); });
+        put_wrong_way_round(found.record->runners, slow,
+                            [](keepsake::KeptRunner& a, keepsake::KeptRunner& b) { swap_beliefs(a, b); });
+        put_wrong_way_round(found.record->kinds, slow, [](keepsake::KeptKind& a, keepsake::KeptKind& b) {
+            std::swap(a.latency, b.latency);
+        });
         shelf.put(keepsake::spell(*found.record));
     }
     void start(std::size_t d) {
@@ -191,12 +214,16 @@
         if (day_.dispatchers.poisoned) poison(d);
         Dispatcher& one = dispatchers_[d];
         one.leaving = one.killed = false;
-        std::ofstream(path(d, ".toml")) << "[control]\nsocket = \"" << path(d, ".sock") << "\"\n[drain]\nfront_notices_s = "
-                                        << static_cast<double>(kFrontNotices) / 1e6 << "\nclosing_takes_s = 1\n"
-                                        << (day_.dispatchers.keepsake ? "[keepsake]\nfolder = \"" + premises_.folder + "\"\nevery_s = 2\n" : "");
-        one.child = std::make_unique<Child>(std::vector<std::string>{premises_.program, "serve", "--configuration", path(d, ".json"),
-                                                                     "--operator", path(d, ".toml"), "--log-level", "warning"},
-                                            log_path(d));
+        std::ofstream(path(d, ".toml"))
+            << "[control]\nsocket = \"" << path(d, ".sock")
+            << "\"\n[drain]\nfront_notices_s = " << static_cast<double>(kFrontNotices) / 1e6
+            << "\nclosing_takes_s = 1\n"
+            << (day_.dispatchers.keepsake ? "[keepsake]\nfolder = \"" + premises_.folder + "\"\nevery_s = 2\n"
+                                          : "");
+        one.child = std::make_unique<Child>(
+            std::vector<std::string>{premises_.program, "serve", "--configuration", path(d, ".json"),
+                                     "--operator", path(d, ".toml"), "--log-level", "warning"},
+            log_path(d));
         if (callers_) callers_->back(d);
     }
     void come_up() {
@@ -209,8 +236,8 @@
             }
             const auto how = dispatchers_[d].child->ended();
             if (how || net::Loop::now() > until)
-                throw std::runtime_error("dispatcher d-" + std::to_string(d + 1) + " did not come up" + (how ? ": it " + *how : "") + "\n" +
-                                         last_lines(log_path(d), 5));
+                throw std::runtime_error("dispatcher d-" + std::to_string(d + 1) + " did not come up" +
+                                         (how ? ": it " + *how : "") + "\n" + last_lines(log_path(d), 5));
             tick_.set(net::Loop::now() + 10'000);
             turn();
         }
@@ -256,13 +283,14 @@
             const auto how = one.child->ended();
             if (!how) continue;
             if (!one.leaving && !one.killed) {
-                crashes_.push_back("dispatcher d-" + std::to_string(d + 1) + " ended by itself: it " + *how + "; its log ends with\n" +
-                                   last_lines(log_path(d), 5));
+                crashes_.push_back("dispatcher d-" + std::to_string(d + 1) + " ended by itself: it " + *how +
+                                   "; its log ends with\n" + last_lines(log_path(d), 5));
                 judge_.died(now, d);
                 callers_->died(d);
                 one.child.reset();
             } else if (one.leaving) {
-                if (!one.child->ended_well()) crashes_.push_back("dispatcher d-" + std::to_string(d + 1) + " left badly: it " + *how);
+                if (!one.child->ended_well())
+                    crashes_.push_back("dispatcher d-" + std::to_string(d + 1) + " left badly: it " + *how);
                 start(d);
             }
         }
@@ -330,13 +358,16 @@
     void surge(double factor) override { callers_->surge(factor); }
     void drain(std::size_t d, Micros within) override {
         const Micros deadline = agenda_.now() + within;
-        order(d, {{"do", json::Value(std::string("drain"))}, {"deadline_s", json::Value(json::Number{std::to_string(static_cast<double>(within) / 1e6)})}});
+        order(d,
+              {{"do", json::Value(std::string("drain"))},
+               {"deadline_s", json::Value(json::Number{std::to_string(static_cast<double>(within) / 1e6)})}});
         const std::uint64_t number = ++dispatchers_[d].orders;
         if (!day_.goals.drained_in_time) return;
         agenda_.at(deadline + kAnswersTravel, [this, d, number] {
             const std::size_t left = callers_->open_at(d);
             if (dispatchers_[d].orders == number && left > 0)
-                crashes_.push_back("d-" + std::to_string(d + 1) + " still had " + std::to_string(left) + " tasks after its deadline");
+                crashes_.push_back("d-" + std::to_string(d + 1) + " still had " + std::to_string(left) +
+                                   " tasks after its deadline");
         });
     }
     void undrain(std::size_t d) override {
@@ -345,9 +376,12 @@
     }
     void hold(std::size_t r, bool held) override {
         for (std::size_t d = 0; d < dispatchers_.size(); ++d) {
-            order(d, {{"do", json::Value(std::string(held ? "hold" : "release"))}, {"runner", json::Value(day_.runners[r].name)}});
-            // For the judge a hold is word that the runner is not to be used, from the moment it was answered.
-            judge_.told(agenda_.now(), d, r, held ? RunnerState::draining : RunnerState::ready, theatre_.runners[r].started_at());
+            order(d, {{"do", json::Value(std::string(held ? "hold" : "release"))},
+                      {"runner", json::Value(day_.runners[r].name)}});
+            // For the judge a hold is word that the runner is not to be used, from the moment it was
+            // answered.
+            judge_.told(agenda_.now(), d, r, held ? RunnerState::draining : RunnerState::ready,
+                        theatre_.runners[r].started_at());
         }
     }
     void order(std::size_t d, json::Object what) {
@@ -367,7 +401,8 @@
     void toppled(std::size_t r) {
         ++tally_.result().toppled;
         runners_[r]->down();
-        theatre_.registry.change(agenda_.now() + 1'000'000, r, RunnerState::gone, theatre_.runners[r].started_at());
+        theatre_.registry.change(agenda_.now() + 1'000'000, r, RunnerState::gone,
+                                 theatre_.runners[r].started_at());
         roster_changes(agenda_.now() + 1'000'000 + theatre_.registry.lag);
     }
 
--- a/rehearsal/sockets/runner_stand_in.cpp
+++ b/rehearsal/sockets/runner_stand_in.cpp
@@ -18,7 +18,8 @@
     return out.str();
 }
 
-constexpr const char* kTaken = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kTaken =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 }  // namespace
 
@@ -40,7 +41,10 @@
 class RunnerStandIn::Session final : public net::Connection::Owner {
   public:
     Session(RunnerStandIn& runner, std::size_t dispatcher, std::uint64_t id, evutil_socket_t socket)
-        : id(id), dispatcher(dispatcher), runner_(runner), reader_(http::Kind::request, runner.backstage_.loop.blocks()),
+        : id(id),
+          dispatcher(dispatcher),
+          runner_(runner),
+          reader_(http::Kind::request, runner.backstage_.loop.blocks()),
           connection_(runner.backstage_.loop, *this, socket),
           idle_(runner.backstage_.loop, [this] {
               if (!busy()) close(false);
@@ -52,7 +56,8 @@
         if (over || word.token != token_) return;
         const std::string& request = id_text_;
         const auto line = [&](const std::string& rest) {
-            return chunk("{\"id\":\"" + request + "\",\"from\":\"" + runner_.model().name() + "\"," + rest + "}\n");
+            return chunk("{\"id\":\"" + request + "\",\"from\":\"" + runner_.model().name() + "\"," + rest +
+                         "}\n");
         };
         const std::string load = ",\"load\":{" + report(true) + "}";
         switch (word.said) {
@@ -68,17 +73,19 @@
             case Said::done:
             case Said::dropped:
                 begin();
-                write(line("\"state\":\"done\",\"result\":\"picture of " + request + "\"" + load) + "0\r\n\r\n");
+                write(line("\"state\":\"done\",\"result\":\"picture of " + request + "\"" + load) +
+                      "0\r\n\r\n");
                 return over_with();
             case Said::failed:
                 if (std::exchange(begun_, true))
                     write(line("\"state\":\"failed\"" + load) + "0\r\n\r\n");
                 else
-                    write("HTTP/1.1 500 Internal Server Error\r\nX-Server-Load: " + report(false) + "\r\nContent-Length: 0\r\n\r\n");
+                    write("HTTP/1.1 500 Internal Server Error\r\nX-Server-Load: " + report(false) +
+                          "\r\nContent-Length: 0\r\n\r\n");
                 return over_with();
             case Said::returned:
-                write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nX-Server-Load: " + report(false) +
-                      "\r\nContent-Length: 0\r\n\r\n");
+                write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nX-Server-Load: " +
+                      report(false) + "\r\nContent-Length: 0\r\n\r\n");
                 return over_with();
             case Said::lost:
                 begin();
@@ -122,7 +129,8 @@
         RunnerStandIn& runner = runner_;
         runner_.backstage_.agenda.at(runner_.backstage_.now() + wait, [&runner, id = id, text] {
             const auto found = runner.by_id_.find(id);
-            if (found != runner.by_id_.end() && !found->second->over && !found->second->deaf) found->second->connection_.write(text);
+            if (found != runner.by_id_.end() && !found->second->over && !found->second->deaf)
+                found->second->connection_.write(text);
         });
     }
     void over_with() {
@@ -147,7 +155,8 @@
         const Load load = runner_.model().load(runner_.backstage_.now());
         std::ostringstream out;
         const auto one = [&](const char* name, double value) {
-            out << (out.tellp() > 0 ? "," : "") << (as_object ? "\"" : "") << name << (as_object ? "\":" : "=") << value;
+            out << (out.tellp() > 0 ? "," : "") << (as_object ? "\"" : "") << name
+                << (as_object ? "\":" : "=") << value;
         };
         one("x0", load.free);
         one("q", load.waiting);
@@ -192,8 +201,10 @@
         const auto request = request_number(id_text_);
         const auto job = request ? b.jobs.find(*request) : b.jobs.end();
         std::optional<Job> known = b.for_anyone;
-        if (job != b.jobs.end()) known = job->second;
-        else if (known) known->request = ~++b.strangers;
+        if (job != b.jobs.end())
+            known = job->second;
+        else if (known)
+            known->request = ~++b.strangers;
         if (busy() || !known || id_text_.empty()) {
             write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
             return true;
@@ -211,7 +222,8 @@
         const auto take = [&runner, wanted, d = dispatcher, first, wait] {
             Backstage& back = runner.backstage_;
             if (!runner.by_token_.contains(wanted.token)) return;
-            back.judge.reached(back.now(), wanted.request, wanted.token, runner.runner_, d, first + wait, wait);
+            back.judge.reached(back.now(), wanted.request, wanted.token, runner.runner_, d, first + wait,
+                               wait);
             Runner& model = runner.model();
             const bool was_up = model.up();
             std::vector<Word> words;
@@ -244,10 +256,13 @@
     bool begun_ = false, used_ = false;
 };
 
-RunnerStandIn::RunnerStandIn(Backstage& backstage, std::size_t runner, const std::vector<net::Address>& places)
+RunnerStandIn::RunnerStandIn(Backstage& backstage, std::size_t runner,
+                             const std::vector<net::Address>& places)
     : backstage_(backstage), runner_(runner), chance_(runner, 91), wake_(backstage.loop, [this] { pass(); }) {
     for (std::size_t d = 0; d < places.size(); ++d) {
-        places_.push_back({std::make_unique<Gate>(backstage.loop, places[d], [this, d](evutil_socket_t s) { accept(d, s); }), false});
+        places_.push_back({std::make_unique<Gate>(backstage.loop, places[d],
+                                                  [this, d](evutil_socket_t s) { accept(d, s); }),
+                           false});
         places_.back().gate->set(Gate::State::open);
     }
 }
@@ -305,25 +320,30 @@
 void RunnerStandIn::set_gate(std::size_t d) {
     Place& place = places_[d];
     const Theatre& theatre = *backstage_.theatre;
-    const Passage way = theatre.paths.between(theatre.place_of_dispatcher(d), theatre.place_of_runner(runner_), 0);
+    const Passage way =
+        theatre.paths.between(theatre.place_of_dispatcher(d), theatre.place_of_runner(runner_), 0);
     const bool silent = theatre.silent[runner_] || (way.cut && !way.resets);
     for (auto& s : sessions_) {
         if (s->dispatcher != d || s->over) continue;
         if (way.cut && way.resets) s->close(true);
         // Back again: what stood open meanwhile is reset.
-        else if (s->deaf && !silent) s->close(true);
-        else s->deaf = silent;
+        else if (s->deaf && !silent)
+            s->close(true);
+        else
+            s->deaf = silent;
     }
     const bool refused = !model().up() || (way.cut && way.resets);
     place.gate->set(silent ? Gate::State::silent : refused ? Gate::State::shut : Gate::State::open);
     if (way.loses_connects > 0 && !std::exchange(place.loses, true)) lose_now_and_then(d);
 }
 
-// The system makes connections up before we see them, so that a lost one can only be played by not listening: in
-// short slices of time, as many of them as connects are to be lost.
+// The system makes connections up before we see them, so that a lost one can only be played by not listening:
+// in short slices of time, as many of them as connects are to be lost.
 void RunnerStandIn::lose_now_and_then(std::size_t d) {
     const Theatre& theatre = *backstage_.theatre;
-    const double share = theatre.paths.between(theatre.place_of_dispatcher(d), theatre.place_of_runner(runner_), 0).loses_connects;
+    const double share =
+        theatre.paths.between(theatre.place_of_dispatcher(d), theatre.place_of_runner(runner_), 0)
+            .loses_connects;
     if (share <= 0) {
         places_[d].loses = false;
         return set_gate(d);
--- a/rehearsal/sockets/runner_stand_in.hpp
+++ b/rehearsal/sockets/runner_stand_in.hpp
@@ -20,10 +20,10 @@
     ~RunnerStandIn();
 
     void said(const std::vector<Word>& words);
-    void down();                // connections end, new ones are refused
+    void down();  // connections end, new ones are refused
     void up();
-    void look_at_paths();       // opens, shuts or silences the gates as the network now is
-    void wake();                // sets the timer for what the model does next
+    void look_at_paths();  // opens, shuts or silences the gates as the network now is
+    void wake();           // sets the timer for what the model does next
     void sweep();
     std::uint64_t connections() const { return connections_; }
 
--- a/rehearsal/system/try_system.cpp
+++ b/rehearsal/system/try_system.cpp
@@ -1,6 +1,6 @@
-// gannethold-try-system: three controllers, three proxies and this project's own stand-in of a platform on loopback; a minute
-// of load with a burst and a killed controller. Prints what was answered once, late, refused and failed, and runners against
-// load over time (text, and SVG to a file).
+// gannethold-try-system: three controllers, three proxies and this project's own stand-in of a platform on
+// loopback; a minute of load with a burst and a killed controller. Prints what was answered once, late,
+// refused and failed, and runners against load over time (text, and SVG to a file).
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -25,8 +25,10 @@
 #include "cluster/transport/http_service.hpp"
 
 ABSL_FLAG(int, seconds, 60, "seconds of load");
-ABSL_FLAG(double, rate, 60, "requests a second outside the burst; the burst is three times that, for a sixth of the time");
-ABSL_FLAG(std::string, programs, "", "folder of gannethold-proxy and gannethold-controller; empty: where this program stands");
+ABSL_FLAG(double, rate, 60,
+          "requests a second outside the burst; the burst is three times that, for a sixth of the time");
+ABSL_FLAG(std::string, programs, "",
+          "folder of gannethold-proxy and gannethold-controller; empty: where this program stands");
 ABSL_FLAG(std::string, svg, "system.svg", "file for the plot; empty: none");
 ABSL_FLAG(std::string, folder, "", "folder for settings and disks; empty: a new one, removed at the end");
 
@@ -44,15 +46,20 @@
     int slots, boot_ms, memory_mb, aim_ms, work_ms;
     double share;
 };
-const std::vector<FunctionMade> kFunctions = {{"preview", 8, 1200, 512, 300, 60, 0.7}, {"frame", 1, 800, 128, 1500, 80, 0.25}, {"rare", 1, 800, 128, 1500, 80, 0.05}};
+const std::vector<FunctionMade> kFunctions = {{"preview", 8, 1200, 512, 300, 60, 0.7},
+                                              {"frame", 1, 800, 128, 1500, 80, 0.25},
+                                              {"rare", 1, 800, 128, 1500, 80, 0.05}};
 
 class Trial {
   public:
     explicit Trial(net::Loop& loop)
         : loop_(loop),
           folder_(absl::GetFlag(FLAGS_folder)),
-          platform_(loop, *net::Address::read("127.0.3.1:18300"), {[this](auto e, HttpMessage&& m) { platform(e, m); }, [](auto) {}}, 256),
-          caller_(loop, {1'000'000, 4'000'000, 8, 1 << 20, "X-Attempt-Id"}, {[this](auto id, auto how, HttpMessage&& m, bool) { ended(id, how, m); }, [](const auto&) {}, [](const auto&) {}}),
+          platform_(loop, *net::Address::read("127.0.3.1:18300"),
+                    {[this](auto e, HttpMessage&& m) { platform(e, m); }, [](auto) {}}, 256),
+          caller_(loop, {1'000'000, 4'000'000, 8, 1 << 20, "X-Attempt-Id"},
+                  {[this](auto id, auto how, HttpMessage&& m, bool) { ended(id, how, m); },
+                   [](const auto&) {}, [](const auto&) {}}),
           timer_(loop, [this] { due(); }) {
         if (folder_.empty()) {
             char name[] = "/tmp/gannethold-try-XXXXXX";
@@ -64,7 +71,8 @@
         for (int i = 0; i < kFronts; ++i) start("front-" + std::to_string(i));
         next_put_ = net::Loop::now() + 800'000;
         timer_.set(net::Loop::now() + 20'000);
-        std::printf("three controllers and three proxies on loopback; load begins in 6 s, for %d s\n", absl::GetFlag(FLAGS_seconds));
+        std::printf("three controllers and three proxies on loopback; load begins in 6 s, for %d s\n",
+                    absl::GetFlag(FLAGS_seconds));
         std::fflush(stdout);
     }
     ~Trial() {
@@ -77,12 +85,16 @@
     }
 
     int report() const {
-        std::printf("\n%zu requests: %d in aim, %d late, %d refused (503), %d failed; %d answered twice\n", asked_, in_aim_, late_, refused_, failed_, twice_);
-        std::printf("%d runners started, %d stopped, %d requests turned away by runners that were full\n", starts_, stops_, turned_away_);
+        std::printf("\n%zu requests: %d in aim, %d late, %d refused (503), %d failed; %d answered twice\n",
+                    asked_, in_aim_, late_, refused_, failed_, twice_);
+        std::printf("%d runners started, %d stopped, %d requests turned away by runners that were full\n",
+                    starts_, stops_, turned_away_);
         std::printf("\nsecond  requests/s                      runners\n");
         for (std::size_t s = 0; s < seconds_.size(); s += 2)
-            std::printf("%6zu  %4d %-24s  %3d %s\n", s, seconds_[s].first, std::string(static_cast<std::size_t>(std::min(24, seconds_[s].first / 8)), '#').c_str(), seconds_[s].second,
-                        std::string(static_cast<std::size_t>(seconds_[s].second), '=').c_str());
+            std::printf(
+                "%6zu  %4d %-24s  %3d %s\n", s, seconds_[s].first,
+                std::string(static_cast<std::size_t>(std::min(24, seconds_[s].first / 8)), '#').c_str(),
+                seconds_[s].second, std::string(static_cast<std::size_t>(seconds_[s].second), '=').c_str());
         if (!absl::GetFlag(FLAGS_svg).empty()) svg();
         return asked_ > 0 && twice_ == 0 && in_aim_ + late_ > static_cast<int>(asked_ * 9 / 10) ? 0 : 1;
     }
@@ -110,18 +122,27 @@
         const bool first = !std::filesystem::exists(place);
         std::filesystem::create_directories(place);
         std::ofstream s(place + "/settings.conf");
-        s << "node_name=" << name << "\nip_address=" << ip << "\nzone=z" << name.back() << "\nzones.z0=r\nzones.z1=r\nzones.z2=r\ninternal_port_range=17680,17695\n"
-          << "seed_addresses=127.0.1.10:18263,127.0.1.11:18263,127.0.1.12:18263\ninitial_start=" << (first ? "true" : "false")
-          << "\nlimits.memory_mb=128\nlimits.file_descriptors=1024\nplatform_api.address=127.0.3.1:18300\nplatform_api.rate_per_s=25\nplatform_api.duty_per_s=100\nplatform_api.max_lag_ms=800\n"
+        s << "node_name=" << name << "\nip_address=" << ip << "\nzone=z" << name.back()
+          << "\nzones.z0=r\nzones.z1=r\nzones.z2=r\ninternal_port_range=17680,17695\n"
+          << "seed_addresses=127.0.1.10:18263,127.0.1.11:18263,127.0.1.12:18263\ninitial_start="
+          << (first ? "true" : "false")
+          << "\nlimits.memory_mb=128\nlimits.file_descriptors=1024\nplatform_api.address=127.0.3.1:"
+             "18300\nplatform_api.rate_per_s=25\nplatform_api.duty_per_s=100\nplatform_api.max_lag_ms=800\n"
           << "bounds.retry_budget_slack=50\nbounds.rejection_slack=10\n";
-        if (is_core) s << "listen_addresses.control_plane=" << ip << ":18263\ndata_directory=" << place << "/disk\n";
-        else s << "listen_addresses.frontend=" << ip << ":18269\nlisten_addresses.readiness=" << ip << ":18266\n";
+        if (is_core)
+            s << "listen_addresses.control_plane=" << ip << ":18263\ndata_directory=" << place << "/disk\n";
+        else
+            s << "listen_addresses.frontend=" << ip << ":18269\nlisten_addresses.readiness=" << ip
+              << ":18266\n";
         s.close();
         std::string programs = absl::GetFlag(FLAGS_programs);
-        if (programs.empty()) programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+        if (programs.empty())
+            programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
         const std::string program = programs + (is_core ? "/gannethold-controller" : "/gannethold-proxy");
-        const std::string settings = "--settings=" + place + "/settings.conf", admin = "--admin=" + ip + ":18900";
-        std::vector<char*> words = {const_cast<char*>(program.c_str()), const_cast<char*>(settings.c_str()), const_cast<char*>(admin.c_str()), nullptr};
+        const std::string settings = "--settings=" + place + "/settings.conf",
+                          admin = "--admin=" + ip + ":18900";
+        std::vector<char*> words = {const_cast<char*>(program.c_str()), const_cast<char*>(settings.c_str()),
+                                    const_cast<char*>(admin.c_str()), nullptr};
         pid_t pid = 0;
         if (posix_spawn(&pid, program.c_str(), nullptr, nullptr, words.data(), environ) != 0) {
             std::fprintf(stderr, "%s can not be started\n", program.c_str());
@@ -147,8 +168,11 @@
             bool any = false;
             for (const auto& [id, r] : runners_) {
                 if (now < r->listed_at) continue;
-                body += (any ? ",{" : "{") + std::string("\"runner_id\":\"") + id + "\",\"service\":\"" + r->service + "\",\"address\":\"" + r->address + "\",\"zone\":\"" + r->zone +
-                        "\",\"worker_id\":\"" + r->worker + "\",\"concurrency_slots\":" + std::to_string(r->made->slots) + ",\"state\":\"ready\"}";
+                body += (any ? ",{" : "{") + std::string("\"runner_id\":\"") + id + "\",\"service\":\"" +
+                        r->service + "\",\"address\":\"" + r->address + "\",\"zone\":\"" + r->zone +
+                        "\",\"worker_id\":\"" + r->worker +
+                        "\",\"concurrency_slots\":" + std::to_string(r->made->slots) +
+                        ",\"state\":\"ready\"}";
                 any = true;
             }
             return answer(platform_, e, 200, body + "],\"next_page_token\":null}");
@@ -156,10 +180,13 @@
         if (m.target == "/v1/workers") {
             std::string body = "{\"workers\":[";
             for (int w = 0; w < kWorkers; ++w)
-                body += (w ? ",{" : "{") + std::string("\"name\":\"w-") + std::to_string(w) + "\",\"zone\":\"z" + std::to_string(w % 3) + "\",\"memory_mb\":4096,\"free_memory_mb\":4096,\"state\":\"ready\"}";
+                body += (w ? ",{" : "{") + std::string("\"name\":\"w-") + std::to_string(w) +
+                        "\",\"zone\":\"z" + std::to_string(w % 3) +
+                        "\",\"memory_mb\":4096,\"free_memory_mb\":4096,\"state\":\"ready\"}";
             return answer(platform_, e, 200, body + "]}");
         }
-        const std::uint64_t fence = std::strtoull(std::string(m.field("X-Fence-Number")).c_str(), nullptr, 10);
+        const std::uint64_t fence =
+            std::strtoull(std::string(m.field("X-Fence-Number")).c_str(), nullptr, 10);
         if (fence < fence_) return answer(platform_, e, 403, "{}");
         fence_ = fence;
         const json::Value asked = json::read(m.body);
@@ -172,8 +199,10 @@
             runners_.erase(at);
             return answer(platform_, e, 200, "{}");
         }
-        const std::string service = *asked.text("service"), key = service + "/" + *asked.text("request_nonce");
-        if (const auto known = nonces_.find(key); known != nonces_.end() && runners_.count(known->second)) return answer_begun(e, *runners_[known->second]);
+        const std::string service = *asked.text("service"),
+                          key = service + "/" + *asked.text("request_nonce");
+        if (const auto known = nonces_.find(key); known != nonces_.end() && runners_.count(known->second))
+            return answer_begun(e, *runners_[known->second]);
         auto r = std::make_unique<Runner>();
         r->id = "i-" + std::to_string(++made_);
         r->service = service, r->worker = *asked.text("worker_id");
@@ -191,7 +220,9 @@
         answer_begun(e, made);
     }
 
-    void answer_begun(cluster::HttpService::Exchange e, const Runner& r) { answer(platform_, e, 200, "{\"runner_id\":\"" + r.id + "\",\"address\":\"" + r.address + "\"}"); }
+    void answer_begun(cluster::HttpService::Exchange e, const Runner& r) {
+        answer(platform_, e, 200, "{\"runner_id\":\"" + r.id + "\",\"address\":\"" + r.address + "\"}");
+    }
 
     void work(Runner& r, cluster::HttpService::Exchange e, const HttpMessage& m) {
         HttpMessage a;
@@ -212,7 +243,9 @@
             if (r.service_at) r.service_at->answer(e, a);
             (void)this;
         });
-        timer->set(net::Loop::now() + static_cast<Micros>(r.made->work_ms * 1000 * std::uniform_real_distribution<>(0.5, 1.5)(random_)));
+        timer->set(net::Loop::now() +
+                   static_cast<Micros>(r.made->work_ms * 1000 *
+                                       std::uniform_real_distribution<>(0.5, 1.5)(random_)));
         r.work[e] = std::move(timer);
     }
 
@@ -222,9 +255,14 @@
         std::string body = "{\"version\":1,\"routes\":[", services = "],\"services\":[";
         for (std::size_t i = 0; i < kFunctions.size(); ++i) {
             const FunctionMade& f = kFunctions[i];
-            body += (i ? ",{" : "{") + std::string("\"name\":\"r-") + f.name + "\",\"host\":\"try.example\",\"path_prefix\":\"/" + f.name + "/\",\"route_kind\":\"idempotent\",\"timeout_ms\":4000,\"target_latency_ms\":" +
-                    std::to_string(f.aim_ms) + ",\"priority\":1,\"service\":\"" + f.name + "\",\"max_attempts\":2}";
-            services += (i ? ",{" : "{") + std::string("\"name\":\"") + f.name + "\",\"connection_limit\":64,\"memory_mb\":" + std::to_string(f.memory_mb) + ",\"boot_duration_ms\":" + std::to_string(f.boot_ms) +
+            body += (i ? ",{" : "{") + std::string("\"name\":\"r-") + f.name +
+                    "\",\"host\":\"try.example\",\"path_prefix\":\"/" + f.name +
+                    "/\",\"route_kind\":\"idempotent\",\"timeout_ms\":4000,\"target_latency_ms\":" +
+                    std::to_string(f.aim_ms) + ",\"priority\":1,\"service\":\"" + f.name +
+                    "\",\"max_attempts\":2}";
+            services += (i ? ",{" : "{") + std::string("\"name\":\"") + f.name +
+                        "\",\"connection_limit\":64,\"memory_mb\":" + std::to_string(f.memory_mb) +
+                        ",\"boot_duration_ms\":" + std::to_string(f.boot_ms) +
                         ",\"max_concurrency\":" + std::to_string(f.slots) + "}";
         }
         HttpMessage m;
@@ -245,7 +283,9 @@
             }
         HttpMessage m;
         m.method = "GET", m.target = "/" + f->name + "/x";
-        m.fields = {{"Host", "try.example"}, {"X-Attempt-Id", "try-" + std::to_string(++call_)}, {"X-Deadline-Remaining", "4000"}};
+        m.fields = {{"Host", "try.example"},
+                    {"X-Attempt-Id", "try-" + std::to_string(++call_)},
+                    {"X-Deadline-Remaining", "4000"}};
         tries_[call_] = {net::Loop::now(), f};
         ++asked_;
         caller_.call(call_, "127.0.2.1" + std::to_string(call_ % kFronts) + ":18269", m);
@@ -260,10 +300,14 @@
         const auto at = tries_.find(id);
         if (at == tries_.end()) return;
         const Micros took = net::Loop::now() - at->second.sent;
-        if (how != cluster::CallEnd::answered || (m.status != 200 && m.status != 503)) ++failed_;
-        else if (m.status == 503) ++refused_;
-        else if (took <= at->second.made->aim_ms * 1000LL) ++in_aim_;
-        else ++late_;
+        if (how != cluster::CallEnd::answered || (m.status != 200 && m.status != 503))
+            ++failed_;
+        else if (m.status == 503)
+            ++refused_;
+        else if (took <= at->second.made->aim_ms * 1000LL)
+            ++in_aim_;
+        else
+            ++late_;
         tries_.erase(at);
     }
 
@@ -273,8 +317,11 @@
         for (auto& [id, r] : runners_)
             if (!r->service_at && now >= r->ready_at) {
                 Runner* const runner = r.get();
-                r->service_at = std::make_unique<cluster::HttpService>(loop_, *net::Address::read(r->address),
-                    cluster::HttpService::Events{[this, runner](auto e, HttpMessage&& m) { work(*runner, e, m); }, [](auto) {}}, 256);
+                r->service_at = std::make_unique<cluster::HttpService>(
+                    loop_, *net::Address::read(r->address),
+                    cluster::HttpService::Events{
+                        [this, runner](auto e, HttpMessage&& m) { work(*runner, e, m); }, [](auto) {}},
+                    256);
             }
         const double seconds = static_cast<double>(now - start_) / 1e6, all = absl::GetFlag(FLAGS_seconds);
         if (seconds >= 0 && seconds < all) {
@@ -282,7 +329,11 @@
             owed_ += absl::GetFlag(FLAGS_rate) * (burst ? 3 : 1) * static_cast<double>(now - last_) / 1e6;
             for (; owed_ >= 1; owed_ -= 1) request();
             const auto second = static_cast<std::size_t>(seconds);
-            if (seconds_.size() <= second) seconds_.resize(second + 1), seconds_[second] = {static_cast<int>(asked_ - asked_before_), static_cast<int>(runners_.size())}, asked_before_ = asked_;
+            if (seconds_.size() <= second)
+                seconds_.resize(second + 1),
+                    seconds_[second] = {static_cast<int>(asked_ - asked_before_),
+                                        static_cast<int>(runners_.size())},
+                    asked_before_ = asked_;
             if (seconds > all * 2 / 3 && !killed_) {
                 killed_ = true;
                 std::printf("second %.0f: controller core-0 is killed\n", seconds);
@@ -313,14 +364,21 @@
         for (const auto& [a, b] : seconds_) most = std::max(most, a), runners = std::max(runners, b);
         const auto line = [&](const char* color, auto value, int top) {
             out << "<polyline fill='none' stroke='" << color << "' stroke-width='2' points='";
-            for (std::size_t s = 0; s < seconds_.size(); ++s) out << 40 + s * 640.0 / static_cast<double>(std::max<std::size_t>(1, seconds_.size() - 1)) << "," << 210 - 180.0 * value(seconds_[s]) / top << " ";
+            for (std::size_t s = 0; s < seconds_.size(); ++s)
+                out << 40 + s * 640.0 / static_cast<double>(std::max<std::size_t>(1, seconds_.size() - 1))
+                    << "," << 210 - 180.0 * value(seconds_[s]) / top << " ";
             out << "'/>\n";
         };
-        out << "<svg xmlns='http://www.w3.org/2000/svg' width='720' height='250' font-family='sans-serif' font-size='12'>\n<rect width='720' height='250' fill='white'/>\n";
-        line("#2266bb", [](const auto& s) { return s.first; }, most);
-        line("#cc5522", [](const auto& s) { return s.second; }, runners);
-        out << "<text x='40' y='20' fill='#2266bb'>requests a second, at most " << most << "</text><text x='300' y='20' fill='#cc5522'>runners, at most " << runners
-            << "</text><text x='40' y='235'>0 s</text><text x='650' y='235'>" << seconds_.size() << " s</text>\n</svg>\n";
+        out << "<svg xmlns='http://www.w3.org/2000/svg' width='720' height='250' font-family='sans-serif' "
+               "font-size='12'>\n<rect width='720' height='250' fill='white'/>\n";
+        line(
+            "#2266bb", [](const auto& s) { return s.first; }, most);
+        line(
+            "#cc5522", [](const auto& s) { return s.second; }, runners);
+        out << "<text x='40' y='20' fill='#2266bb'>requests a second, at most " << most
+            << "</text><text x='300' y='20' fill='#cc5522'>runners, at most " << runners
+            << "</text><text x='40' y='235'>0 s</text><text x='650' y='235'>" << seconds_.size()
+            << " s</text>\n</svg>\n";
         std::printf("\nplot: %s\n", absl::GetFlag(FLAGS_svg).c_str());
     }
 
@@ -341,7 +399,8 @@
     cluster::HttpCaller::Call call_ = 0, put_call_ = 0;
     std::uint64_t fence_ = 0;
     std::size_t asked_ = 0, asked_before_ = 0;
-    int made_ = 0, starts_ = 0, stops_ = 0, turned_away_ = 0, in_aim_ = 0, late_ = 0, refused_ = 0, failed_ = 0, twice_ = 0, put_at_ = 0;
+    int made_ = 0, starts_ = 0, stops_ = 0, turned_away_ = 0, in_aim_ = 0, late_ = 0, refused_ = 0,
+        failed_ = 0, twice_ = 0, put_at_ = 0;
     Micros start_ = 0, last_ = net::Loop::now(), next_put_ = 0, next_sweep_ = 0, back_at_ = 0;
     double owed_ = 0;
     bool put_done_ = false, killed_ = false;
@@ -350,7 +409,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    absl::SetProgramUsageMessage("gannethold-try-system plays a minute of load on a whole system on loopback.");
+    absl::SetProgramUsageMessage(
+        "gannethold-try-system plays a minute of load on a whole system on loopback.");
     absl::ParseCommandLine(argc, argv);
     ::signal(SIGPIPE, SIG_IGN);
     net::Loop loop(4096);
--- a/rehearsal/tests/judge_stories.cpp
+++ b/rehearsal/tests/judge_stories.cpp
@@ -1,5 +1,5 @@
-// The judge must be seen to catch: a scripted bad dispatcher for each breach, played in virtual time, and a good one
-// beside it that is cleared.
+// The judge must be seen to catch: a scripted bad dispatcher for each breach, played in virtual time, and a
+// good one beside it that is cleared.
 #include <doctest/doctest.h>
 
 #include <functional>
@@ -12,7 +12,19 @@
 
 namespace {
 
-enum class Sin { none, loses, answers_late, sends_after, runs_twice, bounces_run, leaves_group, repeats_too_late, two_at_once, ignores_drain, floods_cold };
+enum class Sin {
+    none,
+    loses,
+    answers_late,
+    sends_after,
+    runs_twice,
+    bounces_run,
+    leaves_group,
+    repeats_too_late,
+    two_at_once,
+    ignores_drain,
+    floods_cold
+};
 
 // Sends everything to one runner after the other, and sins in one way.
 class Sinner final : public Policy {
@@ -51,7 +63,8 @@
     void arrive(const TaskArrived& a) {
         const bool third = ++arrivals_ % 10 == 3;
         if (third && sin_ == Sin::loses) return;
-        if (third && sin_ == Sin::answers_late) return later(a.expiry + 300'000 - now_, [this, id = a.task] { wanted_.push_back(Abandon{id}); });
+        if (third && sin_ == Sin::answers_late)
+            return later(a.expiry + 300'000 - now_, [this, id = a.task] { wanted_.push_back(Abandon{id}); });
         if (third && sin_ == Sin::sends_after) {
             wanted_.push_back(Bounce{a.task, 0});
             // The world forgets an answered task as a real one would, so the sin is to keep another leg out.
@@ -64,7 +77,8 @@
             const RunnerId to = RunnerId(static_cast<std::uint32_t>(turn_));
             later(900'000, [this, id = a.task, to] { send(id, to); });
         }
-        if (third && sin_ == Sin::bounces_run) later(20'000, [this, id = a.task] { wanted_.push_back(Bounce{id, 0}); });
+        if (third && sin_ == Sin::bounces_run)
+            later(20'000, [this, id = a.task] { wanted_.push_back(Bounce{id, 0}); });
     }
     void end(const AssignmentEnded& e) {
         if (e.settled) return;
@@ -97,10 +111,14 @@
 };
 
 std::string day_with(const std::string& effect, const std::string& fault = "") {
-    return "length_s = 6\nhalls = [\"a\", \"b\"]\n[[runners]]\nname = \"n\"\ncount = 2\nhall = \"a\"\nqueue = 50\n"
+    return "length_s = 6\nhalls = [\"a\", \"b\"]\n[[runners]]\nname = \"n\"\ncount = 2\nhall = \"a\"\nqueue "
+           "= 50\n"
            "[[runners]]\nname = \"s\"\ncount = 2\nhall = \"b\"\nqueue = 50\n"
-           "[[workloads]]\nname = \"w\"\n" + effect + "\nwork_ms = 200\nspread = 0\ndue_ms = 1000\nexpiry_ms = 2000\n"
-           "[clients]\nrate = 30\ntries = 1\n" + fault;
+           "[[workloads]]\nname = \"w\"\n" +
+           effect +
+           "\nwork_ms = 200\nspread = 0\ndue_ms = 1000\nexpiry_ms = 2000\n"
+           "[clients]\nrate = 30\ntries = 1\n" +
+           fault;
 }
 
 Result play(Sin sin, const std::string& text) {
@@ -118,7 +136,8 @@
 
 TEST_CASE("a dispatcher that keeps the rules is cleared of all of them") {
     for (const std::string& effect : {kSide, kZone, std::string("effect = \"idempotent\"")}) {
-        const Result r = play(Sin::none, day_with(effect, "[[fault]]\nwhat = \"drain\"\non = \"n-1\"\nat_s = 1\nfor_s = 3\n"));
+        const Result r = play(
+            Sin::none, day_with(effect, "[[fault]]\nwhat = \"drain\"\non = \"n-1\"\nat_s = 1\nfor_s = 3\n"));
         CHECK(r.rules_held());
         CHECK(r.offered > 100);
     }
@@ -160,7 +179,9 @@
     CHECK(bounced.breaches[0].story.find("answered: bounced") != std::string::npos);
     const Result outside = play(Sin::leaves_group, day_with(kZone));
     CHECK(outside.broken[2] > 5);
-    CHECK(play(Sin::repeats_too_late, day_with("effect = \"fingerprinted\"\ngroup = \"zone\"\nwindow_ms = 600", "")).broken[2] == 0);
+    CHECK(play(Sin::repeats_too_late,
+               day_with("effect = \"fingerprinted\"\ngroup = \"zone\"\nwindow_ms = 600", ""))
+              .broken[2] == 0);
     // The same where the work outlasts the time in which repeats are dropped.
     std::string slow = day_with(kZone);
     slow.replace(slow.find("work_ms = 200"), 13, "work_ms = 990");
@@ -174,7 +195,8 @@
 }
 
 TEST_CASE("rule 3: sending on to a runner that drains") {
-    const Result r = play(Sin::ignores_drain, day_with(kSide, "[[fault]]\nwhat = \"drain\"\non = \"n-1\"\nat_s = 1\n"));
+    const Result r =
+        play(Sin::ignores_drain, day_with(kSide, "[[fault]]\nwhat = \"drain\"\non = \"n-1\"\nat_s = 1\n"));
     CHECK(r.broken[3] > 5);
     CHECK(r.broken[1] + r.broken[2] + r.broken[4] == 0);
 }
--- a/rehearsal/tests/mixed_stories.cpp
+++ b/rehearsal/tests/mixed_stories.cpp
@@ -8,8 +8,11 @@
 
 using namespace gannethold::rehearsal;
 
-TEST_CASE("a short day of both protocols with crashes, hangs, breaks and a drain: one final state a job, one answer a task") {
-    const auto folder = std::filesystem::temp_directory_path() / ("gannethold-mixed-" + std::to_string(getpid()));
+TEST_CASE(
+    "a short day of both protocols with crashes, hangs, breaks and a drain: one final state a job, one "
+    "answer a task") {
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("gannethold-mixed-" + std::to_string(getpid()));
     std::filesystem::create_directories(folder);
     MixedPlan plan;
     plan.length = 5'000'000;
--- a/rehearsal/tests/model_stories.cpp
+++ b/rehearsal/tests/model_stories.cpp
@@ -100,7 +100,8 @@
 
 TEST_CASE("a cold runner is slow at first, warms, and falls over when it is driven beyond what it can do") {
     Build build = plain();
-    build.cold_from = 0.5, build.warm_after = 1'000'000, build.topples_beyond = 2, build.topple_window = 1'000'000;
+    build.cold_from = 0.5, build.warm_after = 1'000'000, build.topples_beyond = 2,
+    build.topple_window = 1'000'000;
     Bench b(build);
     std::vector<Word> ignored;
     b.runner.crash(0, ignored);
@@ -147,7 +148,8 @@
     CHECK(b.runner.load(700'000).held == 1);
 }
 
-TEST_CASE("discovery tells a watch what changed after its version, and counting backwards brings the whole list") {
+TEST_CASE(
+    "discovery tells a watch what changed after its version, and counting backwards brings the whole list") {
     Registry r(3);
     r.lag = 100;
     r.change(0, 1, RunnerState::draining, 0);
--- a/rehearsal/tubes/bench.cpp
+++ b/rehearsal/tubes/bench.cpp
@@ -28,14 +28,21 @@
 
 }  // namespace
 
-TubeFigures measure_tubes(std::size_t connections, Micros lasting, const std::string& program, const std::string& folder) {
+TubeFigures measure_tubes(std::size_t connections, Micros lasting, const std::string& program,
+                          const std::string& folder) {
     const Claim claim;
     const std::string tubes = claim.address(1, 1, 11'300);
-    std::ofstream(folder + "/d.json") << R"({"name":"d-1","listen":")" << claim.address(1, 1, 20'000) << R"(","discovery":")" << claim.address(3, 1, 8'500)
+    std::ofstream(folder + "/d.json")
+        << R"({"name":"d-1","listen":")" << claim.address(1, 1, 20'000) << R"(","discovery":")"
+        << claim.address(3, 1, 8'500)
         << R"(","seed":"2a","limits":{"memory_mb":64,"sockets":1024},"known":{"version":1,"full":true,"servers":[]},)"
         << R"("settings":{"balancers":1,"registry_mode":"pushed","workloads":[{"name":"render","effect":"pure","due_time_us":600000,"expiry_us":3000000,"importance":1}]}})";
-    std::ofstream(folder + "/d.toml") << "[beanstalk]\nlisten = [\"" << tubes << "\"]\nconnections = 600\ncold = false\n[beanstalk.other]\neffect = \"idempotent\"\n";
-    Child child({program, "serve", "--configuration", folder + "/d.json", "--operator", folder + "/d.toml", "--log-level", "error"}, folder + "/d.log");
+    std::ofstream(folder + "/d.toml")
+        << "[beanstalk]\nlisten = [\"" << tubes
+        << "\"]\nconnections = 600\ncold = false\n[beanstalk.other]\neffect = \"idempotent\"\n";
+    Child child({program, "serve", "--configuration", folder + "/d.json", "--operator", folder + "/d.toml",
+                 "--log-level", "error"},
+                folder + "/d.log");
     const auto at = *net::Address::read(tubes);
     net::Loop loop(64);
     TubeFigures f;
@@ -48,22 +55,25 @@
         auto one = std::make_unique<Round>();
         Round* const r = one.get();
         try {
-            one->wire = std::make_unique<TubeClient>(loop, at, [&, r](TubeClient& w, std::string_view line, std::string_view) {
-                if (line.starts_with("RESERVED ")) {
-                    if (counts) waits.add(net::Loop::now() - r->asked);
-                    w.say("delete " + std::string(line.substr(9, line.rfind(' ') - 9)) + "\r\n");
-                } else if (line == "DELETED") {
-                    rounds += counts;
-                    w.put("a job of thirty-two bytes, or so", 1024, 0, 60);
-                } else if (line.starts_with("INSERTED ")) {
-                    r->asked = net::Loop::now();
-                    w.say("reserve\r\n");
-                } else {
-                    throw std::runtime_error("the dispatcher says " + std::string(line));
-                }
-            });
+            one->wire = std::make_unique<TubeClient>(
+                loop, at, [&, r](TubeClient& w, std::string_view line, std::string_view) {
+                    if (line.starts_with("RESERVED ")) {
+                        if (counts) waits.add(net::Loop::now() - r->asked);
+                        w.say("delete " + std::string(line.substr(9, line.rfind(' ') - 9)) + "\r\n");
+                    } else if (line == "DELETED") {
+                        rounds += counts;
+                        w.put("a job of thirty-two bytes, or so", 1024, 0, 60);
+                    } else if (line.starts_with("INSERTED ")) {
+                        r->asked = net::Loop::now();
+                        w.say("reserve\r\n");
+                    } else {
+                        throw std::runtime_error("the dispatcher says " + std::string(line));
+                    }
+                });
         } catch (const std::runtime_error&) {
-            if (child.ended() || net::Loop::now() > end) throw std::runtime_error("the dispatcher did not come up\n" + last_lines(folder + "/d.log", 5));
+            if (child.ended() || net::Loop::now() > end)
+                throw std::runtime_error("the dispatcher did not come up\n" +
+                                         last_lines(folder + "/d.log", 5));
             usleep(20'000);
             continue;
         }
@@ -101,7 +111,10 @@
     all.used(tube);
     Micros begun = net::Loop::now();
     for (std::size_t i = 0; i < jobs; ++i)
-        if (!all.put(0, tube, 1024, i < kDue ? 10 * kSecond + static_cast<Micros>(i * 7919 % kDue * 10) : 100 * kSecond + static_cast<Micros>(i * 31 % 1'000'000), kSecond, std::string(32, 'x')))
+        if (!all.put(0, tube, 1024,
+                     i < kDue ? 10 * kSecond + static_cast<Micros>(i * 7919 % kDue * 10)
+                              : 100 * kSecond + static_cast<Micros>(i * 31 % 1'000'000),
+                     kSecond, std::string(32, 'x')))
             throw std::runtime_error("the queue is full too soon");
     f.put_us = static_cast<double>(net::Loop::now() - begun) / static_cast<double>(jobs);
     f.bytes_a_job = (used() - before) / static_cast<double>(jobs);
@@ -115,7 +128,8 @@
         f.longest_turn_us = std::max(f.longest_turn_us, static_cast<double>(took));
         stirred.clear();
     }
-    if (all.at(tube).ready.size() != std::min(jobs, kDue)) throw std::runtime_error("not all that was due became ready");
+    if (all.at(tube).ready.size() != std::min(jobs, kDue))
+        throw std::runtime_error("not all that was due became ready");
     f.due_us = static_cast<double>(spent) / static_cast<double>(std::min(jobs, kDue));
     return f;
 }
--- a/rehearsal/tubes/client.cpp
+++ b/rehearsal/tubes/client.cpp
@@ -12,8 +12,11 @@
 namespace gannethold::rehearsal {
 
 TubeClient::TubeClient(net::Loop& loop, const net::Address& to, Heard heard)
-    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), heard_(std::move(heard)),
-      event_(event_new(loop.base(), socket_, EV_READ | EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<TubeClient*>(self)->read(); }, this),
+    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
+      heard_(std::move(heard)),
+      event_(event_new(
+                 loop.base(), socket_, EV_READ | EV_PERSIST,
+                 [](evutil_socket_t, short, void* self) { static_cast<TubeClient*>(self)->read(); }, this),
              &event_free) {
     if (::connect(socket_, to.get(), to.length) != 0) {
         ::close(socket_);
@@ -38,7 +41,8 @@
 }
 
 void TubeClient::put(std::string_view body, unsigned priority, unsigned delay_s, unsigned run_s) const {
-    std::string all = "put " + std::to_string(priority) + " " + std::to_string(delay_s) + " " + std::to_string(run_s) + " " + std::to_string(body.size()) + "\r\n";
+    std::string all = "put " + std::to_string(priority) + " " + std::to_string(delay_s) + " " +
+                      std::to_string(run_s) + " " + std::to_string(body.size()) + "\r\n";
     say(all.append(body).append("\r\n"));
 }
 
@@ -63,7 +67,8 @@
     for (std::size_t end; !closed_ && (end = got_.find("\r\n")) != std::string::npos;) {
         const std::string line = got_.substr(0, end);
         std::size_t body = 0;
-        const bool has_body = line.starts_with("RESERVED ") || line.starts_with("FOUND ") || line.starts_with("OK ");
+        const bool has_body =
+            line.starts_with("RESERVED ") || line.starts_with("FOUND ") || line.starts_with("OK ");
         if (has_body) {
             const auto last = line.rfind(' ') + 1;
             std::from_chars(line.data() + last, line.data() + line.size(), body);
--- a/rehearsal/tubes/client.hpp
+++ b/rehearsal/tubes/client.hpp
@@ -1,5 +1,5 @@
-// A client of beanstalkd's protocol for the rehearsal, with a reader of its own: a mistake that the service's reader makes
-// would be seen here.
+// A client of beanstalkd's protocol for the rehearsal, with a reader of its own: a mistake that the service's
+// reader makes would be seen here.
 #pragma once
 
 #include <deque>
