--- a/rehearsal/tubes/mixed.cpp
+++ b/rehearsal/tubes/mixed.cpp
@@ -41,14 +41,20 @@
 
 class Mixed {
   public:
-    Mixed(const MixedPlan& plan, const std::string& program, const std::string& folder, std::function<bool()> stop)
-        : plan_(plan), folder_(folder), stop_(std::move(stop)), chance_(static_cast<std::uint32_t>(plan.seed * 7919)), loop_(4096),
+    Mixed(const MixedPlan& plan, const std::string& program, const std::string& folder,
+          std::function<bool()> stop)
+        : plan_(plan),
+          folder_(folder),
+          stop_(std::move(stop)),
+          chance_(static_cast<std::uint32_t>(plan.seed * 7919)),
+          loop_(4096),
           tick_(loop_, [this] { tick(); }) {
         http_ = claim_.address(1, 1, 20'000), tubes_ = claim_.address(1, 1, 11'300);
         write_files();
-        child_ = std::make_unique<Child>(std::vector<std::string>{program, "serve", "--configuration", folder + "/d.json", "--operator",
-                                                                  folder + "/d.toml", "--log-level", "warning"},
-                                         folder + "/d.log");
+        child_ = std::make_unique<Child>(
+            std::vector<std::string>{program, "serve", "--configuration", folder + "/d.json", "--operator",
+                                     folder + "/d.toml", "--log-level", "warning"},
+            folder + "/d.log");
     }
 
     MixedResult play() {
@@ -59,7 +65,8 @@
         begun_ = net::Loop::now();
         for (std::size_t i = 0; i < plan_.producers; ++i) join_producer();
         for (std::size_t i = 0; i < plan_.workers; ++i) workers_.push_back(std::make_unique<Worker>());
-        for (std::size_t i = 0; i < plan_.clients; ++i) clients_.push_back(std::make_unique<Client>(*this, i));
+        for (std::size_t i = 0; i < plan_.clients; ++i)
+            clients_.push_back(std::make_unique<Client>(*this, i));
         tick_.set(net::Loop::now());
         while (!over_ && !stop_()) turn();
         ask_what_is_left();
@@ -96,21 +103,29 @@
     void write_files() {
         std::ostringstream known;
         for (std::size_t r = 0; r < plan_.runners; ++r) {
-            runners_.push_back(std::make_unique<Runner>(*this, r, address(claim_.address(2, static_cast<unsigned>(r + 1), 21'000))));
-            known << (r ? "," : "") << R"({"id":"r-)" << r + 1 << R"(","addr":")" << claim_.address(2, static_cast<unsigned>(r + 1), 21'000)
+            runners_.push_back(std::make_unique<Runner>(
+                *this, r, address(claim_.address(2, static_cast<unsigned>(r + 1), 21'000))));
+            known << (r ? "," : "") << R"({"id":"r-)" << r + 1 << R"(","addr":")"
+                  << claim_.address(2, static_cast<unsigned>(r + 1), 21'000)
                   << R"(","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1.0,"started_ms":0})";
         }
-        std::ofstream(folder_ + "/d.json") << R"({"name":"d-1","listen":")" << http_ << R"(","discovery":")" << claim_.address(3, 1, 8'500)
-            << R"(","seed":")" << std::hex << plan_.seed << std::dec << R"(","limits":{"memory_mb":64,"sockets":512},"known":{"version":1,"full":true,"servers":[)"
-            << known.str() << R"(]},"settings":{"balancers":1,"registry_mode":"on_request","resolution_us":1000,"zones":["a"],"kinds":["m"],)"
+        std::ofstream(folder_ + "/d.json")
+            << R"({"name":"d-1","listen":")" << http_ << R"(","discovery":")" << claim_.address(3, 1, 8'500)
+            << R"(","seed":")" << std::hex << plan_.seed << std::dec
+            << R"(","limits":{"memory_mb":64,"sockets":512},"known":{"version":1,"full":true,"servers":[)"
+            << known.str()
+            << R"(]},"settings":{"balancers":1,"registry_mode":"on_request","resolution_us":1000,"zones":["a"],"kinds":["m"],)"
             << R"("caps":{"cancelling":true,"connect_timeout_us":250000,"keepalive_us":5000000,"max_assignments":3,"retry_after":true,"max_retry_after_us":500000},)"
             << R"("workloads":[{"name":"render","effect":"pure","due_time_us":600000,"expiry_us":3000000,"importance":1}]}})";
-        std::ofstream(folder_ + "/d.toml") << "[control]\nsocket = \"" << folder_ << "/d.sock\"\n[drain]\nfront_notices_s = 0.2\nclosing_takes_s = 0.2\n"
+        std::ofstream(folder_ + "/d.toml")
+            << "[control]\nsocket = \"" << folder_
+            << "/d.sock\"\n[drain]\nfront_notices_s = 0.2\nclosing_takes_s = 0.2\n"
             << "[beanstalk]\nlisten = [\"" << tubes_ << "\"]\nconnections = 200\ncold = false\n"
             << "[[beanstalk.tube]]\nname = \"view\"\neffect = \"side-effecting\"\ndue_s = 2\nexpiry_s = 20\n"
             << "[[beanstalk.tube]]\nname = \"proof\"\neffect = \"idempotent\"\ndue_s = 2\nexpiry_s = 20\n"
             << "[[beanstalk.tube]]\nname = \"render\"\nworkload = \"render\"\n"
-            << "[[beanstalk.tube]]\nname = \"push\"\neffect = \"idempotent\"\ndue_s = 2\nexpiry_s = 20\npushed = 6\n";
+            << "[[beanstalk.tube]]\nname = \"push\"\neffect = \"idempotent\"\ndue_s = 2\nexpiry_s = "
+               "20\npushed = 6\n";
     }
     bool come_up() {
         for (const Micros end = net::Loop::now() + 8'000'000; net::Loop::now() < end; usleep(20'000)) {
@@ -138,23 +153,25 @@
     void join_producer() {
         producers_.push_back(std::make_unique<Producer>());
         Producer* const p = producers_.back().get();
-        p->wire = std::make_unique<TubeClient>(loop_, address(tubes_), [this, p](TubeClient&, std::string_view line, std::string_view) {
-            if (line.starts_with("USING")) return;
-            if (p->said.empty()) return wrong("an answer to nothing: " + std::string(line));
-            const auto [body, tube] = p->said.front();
-            p->said.pop_front();
-            if (line.starts_with("INSERTED ")) {
-                Job& job = jobs_[body];
-                job.body = body, job.tube = tube;
-                numbers_[body] = line.substr(9);
-                ++result_.put;
-            } else {
-                ++result_.put_refused;
-            }
-        });
+        p->wire = std::make_unique<TubeClient>(
+            loop_, address(tubes_), [this, p](TubeClient&, std::string_view line, std::string_view) {
+                if (line.starts_with("USING")) return;
+                if (p->said.empty()) return wrong("an answer to nothing: " + std::string(line));
+                const auto [body, tube] = p->said.front();
+                p->said.pop_front();
+                if (line.starts_with("INSERTED ")) {
+                    Job& job = jobs_[body];
+                    job.body = body, job.tube = tube;
+                    numbers_[body] = line.substr(9);
+                    ++result_.put;
+                } else {
+                    ++result_.put_refused;
+                }
+            });
     }
     void put_one() {
-        Producer& p = *producers_[static_cast<std::size_t>(uniform() * static_cast<double>(producers_.size()))];
+        Producer& p =
+            *producers_[static_cast<std::size_t>(uniform() * static_cast<double>(producers_.size()))];
         const auto tube = static_cast<std::size_t>(uniform() * 4);
         if (p.wire->closed()) return;
         p.wire->say(std::string("use ") + kTubes[tube] + "\r\n");
@@ -182,7 +199,9 @@
             }
             const double luck = uniform();
             w.hangs = luck < 0.01;
-            w.until = net::Loop::now() + (w.hangs ? kRun + 500'000 : static_cast<Micros>(static_cast<double>(plan_.work) * (0.5 + uniform())));
+            w.until = net::Loop::now() +
+                      (w.hangs ? kRun + 500'000
+                               : static_cast<Micros>(static_cast<double>(plan_.work) * (0.5 + uniform())));
             result_.worker_hangs += w.hangs;
             if (luck > 0.985) w.until = -w.until;  // it will crash with the job in its hands
             return;
@@ -201,11 +220,15 @@
         return 0;
     }
     void drive(Worker& w, Micros now) {
-        if (w.wire && w.wire->closed()) w.wire.reset(), w.job.clear(), w.waits = false, w.back_at = now + 100'000;
+        if (w.wire && w.wire->closed())
+            w.wire.reset(), w.job.clear(), w.waits = false, w.back_at = now + 100'000;
         if (!w.wire) {
             if (now < w.back_at) return;
             try {
-                w.wire = std::make_unique<TubeClient>(loop_, address(tubes_), [this, &w](TubeClient&, std::string_view line, std::string_view body) { heard(w, line, body); });
+                w.wire =
+                    std::make_unique<TubeClient>(loop_, address(tubes_),
+                                                 [this, &w](TubeClient&, std::string_view line,
+                                                            std::string_view body) { heard(w, line, body); });
             } catch (const std::runtime_error&) {
                 w.back_at = now + 100'000;
                 return;
@@ -224,31 +247,46 @@
         }
         w.until = 0;  // its word is out, and its answer clears the job
         const double luck = w.hangs ? 1 : uniform();
-        if (luck < 0.03) w.wire->say("release " + w.job + " 5 0\r\n");
-        else if (luck < 0.04) w.wire->say("bury " + w.job + " 5\r\n");
-        else w.wire->say("delete " + w.job + "\r\n");
+        if (luck < 0.03)
+            w.wire->say("release " + w.job + " 5 0\r\n");
+        else if (luck < 0.04)
+            w.wire->say("bury " + w.job + " 5\r\n");
+        else
+            w.wire->say("delete " + w.job + "\r\n");
     }
 
     // ---- runners over HTTP ----
     class Runner {
       public:
         Runner(Mixed& day, std::size_t number, const net::Address& at)
-            : day_(day), number_(number), door_(day.loop_, at, [this](evutil_socket_t s) { seats_.push_back(std::make_unique<Seat>(*this, s)); }, [] {}) {}
-        void sweep() { seats_.remove_if([](const auto& s) { return s->over; }); }
+            : day_(day),
+              number_(number),
+              door_(
+                  day.loop_, at,
+                  [this](evutil_socket_t s) { seats_.push_back(std::make_unique<Seat>(*this, s)); }, [] {}) {}
+        void sweep() {
+            seats_.remove_if([](const auto& s) { return s->over; });
+        }
         void break_all() {
             for (auto& s : seats_) s->hang_up();
         }
 
       private:
         struct Seat final : net::Connection::Owner {
-            Seat(Runner& r, evutil_socket_t socket) : runner(r), connection(r.day_.loop_, *this, socket), done(r.day_.loop_, [this] { finish(); }) {}
+            Seat(Runner& r, evutil_socket_t socket)
+                : runner(r),
+                  connection(r.day_.loop_, *this, socket),
+                  done(r.day_.loop_, [this] { finish(); }) {}
             void bytes(std::string_view more) override {
                 got.append(more);
                 const auto end = got.find("\r\n\r\n");
                 if (end == std::string::npos || busy) return;
                 const auto field = [&](const char* name) {
                     const auto at = got.find(name);
-                    return at == std::string::npos || at > end ? std::string() : got.substr(at + std::string_view(name).size(), got.find("\r\n", at) - at - std::string_view(name).size());
+                    return at == std::string::npos || at > end
+                               ? std::string()
+                               : got.substr(at + std::string_view(name).size(),
+                                            got.find("\r\n", at) - at - std::string_view(name).size());
                 };
                 if (got.starts_with("GET ")) {
                     got.erase(0, end + 4);
@@ -262,12 +300,16 @@
                 got.erase(0, end + 4 + length);
                 busy = true;
                 runner.day_.at_runner(body);
-                done.set(net::Loop::now() + static_cast<Micros>(static_cast<double>(runner.day_.plan_.work) * (0.5 + runner.day_.uniform())));
+                done.set(net::Loop::now() + static_cast<Micros>(static_cast<double>(runner.day_.plan_.work) *
+                                                                (0.5 + runner.day_.uniform())));
             }
             void finish() {
                 busy = false;
-                const std::string line = "{\"id\":\"" + id + "\",\"from\":\"r-" + std::to_string(runner.number_ + 1) + "\",\"state\":\"done\",\"result\":\"ok\"}\n";
-                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(line.size()) + "\r\n\r\n" + line);
+                const std::string line = "{\"id\":\"" + id + "\",\"from\":\"r-" +
+                                         std::to_string(runner.number_ + 1) +
+                                         "\",\"state\":\"done\",\"result\":\"ok\"}\n";
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(line.size()) +
+                                 "\r\n\r\n" + line);
                 if (!body.starts_with("http-")) runner.day_.ended_at_runner(body);
             }
             void ended(net::Ending) override { over = true, done.cancel(); }
@@ -303,7 +345,8 @@
     // ---- clients over HTTP ----
     struct Client {
         struct Line final : net::Connection::Owner {
-            Line(Client& c, const net::Address& to) : client(c), connection(c.day.loop_, *this, to, 1'000'000) {}
+            Line(Client& c, const net::Address& to)
+                : client(c), connection(c.day.loop_, *this, to, 1'000'000) {}
             void bytes(std::string_view more) override { client.heard(more); }
             void ended(net::Ending) override { over = true; }
             Client& client;
@@ -318,8 +361,10 @@
             ++day.result_.tasks;
             day.tasks_[asked];
             since = net::Loop::now();
-            line->connection.write("POST /render/" + std::to_string(calls) + " HTTP/1.1\r\nHost: d\r\nX-Request-ID: " + asked + "\r\nX-Timeout: 3000m\r\nContent-Length: " +
-                                   std::to_string(asked.size()) + "\r\n\r\n" + asked);
+            line->connection.write("POST /render/" + std::to_string(calls) +
+                                   " HTTP/1.1\r\nHost: d\r\nX-Request-ID: " + asked +
+                                   "\r\nX-Timeout: 3000m\r\nContent-Length: " + std::to_string(asked.size()) +
+                                   "\r\n\r\n" + asked);
         }
         void heard(std::string_view more) {
             got.append(more);
@@ -332,7 +377,8 @@
                 const int status = std::atoi(got.c_str() + 9);
                 const bool closes = got.find("Connection: close") < end;
                 got.erase(0, end + 4 + length);
-                if (asked.empty()) return day.wrong("a second answer, after the one to client " + std::to_string(number));
+                if (asked.empty())
+                    return day.wrong("a second answer, after the one to client " + std::to_string(number));
                 Task& t = day.tasks_[asked];
                 ++t.answers, t.status = status;
                 if (net::Loop::now() - since > 3'200'000) day.wrong("an answer after the expiry: " + asked);
@@ -358,7 +404,8 @@
     void tick() {
         const Micros now = net::Loop::now() - begun_;
         if (const auto how = child_->ended()) {
-            result_.trouble = "the dispatcher ended by itself: it " + *how + "\n" + last_lines(folder_ + "/d.log", 5);
+            result_.trouble =
+                "the dispatcher ended by itself: it " + *how + "\n" + last_lines(folder_ + "/d.log", 5);
             over_ = true;
             return;
         }
@@ -368,14 +415,17 @@
                 clients_[static_cast<std::size_t>(uniform() * static_cast<double>(clients_.size()))]->ask();
             if (now > breaks_at_) {
                 breaks_at_ = now + plan_.length / 6;
-                runners_[static_cast<std::size_t>(uniform() * static_cast<double>(runners_.size()))]->break_all();
+                runners_[static_cast<std::size_t>(uniform() * static_cast<double>(runners_.size()))]
+                    ->break_all();
             }
             if (plan_.drains && !drained_ && now > plan_.length / 2) drained_ = true, order("drain");
             if (drained_ && !undrained_ && now > plan_.length * 3 / 4) undrained_ = true, order("undrain");
         }
         for (auto& w : workers_) drive(*w, net::Loop::now());
-        // Worked off: nobody has anything in hands, and the workers have stood idle for longer than one reserve.
-        const bool busy = std::any_of(workers_.begin(), workers_.end(), [](const auto& w) { return !w->job.empty(); });
+        // Worked off: nobody has anything in hands, and the workers have stood idle for longer than one
+        // reserve.
+        const bool busy =
+            std::any_of(workers_.begin(), workers_.end(), [](const auto& w) { return !w->job.empty(); });
         if (busy || now < plan_.length) idle_since_ = net::Loop::now();
         if (net::Loop::now() - idle_since_ > 3'000'000 || now > plan_.length + kWorkedOffIn) over_ = true;
         tick_.set(net::Loop::now() + kTick);
@@ -395,10 +445,13 @@
         std::size_t answered = 0;
         TubeClient asker(loop_, address(tubes_), [&](TubeClient&, std::string_view, std::string_view body) {
             const auto at = body.find("state: ");
-            jobs_[order[answered++]].state = at == std::string_view::npos ? "" : std::string(body.substr(at + 7, body.find('\n', at) - at - 7));
+            jobs_[order[answered++]].state =
+                at == std::string_view::npos ? ""
+                                             : std::string(body.substr(at + 7, body.find('\n', at) - at - 7));
         });
         for (std::size_t asked = 0; answered < order.size() && !asker.closed();) {
-            for (; asked < order.size() && asked < answered + 50; ++asked) asker.say("stats-job " + numbers_[order[asked]] + "\r\n");
+            for (; asked < order.size() && asked < answered + 50; ++asked)
+                asker.say("stats-job " + numbers_[order[asked]] + "\r\n");
             turn();
         }
         if (answered < order.size()) result_.trouble = "the dispatcher does not say what is left";
@@ -410,11 +463,16 @@
             const Job& j = jobs_[body];
             const bool gone = j.state.empty();
             const int runs = j.handed - j.released;
-            if (!kHarmless[j.tube] && runs > 1) wrong("rule 2: " + body + " (" + number + ") came into hands " + std::to_string(runs) + " times");
-            if (j.deleted > 1) wrong("rule 1: " + body + " was ended " + std::to_string(j.deleted) + " times");
-            if (gone && j.deleted + j.by_runner == 0) wrong("rule 1: " + body + " is gone, and nobody ended it");
+            if (!kHarmless[j.tube] && runs > 1)
+                wrong("rule 2: " + body + " (" + number + ") came into hands " + std::to_string(runs) +
+                      " times");
+            if (j.deleted > 1)
+                wrong("rule 1: " + body + " was ended " + std::to_string(j.deleted) + " times");
+            if (gone && j.deleted + j.by_runner == 0)
+                wrong("rule 1: " + body + " is gone, and nobody ended it");
             if (!gone && j.deleted > 0) wrong("rule 1: " + body + " was ended, and is still " + j.state);
-            if (!gone && j.state != "ready" && j.state != "delayed" && j.state != "buried") wrong("rule 1: " + body + " is still " + j.state);
+            if (!gone && j.state != "ready" && j.state != "delayed" && j.state != "buried")
+                wrong("rule 1: " + body + " is still " + j.state);
             gone ? ++result_.jobs_done : j.state == "buried" ? ++result_.jobs_buried : ++result_.jobs_left;
         }
         for (const auto& [id, t] : tasks_) {
@@ -448,7 +506,8 @@
 
 }  // namespace
 
-MixedResult play_mixed(const MixedPlan& plan, const std::string& program, const std::string& folder, const std::function<bool()>& stop) {
+MixedResult play_mixed(const MixedPlan& plan, const std::string& program, const std::string& folder,
+                       const std::function<bool()>& stop) {
     return Mixed(plan, program, folder, stop).play();
 }
 
--- a/rehearsal/virtual/cost.cpp
+++ b/rehearsal/virtual/cost.cpp
@@ -16,7 +16,9 @@
 
 class Clock {
   public:
-    double us() const { return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began_).count(); }
+    double us() const {
+        return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began_).count();
+    }
 
   private:
     std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
@@ -80,7 +82,8 @@
     }
     bench.tell(news);
     for (std::size_t r = 0; r < runners; ++r)
-        bench.tell(ProbeEnded{RunnerId(static_cast<std::uint32_t>(r)), Outcome::finished, 1'000, {kSlots, 0, 0}});
+        bench.tell(
+            ProbeEnded{RunnerId(static_cast<std::uint32_t>(r)), Outcome::finished, 1'000, {kSlots, 0, 0}});
     // Where something is to wait, the fleet is filled first; else it is left half empty.
     const std::size_t fill = held > 0 ? runners * static_cast<std::size_t>(kSlots) + held : runners * 4;
     bench.now += 100;
--- a/rehearsal/virtual/policies.cpp
+++ b/rehearsal/virtual/policies.cpp
@@ -38,7 +38,8 @@
         if (const auto* e = std::get_if<AssignmentEnded>(&event)) heed(*e);
         if (const auto* left = std::get_if<ClientLeft>(&event)) {
             if (const auto t = tasks_.find(left->task); t != tasks_.end()) {
-                for (std::size_t n = 0; n < t->second.to.size(); ++n) wanted_.push_back(Withdraw{left->task, static_cast<int>(n)});
+                for (std::size_t n = 0; n < t->second.to.size(); ++n)
+                    wanted_.push_back(Withdraw{left->task, static_cast<int>(n)});
                 tasks_.erase(t);
             }
         }
@@ -73,7 +74,8 @@
     void heed(const RosterNews& news) {
         asking_ = false;
         following_ = news.scope != RosterScope::failed && news.scope != RosterScope::remembered;
-        if (news.scope == RosterScope::failed) ask_after_ = now_ + 250'000 + static_cast<Micros>(chance_.uniform() * 250'000);
+        if (news.scope == RosterScope::failed)
+            ask_after_ = now_ + 250'000 + static_cast<Micros>(chance_.uniform() * 250'000);
         if (news.scope == RosterScope::complete || news.scope == RosterScope::remembered) ready_.clear();
         for (const RosterEntry& e : news.entries) {
             std::erase(ready_, e.runner);
@@ -95,7 +97,8 @@
     }
     bool harmless(const Task& task) const {
         const WorkloadPlan& w = day_.workloads[static_cast<std::size_t>(task.asked.workload)];
-        return w.effect == Effects::idempotent || (w.effect == Effects::fingerprinted && w.group == Group::all) ||
+        return w.effect == Effects::idempotent ||
+               (w.effect == Effects::fingerprinted && w.group == Group::all) ||
                std::all_of(task.never_ran.begin(), task.never_ran.end(), [](bool b) { return b; });
     }
     void give_up(Task& task) {
@@ -164,7 +167,8 @@
 
 class SeesAll final : public Baseline {
   public:
-    SeesAll(const Day& day, std::uint64_t seed, Truth truth) : Baseline(day, seed), truth_(std::move(truth)) {}
+    SeesAll(const Day& day, std::uint64_t seed, Truth truth)
+        : Baseline(day, seed), truth_(std::move(truth)) {}
 
   private:
     std::size_t pick(const std::vector<RunnerId>& ready) override {
@@ -183,13 +187,13 @@
 }  // namespace
 
 const std::vector<std::string>& policy_names() {
-    static const std::vector<std::string> names{"own",         "random", "round-robin", "least-outstanding",
+    static const std::vector<std::string> names{"own",         "random",  "round-robin", "least-outstanding",
                                                 "two-choices", "sees-all"};
     return names;
 }
 
-std::unique_ptr<Policy> make_policy(const std::string& name, const Day& day, const StatedOrders& orders, std::uint64_t seed,
-                                    Truth truth) {
+std::unique_ptr<Policy> make_policy(const std::string& name, const Day& day, const StatedOrders& orders,
+                                    std::uint64_t seed, Truth truth) {
     if (name == "own") return std::make_unique<Own>(orders, seed);
     if (name == "random") return std::make_unique<Random>(day, seed);
     if (name == "round-robin") return std::make_unique<RoundRobin>(day, seed);
--- a/rehearsal/virtual/policies.hpp
+++ b/rehearsal/virtual/policies.hpp
@@ -1,5 +1,5 @@
-// Who decides in virtual time: our module, or a baseline beside it. All take the same events and want the same
-// actions, so each is held to the same rules by the same judge.
+// Who decides in virtual time: our module, or a baseline beside it. All take the same events and want the
+// same actions, so each is held to the same rules by the same judge.
 #pragma once
 
 #include <functional>
@@ -26,9 +26,10 @@
 // The true state, for the baseline that sees all: how long a usual task handed to that runner now would take.
 using Truth = std::function<double(RunnerId)>;
 
-// "own", "random", "round-robin", "least-outstanding", "two-choices" or "sees-all". Throws std::invalid_argument.
-std::unique_ptr<Policy> make_policy(const std::string& name, const Day& day, const StatedOrders& orders, std::uint64_t seed,
-                                    Truth truth);
+// "own", "random", "round-robin", "least-outstanding", "two-choices" or "sees-all". Throws
+// std::invalid_argument.
+std::unique_ptr<Policy> make_policy(const std::string& name, const Day& day, const StatedOrders& orders,
+                                    std::uint64_t seed, Truth truth);
 const std::vector<std::string>& policy_names();
 
 }  // namespace gannethold::rehearsal
--- a/rehearsal/virtual/world.cpp
+++ b/rehearsal/virtual/world.cpp
@@ -14,11 +14,11 @@
 namespace {
 
 constexpr std::size_t kBytesOfATask = 600;
-constexpr Micros kFailsAfter = 5'000;      // a call to a discovery that is down
-constexpr Micros kFollowAgain = 500'000;   // where changes are pushed: the host's own watch
+constexpr Micros kFailsAfter = 5'000;     // a call to a discovery that is down
+constexpr Micros kFollowAgain = 500'000;  // where changes are pushed: the host's own watch
 constexpr Micros kFrontNotices = 500'000, kFrontLooks = 200'000;
-constexpr Micros kStartTakes = 200'000;    // a dispatcher's process
-constexpr Micros kAfterDay = 1'000'000;    // beyond the longest expiry, for what is still out
+constexpr Micros kStartTakes = 200'000;  // a dispatcher's process
+constexpr Micros kAfterDay = 1'000'000;  // beyond the longest expiry, for what is still out
 
 template <class... Ts>
 struct Match : Ts... {
@@ -30,14 +30,23 @@
 }  // namespace
 
 World::World(const Day& day, std::uint64_t seed, PolicyMaker maker)
-    : day_(day), seed_(seed), maker_(std::move(maker)), judge_(day), tally_(day), callers_(day, seed), chance_(seed, 21),
-      theatre_(day, seed, *this), nodes_(day.dispatchers.count), runner_life_(day.runners.size(), 1),
+    : day_(day),
+      seed_(seed),
+      maker_(std::move(maker)),
+      judge_(day),
+      tally_(day),
+      callers_(day, seed),
+      chance_(seed, 21),
+      theatre_(day, seed, *this),
+      nodes_(day.dispatchers.count),
+      runner_life_(day.runners.size(), 1),
       runner_wake_(day.runners.size(), kNever) {
     for (const RunnerPlan& r : day.runners)
         if (std::find(kinds_.begin(), kinds_.end(), r.kind) == kinds_.end()) kinds_.push_back(r.kind);
     for (std::size_t d = 0; d < nodes_.size(); ++d) {
         // By the same reader as real dispatchers: what the day says is read as they would read it.
-        const std::string text = day.posting(d, "127.0.0.1:1", "127.0.0.1:2", seed + d, R"({"version":1,"full":true,"servers":[]})");
+        const std::string text = day.posting(d, "127.0.0.1:1", "127.0.0.1:2", seed + d,
+                                             R"({"version":1,"full":true,"servers":[]})");
         orders_.push_back(dispatcher::Posting::read(text).orders);
         start_node(d);
     }
@@ -70,10 +79,12 @@
     if (theatre_.next() != kNever) at(theatre_.next(), edges);
     const std::function<void()> sampler = [this, &sampler] {
         std::vector<double> in_flight(day_.runners.size()), fractions(day_.runners.size());
-        for (std::size_t r = 0; r < in_flight.size(); ++r) in_flight[r] = static_cast<double>(theatre_.runners[r].held());
+        for (std::size_t r = 0; r < in_flight.size(); ++r)
+            in_flight[r] = static_cast<double>(theatre_.runners[r].held());
         for (const Node& n : nodes_) {
             const auto part = n.policy ? n.policy->fractions(fractions.size()) : std::vector<double>{};
-            for (std::size_t r = 0; r < part.size(); ++r) fractions[r] += part[r] / static_cast<double>(nodes_.size());
+            for (std::size_t r = 0; r < part.size(); ++r)
+                fractions[r] += part[r] / static_cast<double>(nodes_.size());
         }
         tally_.sample(now_, std::move(in_flight), std::move(fractions));
         judge_.pass(now_);
@@ -106,7 +117,8 @@
     return result;
 }
 
-// ---- dispatchers -------------------------------------------------------------------------------------------
+// ---- dispatchers
+// -------------------------------------------------------------------------------------------
 
 void World::start_node(std::size_t d) {
     Node& n = nodes_[d];
@@ -121,19 +133,24 @@
     const Truth truth = [this](RunnerId id) {
         const auto r = static_cast<std::size_t>(id);
         const Runner& runner = theatre_.runners[r];
-        if (!runner.up() || theatre_.silent[r] || runner.trouble.hangs || runner.trouble.stalls) return HUGE_VAL;
+        if (!runner.up() || theatre_.silent[r] || runner.trouble.hangs || runner.trouble.stalls)
+            return HUGE_VAL;
         const double usual = static_cast<double>(day_.workloads.front().work);
         const double waits = static_cast<double>(runner.held()) + 1, slots = runner.build().slots;
-        const double fails = runner.trouble.errors + runner.trouble.garbles + runner.trouble.cuts + runner.trouble.resets;
+        const double fails =
+            runner.trouble.errors + runner.trouble.garbles + runner.trouble.cuts + runner.trouble.resets;
         // Also one that sees all must not push a cold one over.
-        if (runner.started_at() > 0 && static_cast<double>(runner.held()) * usual >= runner.capacity(now_) * 1e6) return 1e15;
+        if (runner.started_at() > 0 &&
+            static_cast<double>(runner.held()) * usual >= runner.capacity(now_) * 1e6)
+            return 1e15;
         const double each = usual * runner.build().cores / std::max(1e-9, runner.capacity(now_));
         return each * std::max(1.0, waits / slots) * (1 + 100 * fails);
     };
     n.policy = maker_(d, orders_[d], seed_ * 1'000 + d + n.life, truth);
     // What it last held: all of them, as they were at the beginning, however they are now.
     RosterNews known{RosterScope::remembered, 1, {}};
-    for (std::size_t r = 0; r < day_.runners.size(); ++r) known.entries.push_back(entry_for(d, {r, RunnerState::ready, 0}));
+    for (std::size_t r = 0; r < day_.runners.size(); ++r)
+        known.entries.push_back(entry_for(d, {r, RunnerState::ready, 0}));
     note(d, known);
     if (n.kept) n.policy->believe(*n.kept);
     if (!day_.dispatchers.on_request) follow(d);
@@ -155,38 +172,45 @@
 }
 
 void World::carry_out(std::size_t d, const Action& action) {
-    std::visit(Match{[&](const Assign& a) { assign(d, a); },
-                     [&](const Bounce& a) { answer(d, a.task, Final::bounced, a.stay_away); },
-                     [&](const Abandon& a) { answer(d, a.task, Final::abandoned, 0); },
-                     [&](const Withdraw& a) {
-                         give_up_leg(d, a.task, static_cast<std::size_t>(a.assignment), Outcome::withdrawn, Outcome::moot);
-                     },
-                     [&](const WakeAt& a) { at_for(d, a.at, [this, d, mark = a.mark] { note(d, TimerDue{mark}); }); },
-                     [&](const Probe& a) { probe(d, a.runner); },
-                     [&](const CloseIdle& a) { nodes_[d].idle[static_cast<std::size_t>(a.runner)].clear(); },
-                     [&](const TellPeers& a) {
-                         for (std::size_t p = 0; p < nodes_.size(); ++p)
-                             if (p != d) carry_out(d, TellPeer{PeerId(static_cast<std::uint32_t>(p)), a.words});
-                     },
-                     [&](const TellPeer& a) {
-                         const auto p = static_cast<std::size_t>(a.to);
-                         if (p >= nodes_.size()) return;
-                         const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_dispatcher(p), a.words.size());
-                         if (way.cut) return;
-                         at_for(p, now_ + way.takes, [this, d, p, words = a.words] {
-                             note(p, PeerSaid{PeerId(static_cast<std::uint32_t>(d)), words});
-                         });
-                     },
-                     [&](const LogLine&) {},
-                     [&](const FollowRoster& a) {
-                         if (a.on) follow(d);
-                         else nodes_[d].watching = false;
-                     },
-                     [&](const AskRoster&) { bulletin(d, true); }},
-               action);
-}
-
-// ---- assignments -------------------------------------------------------------------------------------------
+    std::visit(
+        Match{
+            [&](const Assign& a) { assign(d, a); },
+            [&](const Bounce& a) { answer(d, a.task, Final::bounced, a.stay_away); },
+            [&](const Abandon& a) { answer(d, a.task, Final::abandoned, 0); },
+            [&](const Withdraw& a) {
+                give_up_leg(d, a.task, static_cast<std::size_t>(a.assignment), Outcome::withdrawn,
+                            Outcome::moot);
+            },
+            [&](const WakeAt& a) { at_for(d, a.at, [this, d, mark = a.mark] { note(d, TimerDue{mark}); }); },
+            [&](const Probe& a) { probe(d, a.runner); },
+            [&](const CloseIdle& a) { nodes_[d].idle[static_cast<std::size_t>(a.runner)].clear(); },
+            [&](const TellPeers& a) {
+                for (std::size_t p = 0; p < nodes_.size(); ++p)
+                    if (p != d) carry_out(d, TellPeer{PeerId(static_cast<std::uint32_t>(p)), a.words});
+            },
+            [&](const TellPeer& a) {
+                const auto p = static_cast<std::size_t>(a.to);
+                if (p >= nodes_.size()) return;
+                const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(d),
+                                                           theatre_.place_of_dispatcher(p), a.words.size());
+                if (way.cut) return;
+                at_for(p, now_ + way.takes, [this, d, p, words = a.words] {
+                    note(p, PeerSaid{PeerId(static_cast<std::uint32_t>(d)), words});
+                });
+            },
+            [&](const LogLine&) {},
+            [&](const FollowRoster& a) {
+                if (a.on)
+                    follow(d);
+                else
+                    nodes_[d].watching = false;
+            },
+            [&](const AskRoster&) { bulletin(d, true); }},
+        action);
+}
+
+// ---- assignments
+// -------------------------------------------------------------------------------------------
 
 void World::assign(std::size_t d, const Assign& wanted) {
     Node& n = nodes_[d];
@@ -201,16 +225,20 @@
     if (task.answered || stop_at <= now_) return end_leg(d, wanted.task, number, Outcome::moot);
     const OutLeg leg{d, r, n.life, wanted.task, number, task.request};
     out_.emplace(tokens_, leg);
-    at_for(d, stop_at, [this, d, id = wanted.task, number] { give_up_leg(d, id, number, Outcome::timed_out, Outcome::moot); });
+    at_for(d, stop_at, [this, d, id = wanted.task, number] {
+        give_up_leg(d, id, number, Outcome::timed_out, Outcome::moot);
+    });
 
     const Origin& o = origins_[task.origin];
     const WorkloadPlan& w = day_.workloads[o.call.workload];
     Job job;
-    job.token = tokens_, job.request = task.request, job.work = o.call.work, job.slots = w.slots, job.memory = w.memory;
+    job.token = tokens_, job.request = task.request, job.work = o.call.work, job.slots = w.slots,
+    job.memory = w.memory;
     job.fingerprint = w.effect == Effects::fingerprinted ? o.call.key : 0;
     job.repeats_within = w.window;
 
-    const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(r), kBytesOfATask);
+    const Passage way =
+        theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(r), kBytesOfATask);
     auto& idle = n.idle[r];
     const Micros keep = day_.runners[r].build.keeps_idle * 3 / 4;
     std::erase_if(idle, [&](Micros since) { return now_ - since > keep; });
@@ -221,7 +249,8 @@
         if (chance_.happens(resets)) {
             task.legs[number].written = true;
             idle.clear();
-            at_for(d, now_ + 2 * way.takes, [this, d, id = wanted.task, number] { end_leg(d, id, number, Outcome::reset); });
+            at_for(d, now_ + 2 * way.takes,
+                   [this, d, id = wanted.task, number] { end_leg(d, id, number, Outcome::reset); });
             return;
         }
         task.legs[number].written = true;
@@ -232,15 +261,18 @@
     const bool refused = !theatre_.runners[r].up() || (way.cut && way.resets);
     if (silent || refused) {
         const Micros fails = silent ? day_.dispatchers.connect_limit : 2 * way.takes;
-        at_for(d, now_ + fails, [this, d, id = wanted.task, number] { end_leg(d, id, number, Outcome::connect_failed); });
+        at_for(d, now_ + fails,
+               [this, d, id = wanted.task, number] { end_leg(d, id, number, Outcome::connect_failed); });
         return;
     }
     ++tally_.result().connections;
     at_for(d, now_ + 2 * way.takes, [this, leg, job, takes = way.takes] {
         const auto found_task = nodes_[leg.dispatcher].tasks.find(leg.task);
-        if (found_task == nodes_[leg.dispatcher].tasks.end() || found_task->second.legs[leg.number].ended) return;
+        if (found_task == nodes_[leg.dispatcher].tasks.end() || found_task->second.legs[leg.number].ended)
+            return;
         // Nothing is begun at a runner that has come to drain while the connection came up.
-        if (!nodes_[leg.dispatcher].open[leg.runner]) return end_leg(leg.dispatcher, leg.task, leg.number, Outcome::full);
+        if (!nodes_[leg.dispatcher].open[leg.runner])
+            return end_leg(leg.dispatcher, leg.task, leg.number, Outcome::full);
         found_task->second.legs[leg.number].written = true;
         if (theatre_.runners[leg.runner].up()) theatre_.runners[leg.runner].connection_made(now_);
         at(now_ + takes, [this, leg, job, takes] { deliver(leg, job, false, takes); });
@@ -295,7 +327,10 @@
     const Load load = theatre_.runners[r].load(now_);
     Report report;
     for (const std::string& name : day_.dispatchers.reports)
-        report.push_back(name == "x0" ? load.free : name == "q" ? load.waiting : name == "rif" ? load.held : load.busy);
+        report.push_back(name == "x0"    ? load.free
+                         : name == "q"   ? load.waiting
+                         : name == "rif" ? load.held
+                                         : load.busy);
     return report;
 }
 
@@ -306,15 +341,17 @@
         if (found == out_.end()) continue;
         const OutLeg leg = found->second;
         if (!theatre_.hands(leg.dispatcher, r)) continue;
-        const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(leg.dispatcher), theatre_.place_of_runner(r), kBytesOfATask);
+        const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(leg.dispatcher),
+                                                   theatre_.place_of_runner(r), kBytesOfATask);
         const Micros when = now_ + way.takes;
         if (word.said == Said::started || word.said == Said::running) {
             if (word.said == Said::started && !day_.runners[r].build.tells_start) continue;
             at_for(leg.dispatcher, when, [this, leg, word] {
                 if (!out_.contains(word.token)) return;
-                note(leg.dispatcher, Progress{leg.task, word.share, RunnerId(static_cast<std::uint32_t>(leg.runner)),
-                                              static_cast<int>(leg.number),
-                                              word.said == Said::started ? Stage::begun : Stage::progress});
+                note(leg.dispatcher,
+                     Progress{leg.task, word.share, RunnerId(static_cast<std::uint32_t>(leg.runner)),
+                              static_cast<int>(leg.number),
+                              word.said == Said::started ? Stage::begun : Stage::progress});
             });
             continue;
         }
@@ -322,9 +359,11 @@
                                 : word.said == Said::failed || word.said == Said::garbled ? Outcome::error
                                 : word.said == Said::returned                             ? Outcome::full
                                                                                           : Outcome::reset;
-        const bool tells = outcome == Outcome::finished || outcome == Outcome::full || word.said == Said::failed;
+        const bool tells =
+            outcome == Outcome::finished || outcome == Outcome::full || word.said == Said::failed;
         at_for(leg.dispatcher, when, [this, leg, outcome, report = tells ? report_of(r) : Report{}] {
-            if (outcome == Outcome::finished || outcome == Outcome::full) nodes_[leg.dispatcher].idle[leg.runner].push_back(now_);
+            if (outcome == Outcome::finished || outcome == Outcome::full)
+                nodes_[leg.dispatcher].idle[leg.runner].push_back(now_);
             end_leg(leg.dispatcher, leg.task, leg.number, outcome, report);
         });
     }
@@ -361,7 +400,8 @@
     if (leg.ended) return;
     const std::uint64_t request = found->second.request;
     if (leg.written) {
-        const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(leg.runner), 0);
+        const Passage way =
+            theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(leg.runner), 0);
         at(now_ + way.takes, [this, leg, request] {
             judge_.connection_gone(now_, request, leg.token);
             std::vector<Word> words;
@@ -382,7 +422,8 @@
     for (const auto& [token, leg] : all) {
         const auto task = nodes_[leg.dispatcher].tasks.find(leg.task);
         if (task == nodes_[leg.dispatcher].tasks.end() || !task->second.legs[leg.number].written) continue;
-        at_for(leg.dispatcher, now_ + day_.path_delay, [this, leg] { end_leg(leg.dispatcher, leg.task, leg.number, Outcome::reset); });
+        at_for(leg.dispatcher, now_ + day_.path_delay,
+               [this, leg] { end_leg(leg.dispatcher, leg.task, leg.number, Outcome::reset); });
     }
 }
 
@@ -401,29 +442,36 @@
 
 void World::paths_changed() {
     reset_legs([this](const OutLeg& leg) {
-        return theatre_.paths.between(theatre_.place_of_dispatcher(leg.dispatcher), theatre_.place_of_runner(leg.runner), 0).resets;
+        return theatre_.paths
+            .between(theatre_.place_of_dispatcher(leg.dispatcher), theatre_.place_of_runner(leg.runner), 0)
+            .resets;
     });
 }
 
 void World::probe(std::size_t d, RunnerId id) {
     ++tally_.result().probes;
     const auto r = static_cast<std::size_t>(id);
-    const Passage way = theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(r), 100);
+    const Passage way =
+        theatre_.paths.between(theatre_.place_of_dispatcher(d), theatre_.place_of_runner(r), 100);
     const Micros asked = now_;
     const auto ended = [this, d, id, asked](Micros when, Outcome outcome, Report report) {
         at_for(d, when, [this, d, id, asked, outcome, report = std::move(report)] {
             note(d, ProbeEnded{id, outcome, now_ - asked, report});
         });
     };
-    if (!theatre_.hands(d, r) && !way.resets) return ended(now_ + day_.dispatchers.connect_limit, Outcome::connect_failed, {});
-    if (way.resets || !theatre_.runners[r].up()) return ended(now_ + 2 * way.takes, Outcome::connect_failed, {});
+    if (!theatre_.hands(d, r) && !way.resets)
+        return ended(now_ + day_.dispatchers.connect_limit, Outcome::connect_failed, {});
+    if (way.resets || !theatre_.runners[r].up())
+        return ended(now_ + 2 * way.takes, Outcome::connect_failed, {});
     at_for(d, now_ + way.takes, [this, r, asked, ended, takes = way.takes] {
-        if (!theatre_.runners[r].answers_probes()) return ended(asked + day_.dispatchers.connect_limit, Outcome::timed_out, {});
+        if (!theatre_.runners[r].answers_probes())
+            return ended(asked + day_.dispatchers.connect_limit, Outcome::timed_out, {});
         ended(now_ + takes, Outcome::finished, report_of(r));
     });
 }
 
-// ---- discovery ---------------------------------------------------------------------------------------------
+// ---- discovery
+// ---------------------------------------------------------------------------------------------
 
 void World::follow(std::size_t d) {
     if (theatre_.registry.down) {
@@ -443,8 +491,13 @@
     const auto hall = std::find(day_.halls.begin(), day_.halls.end(), plan.hall) - day_.halls.begin();
     const auto kind = std::find(kinds_.begin(), kinds_.end(), plan.kind) - kinds_.begin();
     const bool held = e.state == RunnerState::ready && nodes_[d].held[e.runner];
-    return {RunnerId(static_cast<std::uint32_t>(e.runner)), ZoneId(static_cast<std::uint32_t>(hall)), KindId(static_cast<std::uint32_t>(kind)),
-            GroupId{plan.cell}, held ? RunnerState::draining : e.state, 1, e.started_at};
+    return {RunnerId(static_cast<std::uint32_t>(e.runner)),
+            ZoneId(static_cast<std::uint32_t>(hall)),
+            KindId(static_cast<std::uint32_t>(kind)),
+            GroupId{plan.cell},
+            held ? RunnerState::draining : e.state,
+            1,
+            e.started_at};
 }
 
 void World::bulletin(std::size_t d, bool all) {
@@ -458,7 +511,8 @@
     }
     if (b.full)
         for (std::size_t r = 0; r < day_.runners.size(); ++r)
-            if (theatre_.registry.held(r).state == RunnerState::gone) judge_.told(now_, d, r, RunnerState::gone, 0);
+            if (theatre_.registry.held(r).state == RunnerState::gone)
+                judge_.told(now_, d, r, RunnerState::gone, 0);
     at_for(d, now_ + day_.path_delay, [this, d, news = std::move(news)] {
         if (news.scope == RosterScope::complete) nodes_[d].open.assign(day_.runners.size(), false);
         for (const RosterEntry& e : news.entries) {
@@ -470,7 +524,9 @@
     });
 }
 
-void World::roster_changes(Micros when) { at(when, [this] { tell_watchers(); }); }
+void World::roster_changes(Micros when) {
+    at(when, [this] { tell_watchers(); });
+}
 
 void World::tell_watchers() {
     if (!theatre_.registry.pass(now_) || theatre_.registry.down) return;
@@ -500,7 +556,8 @@
     end_watches();
 }
 
-// ---- dispatchers that go and come --------------------------------------------------------------------------
+// ---- dispatchers that go and come
+// --------------------------------------------------------------------------
 
 void World::kill(std::size_t d, Micros back_after) {
     Node& n = nodes_[d];
@@ -527,7 +584,8 @@
     for (const std::size_t o : waiting) {
         // The client finds its connection reset: only what does no harm is asked again.
         const WorkloadPlan& w = day_.workloads[origins_[o].call.workload];
-        const bool harmless = w.effect == Effects::idempotent || (w.effect == Effects::fingerprinted && w.group == Group::all);
+        const bool harmless =
+            w.effect == Effects::idempotent || (w.effect == Effects::fingerprinted && w.group == Group::all);
         origins_[o].request = 0;
         if (harmless && origins_[o].tries < day_.clients.tries)
             at(now_ + day_.clients.retry_after, [this, o] { call(o); });
@@ -538,7 +596,8 @@
 }
 
 std::size_t World::unanswered(std::size_t d) const {
-    return static_cast<std::size_t>(std::count_if(nodes_[d].tasks.begin(), nodes_[d].tasks.end(), [](const auto& t) { return !t.second.answered; }));
+    return static_cast<std::size_t>(std::count_if(nodes_[d].tasks.begin(), nodes_[d].tasks.end(),
+                                                  [](const auto& t) { return !t.second.answered; }));
 }
 
 // The same machine as in the real dispatcher, and what it wants carried out as far as virtual time has it.
@@ -550,7 +609,8 @@
     n.turns_away = wanted.turns_away;
     const bool healthy = wanted.healthy;
     // The front finds out when it looks.
-    if (healthy != n.healthy) at_for(d, now_ + kFrontLooks, [this, d, healthy] { nodes_[d].healthy = healthy; });
+    if (healthy != n.healthy)
+        at_for(d, now_ + kFrontLooks, [this, d, healthy] { nodes_[d].healthy = healthy; });
     if (wanted.last_call) note(d, LastCall{});
     if (wanted.exits) {
         keep(d);
@@ -568,14 +628,18 @@
     if (!day_.dispatchers.keepsake || !nodes_[d].up) return;
     nodes_[d].kept = nodes_[d].policy->lore();
     if (!nodes_[d].kept) return;
-    const auto cap = [](Histogram& h) { h.take(keepsake::aged({h.bins().begin(), h.bins().end()}, 1, keepsake::Prudence{}.most_samples)); };
+    const auto cap = [](Histogram& h) {
+        h.take(keepsake::aged({h.bins().begin(), h.bins().end()}, 1, keepsake::Prudence{}.most_samples));
+    };
     for (RunnerLore& r : nodes_[d].kept->runners) cap(r.latency);
     for (KindLore& k : nodes_[d].kept->kinds) cap(k.latency);
     for (Histogram& h : nodes_[d].kept->workloads) cap(h);
     if (!day_.dispatchers.poisoned) return;
     const auto slow = [](const auto& one) { return middle_bin(one.latency.bins()); };
-    put_wrong_way_round(nodes_[d].kept->runners, slow, [](RunnerLore& a, RunnerLore& b) { swap_beliefs(a, b); });
-    put_wrong_way_round(nodes_[d].kept->kinds, slow, [](KindLore& a, KindLore& b) { std::swap(a.latency, b.latency); });
+    put_wrong_way_round(nodes_[d].kept->runners, slow,
+                        [](RunnerLore& a, RunnerLore& b) { swap_beliefs(a, b); });
+    put_wrong_way_round(nodes_[d].kept->kinds, slow,
+                        [](KindLore& a, KindLore& b) { std::swap(a.latency, b.latency); });
 }
 
 void World::restart(std::size_t d) {
@@ -599,7 +663,8 @@
     if (day_.goals.drained_in_time)
         at_for(d, now_ + within + 1, [this, d, order] {
             if (const std::size_t left = unanswered(d); nodes_[d].orders == order && left > 0)
-                missed_.push_back("d-" + std::to_string(d + 1) + " still had " + std::to_string(left) + " tasks after its deadline");
+                missed_.push_back("d-" + std::to_string(d + 1) + " still had " + std::to_string(left) +
+                                  " tasks after its deadline");
         });
 }
 
@@ -624,7 +689,8 @@
     }
 }
 
-// ---- clients -----------------------------------------------------------------------------------------------
+// ---- clients
+// -----------------------------------------------------------------------------------------------
 
 void World::next_call() {
     std::optional<Call> call_next;
@@ -649,7 +715,8 @@
     if (origin.over) return;
     if (now_ >= origin.deadline - 10'000) return done_with(o, origin.tries > 0 ? Fate::bounced : Fate::lost);
     std::size_t d = turn_++ % nodes_.size();
-    for (std::size_t n = 0; n < nodes_.size() && (!nodes_[d].up || !nodes_[d].healthy); ++n) d = (d + 1) % nodes_.size();
+    for (std::size_t n = 0; n < nodes_.size() && (!nodes_[d].up || !nodes_[d].healthy); ++n)
+        d = (d + 1) % nodes_.size();
     if (!nodes_[d].up || !nodes_[d].healthy) return at(now_ + 50'000, [this, o] { call(o); });
     Node& node = nodes_[d];
     ++origin.tries;
@@ -676,7 +743,9 @@
         if (n.turns_away) {
             // Bounced before it is taken.
             judge_.answered(now_ + day_.path_delay, request, Final::bounced);
-            return at(now_ + day_.path_delay, [this, o, request] { back_to_client(o, request, Final::bounced, day_.dispatchers.longest_away); });
+            return at(now_ + day_.path_delay, [this, o, request] {
+                back_to_client(o, request, Final::bounced, day_.dispatchers.longest_away);
+            });
         }
         Task task;
         task.request = request, task.origin = o, task.expiry = who.deadline;
@@ -689,13 +758,16 @@
         arrived.expiry = who.deadline;
         arrived.slots = day_.workloads[who.call.workload].slots;
         arrived.memory = day_.workloads[who.call.workload].memory;
-        if (day_.workloads[who.call.workload].hinted) arrived.cost_hint = who.call.work, arrived.hint_valid = true;
+        if (day_.workloads[who.call.workload].hinted)
+            arrived.cost_hint = who.call.work, arrived.hint_valid = true;
         arrived.client_repeat = day_.clients.marks && who.tries > 1;
         note(d, arrived);
         if (who.call.leaves_after > 0 && who.tries == 1)
             at_for(d, now_ + who.call.leaves_after, [this, d, id, o, request] {
                 const auto found = nodes_[d].tasks.find(id);
-                if (origins_[o].request != request || found == nodes_[d].tasks.end() || found->second.answered) return;
+                if (origins_[o].request != request || found == nodes_[d].tasks.end() ||
+                    found->second.answered)
+                    return;
                 judge_.left(now_, request);
                 found->second.answered = true;
                 note(d, ClientLeft{id});
@@ -728,7 +800,8 @@
 
 void World::forget_if_over(std::size_t d, TaskId id) {
     const auto found = nodes_[d].tasks.find(id);
-    if (found != nodes_[d].tasks.end() && found->second.answered && found->second.out == 0) nodes_[d].tasks.erase(found);
+    if (found != nodes_[d].tasks.end() && found->second.answered && found->second.out == 0)
+        nodes_[d].tasks.erase(found);
 }
 
 bool World::may_retry(const Origin& o, Final how) const {
@@ -748,7 +821,8 @@
     const Micros wait = std::max(stay_away, day_.clients.retry_after);
     if (may_retry(origin, how) && now_ + wait < origin.deadline - 20'000) {
         origin.request = 0;
-        at(now_ + wait + static_cast<Micros>(chance_.uniform() * static_cast<double>(wait) / 10), [this, o] { call(o); });
+        at(now_ + wait + static_cast<Micros>(chance_.uniform() * static_cast<double>(wait) / 10),
+           [this, o] { call(o); });
         return;
     }
     done_with(o, how == Final::bounced ? Fate::bounced : Fate::abandoned);
@@ -761,7 +835,8 @@
     if (day_.clients.arrivals == Arrivals::closed && now_ < day_.length) next_call();
 }
 
-Result play_virtual(const Day& day, std::uint64_t seed, const std::string& policy, const std::function<bool(Micros now)>& stop) {
+Result play_virtual(const Day& day, std::uint64_t seed, const std::string& policy,
+                    const std::function<bool(Micros now)>& stop) {
     World world(day, seed, [&](std::size_t, const StatedOrders& orders, std::uint64_t own_seed, Truth truth) {
         return make_policy(policy, day, orders, own_seed, std::move(truth));
     });
--- a/rehearsal/virtual/world.hpp
+++ b/rehearsal/virtual/world.hpp
@@ -1,6 +1,6 @@
-// The lane in virtual time: many dispatchers, each with a policy of its own, and the theatre of a day, with no
-// sockets and no clock. What happens next comes from one heap, ties in the order in which they were put there, so
-// the same day and seed give the same result to the last bit.
+// The lane in virtual time: many dispatchers, each with a policy of its own, and the theatre of a day, with
+// no sockets and no clock. What happens next comes from one heap, ties in the order in which they were put
+// there, so the same day and seed give the same result to the last bit.
 #pragma once
 
 #include <functional>
@@ -21,7 +21,8 @@
 
 namespace gannethold::rehearsal {
 
-using PolicyMaker = std::function<std::unique_ptr<Policy>(std::size_t dispatcher, const StatedOrders&, std::uint64_t seed, Truth)>;
+using PolicyMaker = std::function<std::unique_ptr<Policy>(std::size_t dispatcher, const StatedOrders&,
+                                                          std::uint64_t seed, Truth)>;
 
 class World final : public Scene {
   public:
@@ -62,10 +63,10 @@
         drain::Drain drain{drain::Manners{}};
         std::vector<bool> held;  // by runner: the operators hold it back
         std::uint64_t orders = 0;
-        std::optional<Lore> kept;  // outlives it
+        std::optional<Lore> kept;                 // outlives it
         bool healthy = true, turns_away = false;  // as the front and whoever comes see it
         bool up = true, settling = false, watching = false;
-        std::uint32_t version = 0;              // of its list
+        std::uint32_t version = 0;  // of its list
         std::uint64_t tasks_taken = 0;
     };
     struct OutLeg {
--- a/src/beanstalk/exchange.cpp
+++ b/src/beanstalk/exchange.cpp
@@ -16,10 +16,11 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kLeastWait = 10'000;            // of a reserve: the module gives jobs at the end of a turn, and this is one
-constexpr Micros kAskingTakes = kSecond;       // for a job asked for by its number
-constexpr Micros kLongestAway = kSecond;       // of a job that was bounced: a worker may come free at any time
-constexpr std::size_t kDueInOneGo = 2'000;     // against 100,000 that are due at once and hold up the loop
+constexpr Micros kLeastWait =
+    10'000;  // of a reserve: the module gives jobs at the end of a turn, and this is one
+constexpr Micros kAskingTakes = kSecond;    // for a job asked for by its number
+constexpr Micros kLongestAway = kSecond;    // of a job that was bounced: a worker may come free at any time
+constexpr std::size_t kDueInOneGo = 2'000;  // against 100,000 that are due at once and hold up the loop
 constexpr std::size_t kMostWatched = 64;
 
 std::uint64_t number(JobId id) { return static_cast<std::uint64_t>(id); }
@@ -33,7 +34,8 @@
     queue_.used(*open_tube("default"));
 }
 
-// ---- tubes -------------------------------------------------------------------------------------------------
+// ---- tubes
+// -------------------------------------------------------------------------------------------------
 
 std::optional<TubeId> Exchange::open_tube(const std::string& name) {
     if (const auto known = queue_.find_tube(name)) return known;
@@ -43,7 +45,8 @@
     if (!tube) return std::nullopt;
     of_tubes_.resize(std::max(of_tubes_.size(), static_cast<std::size_t>(*tube) + 1));
     OfTube& t = of(*tube) = {};
-    const auto plan = std::find_if(trade_.tubes.begin(), trade_.tubes.end(), [&](const TubePlan& p) { return p.name == name; });
+    const auto plan = std::find_if(trade_.tubes.begin(), trade_.tubes.end(),
+                                   [&](const TubePlan& p) { return p.name == name; });
     t.plan = plan != trade_.tubes.end() ? &*plan : &trade_.otherwise;
     if (named != places_.named.end()) return t.workload = named->second, tube;
     t.workload = places_.free.back();
@@ -92,7 +95,8 @@
     if (s.joined) floor_.worker_serves(s.worker, serves(s));
 }
 
-// ---- sessions ----------------------------------------------------------------------------------------------
+// ---- sessions
+// ----------------------------------------------------------------------------------------------
 
 void Exchange::opened(Micros now, SessionId id) {
     if (begun_ < 0) begun_ = now;
@@ -143,7 +147,8 @@
 void Exchange::set_waiting(Session& s, bool waits) {
     if (s.waiting == waits) return;
     s.waiting = waits;
-    if (s.wait_until > 0) waits ? void(waits_.emplace(s.wait_until, s.id)) : void(waits_.erase({s.wait_until, s.id}));
+    if (s.wait_until > 0)
+        waits ? void(waits_.emplace(s.wait_until, s.id)) : void(waits_.erase({s.wait_until, s.id}));
     if (s.asked == JobId{}) {
         s.group->waiting += waits ? 1 : static_cast<std::size_t>(-1);
         stirred_.insert(s.group);
@@ -156,7 +161,8 @@
 }
 
 void Exchange::remind(RunnerId worker) const {
-    if (const auto found = workers_.find(worker); found != workers_.end()) tell_room(sessions_.at(found->second));
+    if (const auto found = workers_.find(worker); found != workers_.end())
+        tell_room(sessions_.at(found->second));
 }
 
 void Exchange::heard(Micros now, SessionId id, Found found, Command&& command) {
@@ -165,12 +171,18 @@
     if (session == sessions_.end()) return;
     Session& s = session->second;
     switch (found) {
-        case Found::nothing: return;
-        case Found::command: break;
-        case Found::bad_format: return say(s, "BAD_FORMAT\r\n");
-        case Found::unknown_command: return say(s, "UNKNOWN_COMMAND\r\n");
-        case Found::expected_crlf: return say(s, "EXPECTED_CRLF\r\n");
-        case Found::job_too_big: return say(s, "JOB_TOO_BIG\r\n");
+        case Found::nothing:
+            return;
+        case Found::command:
+            break;
+        case Found::bad_format:
+            return say(s, "BAD_FORMAT\r\n");
+        case Found::unknown_command:
+            return say(s, "UNKNOWN_COMMAND\r\n");
+        case Found::expected_crlf:
+            return say(s, "EXPECTED_CRLF\r\n");
+        case Found::job_too_big:
+            return say(s, "JOB_TOO_BIG\r\n");
     }
     s.spoke = true;
     ++counts_[static_cast<std::size_t>(command.verb)];
@@ -180,7 +192,8 @@
 
 void Exchange::obey(Micros now, Session& s, Command&& c) {
     switch (c.verb) {
-        case Verb::put: return put(now, s, std::move(c));
+        case Verb::put:
+            return put(now, s, std::move(c));
         case Verb::use: {
             const auto tube = open_tube(c.tube);
             if (!tube) return say(s, "OUT_OF_MEMORY\r\n");
@@ -188,47 +201,67 @@
             leave_tube(std::exchange(s.used, *tube));
             return say(s, "USING " + c.tube + "\r\n");
         }
-        case Verb::reserve: return reserve(now, s, 0);
-        case Verb::reserve_with_timeout: return reserve(now, s, now + std::max(kLeastWait, micros(c.seconds)));
-        case Verb::reserve_job: return reserve_job(now, s, JobId{c.id});
-        case Verb::remove: return remove(now, s, JobId{c.id});
-        case Verb::release: return release(now, s, c);
-        case Verb::bury: return bury(now, s, c);
-        case Verb::touch: return touch(now, s, JobId{c.id});
-        case Verb::watch: return watch(s, c.tube);
-        case Verb::ignore: return ignore(s, c.tube);
-        case Verb::peek: return peek(s, queue_.find(JobId{c.id}));
-        case Verb::peek_ready: return peek(s, queue_.at(s.used).ready.first());
-        case Verb::peek_delayed: return peek(s, queue_.at(s.used).delayed.first());
+        case Verb::reserve:
+            return reserve(now, s, 0);
+        case Verb::reserve_with_timeout:
+            return reserve(now, s, now + std::max(kLeastWait, micros(c.seconds)));
+        case Verb::reserve_job:
+            return reserve_job(now, s, JobId{c.id});
+        case Verb::remove:
+            return remove(now, s, JobId{c.id});
+        case Verb::release:
+            return release(now, s, c);
+        case Verb::bury:
+            return bury(now, s, c);
+        case Verb::touch:
+            return touch(now, s, JobId{c.id});
+        case Verb::watch:
+            return watch(s, c.tube);
+        case Verb::ignore:
+            return ignore(s, c.tube);
+        case Verb::peek:
+            return peek(s, queue_.find(JobId{c.id}));
+        case Verb::peek_ready:
+            return peek(s, queue_.at(s.used).ready.first());
+        case Verb::peek_delayed:
+            return peek(s, queue_.at(s.used).delayed.first());
         case Verb::peek_buried: {
             const Tube& t = queue_.at(s.used);
             return peek(s, t.buried.first() ? t.buried.first() : t.withheld.first());
         }
-        case Verb::kick: return kick(s, c.bound);
+        case Verb::kick:
+            return kick(s, c.bound);
         case Verb::kick_job: {
             Job* const job = queue_.find(JobId{c.id});
             return say(s, job && kick_one(*job, false) ? "KICKED\r\n" : "NOT_FOUND\r\n");
         }
-        case Verb::stats: return tell_stats(now, s);
-        case Verb::stats_job: return tell_job(now, s, JobId{c.id});
-        case Verb::stats_tube: return tell_tube(now, s, c.tube);
+        case Verb::stats:
+            return tell_stats(now, s);
+        case Verb::stats_job:
+            return tell_job(now, s, JobId{c.id});
+        case Verb::stats_tube:
+            return tell_tube(now, s, c.tube);
         case Verb::list_tubes: {
             Yaml all;
             queue_.each_tube([&](TubeId, const Tube& t) { all.item(t.name); });
             return say(s, all.ok());
         }
-        case Verb::list_tube_used: return say(s, "USING " + queue_.at(s.used).name + "\r\n");
+        case Verb::list_tube_used:
+            return say(s, "USING " + queue_.at(s.used).name + "\r\n");
         case Verb::list_tubes_watched: {
             Yaml all;
             for (const TubeId tube : s.watched) all.item(queue_.at(tube).name);
             return say(s, all.ok());
         }
-        case Verb::pause_tube: return pause(now, s, c);
-        case Verb::quit: return floor_.close(s.id);
+        case Verb::pause_tube:
+            return pause(now, s, c);
+        case Verb::quit:
+            return floor_.close(s.id);
     }
 }
 
-// ---- producers ---------------------------------------------------------------------------------------------
+// ---- producers
+// ---------------------------------------------------------------------------------------------
 
 void Exchange::put(Micros now, Session& s, Command&& c) {
     s.puts = true;
@@ -268,7 +301,8 @@
     say(s, "WATCHING " + std::to_string(s.watched.size()) + "\r\n");
 }
 
-// ---- workers -----------------------------------------------------------------------------------------------
+// ---- workers
+// -----------------------------------------------------------------------------------------------
 
 void Exchange::reserve(Micros now, Session& s, Micros until) {
     for (const auto& [limit, grip] : limits_) {
@@ -288,7 +322,8 @@
 void Exchange::reserve_job(Micros now, Session& s, JobId id) {
     Job* const job = queue_.find(id);
     // One in another's hands is not to be had; nor, without an operator's word, one that may have run.
-    if (!job || job->may_have_run || (job->state == State::handed && !entered_.contains(id))) return say(s, "NOT_FOUND\r\n");
+    if (!job || job->may_have_run || (job->state == State::handed && !entered_.contains(id)))
+        return say(s, "NOT_FOUND\r\n");
     if (!places_.chosen.contains(of(job->tube).plan->effect)) return say(s, "NOT_FOUND\r\n");
     if (!s.joined) {
         s.worker = floor_.worker_joins(s.id, serves(s), trade_.cold);
@@ -314,7 +349,8 @@
         const bool free = job && !job->may_have_run && (job->state != State::handed || take_back(*job));
         if (free) {
             floor_.worker_serves(s.worker, serves(s));
-            const TaskId task = floor_.hand_in(*job, queue_.at(job->tube).name, *of(job->tube).plan, places_.chosen.at(effect));
+            const TaskId task = floor_.hand_in(*job, queue_.at(job->tube).name, *of(job->tube).plan,
+                                               places_.chosen.at(effect));
             if (task != TaskId{}) {
                 queue_.hand(*job, task);
                 jobs_of_[task] = job->id;
@@ -348,8 +384,10 @@
         if (Job* const job = queue_.find(id); job && take_back(*job) && s.asked_from != State::ready) {
             // As it lay before it was asked for.
             queue_.hand(*job, {});
-            if (s.asked_from == State::buried) queue_.bury(*job), --job->buries;
-            else queue_.delay(*job, now_, std::max<Micros>(1, job->due - now_)), due(job->due);
+            if (s.asked_from == State::buried)
+                queue_.bury(*job), --job->buries;
+            else
+                queue_.delay(*job, now_, std::max<Micros>(1, job->due - now_)), due(job->due);
         }
         return choose_next(effect);
     }
@@ -360,7 +398,8 @@
     Session* const s = worker == workers_.end() ? nullptr : &sessions_.at(worker->second);
     // Against an assignment that crosses the end of a reserve: it was never told of the job.
     if (!s || !s->waiting || errand.stop_at <= now_)
-        return floor_.errand_ended({errand.task, errand.number, runner, net::Ending::stopped_unsent, 0, {}, {}});
+        return floor_.errand_ended(
+            {errand.task, errand.number, runner, net::Ending::stopped_unsent, 0, {}, {}});
     const auto known = jobs_of_.find(errand.task);
     const bool of_queue = known != jobs_of_.end();
     const JobId id = of_queue ? known->second : queue_.next_id();
@@ -375,8 +414,10 @@
     forget_entered(id);
     ++s->held;
     // What it holds is one more and what it waits for one less, so the room that was told stays true.
-    if (asked) stop_asking(*s);
-    else set_waiting(*s, false);
+    if (asked)
+        stop_asking(*s);
+    else
+        set_waiting(*s, false);
     if (of_queue) ++queue_.find(id)->reserves;
     say_reserved(place);
     fill_stirred();
@@ -385,7 +426,8 @@
 void Exchange::say_reserved(AllHeld::iterator held) {
     const auto& [id, session] = held->first;
     const Held& h = held->second;
-    if (const Job* const job = h.of_queue ? queue_.find(id) : nullptr) return floor_.say(session, with_body("RESERVED", number(id), job->body));
+    if (const Job* const job = h.of_queue ? queue_.find(id) : nullptr)
+        return floor_.say(session, with_body("RESERVED", number(id), job->body));
     floor_.say(session, with_body("RESERVED", number(id), h.errand.body ? h.errand.body->text() : ""));
 }
 
@@ -412,12 +454,15 @@
     Session& s = sessions_.at(session);
     --s.held;
     tell_room(s);
-    floor_.errand_ended({held.errand.task, held.errand.number, held.worker, ending, now_ - held.since, {}, {}});
-    // A harmless job whose worker is lost or late lies in its tube again, and goes to whoever asks next, also to the same
-    // one. Of any other the module says what becomes of it.
+    floor_.errand_ended(
+        {held.errand.task, held.errand.number, held.worker, ending, now_ - held.since, {}, {}});
+    // A harmless job whose worker is lost or late lies in its tube again, and goes to whoever asks next, also
+    // to the same one. Of any other the module says what becomes of it.
     const bool unsure = ending == net::Ending::stopped || ending == net::Ending::broken;
     Job* const job = unsure && held.of_queue ? queue_.find(id) : nullptr;
-    if (job && job->task == held.errand.task && of(job->tube).plan->harmless() && !held_of_.contains(job->task)) back(id);
+    if (job && job->task == held.errand.task && of(job->tube).plan->harmless() &&
+        !held_of_.contains(job->task))
+        back(id);
 }
 
 void Exchange::withdraw(TaskId task, int number) {
@@ -451,12 +496,14 @@
 
 void Exchange::release(Micros now, Session& s, const Command& c) {
     const auto held = held_.find({JobId{c.id}, s.id});
-    // Also of one whose time was over: it has been given up or given on, and the worker's word comes too late.
+    // Also of one whose time was over: it has been given up or given on, and the worker's word comes too
+    // late.
     if (held == held_.end()) return say(s, "NOT_FOUND\r\n");
     const TaskId task = held->second.errand.task;
     const bool of_queue = held->second.of_queue;
     end(held, net::Ending::handed_back);
-    // The queue has the job again, with the worker's own wish when; unless a copy of it is elsewhere, or it has ended.
+    // The queue has the job again, with the worker's own wish when; unless a copy of it is elsewhere, or it
+    // has ended.
     Job* const job = of_queue ? queue_.find(JobId{c.id}) : nullptr;
     if (job && job->task == task && !held_of_.contains(task)) {
         ++job->releases;
@@ -475,11 +522,13 @@
     if (held == held_.end()) return say(s, "NOT_FOUND\r\n");
     const auto copies = held_of_.find(held->second.errand.task);
     Job* const job = held->second.of_queue ? queue_.find(JobId{c.id}) : nullptr;
-    const bool ours = job && job->task == held->second.errand.task && copies != held_of_.end() && copies->second.size() == 1;
+    const bool ours = job && job->task == held->second.errand.task && copies != held_of_.end() &&
+                      copies->second.size() == 1;
     if (!ours) {
         end(held, net::Ending::failed);
     } else {
-        // The worker's own word to leave it: nobody is asked whether once more, and it is no failing of the worker.
+        // The worker's own word to leave it: nobody is asked whether once more, and it is no failing of the
+        // worker.
         job->priority = c.priority;
         back(job->id);
         end(held, net::Ending::withdrawn);
@@ -500,7 +549,8 @@
     say(s, "TOUCHED\r\n");
 }
 
-// ---- jobs into the module and back -------------------------------------------------------------------------
+// ---- jobs into the module and back
+// -------------------------------------------------------------------------
 
 void Exchange::stir(TubeId tube) { stirred_tubes_.insert(tube); }
 
@@ -510,7 +560,9 @@
         for (const TubeId tube : std::exchange(stirred_tubes_, {})) {
             if (!queue_.has(tube)) continue;
             for (auto& [tubes, group] : groups_)
-                if (group.waiting > group.entered.size() && std::binary_search(tubes.begin(), tubes.end(), tube)) stirred_.insert(&group);
+                if (group.waiting > group.entered.size() &&
+                    std::binary_search(tubes.begin(), tubes.end(), tube))
+                    stirred_.insert(&group);
             push_out(tube);
         }
         for (Group* const group : std::exchange(stirred_, {})) fill(*group);
@@ -527,7 +579,8 @@
         Job* best = nullptr;
         for (const TubeId tube : group.tubes) {
             Job* const first = queue_.first_ready(tube, now_);
-            if (first && (!best || std::pair(first->rank, first->id) < std::pair(best->rank, best->id))) best = first;
+            if (first && (!best || std::pair(first->rank, first->id) < std::pair(best->rank, best->id)))
+                best = first;
         }
         if (!best || !enter(*best, &group)) return;
     }
@@ -549,7 +602,8 @@
 }
 
 bool Exchange::enter(Job& job, Group* group) {
-    const TaskId task = floor_.hand_in(job, queue_.at(job.tube).name, *of(job.tube).plan, of(job.tube).workload);
+    const TaskId task =
+        floor_.hand_in(job, queue_.at(job.tube).name, *of(job.tube).plan, of(job.tube).workload);
     if (task == TaskId{}) return false;
     queue_.hand(job, task);
     jobs_of_[task] = job.id;
@@ -622,14 +676,16 @@
     fill_stirred();
 }
 
-// ---- time --------------------------------------------------------------------------------------------------
+// ---- time
+// --------------------------------------------------------------------------------------------------
 
 Micros Exchange::pass(Micros now) {
     now_ = now;
     if (next_change_ > 0 && now >= next_change_) {
         std::vector<TubeId> tubes;
         next_change_ = queue_.pass(now, kDueInOneGo, tubes);
-        if (next_change_ > 0 && next_change_ <= now) next_change_ = now + 1'000;  // the rest, once others have had a turn
+        if (next_change_ > 0 && next_change_ <= now)
+            next_change_ = now + 1'000;  // the rest, once others have had a turn
         for (const TubeId tube : tubes) stir(tube);
     }
     while (!limits_.empty() && limits_.begin()->first <= now) {
@@ -663,7 +719,8 @@
     return next;
 }
 
-// ---- kicking and looking -----------------------------------------------------------------------------------
+// ---- kicking and looking
+// -----------------------------------------------------------------------------------
 
 void Exchange::kick(Session& s, std::size_t most) {
     Tube& t = queue_.at(s.used);
@@ -718,11 +775,11 @@
     out.pair("id", number(id));
     out.text("tube", job ? queue_.at(job->tube).name : "");
     const bool entered = entered_.contains(id);
-    out.bare("state", in_hands                        ? "reserved"
-                      : job->state == State::delayed  ? "delayed"
-                      : job->state == State::buried   ? "buried"
+    out.bare("state", in_hands                                  ? "reserved"
+                      : job->state == State::delayed            ? "delayed"
+                      : job->state == State::buried             ? "buried"
                       : job->state == State::handed && !entered ? "reserved"
-                                                      : "ready");
+                                                                : "ready");
     out.pair("pri", job ? job->priority : 0);
     out.pair("age", job ? seconds(now - job->put_at) : seconds(now - held->second.since));
     out.pair("delay", job ? seconds(job->delay) : 0);
@@ -770,22 +827,52 @@
 void Exchange::tell_stats(Micros now, Session& s) {
     std::uint64_t urgent = 0, ready = entered_.size(), delayed = 0, buried = 0, handed = 0, tubes = 0;
     queue_.each_tube([&](TubeId, const Tube& t) {
-        urgent += t.urgent, ready += t.ready.size(), delayed += t.delayed.size(), buried += t.buried.size() + t.withheld.size();
+        urgent += t.urgent, ready += t.ready.size(), delayed += t.delayed.size(),
+            buried += t.buried.size() + t.withheld.size();
         handed += t.handed, ++tubes;
     });
     std::uint64_t producers = 0, workers = 0, waiting = 0;
-    for (const auto& [id, one] : sessions_) producers += one.puts, workers += one.joined, waiting += one.waiting;
+    for (const auto& [id, one] : sessions_)
+        producers += one.puts, workers += one.joined, waiting += one.waiting;
     Yaml out;
-    out.pair("current-jobs-urgent", urgent).pair("current-jobs-ready", ready).pair("current-jobs-reserved", handed - entered_.size());
+    out.pair("current-jobs-urgent", urgent)
+        .pair("current-jobs-ready", ready)
+        .pair("current-jobs-reserved", handed - entered_.size());
     out.pair("current-jobs-delayed", delayed).pair("current-jobs-buried", buried);
-    for (const Verb v : {Verb::put, Verb::peek, Verb::peek_ready, Verb::peek_delayed, Verb::peek_buried, Verb::reserve,
-                         Verb::reserve_with_timeout, Verb::reserve_job, Verb::remove, Verb::release, Verb::use, Verb::watch, Verb::ignore,
-                         Verb::bury, Verb::kick, Verb::kick_job, Verb::touch, Verb::stats, Verb::stats_job, Verb::stats_tube,
-                         Verb::list_tubes, Verb::list_tube_used, Verb::list_tubes_watched, Verb::pause_tube})
+    for (const Verb v : {Verb::put,
+                         Verb::peek,
+                         Verb::peek_ready,
+                         Verb::peek_delayed,
+                         Verb::peek_buried,
+                         Verb::reserve,
+                         Verb::reserve_with_timeout,
+                         Verb::reserve_job,
+                         Verb::remove,
+                         Verb::release,
+                         Verb::use,
+                         Verb::watch,
+                         Verb::ignore,
+                         Verb::bury,
+                         Verb::kick,
+                         Verb::kick_job,
+                         Verb::touch,
+                         Verb::stats,
+                         Verb::stats_job,
+                         Verb::stats_tube,
+                         Verb::list_tubes,
+                         Verb::list_tube_used,
+                         Verb::list_tubes_watched,
+                         Verb::pause_tube})
         out.pair("cmd-" + std::string(name_of(v)), counts_[static_cast<std::size_t>(v)]);
-    out.pair("job-timeouts", timeouts_).pair("total-jobs", total_jobs_).pair("max-job-size", trade_.longest_body);
-    out.pair("current-tubes", tubes).pair("current-connections", sessions_.size()).pair("current-producers", producers);
-    out.pair("current-workers", workers).pair("current-waiting", waiting).pair("total-connections", total_sessions_);
+    out.pair("job-timeouts", timeouts_)
+        .pair("total-jobs", total_jobs_)
+        .pair("max-job-size", trade_.longest_body);
+    out.pair("current-tubes", tubes)
+        .pair("current-connections", sessions_.size())
+        .pair("current-producers", producers);
+    out.pair("current-workers", workers)
+        .pair("current-waiting", waiting)
+        .pair("total-connections", total_sessions_);
     out.text("version", "gannethold").bare("draining", turns_away_ ? "true" : "false");
     out.pair("uptime", seconds(now - begun_)).pair("binlog-max-size", 0);
     say(s, out.ok());
--- a/src/beanstalk/exchange.hpp
+++ b/src/beanstalk/exchange.hpp
@@ -1,8 +1,10 @@
-// Producers and pulling workers of beanstalkd's protocol, their tubes and jobs, and what becomes of each job. No I/O and
-// no clock: commands come in, answers and orders go out through Floor, times are passed in, in microseconds.
+// Producers and pulling workers of beanstalkd's protocol, their tubes and jobs, and what becomes of each job.
+// No I/O and no clock: commands come in, answers and orders go out through Floor, times are passed in, in
+// microseconds.
 //
-// Who gets which job is not decided here. A worker that reserves says that it has room; jobs enter the decision module as
-// tasks, no more of them than workers wait, and whoever the module draws gets one. What a job's end means:
+// Who gets which job is not decided here. A worker that reserves says that it has room; jobs enter the
+// decision module as tasks, no more of them than workers wait, and whoever the module draws gets one. What a
+// job's end means:
 //   delete               finished
 //   release              handed back: it never ran; the job waits again, with what the worker said
 //   bury                 the job is put aside until somebody kicks it; over HTTP it failed
@@ -32,24 +34,24 @@
 // How jobs of a tube are to be treated. Without a name: how those of any tube are that is not named.
 struct TubePlan {
     std::string name;
-    std::string workload;       // that it shares with the other fronts; empty: its own
+    std::string workload;  // that it shares with the other fronts; empty: its own
     std::string effect = "side-effecting";
     Micros due = 60'000'000, expiry = 3'600'000'000;
     double importance = 1;
-    std::size_t pushed = 0;     // so many at once may go to runners that are pushed to; 0: workers here only
+    std::size_t pushed = 0;  // so many at once may go to runners that are pushed to; 0: workers here only
     bool harmless() const { return effect == "idempotent"; }
 };
 
 // By what trade it is run; from the operators' file.
 struct Trade {
-    std::vector<TubePlan> tubes;       // the named ones
-    TubePlan otherwise;                // any other
-    std::size_t other_tubes = 16;      // so many of them at once, each with a workload of its own
+    std::vector<TubePlan> tubes;   // the named ones
+    TubePlan otherwise;            // any other
+    std::size_t other_tubes = 16;  // so many of them at once, each with a workload of its own
     std::size_t longest_body = 65'535;
     queue::Bounds bounds;
-    Micros margin = 1'000'000;         // before a job's time is over, in which nothing more is reserved
+    Micros margin = 1'000'000;  // before a job's time is over, in which nothing more is reserved
     Micros least_run = 1'000'000;
-    bool cold = true;                  // whether a worker that has just connected counts as cold
+    bool cold = true;  // whether a worker that has just connected counts as cold
 };
 
 // What the exchange asks of the rest of the program.
@@ -58,7 +60,8 @@
     virtual void say(SessionId to, std::string&& words) = 0;
     virtual void close(SessionId session) = 0;
     // A job enters as a task; its Asker is the exchange.
-    virtual TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan, WorkloadId workload) = 0;
+    virtual TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan,
+                           WorkloadId workload) = 0;
     virtual void take_back(TaskId task) = 0;  // nobody waits for it any more
     virtual RunnerId worker_joins(SessionId session, const Serves& serves, bool cold) = 0;
     virtual void worker_serves(RunnerId worker, const Serves& serves) = 0;
@@ -77,7 +80,8 @@
     struct Places {
         std::map<std::string, WorkloadId> named;
         std::vector<WorkloadId> free;
-        std::map<std::string, WorkloadId> chosen;  // by effect: for a job that one worker asks for by its number
+        std::map<std::string, WorkloadId>
+            chosen;  // by effect: for a job that one worker asks for by its number
     };
     Exchange(Trade trade, Places places, Floor& floor);
 
@@ -98,7 +102,8 @@
 
     // Tells the room of a worker again: who was held back or away is forgotten in the meantime.
     void remind(RunnerId worker) const;
-    // A task that was a job is on its way to a runner that is pushed to: from now on it is in somebody's hands.
+    // A task that was a job is on its way to a runner that is pushed to: from now on it is in somebody's
+    // hands.
     void went_elsewhere(TaskId task);
 
     std::size_t tasks_out() const { return held_.size(); }
@@ -137,9 +142,9 @@
         Group* group = nullptr;
         std::size_t held = 0;
         RunnerId worker{};
-        Micros wait_until = 0;          // 0: for ever
-        queue::JobId asked{};           // by its number
-        queue::State asked_from{};      // where that lay
+        Micros wait_until = 0;      // 0: for ever
+        queue::JobId asked{};       // by its number
+        queue::State asked_from{};  // where that lay
         bool joined = false, waiting = false, puts = false, spoke = false;
     };
     struct OfTube {
@@ -204,10 +209,11 @@
     std::map<std::vector<queue::TubeId>, Group> groups_;
     std::set<Group*> stirred_;
     std::set<queue::TubeId> stirred_tubes_;
-    std::unordered_map<TaskId, queue::JobId> jobs_of_;   // tasks that are jobs of the queue
-    std::unordered_map<queue::JobId, Group*> entered_;   // not yet in anybody's hands; none: to be pushed
-    std::unordered_set<queue::JobId> pushed_;            // that may be at a runner that is pushed to
-    std::map<std::string, std::deque<SessionId>> asking_;  // by effect: who asks for a job by its number; the first has the place
+    std::unordered_map<TaskId, queue::JobId> jobs_of_;  // tasks that are jobs of the queue
+    std::unordered_map<queue::JobId, Group*> entered_;  // not yet in anybody's hands; none: to be pushed
+    std::unordered_set<queue::JobId> pushed_;           // that may be at a runner that is pushed to
+    std::map<std::string, std::deque<SessionId>>
+        asking_;  // by effect: who asks for a job by its number; the first has the place
     AllHeld held_;
     std::unordered_map<TaskId, std::vector<Grip>> held_of_;
     std::set<std::pair<Micros, Grip>> limits_, nearly_;  // when time is over, and when it soon is
--- a/src/beanstalk/reader.cpp
+++ b/src/beanstalk/reader.cpp
@@ -59,7 +59,8 @@
     constexpr std::string_view kSigns = "-+/;.$_()";
     return !name.empty() && name.size() <= Reader::kLongestName && name.front() != '-' &&
            std::all_of(name.begin(), name.end(), [&](char c) {
-               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || kSigns.find(c) != std::string_view::npos;
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                      kSigns.find(c) != std::string_view::npos;
            });
 }
 
@@ -143,31 +144,47 @@
     command_ = {};
     std::string_view rest = line_;
     const std::string_view name = rest.substr(0, rest.find(' '));
-    const auto word = std::find_if(kWords.begin(), kWords.end(), [&](const Word& w) { return w.name == name; });
+    const auto word =
+        std::find_if(kWords.begin(), kWords.end(), [&](const Word& w) { return w.name == name; });
     if (word == kWords.end()) return Found::unknown_command;
     rest.remove_prefix(name.size());
     command_.verb = word->verb;
     bool right = true;
     switch (word->form) {
-        case Form::nothing: break;
-        case Form::id: right = take_number(rest, command_.id); break;
-        case Form::tube: right = take_name(rest, command_.tube); break;
-        case Form::count: right = take_number(rest, command_.bound); break;
-        case Form::seconds: right = take_number(rest, command_.seconds); break;
+        case Form::nothing:
+            break;
+        case Form::id:
+            right = take_number(rest, command_.id);
+            break;
+        case Form::tube:
+            right = take_name(rest, command_.tube);
+            break;
+        case Form::count:
+            right = take_number(rest, command_.bound);
+            break;
+        case Form::seconds:
+            right = take_number(rest, command_.seconds);
+            break;
         case Form::id_priority_delay:
-            right = take_number(rest, command_.id) && take_number(rest, command_.priority) && take_number(rest, command_.delay_s);
+            right = take_number(rest, command_.id) && take_number(rest, command_.priority) &&
+                    take_number(rest, command_.delay_s);
+            break;
+        case Form::id_priority:
+            right = take_number(rest, command_.id) && take_number(rest, command_.priority);
+            break;
+        case Form::tube_seconds:
+            right = take_name(rest, command_.tube) && take_number(rest, command_.delay_s);
             break;
-        case Form::id_priority: right = take_number(rest, command_.id) && take_number(rest, command_.priority); break;
-        case Form::tube_seconds: right = take_name(rest, command_.tube) && take_number(rest, command_.delay_s); break;
-        case Form::put: return put_head(rest);
+        case Form::put:
+            return put_head(rest);
     }
     return right && rest.empty() ? Found::command : Found::bad_format;
 }
 
 Found Reader::put_head(std::string_view rest) {
     std::uint64_t size = 0;
-    if (!take_number(rest, command_.priority) || !take_number(rest, command_.delay_s) || !take_number(rest, command_.run_s) ||
-        !take_number(rest, size) || !rest.empty() || size > UINT32_MAX)
+    if (!take_number(rest, command_.priority) || !take_number(rest, command_.delay_s) ||
+        !take_number(rest, command_.run_s) || !take_number(rest, size) || !rest.empty() || size > UINT32_MAX)
         return Found::bad_format;
     if (size > longest_body_) {
         left_ = size + 2;
--- a/src/beanstalk/reader.hpp
+++ b/src/beanstalk/reader.hpp
@@ -1,6 +1,6 @@
-// beanstalkd's protocol from a byte stream, by its public description: lines of at most 224 bytes, and bodies after
-// `put`. Incremental: the same bytes give the same commands wherever they are cut. No I/O. The protocol's names end here
-// and in replies.hpp.
+// beanstalkd's protocol from a byte stream, by its public description: lines of at most 224 bytes, and bodies
+// after `put`. Incremental: the same bytes give the same commands wherever they are cut. No I/O. The
+// protocol's names end here and in replies.hpp.
 #pragma once
 
 #include <cstdint>
@@ -10,9 +10,31 @@
 namespace gannethold::beanstalk {
 
 enum class Verb {
-    put, use, reserve, reserve_with_timeout, reserve_job, remove, release, bury, touch, watch, ignore,
-    peek, peek_ready, peek_delayed, peek_buried, kick, kick_job, stats, stats_job, stats_tube,
-    list_tubes, list_tube_used, list_tubes_watched, pause_tube, quit
+    put,
+    use,
+    reserve,
+    reserve_with_timeout,
+    reserve_job,
+    remove,
+    release,
+    bury,
+    touch,
+    watch,
+    ignore,
+    peek,
+    peek_ready,
+    peek_delayed,
+    peek_buried,
+    kick,
+    kick_job,
+    stats,
+    stats_job,
+    stats_tube,
+    list_tubes,
+    list_tube_used,
+    list_tubes_watched,
+    pause_tube,
+    quit
 };
 const char* name_of(Verb verb);
 
@@ -33,8 +55,8 @@
 
     explicit Reader(std::size_t longest_body) : longest_body_(longest_body) {}
 
-    // Takes from the front of `bytes` up to the end of one command or fault. `nothing`: all was taken, and more must
-    // come. After a fault the reader stands behind what was wrong, at the next line.
+    // Takes from the front of `bytes` up to the end of one command or fault. `nothing`: all was taken, and
+    // more must come. After a fault the reader stands behind what was wrong, at the next line.
     Found read(std::string_view& bytes);
     Command& command() { return command_; }
     // Whether something has been said that is not whole yet.
--- a/src/beanstalk/server.cpp
+++ b/src/beanstalk/server.cpp
@@ -9,7 +9,8 @@
 // For a command to come whole, counted from its first byte, and for a first valid one, from the connect.
 constexpr Micros kPatience = 2'000'000;
 constexpr Micros kLookForStalled = 100'000;
-constexpr std::size_t kMostUnread = 64 * 1024;  // beside one body, of whoever goes on while it waits or does not read
+constexpr std::size_t kMostUnread =
+    64 * 1024;  // beside one body, of whoever goes on while it waits or does not read
 
 }  // namespace
 
@@ -17,13 +18,19 @@
 class Server::Session final : public net::Connection::Owner {
   public:
     Session(Server& server, SessionId id, std::size_t door, evutil_socket_t socket)
-        : server_(server), id_(id), door_(door), since_(net::Loop::now()), reader_(server.longest_body_), connection_(server.loop_, *this, socket) {}
+        : server_(server),
+          id_(id),
+          door_(door),
+          since_(net::Loop::now()),
+          reader_(server.longest_body_),
+          connection_(server.loop_, *this, socket) {}
 
     void bytes(std::string_view bytes) override {
         if (over_) return;
         if (!reader_.half_said() && unread_.empty()) since_ = spoke_ ? net::Loop::now() : since_;
         // Against hundreds of commands piled up by who does not read the answers.
-        if (unread_.size() + bytes.size() > kMostUnread + server_.longest_body_ + Reader::kLongestLine) return close();
+        if (unread_.size() + bytes.size() > kMostUnread + server_.longest_body_ + Reader::kLongestLine)
+            return close();
         unread_.append(bytes);
         obey();
     }
@@ -31,7 +38,8 @@
         if (obeying_) return;
         obeying_ = true;
         std::string_view left = unread_;
-        while (!over_ && !left.empty() && connection_.unsent_bytes() < kMostUnread && !server_.exchange_.waits(id_)) {
+        while (!over_ && !left.empty() && connection_.unsent_bytes() < kMostUnread &&
+               !server_.exchange_.waits(id_)) {
             const Found found = reader_.read(left);
             if (found == Found::nothing) break;
             spoke_ = spoke_ || found == Found::command;
@@ -65,7 +73,8 @@
         server_.exchange_.closed(net::Loop::now(), id_);
     }
     bool stalled(Micros now) const {
-        return (!spoke_ || finishing_ || (reader_.half_said() && !server_.exchange_.waits(id_))) && now - since_ > kPatience;
+        return (!spoke_ || finishing_ || (reader_.half_said() && !server_.exchange_.waits(id_))) &&
+               now - since_ > kPatience;
     }
     bool never_spoke() const { return !spoke_; }
     bool owed() const { return !over_ && connection_.unsent(); }
@@ -82,8 +91,8 @@
     net::Connection connection_;
 };
 
-Server::Server(net::Loop& loop, std::vector<Entrance> entrances, std::size_t most, Trade trade, Exchange::Places places, House& house,
-               log::Log& log)
+Server::Server(net::Loop& loop, std::vector<Entrance> entrances, std::size_t most, Trade trade,
+               Exchange::Places places, House& house, log::Log& log)
     : loop_(loop),
       house_(house),
       log_(log),
@@ -95,7 +104,8 @@
     for (Entrance& e : entrances) {
         const std::size_t door = doors_.size();
         doors_.push_back({e, std::make_unique<net::Listener>(
-                                 loop, e.at, [this, door](evutil_socket_t socket) { accept(door, socket); }, [this] { make_room(); })});
+                                 loop, e.at, [this, door](evutil_socket_t socket) { accept(door, socket); },
+                                 [this] { make_room(); })});
         log_.info(net::Loop::now(), "beanstalkd's protocol on ", log::as("address", e.at.text));
     }
     stalled_.set(net::Loop::now() + kLookForStalled);
@@ -119,7 +129,8 @@
     Session* oldest = nullptr;
     SessionId oldest_id{};
     for (const auto& [id, session] : sessions_)
-        if (session->never_spoke() && std::find(ended_.begin(), ended_.end(), id) == ended_.end() && (!oldest || id < oldest_id))
+        if (session->never_spoke() && std::find(ended_.begin(), ended_.end(), id) == ended_.end() &&
+            (!oldest || id < oldest_id))
             oldest = session.get(), oldest_id = id;
     if (oldest) oldest->close();
     return oldest != nullptr;
@@ -139,8 +150,10 @@
     for (const SessionId id : std::exchange(again_, {}))
         if (const auto found = sessions_.find(id); found != sessions_.end()) found->second->obey();
     const Micros next = exchange_.pass(net::Loop::now());
-    if (!again_.empty() || !doomed_.empty()) wake_.set(net::Loop::now());
-    else if (next > 0) wake_.set(next);
+    if (!again_.empty() || !doomed_.empty())
+        wake_.set(net::Loop::now());
+    else if (next > 0)
+        wake_.set(next);
 }
 
 void Server::leave() {
@@ -148,7 +161,8 @@
     exchange_.turn_away(true);
     exchange_.hand_out(false);
     if (const std::size_t lost = exchange_.waiting_jobs(); lost > 0)
-        log_.warning(net::Loop::now(), "leaving, and ", log::as("jobs", lost), " jobs that wait in tubes are lost with this process");
+        log_.warning(net::Loop::now(), "leaving, and ", log::as("jobs", lost),
+                     " jobs that wait in tubes are lost with this process");
     std::vector<Session*> all;
     for (const auto& [id, session] : sessions_) all.push_back(session.get());
     for (Session* const one : all) one->finish();
--- a/src/beanstalk/server.hpp
+++ b/src/beanstalk/server.hpp
@@ -1,4 +1,5 @@
-// The connections of beanstalkd's protocol: bytes in and out for an Exchange, and a bound on whoever says nothing valid.
+// The connections of beanstalkd's protocol: bytes in and out for an Exchange, and a bound on whoever says
+// nothing valid.
 #pragma once
 
 #include <list>
@@ -30,7 +31,8 @@
 // Who stands behind the exchange but for the connections.
 class House {
   public:
-    virtual TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan, WorkloadId workload) = 0;
+    virtual TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan,
+                           WorkloadId workload) = 0;
     virtual void take_back(TaskId task) = 0;
     virtual RunnerId worker_joins(const Entrance& by, const Serves& serves, bool cold) = 0;
     virtual void worker_serves(RunnerId worker, const Serves& serves) = 0;
@@ -46,16 +48,18 @@
 class Server final : public Floor {
   public:
     // most: connections at once. The house outlives the server.
-    Server(net::Loop& loop, std::vector<Entrance> entrances, std::size_t most, Trade trade, Exchange::Places places, House& house,
-           log::Log& log);
+    Server(net::Loop& loop, std::vector<Entrance> entrances, std::size_t most, Trade trade,
+           Exchange::Places places, House& house, log::Log& log);
     ~Server();
 
     Exchange& exchange() { return exchange_; }
     const Exchange& exchange() const { return exchange_; }
     std::uint16_t port(std::size_t entrance = 0) const { return doors_[entrance].listener->port(); }
-    // What time and the last turn changed; once a turn, before the module settles, and whenever something may have.
+    // What time and the last turn changed; once a turn, before the module settles, and whenever something may
+    // have.
     void look();
-    // Answers that are owed are written, then all connections end. Against a worker that stays in its reserve for ever.
+    // Answers that are owed are written, then all connections end. Against a worker that stays in its reserve
+    // for ever.
     void leave();
     bool quiet() const;  // nothing is owed to anybody
     void sweep();
@@ -74,12 +78,15 @@
 
     void say(SessionId to, std::string&& words) override;
     void close(SessionId session) override;
-    TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan, WorkloadId workload) override {
+    TaskId hand_in(const queue::Job& job, const std::string& tube, const TubePlan& plan,
+                   WorkloadId workload) override {
         return house_.hand_in(job, tube, plan, workload);
     }
     void take_back(TaskId task) override { house_.take_back(task); }
     RunnerId worker_joins(SessionId session, const Serves& serves, bool cold) override;
-    void worker_serves(RunnerId worker, const Serves& serves) override { house_.worker_serves(worker, serves); }
+    void worker_serves(RunnerId worker, const Serves& serves) override {
+        house_.worker_serves(worker, serves);
+    }
     void worker_leaves(RunnerId worker) override { house_.worker_leaves(worker); }
     void worker_room(RunnerId worker, double slots) override { house_.worker_room(worker, slots); }
     void errand_ended(runners::ErrandEnded&& ended) override { house_.errand_ended(std::move(ended)); }
@@ -92,7 +99,8 @@
     std::uint64_t opened_ = 0;
     bool leaving_ = false;
     std::unordered_map<SessionId, std::unique_ptr<Session>> sessions_;
-    std::vector<SessionId> ended_, again_, doomed_;  // again_: whose bytes can be read on; doomed_: whose answer found no buffer
+    std::vector<SessionId> ended_, again_,
+        doomed_;  // again_: whose bytes can be read on; doomed_: whose answer found no buffer
     Exchange exchange_;
     std::vector<Door> doors_;
     net::Timer wake_, stalled_;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -15,8 +15,8 @@
 
 namespace gannethold {
 
-// What the module holds of a runner, for an operator's view and the tests. Times are the caller's; slots and room
-// count tasks, share and warmth are parts of one.
+// What the module holds of a runner, for an operator's view and the tests. Times are the caller's; slots and
+// room count tasks, share and warmth are parts of one.
 struct RunnerView {
     RunnerId runner{};
     bool ready = false, trial = false, doubted = false;
@@ -36,9 +36,9 @@
 
     std::map<RunnerId, double> fractions() const;  // for an operator's view and the tests
     std::vector<RunnerView> runners() const;
-    // What was learned, for the one after; and what the one before had learned, aged by whoever kept it. Heard once,
-    // after the list that was held; nothing of it makes a runner ready, warm or well.
-    // Of the runners in so many places from that one on: all of them at once would hold up a loop.
+    // What was learned, for the one after; and what the one before had learned, aged by whoever kept it.
+    // Heard once, after the list that was held; nothing of it makes a runner ready, warm or well. Of the
+    // runners in so many places from that one on: all of them at once would hold up a loop.
     Lore lore(std::size_t from = 0, std::size_t most = static_cast<std::size_t>(-1)) const;
     void believe(const Lore& lore);
 
--- a/src/clients/request.cpp
+++ b/src/clients/request.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::size_t kLongestId = 128;
 // What two readers could take differently if it came twice.
-constexpr std::array kSingle = {"Host",        "X-Request-ID", "X-Timeout", "X-Tenant-Id",
-                                "Idempotency-Key", "X-Attrs",      "X-Retried", "Content-Type"};
+constexpr std::array kSingle = {"Host",    "X-Request-ID", "X-Timeout",   "X-Tenant-Id", "Idempotency-Key",
+                                "X-Attrs", "X-Retried",    "Content-Type"};
 constexpr Micros kLongestPatience = 24 * 3'600'000'000LL;  // a day; more is taken for a mistake
 
 std::optional<double> number(std::string_view text) {
@@ -86,9 +86,11 @@
         const auto expiry = orders.find(at + "expiry_us");
         if (expiry == orders.end()) return;
         const auto micros = number(expiry->second);
-        if (micros && *micros > 0 && *micros < kLongestPatience) longest[id] = static_cast<Micros>(*micros) * 64;
+        if (micros && *micros > 0 && *micros < kLongestPatience)
+            longest[id] = static_cast<Micros>(*micros) * 64;
     });
-    read("customers", customers, [](unsigned i) { return i; }, [](CustomerId, const std::string&) {});
+    read(
+        "customers", customers, [](unsigned i) { return i; }, [](CustomerId, const std::string&) {});
 }
 
 std::variant<Request, Refused> read_request(const http::Head& head, const Directory& directory) {
--- a/src/clients/server.cpp
+++ b/src/clients/server.cpp
@@ -71,8 +71,8 @@
         return s.state_ == State::reading && !s.served_ && now - s.since_ > kHalfCome;
     };
     const auto idle = [](const Session& s) { return s.state_ == State::idle; };
-    for (const std::function<bool(const Session&)>& goes : {std::function<bool(const Session&)>(told),
-                                                            {silent}, {half_said}, {idle}}) {
+    for (const std::function<bool(const Session&)>& goes :
+         {std::function<bool(const Session&)>(told), {silent}, {half_said}, {idle}}) {
         for (const auto& session : sessions_) {
             // Against closing one whose request is here but was not read yet.
             if (!goes(*session) || (session->state_ == State::idle && session->connection_.stale())) continue;
@@ -84,14 +84,13 @@
 
 void Server::restate(const Room& room) {
     room_ = room;
-    for (std::size_t before = live() + 1; live() > room_.sessions && live() < before;) before = live(), make_room();
+    for (std::size_t before = live() + 1; live() > room_.sessions && live() < before;)
+        before = live(), make_room();
 }
 
 // What comes beyond the room is turned away before the module sees it: never sent, so harmless to try again.
 // Against a backlog of tasks that are lost because no descriptor is left to take them.
-bool Server::full() const {
-    return waiting_ >= room_.tasks || live() > room_.sessions;
-}
+bool Server::full() const { return waiting_ >= room_.tasks || live() > room_.sessions; }
 
 // Against clients that say nothing, or begin a request and never end it: each would hold a descriptor and a
 // block for ever. One that has been served before may stand idle.
@@ -119,16 +118,17 @@
 
 // Nothing is being read, waited for or still to be written on the others.
 std::size_t Server::busy() const {
-    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
-        return session->state_ == Session::State::reading || session->state_ == Session::State::waiting ||
-               session->connection_.unsent();
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
+            return session->state_ == Session::State::reading || session->state_ == Session::State::waiting ||
+                   session->connection_.unsent();
+        }));
 }
 
 std::size_t Server::idle() const {
-    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
-        return session->state_ == Session::State::idle && session->served_;
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        sessions_.begin(), sessions_.end(),
+        [](const auto& session) { return session->state_ == Session::State::idle && session->served_; }));
 }
 
 void Server::keep_idle(std::size_t most) {
@@ -136,7 +136,8 @@
     for (const auto& session : sessions_) {
         if (open <= most) return;
         // Against closing one whose request is here but was not read yet.
-        if (session->state_ != Session::State::idle || !session->served_ || session->connection_.stale()) continue;
+        if (session->state_ != Session::State::idle || !session->served_ || session->connection_.stale())
+            continue;
         session->state_ = Session::State::closing;
         session->connection_.finish();
         --open;
@@ -246,8 +247,9 @@
         return turn_away("drained\n");
     }
     if (server_.full()) {
-        server_.log_.warning(last_byte_at_, "clients: no room, turned away ", log::as("request", request_->id), "; ",
-                             server_.waiting_, " tasks wait on ", server_.sessions_.size(), " connections");
+        server_.log_.warning(last_byte_at_, "clients: no room, turned away ",
+                             log::as("request", request_->id), "; ", server_.waiting_, " tasks wait on ",
+                             server_.sessions_.size(), " connections");
         return turn_away("no room\n");
     }
     served_ = true;
--- a/src/clients/server.hpp
+++ b/src/clients/server.hpp
@@ -44,14 +44,14 @@
     // From now on. With less room idle connections go until the rest fit, or none is idle.
     void restate(const Room& room);
     void bear(const Bearing& bearing) { bearing_ = bearing; }
-    // Closes idle connections, the longest idle first, until no more than that many stand open. One that has yet
-    // to hand in its first task is left alone.
+    // Closes idle connections, the longest idle first, until no more than that many stand open. One that has
+    // yet to hand in its first task is left alone.
     void keep_idle(std::size_t most);
     std::size_t idle() const;
     std::size_t waiting() const { return waiting_; }
     std::size_t busy() const;
     bool leaving() const { return leaving_; }
-    void sweep();        // frees what has ended; once a turn, after its last callback
+    void sweep();  // frees what has ended; once a turn, after its last callback
     std::uint16_t port() const { return listener_.port(); }
     std::size_t sessions() const { return sessions_.size(); }
 
--- a/src/cluster/base/error.hpp
+++ b/src/cluster/base/error.hpp
@@ -1,7 +1,7 @@
 // The closed list of what can go wrong in the system, and what each kind is answered with.
 //
-// Functions that can fail return leaf::result<T>; an error carries one Kind and, where it helps, a Detail that says
-// what is wrong and where. Nothing else is thrown across a part's border.
+// Functions that can fail return leaf::result<T>; an error carries one Kind and, where it helps, a Detail
+// that says what is wrong and where. Nothing else is thrown across a part's border.
 #pragma once
 
 #include <boost/leaf.hpp>
@@ -47,6 +47,8 @@
 // Total over Kind.
 Answer answer_to(Kind kind);
 
-inline leaf::error_id failure(Kind kind, std::string detail = {}) { return leaf::new_error(kind, Detail{std::move(detail)}); }
+inline leaf::error_id failure(Kind kind, std::string detail = {}) {
+    return leaf::new_error(kind, Detail{std::move(detail)});
+}
 
 }  // namespace gannethold::cluster
--- a/src/cluster/base/events.cpp
+++ b/src/cluster/base/events.cpp
@@ -10,10 +10,14 @@
 
 log4cplus::LogLevel rank(Level level) {
     switch (level) {
-        case Level::debug: return log4cplus::DEBUG_LOG_LEVEL;
-        case Level::info: return log4cplus::INFO_LOG_LEVEL;
-        case Level::warning: return log4cplus::WARN_LOG_LEVEL;
-        case Level::error: return log4cplus::ERROR_LOG_LEVEL;
+        case Level::debug:
+            return log4cplus::DEBUG_LOG_LEVEL;
+        case Level::info:
+            return log4cplus::INFO_LOG_LEVEL;
+        case Level::warning:
+            return log4cplus::WARN_LOG_LEVEL;
+        case Level::error:
+            return log4cplus::ERROR_LOG_LEVEL;
     }
     return log4cplus::ERROR_LOG_LEVEL;
 }
@@ -24,15 +28,21 @@
 
 bool open_log(const std::string& level) {
     log4cplus::LogLevel least = 0;
-    if (level == "debug") least = rank(Level::debug);
-    else if (level == "info") least = rank(Level::info);
-    else if (level == "warning") least = rank(Level::warning);
-    else if (level == "error") least = rank(Level::error);
-    else return false;
+    if (level == "debug")
+        least = rank(Level::debug);
+    else if (level == "info")
+        least = rank(Level::info);
+    else if (level == "warning")
+        least = rank(Level::warning);
+    else if (level == "error")
+        least = rank(Level::error);
+    else
+        return false;
     static log4cplus::Initializer initializer;
     static log4cplus::Logger root = log4cplus::Logger::getRoot();
     log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-    console->setLayout(std::unique_ptr<log4cplus::Layout>(new log4cplus::PatternLayout("time=%d{%q} level=%p %m%n")));
+    console->setLayout(
+        std::unique_ptr<log4cplus::Layout>(new log4cplus::PatternLayout("time=%d{%q} level=%p %m%n")));
     root.removeAllAppenders();
     root.addAppender(console);
     root.setLogLevel(least);
@@ -40,7 +50,8 @@
     return true;
 }
 
-Event::Event(std::string_view what, Level level) : level_(level), on_(logger && logger->isEnabledFor(rank(level))) {
+Event::Event(std::string_view what, Level level)
+    : level_(level), on_(logger && logger->isEnabledFor(rank(level))) {
     if (on_) line_.append("event=").append(what);
 }
 
--- a/src/cluster/base/settings.cpp
+++ b/src/cluster/base/settings.cpp
@@ -24,7 +24,8 @@
 
     leaf::result<std::string> needed(const std::string& key) const {
         const auto at = table_.find(key);
-        if (at == table_.end() || at->second.empty()) return failure(Kind::settings_invalid, key + " is missing");
+        if (at == table_.end() || at->second.empty())
+            return failure(Kind::settings_invalid, key + " is missing");
         return at->second;
     }
     std::string text(const std::string& key) const {
@@ -87,8 +88,8 @@
     const auto range = split(ports);
     unsigned port = 0;
     if (range.empty() ||
-        std::from_chars(range[0].data(), range[0].data() + range[0].size(), port).ec != std::errc() || port == 0 ||
-        port > 65535)
+        std::from_chars(range[0].data(), range[0].data() + range[0].size(), port).ec != std::errc() ||
+        port == 0 || port > 65535)
         return failure(Kind::settings_invalid, "internal_port_range is no range of ports: " + ports);
     s.internal_port = static_cast<std::uint16_t>(port);
     for (const auto& [key, value] : table)
@@ -115,7 +116,8 @@
     BOOST_LEAF_CHECK(reader.number("bounds.rejection_slack", s.rejection_slack));
     double turn = s.late_turn;
     BOOST_LEAF_CHECK(reader.number("urgency.late_turn", turn));
-    if (turn < 2 || turn > 100) return failure(Kind::settings_invalid, "urgency.late_turn is not from 2 to 100");
+    if (turn < 2 || turn > 100)
+        return failure(Kind::settings_invalid, "urgency.late_turn is not from 2 to 100");
     s.late_turn = static_cast<int>(turn);
     return s;
 }
--- a/src/cluster/configuration/configuration.cpp
+++ b/src/cluster/configuration/configuration.cpp
@@ -24,12 +24,14 @@
 }
 
 // What is missing or null keeps the value that stands there.
-leaf::result<void> number(const object& from, const char* key, const std::string& where, double least, double& value) {
+leaf::result<void> number(const object& from, const char* key, const std::string& where, double least,
+                          double& value) {
     element found;
     if (from[key].get(found) || found.is_null()) return {};
     double read = 0;
     if (found.get(read) || !(read >= least) || read > 1e15)
-        return wrong(where, std::string(key) + " is no number from " + std::to_string(static_cast<long>(least)) + " on");
+        return wrong(where, std::string(key) + " is no number from " +
+                                std::to_string(static_cast<long>(least)) + " on");
     value = read;
     return {};
 }
@@ -91,9 +93,11 @@
     const std::string where = "route " + r.name;
     BOOST_LEAF_ASSIGN(r.host, word(from, "host", where));
     BOOST_LEAF_ASSIGN(r.prefix, word(from, "path_prefix", where));
-    if (r.prefix.front() != '/' || r.prefix.back() != '/') return wrong(where, "path_prefix does not begin and end with a slash");
+    if (r.prefix.front() != '/' || r.prefix.back() != '/')
+        return wrong(where, "path_prefix does not begin and end with a slash");
     BOOST_LEAF_AUTO(kind, word(from, "route_kind", where));
-    if (kind != "idempotent" && kind != "non_idempotent") return wrong(where, "route_kind is not known: " + kind);
+    if (kind != "idempotent" && kind != "non_idempotent")
+        return wrong(where, "route_kind is not known: " + kind);
     r.idempotent = kind == "idempotent";
     double timeout = 30'000, aim = 1'000, priority = 0, attempts = 1;
     BOOST_LEAF_CHECK(number(from, "timeout_ms", where, 0, timeout));
@@ -127,7 +131,8 @@
 leaf::result<std::uint64_t> Configuration::version_of(std::string_view json) {
     simdjson::dom::parser parser;
     object top;
-    if (parser.parse(json.data(), json.size()).get(top)) return failure(Kind::configuration_cut, "not whole, or no JSON object");
+    if (parser.parse(json.data(), json.size()).get(top))
+        return failure(Kind::configuration_cut, "not whole, or no JSON object");
     std::uint64_t version = 0;
     if (top["version"].get(version)) return wrong("configuration", "version is no whole number from 0 on");
     return version;
@@ -136,9 +141,11 @@
 leaf::result<std::shared_ptr<const Configuration>> Configuration::read(std::string_view json) {
     simdjson::dom::parser parser;
     object top;
-    if (parser.parse(json.data(), json.size()).get(top)) return failure(Kind::configuration_cut, "not whole, or no JSON object");
+    if (parser.parse(json.data(), json.size()).get(top))
+        return failure(Kind::configuration_cut, "not whole, or no JSON object");
     auto made = std::make_shared<Configuration>();
-    if (top["version"].get(made->version_) || made->version_ == 0) return wrong("configuration", "version is no whole number from 1 on");
+    if (top["version"].get(made->version_) || made->version_ == 0)
+        return wrong("configuration", "version is no whole number from 1 on");
     simdjson::dom::array services, routes;
     if (top["services"].get(services)) return wrong("configuration", "services is no list");
     if (top["routes"].get(routes)) return wrong("configuration", "routes is no list");
@@ -150,32 +157,44 @@
             return wrong("service " + service.name, "it stands there twice");
         made->services_.push_back(std::move(service));
     }
-    std::map<std::tuple<Micros, Micros, bool, std::int64_t, std::uint32_t, std::uint8_t>, std::uint16_t> shapes;
+    std::map<std::tuple<Micros, Micros, bool, std::int64_t, std::uint32_t, std::uint8_t>, std::uint16_t>
+        shapes;
     for (const element one : routes) {
         object o;
         if (one.get(o)) return wrong("routes", "an entry is no object");
         BOOST_LEAF_AUTO(route, route_from(o));
         for (const auto& share : route.shares) {
             const auto at = made->service_at_.find(share.service);
-            if (at == made->service_at_.end()) return wrong("route " + route.name, "it names a service that is not there: " + share.service);
+            if (at == made->service_at_.end())
+                return wrong("route " + route.name, "it names a service that is not there: " + share.service);
             Service& service = made->services_[at->second];
-            if (share.weight > 0 && (service.tightest_aim == 0 || route.aim < service.tightest_aim)) service.tightest_aim = route.aim;
+            if (share.weight > 0 && (service.tightest_aim == 0 || route.aim < service.tightest_aim))
+                service.tightest_aim = route.aim;
         }
         const Service& first = made->services_[made->service_at_[route.shares.front().service]];
-        route.shape = shapes.try_emplace({route.aim, route.timeout, route.idempotent, first.memory_mb, first.most, route.priority}, static_cast<std::uint16_t>(shapes.size() + 1)).first->second;
-        const auto [other, fresh] = made->route_at_.emplace(place(route.host, route.prefix), made->routes_.size());
-        if (!fresh) return wrong("route " + route.name, "it has the host and prefix of route " + made->routes_[other->second].name);
+        route.shape = shapes
+                          .try_emplace({route.aim, route.timeout, route.idempotent, first.memory_mb,
+                                        first.most, route.priority},
+                                       static_cast<std::uint16_t>(shapes.size() + 1))
+                          .first->second;
+        const auto [other, fresh] =
+            made->route_at_.emplace(place(route.host, route.prefix), made->routes_.size());
+        if (!fresh)
+            return wrong("route " + route.name,
+                         "it has the host and prefix of route " + made->routes_[other->second].name);
         made->routes_.push_back(std::move(route));
     }
     if (object limits; !top["limits"].get(limits)) {
         Limits& l = made->limits_;
         double header = static_cast<double>(l.header_bytes), body = static_cast<double>(l.body_bytes);
-        double header_ms = static_cast<double>(l.header_timeout) / 1e3, idle_ms = static_cast<double>(l.idle_timeout) / 1e3;
+        double header_ms = static_cast<double>(l.header_timeout) / 1e3,
+               idle_ms = static_cast<double>(l.idle_timeout) / 1e3;
         BOOST_LEAF_CHECK(number(limits, "max_header_bytes", "limits", 1, header));
         BOOST_LEAF_CHECK(number(limits, "max_body_bytes", "limits", 0, body));
         BOOST_LEAF_CHECK(number(limits, "header_timeout_ms", "limits", 1, header_ms));
         BOOST_LEAF_CHECK(number(limits, "idle_timeout_ms", "limits", 1, idle_ms));
-        l = {static_cast<std::size_t>(header), static_cast<std::size_t>(body), static_cast<Micros>(header_ms * 1e3), static_cast<Micros>(idle_ms * 1e3)};
+        l = {static_cast<std::size_t>(header), static_cast<std::size_t>(body),
+             static_cast<Micros>(header_ms * 1e3), static_cast<Micros>(idle_ms * 1e3)};
     }
     return made;
 }
--- a/src/cluster/configuration/configuration.hpp
+++ b/src/cluster/configuration/configuration.hpp
@@ -36,7 +36,8 @@
         double weight = 1;
     };
     std::vector<Share> shares;  // never empty; weights add up to over 0
-    std::uint16_t shape = 0;    // routes that agree in service's kind, aim, time-out and attempts have one shape
+    std::uint16_t shape =
+        0;  // routes that agree in service's kind, aim, time-out and attempts have one shape
 };
 
 struct Limits {
@@ -46,7 +47,8 @@
 
 class Configuration {
   public:
-    // Errors: configuration_cut (not JSON, or cut short), configuration_invalid (the detail says what and where).
+    // Errors: configuration_cut (not JSON, or cut short), configuration_invalid (the detail says what and
+    // where).
     static leaf::result<std::shared_ptr<const Configuration>> read(std::string_view json);
     // Only the version, of anything that is JSON with one.
     static leaf::result<std::uint64_t> version_of(std::string_view json);
@@ -56,8 +58,8 @@
     const std::vector<Route>& routes() const { return routes_; }
     const Limits& limits() const { return limits_; }
     const Service* service(std::string_view name) const;
-    // Of the routes of that host, the one whose prefix begins the path and is longest; nullptr: none. The host as the
-    // client wrote it: case and port do not matter.
+    // Of the routes of that host, the one whose prefix begins the path and is longest; nullptr: none. The
+    // host as the client wrote it: case and port do not matter.
     const Route* route(std::string_view host, std::string_view path) const;
 
   private:
--- a/src/cluster/configuration/delta.cpp
+++ b/src/cluster/configuration/delta.cpp
@@ -27,7 +27,8 @@
 }
 
 std::uint32_t check(std::string_view text) {
-    return static_cast<std::uint32_t>(crc32(0, reinterpret_cast<const Bytef*>(text.data()), static_cast<uInt>(text.size())));
+    return static_cast<std::uint32_t>(
+        crc32(0, reinterpret_cast<const Bytef*>(text.data()), static_cast<uInt>(text.size())));
 }
 
 // Pieces end behind each closing brace: routes and services are one each.
@@ -81,7 +82,8 @@
     const std::size_t head = out.size();
     uLongf room = compressBound(static_cast<uLong>(plain.size()));
     out.resize(head + room);
-    compress2(reinterpret_cast<Bytef*>(out.data() + head), &room, reinterpret_cast<const Bytef*>(plain.data()), static_cast<uLong>(plain.size()), 6);
+    compress2(reinterpret_cast<Bytef*>(out.data() + head), &room,
+              reinterpret_cast<const Bytef*>(plain.data()), static_cast<uLong>(plain.size()), 6);
     out.resize(head + room);
     return out;
 }
@@ -92,10 +94,14 @@
     if (!take(difference, size) || size > kMost) return bad("a difference without its length");
     std::string plain(size, '\0');
     uLongf got = static_cast<uLongf>(size);
-    if (uncompress(reinterpret_cast<Bytef*>(plain.data()), &got, reinterpret_cast<const Bytef*>(difference.data()), static_cast<uLong>(difference.size())) != Z_OK || got != size)
+    if (uncompress(reinterpret_cast<Bytef*>(plain.data()), &got,
+                   reinterpret_cast<const Bytef*>(difference.data()),
+                   static_cast<uLong>(difference.size())) != Z_OK ||
+        got != size)
         return bad("a difference that can not be unpacked");
     std::string_view steps = plain;
-    if (!take(steps, size) || !take(steps, base_check) || !take(steps, text_check) || size > kMost) return bad("a difference without its head");
+    if (!take(steps, size) || !take(steps, base_check) || !take(steps, text_check) || size > kMost)
+        return bad("a difference without its head");
     if (base_check != check(base)) return bad("a difference to another text");
     std::string text;
     text.reserve(size);
@@ -104,7 +110,8 @@
         if (!take(steps, own) || own > steps.size()) return bad("a difference cut short");
         text.append(steps.substr(0, own));
         steps.remove_prefix(own);
-        if (!take(steps, from) || !take(steps, length) || from > base.size() || length > base.size() - from || text.size() + length > size)
+        if (!take(steps, from) || !take(steps, length) || from > base.size() || length > base.size() - from ||
+            text.size() + length > size)
             return bad("a difference that points outside");
         text.append(base.substr(from, length));
     }
--- a/src/cluster/configuration/delta.hpp
+++ b/src/cluster/configuration/delta.hpp
@@ -1,5 +1,6 @@
-// A configuration as the difference to an older one. Versions differ little and links are slow: what both have is named
-// by its place. Works on the bytes as the operator sent them, so that what is read back is what was sent.
+// A configuration as the difference to an older one. Versions differ little and links are slow: what both
+// have is named by its place. Works on the bytes as the operator sent them, so that what is read back is what
+// was sent.
 #pragma once
 
 #include <string>
--- a/src/cluster/consensus/consensus.cpp
+++ b/src/cluster/consensus/consensus.cpp
@@ -8,19 +8,26 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr std::size_t kBodies = 6;     // kept for differences
-constexpr Micros kAgain = 400'000;     // before a head that was not confirmed is carried again
+constexpr std::size_t kBodies = 6;  // kept for differences
+constexpr Micros kAgain = 400'000;  // before a head that was not confirmed is carried again
 constexpr Micros kInquiry = 250'000;
 constexpr Micros kRecovered = 1'500'000;  // after a lost disk was made good, others are left to elect
-constexpr Micros kEager = 1'200'000, kEagerEach = 40'000;  // after a start, who led before asks so often for votes
+constexpr Micros kEager = 1'200'000,
+                 kEagerEach = 40'000;  // after a start, who led before asks so often for votes
 
 }  // namespace
 
 Consensus::Consensus(Options terms, PersistentState state, Micros now, Output& out)
-    : options_(std::move(terms)), state_(std::move(state)), now_(now), started_(now), heard_leader_(now), chance_(options_.chance * 2 + 1) {
+    : options_(std::move(terms)),
+      state_(std::move(state)),
+      now_(now),
+      started_(now),
+      heard_leader_(now),
+      chance_(options_.chance * 2 + 1) {
     if (!state_.member && options_.first_start &&
         std::find(options_.seeds.begin(), options_.seeds.end(), options_.self) != options_.seeds.end()) {
-        // All founders were told the same seeds, so all found the same core; whoever is no founder asks to be let in.
+        // All founders were told the same seeds, so all found the same core; whoever is no founder asks to be
+        // let in.
         state_.member = true;
         state_.entry.position = {0, 1};
         state_.entry.members = options_.seeds;
@@ -48,12 +55,17 @@
         election_at_ = now_ + kEagerEach + static_cast<Micros>(chance_ % kEagerEach);
         return;
     }
-    election_at_ = now_ + options_.election_timeout + static_cast<Micros>(chance_ % static_cast<std::uint64_t>(options_.election_timeout * 2 / 3));
+    election_at_ =
+        now_ + options_.election_timeout +
+        static_cast<Micros>(chance_ % static_cast<std::uint64_t>(options_.election_timeout * 2 / 3));
 }
 
-// Of the newest round that a majority has answered, when it was sent: until then nobody could have voted against us.
-// While a change of members is not committed a majority of either set will do: any two of them share a member.
-Micros Consensus::lease_start() const { return std::max(lease_start(members()), lease_start(committed_.members)); }
+// Of the newest round that a majority has answered, when it was sent: until then nobody could have voted
+// against us. While a change of members is not committed a majority of either set will do: any two of them
+// share a member.
+Micros Consensus::lease_start() const {
+    return std::max(lease_start(members()), lease_start(committed_.members));
+}
 
 Micros Consensus::lease_start(const std::vector<std::string>& group) const {
     std::vector<Number> answered;
@@ -90,7 +102,8 @@
     if (role_ == Role::leader) {
         // A leader that no majority answers is none: who asks it should look for another.
         std::size_t heard = 1;
-        for (const std::string& m : members()) heard += m != options_.self && now <= heard_from(m) + 2 * options_.election_timeout;
+        for (const std::string& m : members())
+            heard += m != options_.self && now <= heard_from(m) + 2 * options_.election_timeout;
         if (heard < majority()) {
             become_follower(state_.term, out);
         } else {
@@ -104,7 +117,9 @@
         campaign(true, out);
     }
     if (role_ == Role::non_member) send_recovery_requests(out);
-    next_tick_ = role_ == Role::leader ? next_round_ : role_ == Role::non_member ? next_inquiry_ : election_at_;
+    next_tick_ = role_ == Role::leader       ? next_round_
+                 : role_ == Role::non_member ? next_inquiry_
+                                             : election_at_;
 }
 
 void Consensus::become_follower(Number term, Output& out) {
@@ -123,13 +138,15 @@
     for (const Waiting& w : std::exchange(waiting_, {})) out.results.push_back({w.ticket, false});
 }
 
-// ---- election ------------------------------------------------------------------------------------------------
+// ---- election
+// ------------------------------------------------------------------------------------------------
 
 void Consensus::campaign(bool pre_vote, Output& out, bool handed) {
     set_election();
     leader_.clear();
     if (!is_member(options_.self)) return;
-    // Those whose disks are whole elect among themselves first: each vote that can not be given is a term in vain.
+    // Those whose disks are whole elect among themselves first: each vote that can not be given is a term in
+    // vain.
     if (no_vote_through_term(state_.term + 1) && now_ < recovered_ + kRecovered) return;
     role_ = pre_vote ? Role::pre_candidate : Role::candidate;
     votes_.clear();
@@ -141,7 +158,9 @@
     }
     // A pre_vote promises nothing: against a machine that was cut off and comes back with a high term.
     for (const std::string& m : members())
-        if (m != options_.self) out.sends.push_back({m, VoteRequest{state_.term + pre_vote, state_.entry.position, pre_vote, handed}});
+        if (m != options_.self)
+            out.sends.push_back(
+                {m, VoteRequest{state_.term + pre_vote, state_.entry.position, pre_vote, handed}});
     count_votes(out);
 }
 
@@ -152,14 +171,17 @@
     if (m.pre_vote) {
         // Later on a term in vain is what it takes to come to one in which this machine may vote.
         const bool would = !no_vote_through_term(m.term) || now_ >= recovered_ + kRecovered;
-        out.sends.push_back({from, VoteResponse{m.term, m.term > state_.term && newer && !hears && would, true}});
+        out.sends.push_back(
+            {from, VoteResponse{m.term, m.term > state_.term && newer && !hears && would, true}});
         return;
     }
-    // Against one that did not hear what all others hear. A leader that hands over has given up its lease itself.
+    // Against one that did not hear what all others hear. A leader that hands over has given up its lease
+    // itself.
     if (hears && !m.handed) return;
     if (m.term > state_.term) become_follower(m.term, out);
     const bool grant = m.term == state_.term && newer && role_ == Role::follower &&
-                       !no_vote_through_term(m.term) && (state_.voted_for.empty() || state_.voted_for == from);
+                       !no_vote_through_term(m.term) &&
+                       (state_.voted_for.empty() || state_.voted_for == from);
     if (grant) {
         if (state_.voted_for.empty()) state_.voted_for = from, out.write = true;
         set_election();
@@ -177,8 +199,10 @@
 
 void Consensus::count_votes(Output& out) {
     if (votes_.size() < majority()) return;
-    if (role_ == Role::pre_candidate) campaign(false, out);
-    else if (role_ == Role::candidate) lead(out);
+    if (role_ == Role::pre_candidate)
+        campaign(false, out);
+    else if (role_ == Role::candidate)
+        lead(out);
 }
 
 void Consensus::handle(const std::string& from, const TimeoutNow& m, Output& out) {
@@ -194,11 +218,14 @@
     fail_waiting(out);
     std::string best;
     for (const std::string& m : members())
-        if (m != options_.self && peers_[m].held == state_.entry.position && (best.empty() || peers_[m].heard > peers_[best].heard)) best = m;
+        if (m != options_.self && peers_[m].held == state_.entry.position &&
+            (best.empty() || peers_[m].heard > peers_[best].heard))
+            best = m;
     if (!best.empty()) out.sends.push_back({best, TimeoutNow{state_.term}});
 }
 
-// ---- leading -------------------------------------------------------------------------------------------------
+// ---- leading
+// -------------------------------------------------------------------------------------------------
 
 void Consensus::lead(Output& out) {
     role_ = Role::leader;
@@ -244,11 +271,13 @@
         m.members = state_.entry.members;
         // Not heard yet: most likely it holds what stood here before.
         LogPosition base = peer.held;
-        if (base == LogPosition{} && !peer.whole && bodies_.size() > 1) base = std::prev(bodies_.end(), 2)->first;
+        if (base == LogPosition{} && !peer.whole && bodies_.size() > 1)
+            base = std::prev(bodies_.end(), 2)->first;
         const auto known = bodies_.find(base);
         if (known != bodies_.end()) m.base = base;
         std::string& delta = deltas_[m.base];
-        if (delta.empty()) delta = make_delta(known != bodies_.end() ? known->second : std::string(), state_.entry.body);
+        if (delta.empty())
+            delta = make_delta(known != bodies_.end() ? known->second : std::string(), state_.entry.body);
         m.delta = {m.base.index, delta};
     }
     out.sends.push_back({to, std::move(m)});
@@ -256,9 +285,11 @@
 
 void Consensus::handle(const std::string& from, const AppendRequest& m, Output& out) {
     if (role_ == Role::non_member) {
-        // A machine that was asked in is told so by the entry that names it. One whose disk is new, and that does not
-        // know yet whether it once belonged here, waits until a majority has told it.
-        if (!joining_ || !m.carries || std::find(m.members.begin(), m.members.end(), options_.self) == m.members.end()) return;
+        // A machine that was asked in is told so by the entry that names it. One whose disk is new, and that
+        // does not know yet whether it once belonged here, waits until a majority has told it.
+        if (!joining_ || !m.carries ||
+            std::find(m.members.begin(), m.members.end(), options_.self) == m.members.end())
+            return;
         if (m.base > LogPosition{}) return;
         state_.member = true;
         role_ = Role::follower;
@@ -271,14 +302,16 @@
     if (m.term > state_.term || role_ != Role::follower) become_follower(m.term, out);
     leader_ = from;
     heard_leader_ = now_;
-    if (state_.last_leader != from) state_.last_leader = from, out.write = true;  // before the answer that grants the lease
+    if (state_.last_leader != from)
+        state_.last_leader = from, out.write = true;  // before the answer that grants the lease
     set_election();
     if (m.carries && m.head > state_.entry.position) {
         const auto base = bodies_.find(m.base);
         if (m.base == LogPosition{} || base != bodies_.end()) {
             leaf::try_handle_all(
                 [&]() -> leaf::result<void> {
-                    BOOST_LEAF_AUTO(body, apply_delta(m.base == LogPosition{} ? std::string() : base->second, m.delta.bytes));
+                    BOOST_LEAF_AUTO(body, apply_delta(m.base == LogPosition{} ? std::string() : base->second,
+                                                      m.delta.bytes));
                     state_.entry = {m.head, m.version, m.members, std::move(body)};
                     out.write = true;
                     bodies_[state_.entry.position] = state_.entry.body;
@@ -300,7 +333,8 @@
     peer.held = m.held;
     peer.whole = false;
     // It could not make the head from what it holds: now we know what that is.
-    if (m.held != state_.entry.position && peer.carried_index == state_.entry.position.index && peer.carried > 0 && m.round == round_) {
+    if (m.held != state_.entry.position && peer.carried_index == state_.entry.position.index &&
+        peer.carried > 0 && m.round == round_) {
         peer.carried = 0;
         peer.carried_index = 0;
     }
@@ -318,12 +352,15 @@
     committed_ = state_.entry;
     std::vector<Waiting> left;
     for (Waiting& w : waiting_) {
-        if (w.index > 0 && w.index <= committed_.position.index) out.results.push_back({w.ticket, true});
-        else left.push_back(std::move(w));
+        if (w.index > 0 && w.index <= committed_.position.index)
+            out.results.push_back({w.ticket, true});
+        else
+            left.push_back(std::move(w));
     }
     waiting_ = std::move(left);
     next_change(out);
-    next_round_ = std::min(next_round_, now_ + options_.heartbeat / 4);  // followers learn soon that it is committed
+    next_round_ =
+        std::min(next_round_, now_ + options_.heartbeat / 4);  // followers learn soon that it is committed
 }
 
 void Consensus::propose(Micros now, Number ticket, Number version, std::string body, Output& out) {
@@ -332,8 +369,8 @@
         out.results.push_back({ticket, false});
         return;
     }
-    // The highest version prevails: what is not above the one held is acknowledged and alters nothing, once that one
-    // is committed itself.
+    // The highest version prevails: what is not above the one held is acknowledged and alters nothing, once
+    // that one is committed itself.
     if (version <= committed_.version) {
         out.results.push_back({ticket, true});
         return;
@@ -344,11 +381,14 @@
 
 // One change at a time: what came meanwhile is put together, the highest version of it goes next.
 void Consensus::next_change(Output& out) {
-    if (role_ != Role::leader || resigned_ || committed_.position != state_.entry.position || committed_.position.term != state_.term) return;
+    if (role_ != Role::leader || resigned_ || committed_.position != state_.entry.position ||
+        committed_.position.term != state_.term)
+        return;
     LogEntry next = state_.entry;
     Waiting* highest = nullptr;
     for (Waiting& w : waiting_)
-        if (w.index == 0 && w.version > next.version && (!highest || w.version > highest->version)) highest = &w;
+        if (w.index == 0 && w.version > next.version && (!highest || w.version > highest->version))
+            highest = &w;
     if (highest) {
         next.version = highest->version;
         next.body = std::move(highest->body);
@@ -361,7 +401,8 @@
         peers_[who] = {now_, {}, 0, 0, 0, true};
         return begin(std::move(next), out);
     }
-    // An even number bears no more losses than one less: who has long been silent leaves, and may ask to come back.
+    // An even number bears no more losses than one less: who has long been silent leaves, and may ask to come
+    // back.
     if (members().size() % 2 != 0 || members().size() < 4) return;
     for (const std::string& m : members()) {
         if (m == options_.self || now_ < peers_[m].heard + options_.dead_after) continue;
@@ -370,7 +411,8 @@
     }
 }
 
-// ---- coming in, and coming back without a disk ---------------------------------------------------------------
+// ---- coming in, and coming back without a disk
+// ---------------------------------------------------------------
 
 void Consensus::send_recovery_requests(Output& out) {
     if (now_ < next_inquiry_) return;
@@ -398,8 +440,8 @@
         if (one.entry.position > newest->entry.position) newest = &one;
         term = std::max(term, one.term);
     }
-    // As many of the others as a majority: one of them at least has whatever was committed, even if we had the other
-    // copy of it, and knows of any term in which a majority with us in it elected.
+    // As many of the others as a majority: one of them at least has whatever was committed, even if we had
+    // the other copy of it, and knows of any term in which a majority with us in it elected.
     const std::vector<std::string>& group = newest->entry.members;
     std::size_t answered = 0;
     for (const std::string& who : group) answered += who != options_.self && told_.count(who) > 0;
@@ -425,8 +467,8 @@
     }
     state_.member = true;
     state_.term = std::max(state_.term, term);
-    // In that term we may have voted before. A candidate whom only we had heard may stand one term further, or two if
-    // it tried again: in those no vote either.
+    // In that term we may have voted before. A candidate whom only we had heard may stand one term further,
+    // or two if it tried again: in those no vote either.
     state_.voted_for = options_.self;
     state_.no_vote_through_term = state_.term + 2;
     recovered_ = now_;
--- a/src/cluster/consensus/consensus.hpp
+++ b/src/cluster/consensus/consensus.hpp
@@ -1,14 +1,15 @@
 // Consensus of the core on one small register: the newest configuration and who belongs to the core.
 //
-// A leader is elected by a majority for a term; every change is a new LogEntry with the leader's term and the next index,
-// and is committed once a majority has it on disk (Raft's rules, with a log of which only the last entry is kept: each
-// entry holds the whole state, so an older one is never needed). Source of the rules on votes, terms and one change of
-// members at a time: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm"; of the recovery of a
-// machine that lost its disk: Liskov and Cowling, "Viewstamped Replication Revisited", section 4.3.
+// A leader is elected by a majority for a term; every change is a new LogEntry with the leader's term and the
+// next index, and is committed once a majority has it on disk (Raft's rules, with a log of which only the
+// last entry is kept: each entry holds the whole state, so an older one is never needed). Source of the rules
+// on votes, terms and one change of members at a time: Ongaro and Ousterhout, "In Search of an Understandable
+// Consensus Algorithm"; of the recovery of a machine that lost its disk: Liskov and Cowling, "Viewstamped
+// Replication Revisited", section 4.3.
 //
-// No I/O and no clock: each call takes the time and fills an Output. The caller first writes state() to disk and
-// syncs it where Output::write is set, and only then sends; if the write fails nothing of the Output may be used and
-// the machine is made anew from what is on disk.
+// No I/O and no clock: each call takes the time and fills an Output. The caller first writes state() to disk
+// and syncs it where Output::write is set, and only then sends; if the write fails nothing of the Output may
+// be used and the machine is made anew from what is on disk.
 #pragma once
 
 #include <map>
@@ -54,15 +55,17 @@
         std::vector<std::string> seeds;  // the founders, where this is the first start
         bool first_start = false;
         Micros heartbeat = 90'000;
-        Micros election_timeout = 450'000;  // least silence of a leader before a vote against it; a lease lasts less
-        Micros lease = 330'000;     // shorter than election_timeout by more than clocks drift in that time
+        Micros election_timeout =
+            450'000;             // least silence of a leader before a vote against it; a lease lasts less
+        Micros lease = 330'000;  // shorter than election_timeout by more than clocks drift in that time
         Micros dead_after = 6'000'000;
         std::uint64_t chance = 1;
     };
 
-    // now: any steady clock. A machine that starts waits for a whole election_timeout before it votes against the leader whose
-    // order it answered last: it does not know how long ago that was. That leader itself, if it asks for the vote, has a
-    // new life and no lease, so it gets it at once; and it asks at once, many times, as it starts.
+    // now: any steady clock. A machine that starts waits for a whole election_timeout before it votes against
+    // the leader whose order it answered last: it does not know how long ago that was. That leader itself, if
+    // it asks for the vote, has a new life and no lease, so it gets it at once; and it asks at once, many
+    // times, as it starts.
     Consensus(Options terms, PersistentState state, Micros now, Output& out);
 
     void receive(Micros now, const std::string& from, const Message& message, Output& out);
@@ -75,9 +78,11 @@
 
     const PersistentState& state() const { return state_; }
     // Elected for the term, its first entry committed. It may act only while it leads, too.
-    bool holds() const { return role_ == Role::leader && committed_.position.term == state_.term && !resigned_; }
-    // Holds, and the lease of a majority has not run out. A lease that ran out for a while and came back in the same term
-    // was nobody else's meanwhile: who has voted for another answers this term no more.
+    bool holds() const {
+        return role_ == Role::leader && committed_.position.term == state_.term && !resigned_;
+    }
+    // Holds, and the lease of a majority has not run out. A lease that ran out for a while and came back in
+    // the same term was nobody else's meanwhile: who has voted for another answers this term no more.
     bool leads(Micros now) const;
     // The newest entry that is known to be committed; nullptr: none yet.
     const LogEntry* committed() const { return committed_.position > LogPosition{} ? &committed_ : nullptr; }
@@ -91,9 +96,9 @@
   private:
     enum class Role { non_member, follower, pre_candidate, candidate, leader };
     struct Peer {
-        Micros heard = 0;   // anything
+        Micros heard = 0;  // anything
         LogPosition held;
-        Number round = 0;   // the newest it has answered
+        Number round = 0;    // the newest it has answered
         Micros carried = 0;  // when the head was last sent to it
         Number carried_index = 0;
         bool whole = false;  // it has nothing to which a difference could be
@@ -141,12 +146,13 @@
     LogEntry committed_;
     Role role_ = Role::non_member;
     std::string leader_;
-    Micros now_ = 0, started_ = 0, recovered_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0, next_round_ = 0, next_inquiry_ = 0;
+    Micros now_ = 0, started_ = 0, recovered_ = 0, heard_leader_ = 0, election_at_ = 0, next_tick_ = 0,
+           next_round_ = 0, next_inquiry_ = 0;
     std::set<std::string> votes_;
     std::map<std::string, Peer> peers_;
     std::map<Number, Micros> rounds_;  // when sent
     Number round_ = 0;
-    std::map<LogPosition, std::string> bodies_;   // lately held ones, for differences
+    std::map<LogPosition, std::string> bodies_;  // lately held ones, for differences
     std::map<LogPosition, std::string> deltas_;  // from each of them to the head, as far as they were needed
     std::vector<Waiting> waiting_;
     std::set<std::string> applicants_;
--- a/src/cluster/placement/planner.cpp
+++ b/src/cluster/placement/planner.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr Micros kSilent = 1'000'000;  // before a stop without an answer is said again
-// A runner that is started for each request costs its start each time; one that is kept, its idle time. It is kept where
-// more than one request is expected in so many starts' time.
+// A runner that is started for each request costs its start each time; one that is kept, its idle time. It is
+// kept where more than one request is expected in so many starts' time.
 constexpr double kHold = 2;
 constexpr std::size_t kShortLine = 8;
 constexpr Micros kPlanEach = 20'000;
-constexpr double kStartPays = 0.8;    // of a start's time: a slot that comes free sooner is waited for
-constexpr double kNearRate = 12;       // requests a second of a zone that are worth a gigabyte near them
+constexpr double kStartPays = 0.8;  // of a start's time: a slot that comes free sooner is waited for
+constexpr double kNearRate = 12;    // requests a second of a zone that are worth a gigabyte near them
 
 }  // namespace
 
@@ -24,7 +24,8 @@
 
 bool Planner::spend(Micros now) {
     // Under the platform's rate, shared by all who could hold the duty one after the other.
-    tokens_ = std::min(std::max(4.0, options_.duty_per_s / 8), tokens_ + static_cast<double>(now - tokens_at_) / 1e6 * options_.duty_per_s * 0.8);
+    tokens_ = std::min(std::max(4.0, options_.duty_per_s / 8),
+                       tokens_ + static_cast<double>(now - tokens_at_) / 1e6 * options_.duty_per_s * 0.8);
     tokens_at_ = now;
     if (tokens_ < 1) return false;
     tokens_ -= 1;
@@ -36,9 +37,10 @@
     return at == options_.region_of.end() ? zone : at->second;
 }
 
-// In the zone that needs it if there is room, then in its region, then anywhere; there on the worker that has none of the
-// function yet, so that one crash leaves some; then on the emptiest.
-const Worker* Planner::place(Micros now, const Function& f, const SlotTable& slot_table, const std::string& zone) const {
+// In the zone that needs it if there is room, then in its region, then anywhere; there on the worker that has
+// none of the function yet, so that one crash leaves some; then on the emptiest.
+const Worker* Planner::place(Micros now, const Function& f, const SlotTable& slot_table,
+                             const std::string& zone) const {
     std::map<std::string, int> there;
     for (const std::uint32_t number : f.runners)
         if (const Slots& r = slot_table.runner(number); !r.draining) ++there[r.what.worker];
@@ -53,15 +55,19 @@
         const auto used = used_.find(name);
         const std::int64_t left = w.memory_mb - (used == used_.end() ? 0 : used->second) - promised[name];
         if (!w.ready || left < f.service->memory_mb) continue;
-        if (const auto full = full_until_.find(name); full != full_until_.end() && now < full->second) continue;
+        if (const auto full = full_until_.find(name); full != full_until_.end() && now < full->second)
+            continue;
         const double near = zone.empty() ? 0 : w.zone == zone ? 2 : region(w.zone) == region(zone) ? 1 : 0;
-        const double rank = 100 * near - 16 * there[name] + static_cast<double>(left) / static_cast<double>(std::max<std::int64_t>(1, w.memory_mb));
+        const double rank =
+            100 * near - 16 * there[name] +
+            static_cast<double>(left) / static_cast<double>(std::max<std::int64_t>(1, w.memory_mb));
         if (!best || rank > best_rank) best = &w, best_rank = rank;
     }
     return best;
 }
 
-Planner::Wish Planner::wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have, std::size_t starting) const {
+Planner::Wish Planner::wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have,
+                            std::size_t starting) const {
     const Service& s = *f.service;
     const double slots = s.most;
     const double load = std::max(f.load_fast, f.load_slow);
@@ -73,7 +79,8 @@
         if (const Slots& r = slot_table.runner(number); !r.draining) there[r.what.zone] += 1;
     if (const auto of = begins_of_.find(f.name); of != begins_of_.end())
         for (const std::string& nonce : of->second)
-            if (const auto p = begins_.find(nonce); p != begins_.end()) there[zone_of(p->second.begin.worker)] += 1;
+            if (const auto p = begins_.find(nonce); p != begins_.end())
+                there[zone_of(p->second.begin.worker)] += 1;
     double most = 0;
     for (const auto& [zone, place] : f.places) {
         const double need = place.rate / (0.2 + there[zone]);
@@ -91,11 +98,13 @@
             zones += place.rate > kNearRate * static_cast<double>(s.memory_mb) / 1024;
         }
         std::size_t regions = 0;
-        for (const auto& [name, rate] : rates) regions += rate > kNearRate / 4 * static_cast<double>(s.memory_mb) / 1024;
+        for (const auto& [name, rate] : rates)
+            regions += rate > kNearRate / 4 * static_cast<double>(s.memory_mb) / 1024;
         const std::size_t near = std::max(zones, regions);
         if (near > wish.count) wish.count = near, wish.why = "near";
     } else if (f.rate * kHold * static_cast<double>(s.boot) / 1e6 > 1 || f.load_slow > 0.5) {
-        wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil((f.load_slow + std::sqrt(f.load_slow)) / slots - 0.3)));
+        wish.count = std::max<std::size_t>(
+            1, static_cast<std::size_t>(std::ceil((f.load_slow + std::sqrt(f.load_slow)) / slots - 0.3)));
         wish.why = "load";
     }
     if (!f.waiting.empty()) {
@@ -105,11 +114,14 @@
         int many = 0;
         for (const auto& [zone, count] : zones)
             if (count > many) many = count, wish.zone = zone;
-        // One more where a start is over before a slot comes free, and what is coming up already would be too late for the aim.
+        // One more where a start is over before a slot comes free, and what is coming up already would be too
+        // late for the aim.
         const double wait = slot_table.expected_wait(now, f);
         const WaitQueue::Waiting& last = *f.waiting.newest();
-        const bool late = static_cast<double>(now) + wait + static_cast<double>(last.work) > static_cast<double>(last.aim_at);
-        if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) && (have == 0 || late)) {
+        const bool late = static_cast<double>(now) + wait + static_cast<double>(last.work) >
+                          static_cast<double>(last.aim_at);
+        if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) &&
+            (have == 0 || late)) {
             if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
         }
     }
@@ -117,7 +129,8 @@
 }
 
 void Planner::plan_waiting(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail) {
-    // What one more in a long line changes is little, and to look at all of it for each costs more than there is.
+    // What one more in a long line changes is little, and to look at all of it for each costs more than there
+    // is.
     if (f.waiting.size() > kShortLine && now < f.planned_at + kPlanEach) return;
     f.planned_at = now;
     plan(now, slot_table, f, mail);
@@ -126,7 +139,9 @@
 void Planner::plan(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail) {
     if (!committed(now)) return;
     // Nobody asks, nothing runs, none is to be warm.
-    if (f.service && f.runners.empty() && f.waiting.empty() && f.rate < 0.01 && !f.service->warm() && !begins_of_.count(f.name)) return;
+    if (f.service && f.runners.empty() && f.waiting.empty() && f.rate < 0.01 && !f.service->warm() &&
+        !begins_of_.count(f.name))
+        return;
     if (!f.service) {
         for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
             slot_table.retire(now, number, mail);
@@ -140,7 +155,8 @@
         have += !r.draining;
         starting += !r.draining && r.state == RunnerState::starting;
     }
-    if (const auto of = begins_of_.find(f.name); of != begins_of_.end()) have += of->second.size(), starting += of->second.size();
+    if (const auto of = begins_of_.find(f.name); of != begins_of_.end())
+        have += of->second.size(), starting += of->second.size();
     const Wish want = wish(now, slot_table, f, have, starting);
     if (have < want.count) {
         surplus_since_.erase(f.name);
@@ -170,8 +186,12 @@
     };
     for (const std::uint32_t number : f.runners) {
         const Slots& r = slot_table.runner(number);
-        if (r.draining || r.state != RunnerState::ready || (!f.unrestricted && (r.out() > 0 || now < r.idle_since + keep / 2))) continue;
-        if (!chosen || spare(r) > spare(*chosen) || (spare(r) == spare(*chosen) && r.idle_since < chosen->idle_since)) chosen = &r;
+        if (r.draining || r.state != RunnerState::ready ||
+            (!f.unrestricted && (r.out() > 0 || now < r.idle_since + keep / 2)))
+            continue;
+        if (!chosen || spare(r) > spare(*chosen) ||
+            (spare(r) == spare(*chosen) && r.idle_since < chosen->idle_since))
+            chosen = &r;
     }
     if (!chosen) return;
     const std::uint32_t number = chosen->number;
@@ -183,7 +203,8 @@
     used_.clear();
     for (const auto& [number, r] : slot_table.runners())
         if (r.function->service) used_[r.what.worker] += r.function->service->memory_mb;
-    for (Function* const f : std::vector<Function*>(slot_table.active().begin(), slot_table.active().end())) plan(now, slot_table, *f, mail);
+    for (Function* const f : std::vector<Function*>(slot_table.active().begin(), slot_table.active().end()))
+        plan(now, slot_table, *f, mail);
     // What was retired is stopped once nothing is under way to it.
     for (auto& [runner, l] : leaving_)
         if (l.next == 0 && slot_table.retire(now, l.number, mail)) l.next = now;
@@ -222,7 +243,8 @@
         case BeginAnswer::no_room:
             full_until_[p.begin.worker] = now + 1'000'000;
             return drop();
-        case BeginAnswer::refused: return drop();
+        case BeginAnswer::refused:
+            return drop();
         case BeginAnswer::busy:
             p.out = false;
             p.next = now + 100'000;
--- a/src/cluster/placement/planner.hpp
+++ b/src/cluster/placement/planner.hpp
@@ -1,5 +1,6 @@
-// How many runners each function has, and on which worker each is started. One planner acts at a time: the leader of the
-// core, under its term as the fence. It reads the slot table and says what to start and stop; no I/O and no clock.
+// How many runners each function has, and on which worker each is started. One planner acts at a time: the
+// leader of the core, under its term as the fence. It reads the slot table and says what to start and stop;
+// no I/O and no clock.
 #pragma once
 
 #include <map>
@@ -38,14 +39,17 @@
     struct Options {
         std::string nonce_prefix;  // unique to this coordinator's term and life
         double duty_per_s = 1;
-        Micros settle = 1'500'000;  // after coming into coordinator, before what is not listed is started anew
+        Micros settle =
+            1'500'000;  // after coming into coordinator, before what is not listed is started anew
         std::map<std::string, std::string> region_of;  // by zone
     };
     Planner(const Options& terms, Micros now) : options_(terms), since_(now), tokens_at_(now) {}
 
     void workers(Micros now, std::vector<Worker> all);
     void list_read(Micros now) { listed_ = now; }
-    bool committed(Micros now) const { return listed_ > 0 && !workers_.empty() && now >= since_ + options_.settle; }
+    bool committed(Micros now) const {
+        return listed_ > 0 && !workers_.empty() && now >= since_ + options_.settle;
+    }
     std::string zone_of(const std::string& worker) const {
         const auto at = workers_.find(worker);
         return at == workers_.end() ? std::string() : at->second.zone;
@@ -77,8 +81,10 @@
         const char* why = "";
         std::string zone;  // where one more is best; empty: wherever there is room
     };
-    Wish wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have, std::size_t starting) const;
-    const Worker* place(Micros now, const Function& f, const SlotTable& slot_table, const std::string& zone) const;
+    Wish wish(Micros now, const SlotTable& slot_table, const Function& f, std::size_t have,
+              std::size_t starting) const;
+    const Worker* place(Micros now, const Function& f, const SlotTable& slot_table,
+                        const std::string& zone) const;
     std::string region(const std::string& zone) const;
     bool spend(Micros now);
 
@@ -86,11 +92,12 @@
     Micros since_, listed_ = 0, tokens_at_;
     double tokens_ = 0;
     std::map<std::string, Worker> workers_;
-    std::map<std::string, std::int64_t> used_;  // by worker, of runners that the slot table knows; counted anew each plan_all
+    std::map<std::string, std::int64_t>
+        used_;  // by worker, of runners that the slot table knows; counted anew each plan_all
     std::map<std::string, Micros> full_until_;
-    std::map<std::string, Pending> begins_;  // by nonce
+    std::map<std::string, Pending> begins_;                                // by nonce
     std::unordered_map<std::string, std::vector<std::string>> begins_of_;  // nonces, by function
-    std::map<std::string, Leaving> leaving_;  // by runner
+    std::map<std::string, Leaving> leaving_;                               // by runner
     std::unordered_map<std::string, Micros> surplus_since_;
     std::uint64_t count_ = 0;
 };
--- a/src/cluster/programs/admin.cpp
+++ b/src/cluster/programs/admin.cpp
@@ -7,15 +7,19 @@
 
 #include "cluster/programs/process.hpp"
 
-ABSL_FLAG(std::string, admin, "", "ip:port at which operators may ask what was decided and why (gannethold explain); empty: nowhere");
+ABSL_FLAG(std::string, admin, "",
+          "ip:port at which operators may ask what was decided and why (gannethold explain); empty: nowhere");
 
 namespace gannethold::cluster {
 
 ExplainResource::ExplainResource(net::Loop& loop, Tell tell) : tell_(std::move(tell)) {
     const std::string at = absl::GetFlag(FLAGS_admin);
     if (at.empty()) return;
-    service_ = std::make_unique<HttpService>(loop, address_or_end(at, "--admin"),
-                                             HttpService::Events{[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, m); }, [](HttpService::Exchange) {}}, 16);
+    service_ = std::make_unique<HttpService>(
+        loop, address_or_end(at, "--admin"),
+        HttpService::Events{[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, m); },
+                            [](HttpService::Exchange) {}},
+        16);
 }
 
 void ExplainResource::asked(HttpService::Exchange exchange, const HttpMessage& request) {
@@ -31,8 +35,10 @@
 
 json::Value told(double number) {
     char text[32];
-    if (number == std::floor(number) && std::abs(number) < 1e15) std::snprintf(text, sizeof text, "%.0f", number);
-    else std::snprintf(text, sizeof text, "%.4g", number);
+    if (number == std::floor(number) && std::abs(number) < 1e15)
+        std::snprintf(text, sizeof text, "%.0f", number);
+    else
+        std::snprintf(text, sizeof text, "%.4g", number);
     return json::Value(json::Number{text});
 }
 json::Value told(std::string text) { return json::Value(std::move(text)); }
--- a/src/cluster/programs/admin.hpp
+++ b/src/cluster/programs/admin.hpp
@@ -1,5 +1,5 @@
-// The place where operators ask a running process what it did and why (`gannethold explain`). Off unless --admin names an
-// address. One handler object for the one resource: GET /explain?what=WORD answers JSON.
+// The place where operators ask a running process what it did and why (`gannethold explain`). Off unless
+// --admin names an address. One handler object for the one resource: GET /explain?what=WORD answers JSON.
 #pragma once
 
 #include <functional>
--- a/src/cluster/programs/controller.cpp
+++ b/src/cluster/programs/controller.cpp
@@ -1,5 +1,5 @@
-// gannethold-controller: a core machine. Keeps the shared state with the other core machines, answers the operator, and, while
-// it leads, keeps slots and places runners for all fronts.
+// gannethold-controller: a core machine. Keeps the shared state with the other core machines, answers the
+// operator, and, while it leads, keeps slots and places runners for all fronts.
 #include <csignal>
 #include <filesystem>
 #include <optional>
@@ -28,9 +28,14 @@
           settings_(std::move(settings)),
           watch_(loop, [this](const Settings& s) { restated(s); }),
           control_(loop, address_or_end(settings_.control_plane, "listen_addresses.control_plane"),
-                   {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); }, [this](HttpService::Exchange e) { puts_.erase(e); }}, 512),
-          listener_(loop, net::Door(address_or_end(settings_.ip_address + ":" + std::to_string(settings_.internal_port), "internal_port_range")),
-                    [this](evutil_socket_t s) { accepted(s); }, [] {}),
+                   {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); },
+                    [this](HttpService::Exchange e) { puts_.erase(e); }},
+                   512),
+          listener_(
+              loop,
+              net::Door(address_or_end(settings_.ip_address + ":" + std::to_string(settings_.internal_port),
+                                       "internal_port_range")),
+              [this](evutil_socket_t s) { accepted(s); }, [] {}),
           explain_(loop, [this](const std::string& what) { return explain(what); }),
           timer_(loop, [this] { due(); }),
           term_(loop, SIGTERM, [this] { leave(); }),
@@ -72,12 +77,19 @@
                 terms.first_start = settings_.initial_start && !state.member;
                 terms.chance = std::random_device()();
                 Output out;
-                Event("disk_opened").with("member", state.member).with("term", state.term).with("version", state.entry.version);
+                Event("disk_opened")
+                    .with("member", state.member)
+                    .with("term", state.term)
+                    .with("version", state.entry.version);
                 consensus_.emplace(std::move(terms), std::move(state), now, out);
                 carry_out(out);
                 return {};
             },
-            [&](Kind kind, const Detail& detail) { Event("disk_failed", Level::error).with("kind", answer_to(kind).name).with("detail", detail.text); },
+            [&](Kind kind, const Detail& detail) {
+                Event("disk_failed", Level::error)
+                    .with("kind", answer_to(kind).name)
+                    .with("detail", detail.text);
+            },
             [] {});
     }
 
@@ -90,24 +102,30 @@
                     return true;
                 },
                 [&](Kind kind, const Detail& detail) {
-                    Event("write_failed", Level::error).with("kind", answer_to(kind).name).with("detail", detail.text);
+                    Event("write_failed", Level::error)
+                        .with("kind", answer_to(kind).name)
+                        .with("detail", detail.text);
                     return false;
                 },
                 [] { return false; });
             if (!done) {
-                // Nothing of it was said; the machine steps back to what its disk holds, once that can be read again.
+                // Nothing of it was said; the machine steps back to what its disk holds, once that can be
+                // read again.
                 step_back();
                 return;
             }
         }
         for (const Output::Envelope& mail : out.sends) send(mail.to, mail.message);
         for (const Output::ProposalResult& v : out.results) {
-            const auto at = std::find_if(puts_.begin(), puts_.end(), [&](const auto& p) { return p.second == v.ticket; });
+            const auto at =
+                std::find_if(puts_.begin(), puts_.end(), [&](const auto& p) { return p.second == v.ticket; });
             if (at == puts_.end()) continue;
             const HttpService::Exchange exchange = at->first;
             puts_.erase(at);
-            if (v.committed) acknowledge(exchange);
-            else control_.answer(exchange, Kind::no_majority, {}, 200);
+            if (v.committed)
+                acknowledge(exchange);
+            else
+                control_.answer(exchange, Kind::no_majority, {}, 200);
         }
         look();
     }
@@ -116,7 +134,8 @@
         close_coordinator();
         consensus_.reset();
         reopen_at_ = net::Loop::now() + kReopen;
-        for (const auto& [exchange, ticket] : std::exchange(puts_, {})) control_.answer(exchange, Kind::disk_failed, {}, 300);
+        for (const auto& [exchange, ticket] : std::exchange(puts_, {}))
+            control_.answer(exchange, Kind::disk_failed, {}, 300);
     }
 
     // Whether this machine leads, and what is committed, may have changed.
@@ -124,11 +143,14 @@
         if (!consensus_) return;
         const Micros now = net::Loop::now();
         const bool leads = acts(now);
-        // A lease that runs out while this machine is short of time comes back with the next round: until then nothing is
-        // said and nothing taken, but the coordinator stays. To close it would make all fronts greet anew at the worst moment.
-        if (coordinator_ && (!consensus_->holds() || leaving_ || coordinator_->term() != consensus_->term())) close_coordinator();
+        // A lease that runs out while this machine is short of time comes back with the next round: until
+        // then nothing is said and nothing taken, but the coordinator stays. To close it would make all
+        // fronts greet anew at the worst moment.
+        if (coordinator_ && (!consensus_->holds() || leaving_ || coordinator_->term() != consensus_->term()))
+            close_coordinator();
         if (leads && !coordinator_) {
-            coordinator_ = std::make_unique<Coordinator>(loop_, settings_, consensus_->term(), [this](Session s, const Message& m) { tell(s, m); });
+            coordinator_ = std::make_unique<Coordinator>(loop_, settings_, consensus_->term(),
+                                                         [this](Session s, const Message& m) { tell(s, m); });
             for (auto& [key, guest] : guests_)
                 if (guest->front) coordinator_->came(guest->session, guest->registration);
         }
@@ -146,12 +168,16 @@
     // What a front says to the coordinator.
     void take(Session session, const Message& message) {
         if (!acts(net::Loop::now())) {
-            if (held_in_.size() < kMostHeld) held_in_.emplace_back(session, message);
-            else close_coordinator();  // its books would be wrong: fronts greet the next one
+            if (held_in_.size() < kMostHeld)
+                held_in_.emplace_back(session, message);
+            else
+                close_coordinator();  // its books would be wrong: fronts greet the next one
             return;
         }
-        if (const auto* registration = std::get_if<Register>(&message)) coordinator_->came(session, *registration);
-        else coordinator_->said(session, message);
+        if (const auto* registration = std::get_if<Register>(&message))
+            coordinator_->came(session, *registration);
+        else
+            coordinator_->said(session, message);
     }
 
     void close_coordinator() {
@@ -192,7 +218,9 @@
         auto guest = std::make_unique<Guest>();
         Guest* const key = guest.get();
         MessageConnection::Events events;
-        events.message_received = [this, key](const ReceivedMessage& message_received) { got(*key, message_received); };
+        events.message_received = [this, key](const ReceivedMessage& message_received) {
+            got(*key, message_received);
+        };
         events.ended = [this, key] { gone_.push_back(key); };
         guest->line = std::make_unique<MessageConnection>(loop_, socket, std::move(events));
         guest->session = ++last_session_;
@@ -221,8 +249,10 @@
             if (coordinator_) return take(guest.session, message_received.message);
             const std::string leader = consensus_ ? consensus_->leader() : std::string();
             // A front that has nothing yet is better off with what is known to be committed here.
-            if (consensus_ && consensus_->committed() && consensus_->committed()->version > registration->version && registration->version == 0)
-                guest.line->send(ConfigurationSent{consensus_->committed()->version, {0, whole_delta(consensus_->committed()->body)}});
+            if (consensus_ && consensus_->committed() &&
+                consensus_->committed()->version > registration->version && registration->version == 0)
+                guest.line->send(ConfigurationSent{consensus_->committed()->version,
+                                                   {0, whole_delta(consensus_->committed()->body)}});
             guest.line->send(Redirect{leader == settings_.control_plane ? std::string() : leader});
             return;
         }
@@ -242,11 +272,13 @@
     void asked(HttpService::Exchange exchange, HttpMessage&& m) {
         const std::string path = m.target.substr(0, m.target.find('?'));
         if (path != "/v1/configuration") return control_.answer(exchange, Kind::no_route, path);
-        if (m.method != "PUT" && m.method != "GET") return control_.answer(exchange, Kind::request_malformed, "PUT or GET");
+        if (m.method != "PUT" && m.method != "GET")
+            return control_.answer(exchange, Kind::request_malformed, "PUT or GET");
         const Micros now = net::Loop::now();
         if (leaving_ || !consensus_ || !consensus_->leads(now)) {
             const std::string leader = consensus_ && !leaving_ ? consensus_->leader() : std::string();
-            if (leader.empty() || leader == settings_.control_plane) return control_.answer(exchange, Kind::no_majority, {}, 200);
+            if (leader.empty() || leader == settings_.control_plane)
+                return control_.answer(exchange, Kind::no_majority, {}, 200);
             HttpMessage answer;
             answer.status = answer_to(Kind::not_leading).status;
             answer.fields.emplace_back("Location", "http://" + leader + m.target);
@@ -254,7 +286,8 @@
         }
         if (m.method == "GET") {
             const LogEntry* const entry = consensus_->committed();
-            if (!entry || entry->version == 0) return control_.answer(exchange, Kind::no_majority, "no configuration yet", 200);
+            if (!entry || entry->version == 0)
+                return control_.answer(exchange, Kind::no_majority, "no configuration yet", 200);
             HttpMessage answer;
             answer.status = 200;
             answer.fields.emplace_back("Content-Type", "application/json");
@@ -274,7 +307,9 @@
                 return {};
             },
             [&](Kind kind, const Detail& detail) {
-                Event("configuration_refused", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                Event("configuration_refused", Level::warning)
+                    .with("kind", answer_to(kind).name)
+                    .with("detail", detail.text);
                 control_.answer(exchange, kind, detail.text);
             },
             [&] { control_.answer(exchange, Kind::configuration_cut); });
@@ -291,19 +326,24 @@
     json::Value explain(const std::string& what) const {
         const Micros now = net::Loop::now();
         json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("controller"))}};
-        if (!consensus_) return all["state"] = told(std::string("its disk can not be used")), json::Value(std::move(all));
+        if (!consensus_)
+            return all["state"] = told(std::string("its disk can not be used")), json::Value(std::move(all));
         all["term"] = told(static_cast<double>(consensus_->term()));
         all["leader"] = told(consensus_->leader());
         all["leads"] = json::Value(consensus_->leads(now));
         all["recovering"] = json::Value(consensus_->recovering());
         all["fence"] = told(coordinator_ ? static_cast<double>(coordinator_->term()) : 0);
-        all["version"] = told(consensus_->committed() ? static_cast<double>(consensus_->committed()->version) : 0);
+        all["version"] =
+            told(consensus_->committed() ? static_cast<double>(consensus_->committed()->version) : 0);
         all["malformed_lines"] = told(static_cast<double>(MessageConnection::malformed()));
         json::List core;
         if (what.empty() || what == "core")
             for (const std::string& m : consensus_->members()) {
                 const Micros heard = consensus_->heard_from(m);
-                core.emplace_back(json::Object{{"member", told(m)}, {"itself", json::Value(m == settings_.control_plane)}, {"heard_ms_ago", heard > 0 ? told_ms(now - heard) : json::Value()}});
+                core.emplace_back(
+                    json::Object{{"member", told(m)},
+                                 {"itself", json::Value(m == settings_.control_plane)},
+                                 {"heard_ms_ago", heard > 0 ? told_ms(now - heard) : json::Value()}});
             }
         if (!core.empty()) all["core"] = json::Value(std::move(core));
         if (coordinator_) coordinator_->explain(what, all);
@@ -351,8 +391,10 @@
 
     void set_timer() {
         Micros next = next_sweep_;
-        if (consensus_) next = std::min(next, consensus_->next_tick());
-        else next = std::min(next, reopen_at_);
+        if (consensus_)
+            next = std::min(next, consensus_->next_tick());
+        else
+            next = std::min(next, reopen_at_);
         if (coordinator_ && acts(net::Loop::now())) next = std::min(next, coordinator_->next_tick());
         timer_.set(next);
     }
@@ -411,11 +453,14 @@
 
 #include "cluster/configuration/delta.hpp"
 
-std::string gannethold::cluster::Controller::whole_delta(const std::string& body) { return make_delta({}, body); }
+std::string gannethold::cluster::Controller::whole_delta(const std::string& body) {
+    return make_delta({}, body);
+}
 
 int main(int argc, char** argv) {
     using namespace gannethold;
-    const cluster::Settings settings = cluster::begin_process(argc, argv,
+    const cluster::Settings settings = cluster::begin_process(
+        argc, argv,
         "gannethold-controller keeps the system's shared state and, while it leads, its slots and runners.\n"
         "It takes its addresses and bounds from the settings file.");
     net::Loop loop(cluster::blocks_for(settings));
--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -31,32 +31,40 @@
 
 }  // namespace
 
-Coordinator::Coordinator(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say)
+Coordinator::Coordinator(net::Loop& loop, const Settings& settings, Number term,
+                         std::function<void(Session, const Message&)> say)
     : settings_(settings),
       term_(term),
       say_(std::move(say)),
       slot_table_(slot_table_options(settings)),
       planner_(planner_options(settings, term), net::Loop::now()),
       listing_({settings.list_rate_per_s, 400'000}, net::Loop::now()),
-      platform_(loop, {600'000, 8'000'000, 4, 16U << 20, {}},
-                {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool) { ended(id, how, answer); }, [](const std::string&) {}, [](const std::string&) {}}) {
+      platform_(
+          loop, {600'000, 8'000'000, 4, 16U << 20, {}},
+          {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool) { ended(id, how, answer); },
+           [](const std::string&) {}, [](const std::string&) {}}) {
     Event("coordinator_opened").with("term", term);
     next_tick_ = net::Loop::now();
 }
 
-// ---- configuration and fronts --------------------------------------------------------------------------------
+// ---- configuration and fronts
+// --------------------------------------------------------------------------------
 
 void Coordinator::committed(const LogEntry& entry, std::shared_ptr<const Configuration> read) {
     if (entry.members != members_) members_ = entry.members, announce_at_ = net::Loop::now();
     if (entry.version <= version_) return;
-    if (read) slot_table_.configure(std::move(read));
-    else leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(configuration, Configuration::read(entry.body));
-            slot_table_.configure(std::move(configuration));
-            return {};
-        },
-        [&] { Event("committed_configuration_unreadable", Level::error).with("version", entry.version); });
+    if (read)
+        slot_table_.configure(std::move(read));
+    else
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(configuration, Configuration::read(entry.body));
+                slot_table_.configure(std::move(configuration));
+                return {};
+            },
+            [&] {
+                Event("committed_configuration_unreadable", Level::error).with("version", entry.version);
+            });
     version_ = entry.version;
     bodies_[version_] = entry.body;
     while (bodies_.size() > kBodies) bodies_.erase(bodies_.begin());
@@ -68,12 +76,14 @@
 // What the front lacks, as the difference to what it holds.
 void Coordinator::push(Session session, Front& front) {
     if (version_ == 0 || front.version >= version_ || front.sent == version_) return;
-    // What was sent it will hold when this comes: a connection keeps the order. If it could not take it, it says so.
+    // What was sent it will hold when this comes: a connection keeps the order. If it could not take it, it
+    // says so.
     const Number holds = std::max(front.version, front.sent);
     const auto base = bodies_.find(holds);
     const Number from = base == bodies_.end() ? 0 : holds;
     std::string& delta = deltas_[from];
-    if (delta.empty()) delta = make_delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
+    if (delta.empty())
+        delta = make_delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
     front.sent = version_;
     say_(session, ConfigurationSent{version_, {from, delta}});
 }
@@ -89,7 +99,8 @@
 void Coordinator::came(Session session, const Register& registration) {
     Front& front = fronts_[session];
     front.name = registration.name, front.version = registration.version;
-    say_(session, Registered{term_, 0, static_cast<std::uint32_t>(std::max<std::size_t>(1, fronts_.size())), members_});
+    say_(session, Registered{term_, 0, static_cast<std::uint32_t>(std::max<std::size_t>(1, fronts_.size())),
+                             members_});
     push(session, front);
     std::vector<FrontMail> mail;
     slot_table_.front_came(net::Loop::now(), session, registration, mail);
@@ -121,7 +132,8 @@
         if (f && !f->waiting.empty()) plan(now, f);
         return;
     }
-    if (const auto* release = std::get_if<Release>(&message)) slot_table_.release(now, session, *release, mail);
+    if (const auto* release = std::get_if<Release>(&message))
+        slot_table_.release(now, session, *release, mail);
     if (const auto* up = std::get_if<RunnerReachable>(&message)) slot_table_.up(now, session, *up, mail);
     if (const auto* loads = std::get_if<LoadReport>(&message)) slot_table_.loads(now, session, *loads);
     if (const auto* outs = std::get_if<OutstandingReport>(&message)) slot_table_.outs(now, session, *outs);
@@ -133,7 +145,8 @@
     post(mail);
 }
 
-// ---- the platform --------------------------------------------------------------------------------------------
+// ---- the platform
+// --------------------------------------------------------------------------------------------
 
 void Coordinator::call(Call call, const HttpMessage& request, Micros limit) {
     const HttpCaller::Call id = ++last_call_;
@@ -159,14 +172,18 @@
                     bool whole = false;
                     std::vector<std::string> gone;
                     listing_.page(now, page, whole, gone);
-                    for (const Listed& one : page.runners) slot_table_.listed(now, one.what, one.draining, mail);
-                    for (const std::string& runner : gone) slot_table_.gone(now, runner, "not listed any more", mail);
+                    for (const Listed& one : page.runners)
+                        slot_table_.listed(now, one.what, one.draining, mail);
+                    for (const std::string& runner : gone)
+                        slot_table_.gone(now, runner, "not listed any more", mail);
                     if (whole) planner_.list_read(now);
                     return {};
                 },
                 [&](Kind kind, const Detail& detail) {
                     listing_.failed(now);
-                    Event("list_failed", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                    Event("list_failed", Level::warning)
+                        .with("kind", answer_to(kind).name)
+                        .with("detail", detail.text);
                 },
                 [&] { listing_.failed(now); });
             break;
@@ -181,7 +198,9 @@
                 },
                 [&](Kind kind, const Detail& detail) {
                     next_workers_ = now + 300'000;
-                    Event("workers_failed", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                    Event("workers_failed", Level::warning)
+                        .with("kind", answer_to(kind).name)
+                        .with("detail", detail.text);
                 },
                 [&] { next_workers_ = now + 300'000; });
             break;
@@ -194,16 +213,26 @@
                 slot_table_.began(now, begun, mail);
             }
             Event("start", said == BeginAnswer::begun ? Level::info : Level::warning)
-                .with("service", call.begin.service).with("worker", call.begin.worker).with("why", call.begin.why)
-                .with("answer", answered ? std::to_string(answer.status) : "none").with("runner", begun.runner);
-            recent_actions_.add({now, call.begin.service, call.begin.worker, begun.runner, answered ? std::to_string(answer.status) : "none", call.begin.why, true});
+                .with("service", call.begin.service)
+                .with("worker", call.begin.worker)
+                .with("why", call.begin.why)
+                .with("answer", answered ? std::to_string(answer.status) : "none")
+                .with("runner", begun.runner);
+            recent_actions_.add({now, call.begin.service, call.begin.worker, begun.runner,
+                                 answered ? std::to_string(answer.status) : "none", call.begin.why, true});
             planner_.begin_answered(now, call.begin.nonce, said);
             break;
         }
         case Call::What::stop: {
             const bool done = answered && stop_.done(answer);
             Event("stop").with("runner", call.stop.runner).with("why", call.stop.why).with("done", done);
-            recent_actions_.add({now, {}, {}, call.stop.runner, answered ? std::to_string(answer.status) : "none", call.stop.why, false});
+            recent_actions_.add({now,
+                                 {},
+                                 {},
+                                 call.stop.runner,
+                                 answered ? std::to_string(answer.status) : "none",
+                                 call.stop.why,
+                                 false});
             planner_.stop_answered(call.stop.runner, done);
             if (done) slot_table_.gone(now, call.stop.runner, "stopped", mail);
             break;
@@ -216,8 +245,10 @@
 // For one function, or with the sample for all.
 void Coordinator::plan(Micros now, Function* one) {
     std::vector<FrontMail> mail;
-    if (one) planner_.plan_waiting(now, slot_table_, *one, mail);
-    else planner_.plan_all(now, slot_table_, mail);
+    if (one)
+        planner_.plan_waiting(now, slot_table_, *one, mail);
+    else
+        planner_.plan_all(now, slot_table_, mail);
     post(mail);
     PlatformOrders orders;
     planner_.due(now, orders);
@@ -240,31 +271,60 @@
     json::List starts, functions, waiting, fronts;
     if (asked("starts"))
         for (const PlatformAction& d : recent_actions_.kept())
-            starts.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"deed", told(std::string(d.start ? "start" : "stop"))}, {"service", told(d.service)},
-                                             {"worker", told(d.worker)}, {"runner", told(d.runner)}, {"why", told(std::string(d.why))}, {"answer", told(d.answer)}});
+            starts.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)},
+                                             {"deed", told(std::string(d.start ? "start" : "stop"))},
+                                             {"service", told(d.service)},
+                                             {"worker", told(d.worker)},
+                                             {"runner", told(d.runner)},
+                                             {"why", told(std::string(d.why))},
+                                             {"answer", told(d.answer)}});
     for (const auto& [name, f] : slot_table_.functions()) {
         if (asked("functions") && (f->active || !f->runners.empty())) {
             double busy = 0;
             for (const std::uint32_t number : f->runners) busy += slot_table_.runner(number).out();
-            functions.emplace_back(json::Object{{"function", told(name)}, {"mode", told(std::string(f->unrestricted ? "unrestricted" : "coordinated"))}, {"runners", told(static_cast<double>(f->runners.size()))},
-                                                {"slots_out", told(busy)}, {"waiting", told(static_cast<double>(f->waiting.size()))}, {"overtaken", told(static_cast<double>(f->overtaken))}, {"rate_per_s", told(f->rate)}, {"load", told(f->load_slow)}});
+            functions.emplace_back(
+                json::Object{{"function", told(name)},
+                             {"mode", told(std::string(f->unrestricted ? "unrestricted" : "coordinated"))},
+                             {"runners", told(static_cast<double>(f->runners.size()))},
+                             {"slots_out", told(busy)},
+                             {"waiting", told(static_cast<double>(f->waiting.size()))},
+                             {"overtaken", told(static_cast<double>(f->overtaken))},
+                             {"rate_per_s", told(f->rate)},
+                             {"load", told(f->load_slow)}});
         }
         if (asked("waiting"))
             for (const auto& [place, w] : f->waiting.all())
-                waiting.emplace_back(json::Object{{"function", told(name)}, {"front", told(slot_table_.name_of(w.front) ? *slot_table_.name_of(w.front) : std::string())}, {"priority", told(w.ask.priority)},
-                                                  {"waited_ms", told_ms(now - w.since)}, {"aim_left_ms", told_ms(w.aim_at - now)}, {"deadline_left_ms", told_ms(w.deadline_at - now)}});
+                waiting.emplace_back(json::Object{
+                    {"function", told(name)},
+                    {"front",
+                     told(slot_table_.name_of(w.front) ? *slot_table_.name_of(w.front) : std::string())},
+                    {"priority", told(w.ask.priority)},
+                    {"waited_ms", told_ms(now - w.since)},
+                    {"aim_left_ms", told_ms(w.aim_at - now)},
+                    {"deadline_left_ms", told_ms(w.deadline_at - now)}});
     }
     if (asked("overtakings")) {
         json::List all;
-        const auto name = [&](Session s) { return told(slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string()); };
+        const auto name = [&](Session s) {
+            return told(slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string());
+        };
         for (const Overtaking& o : slot_table_.overtakings().kept())
-            all.emplace_back(json::Object{{"ago_ms", told_ms(now - o.at)}, {"function", told(o.service)}, {"went", name(o.front)}, {"priority", told(o.priority)}, {"aim_left_ms", told_ms(o.aim_left)},
-                                          {"before", name(o.before_front)}, {"its_priority", told(o.before_priority)}, {"its_aim_left_ms", told_ms(o.before_aim_left)}, {"why", told(std::string(o.why))}});
+            all.emplace_back(json::Object{{"ago_ms", told_ms(now - o.at)},
+                                          {"function", told(o.service)},
+                                          {"went", name(o.front)},
+                                          {"priority", told(o.priority)},
+                                          {"aim_left_ms", told_ms(o.aim_left)},
+                                          {"before", name(o.before_front)},
+                                          {"its_priority", told(o.before_priority)},
+                                          {"its_aim_left_ms", told_ms(o.before_aim_left)},
+                                          {"why", told(std::string(o.why))}});
         into["overtakings"] = json::Value(std::move(all));
     }
     if (asked("fronts"))
         for (const auto& [session, front] : fronts_)
-            fronts.emplace_back(json::Object{{"front", told(front.name)}, {"version_held", told(static_cast<double>(front.version))}, {"version_sent", told(static_cast<double>(front.sent))}});
+            fronts.emplace_back(json::Object{{"front", told(front.name)},
+                                             {"version_held", told(static_cast<double>(front.version))},
+                                             {"version_sent", told(static_cast<double>(front.sent))}});
     if (asked("starts")) into["starts"] = json::Value(std::move(starts));
     if (asked("functions")) into["functions"] = json::Value(std::move(functions));
     if (asked("waiting")) into["waiting"] = json::Value(std::move(waiting));
@@ -300,9 +360,19 @@
     const std::size_t fresh = std::min(overtakings.all() - overtakings_told_, overtakings.kept().size());
     for (std::size_t i = overtakings.kept().size() - fresh; i < overtakings.kept().size(); ++i) {
         const Overtaking& o = overtakings.kept()[i];
-        const auto front = [&](Session s) { return slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string(); };
-        Event("overtaken").with("function", o.service).with("front", front(o.front)).with("ask", o.ask).with("aim_left_ms", o.aim_left / 1000).with("priority", o.priority)
-            .with("before_front", front(o.before_front)).with("before_ask", o.before_ask).with("before_aim_left_ms", o.before_aim_left / 1000).with("why", o.why);
+        const auto front = [&](Session s) {
+            return slot_table_.name_of(s) ? *slot_table_.name_of(s) : std::string();
+        };
+        Event("overtaken")
+            .with("function", o.service)
+            .with("front", front(o.front))
+            .with("ask", o.ask)
+            .with("aim_left_ms", o.aim_left / 1000)
+            .with("priority", o.priority)
+            .with("before_front", front(o.before_front))
+            .with("before_ask", o.before_ask)
+            .with("before_aim_left_ms", o.before_aim_left / 1000)
+            .with("why", o.why);
     }
     overtakings_told_ = overtakings.all();
     if (announce_at_ > 0 && now >= announce_at_) announce_at_ = 0, announce_registered();
