--- a/src/cluster/programs/coordinator.hpp
+++ b/src/cluster/programs/coordinator.hpp
@@ -1,6 +1,6 @@
-// The coordinator's coordinator, open while this core machine leads: fronts' sessions, the slots of slots, the planner, and the
-// platform's calls. It is opened anew with each term and knows nothing of the one before but what fronts and the list
-// tell.
+// The coordinator's coordinator, open while this core machine leads: fronts' sessions, the slots of slots,
+// the planner, and the platform's calls. It is opened anew with each term and knows nothing of the one before
+// but what fronts and the list tell.
 #pragma once
 
 #include <functional>
@@ -22,9 +22,11 @@
 
 class Coordinator {
   public:
-    Coordinator(net::Loop& loop, const Settings& settings, Number term, std::function<void(Session, const Message&)> say);
+    Coordinator(net::Loop& loop, const Settings& settings, Number term,
+                std::function<void(Session, const Message&)> say);
 
-    // A newer configuration, or other members. read: the entry's configuration where it has been read already.
+    // A newer configuration, or other members. read: the entry's configuration where it has been read
+    // already.
     void committed(const LogEntry& entry, std::shared_ptr<const Configuration> read);
     void came(Session front, const Register& registration);
     void left(Session front);
--- a/src/cluster/programs/explain.cpp
+++ b/src/cluster/programs/explain.cpp
@@ -1,4 +1,5 @@
-// gannethold-explain: asks a running counter or controller at its --admin address, and prints tables or the JSON as it came.
+// gannethold-explain: asks a running counter or controller at its --admin address, and prints tables or the
+// JSON as it came.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -13,7 +14,9 @@
 
 ABSL_FLAG(std::string, at, "127.0.0.1:9800", "ip:port that the process was given as --admin");
 ABSL_FLAG(bool, json, false, "print the JSON as it came");
-ABSL_FLAG(std::string, what, "", "only that part: requests, losses, splits (a counter); core, starts, functions, waiting, overtakings, fronts (a controller); empty: all");
+ABSL_FLAG(std::string, what, "",
+          "only that part: requests, losses, splits (a counter); core, starts, functions, waiting, "
+          "overtakings, fronts (a controller); empty: all");
 ABSL_FLAG(int, wait_ms, 3000, "milliseconds to wait for the answer");
 
 namespace {
@@ -47,7 +50,9 @@
     for (const auto& n : names) std::printf("%-*s  ", static_cast<int>(width[n]), n.c_str());
     std::printf("\n");
     for (const auto& row : rows) {
-        for (const auto& n : names) std::printf("%-*s  ", static_cast<int>(width[n]), row.find(n) ? text_of(*row.find(n)).c_str() : "-");
+        for (const auto& n : names)
+            std::printf("%-*s  ", static_cast<int>(width[n]),
+                        row.find(n) ? text_of(*row.find(n)).c_str() : "-");
         std::printf("\n");
     }
 }
@@ -67,17 +72,21 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    absl::SetProgramUsageMessage("gannethold explain asks a running counter or controller what it decided lately and why.");
+    absl::SetProgramUsageMessage(
+        "gannethold explain asks a running counter or controller what it decided lately and why.");
     absl::ParseCommandLine(argc, argv);
     net::Loop loop(64);
     int code = 1;
-    cluster::HttpCaller caller(loop, {1'000'000, 1'000'000, 1, 64U << 20, {}},
-                            {[&](cluster::HttpCaller::Call, cluster::CallEnd how, cluster::HttpMessage&& answer, bool) {
-                                 if (how == cluster::CallEnd::answered && answer.status == 200) code = print(answer.body);
-                                 else std::fprintf(stderr, "no answer at %s\n", absl::GetFlag(FLAGS_at).c_str());
-                                 loop.stop();
-                             },
-                             [](const std::string&) {}, [](const std::string&) {}});
+    cluster::HttpCaller caller(
+        loop, {1'000'000, 1'000'000, 1, 64U << 20, {}},
+        {[&](cluster::HttpCaller::Call, cluster::CallEnd how, cluster::HttpMessage&& answer, bool) {
+             if (how == cluster::CallEnd::answered && answer.status == 200)
+                 code = print(answer.body);
+             else
+                 std::fprintf(stderr, "no answer at %s\n", absl::GetFlag(FLAGS_at).c_str());
+             loop.stop();
+         },
+         [](const std::string&) {}, [](const std::string&) {}});
     net::Timer limit(loop, [&] {
         std::fprintf(stderr, "no answer at %s in time\n", absl::GetFlag(FLAGS_at).c_str());
         loop.stop();
--- a/src/cluster/programs/process.cpp
+++ b/src/cluster/programs/process.cpp
@@ -11,8 +11,10 @@
 
 #include "cluster/base/events.hpp"
 
-ABSL_FLAG(std::string, settings, "", "path of the settings file (lines a.b=value); empty: what GANNETHOLD_CONFIG names");
-ABSL_FLAG(std::string, log_level, "warning", "least level of the events that are logged: debug, info, warning or error");
+ABSL_FLAG(std::string, settings, "",
+          "path of the settings file (lines a.b=value); empty: what GANNETHOLD_CONFIG names");
+ABSL_FLAG(std::string, log_level, "warning",
+          "least level of the events that are logged: debug, info, warning or error");
 
 namespace gannethold::cluster {
 namespace {
@@ -44,7 +46,9 @@
     if (!open_log(absl::GetFlag(FLAGS_log_level))) end("--log_level is none of debug, info, warning, error");
     std::signal(SIGPIPE, SIG_IGN);
     return leaf::try_handle_all([] { return Settings::read(path()); },
-                                [](Kind kind, const Detail& detail) -> Settings { end(std::string(answer_to(kind).name) + ": " + detail.text); },
+                                [](Kind kind, const Detail& detail) -> Settings {
+                                    end(std::string(answer_to(kind).name) + ": " + detail.text);
+                                },
                                 []() -> Settings { end("settings can not be read"); });
 }
 
@@ -63,7 +67,10 @@
             return {};
         },
         [&](Kind kind, const Detail& detail) {
-            if (told) Event("settings_kept", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+            if (told)
+                Event("settings_kept", Level::warning)
+                    .with("kind", answer_to(kind).name)
+                    .with("detail", detail.text);
         },
         [] {});
 }
@@ -75,7 +82,8 @@
 }
 
 std::size_t blocks_for(const Settings& settings) {
-    return static_cast<std::size_t>(settings.memory_mb) * 1024 / 8 / 4;  // a quarter of the memory, in blocks of 8 KB
+    return static_cast<std::size_t>(settings.memory_mb) * 1024 / 8 /
+           4;  // a quarter of the memory, in blocks of 8 KB
 }
 
 }  // namespace gannethold::cluster
--- a/src/cluster/programs/process.hpp
+++ b/src/cluster/programs/process.hpp
@@ -10,12 +10,12 @@
 
 namespace gannethold::cluster {
 
-// Reads the flags and the settings file and opens the log; on a fault one line names what is wrong, and the process
-// ends with 2.
+// Reads the flags and the settings file and opens the log; on a fault one line names what is wrong, and the
+// process ends with 2.
 Settings begin_process(int argc, char** argv, const char* usage);
 
-// Watches the settings file: SIGHUP, or a change without one, reads it again. A file that can not be read changes
-// nothing.
+// Watches the settings file: SIGHUP, or a change without one, reads it again. A file that can not be read
+// changes nothing.
 class SettingsWatch {
   public:
     SettingsWatch(net::Loop& loop, std::function<void(const Settings&)> changed);
--- a/src/cluster/programs/proxy.cpp
+++ b/src/cluster/programs/proxy.cpp
@@ -1,5 +1,5 @@
-// gannethold-proxy: a front. Takes requests from clients, draws their runners, asks the coordinator for slots, and brings the
-// answers back.
+// gannethold-proxy: a front. Takes requests from clients, draws their runners, asks the coordinator for
+// slots, and brings the answers back.
 #include <unistd.h>
 
 #include <algorithm>
@@ -24,11 +24,17 @@
 constexpr Micros kConnect = 350'000, kAnswer = 500'000, kReach = 800'000, kBeat = 250'000, kRedial = 60'000;
 constexpr Micros kWatchEach = 40'000;
 constexpr Micros kAsleep = 1'000'000;  // timers are at most 0.2 s apart
-constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner", kNotRun[] = "X-Request-Not-Run";
+constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner",
+               kNotRun[] = "X-Request-Not-Run";
 
 RequestHandler::Options handler_options(const Settings& s) {
     std::random_device chance;
-    return {s.node_name, s.zone, (static_cast<Number>(chance()) << 16) + 1, kReach, (static_cast<Number>(chance()) << 32) | chance(), s.late_turn};
+    return {s.node_name,
+            s.zone,
+            (static_cast<Number>(chance()) << 16) + 1,
+            kReach,
+            (static_cast<Number>(chance()) << 32) | chance(),
+            s.late_turn};
 }
 
 class Proxy {
@@ -38,14 +44,20 @@
           settings_(std::move(settings)),
           watch_(loop, [this](const Settings& s) { settings_.seeds = s.seeds; }),
           handler_(handler_options(settings_)),
-          runners_(loop, {500'000, 8'000'000, 6, 16U << 20, kId},
-                   {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) { ended(id, how, std::move(answer), fresh); },
-                    [this](const std::string& a) { reached(a); }, [this](const std::string& a) { refused(a); }}),
+          runners_(
+              loop, {500'000, 8'000'000, 6, 16U << 20, kId},
+              {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) {
+                   ended(id, how, std::move(answer), fresh);
+               },
+               [this](const std::string& a) { reached(a); }, [this](const std::string& a) { refused(a); }}),
           clients_(loop, address_or_end(settings_.frontend, "listen_addresses.frontend"),
-                   {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); }, [this](HttpService::Exchange e) { left(e); }},
+                   {[this](HttpService::Exchange e, HttpMessage&& m) { asked(e, std::move(m)); },
+                    [this](HttpService::Exchange e) { left(e); }},
                    static_cast<std::size_t>(std::max<std::int64_t>(64, settings_.descriptors * 6 / 10))),
-          readiness_(loop, address_or_end(settings_.readiness, "listen_addresses.readiness"),
-                     {[this](HttpService::Exchange e, HttpMessage&&) { ready(e); }, [](HttpService::Exchange) {}}, 64),
+          readiness_(
+              loop, address_or_end(settings_.readiness, "listen_addresses.readiness"),
+              {[this](HttpService::Exchange e, HttpMessage&&) { ready(e); }, [](HttpService::Exchange) {}},
+              64),
           explain_(loop, [this](const std::string& what) { return explain(what); }),
           timer_(loop, [this] { due(); }),
           term_(loop, SIGTERM, [this] { leave(); }),
@@ -63,7 +75,8 @@
 
     void ready(HttpService::Exchange exchange) {
         if (leaving_) return readiness_.answer(exchange, Kind::leaving, {}, 1000);
-        if (!handler_.configuration()) return readiness_.answer(exchange, Kind::no_majority, "no configuration yet", 500);
+        if (!handler_.configuration())
+            return readiness_.answer(exchange, Kind::no_majority, "no configuration yet", 500);
         HttpMessage answer;
         answer.status = 200;
         readiness_.answer(exchange, answer);
@@ -97,7 +110,8 @@
         HttpMessage to;
         to.method = from.method, to.target = from.target;
         for (const auto& [name, value] : from.fields)
-            if (!of_one_connection(name) && !http::same_word(name, kLeft) && !http::same_word(name, kExpect)) to.fields.emplace_back(name, value);
+            if (!of_one_connection(name) && !http::same_word(name, kLeft) && !http::same_word(name, kExpect))
+                to.fields.emplace_back(name, value);
         to.fields.emplace_back(kLeft, std::to_string(f.remaining_ms));
         to.fields.emplace_back(kExpect, f.runner);
         to.body = from.body;
@@ -107,21 +121,29 @@
     void ended(HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) {
         RunEnd end = RunEnd::may_have_run;
         switch (how) {
-            case CallEnd::unreachable: end = RunEnd::unreachable; break;
-            case CallEnd::unsent: end = RunEnd::unsent; break;
+            case CallEnd::unreachable:
+                end = RunEnd::unreachable;
+                break;
+            case CallEnd::unsent:
+                end = RunEnd::unsent;
+                break;
             case CallEnd::broken:
-            case CallEnd::malformed: break;
+            case CallEnd::malformed:
+                break;
             case CallEnd::answered: {
                 const bool named = !answer.field(kId).empty();
                 const bool says_not = !answer.field(kNotRun).empty() || answer.status == 421;
                 if (says_not) {
-                    // Without our id on a connection that served others it may be an answer too many to one of those.
+                    // Without our id on a connection that served others it may be an answer too many to one
+                    // of those.
                     if (named || fresh) end = answer.status == 421 ? RunEnd::misdirected : RunEnd::not_run;
                 } else if (named && answer.field("Content-Encoding").empty()) {
                     const int s = answer.status;
                     // Of these our client would think that it has not run, and the runner does not say so.
-                    if (s == 408 || s == 429 || s == 503) end = RunEnd::may_have_run;
-                    else end = s >= 500 ? RunEnd::failed : RunEnd::answered;
+                    if (s == 408 || s == 429 || s == 503)
+                        end = RunEnd::may_have_run;
+                    else
+                        end = s >= 500 ? RunEnd::failed : RunEnd::answered;
                 }
                 break;
             }
@@ -164,7 +186,11 @@
     void carry_out(Actions& actions) {
         for (const Message& mail : actions.mails) say(mail);
         for (const Loss& l : handler_.new_losses())
-            Event("lost").with("how", Loss::name(l.how)).with("cause", Loss::name(l.cause)).with("service", l.service).with("took_ms", l.took / 1000);
+            Event("lost")
+                .with("how", Loss::name(l.how))
+                .with("cause", Loss::name(l.cause))
+                .with("service", l.service)
+                .with("took_ms", l.took / 1000);
         for (const Actions::Reply& r : actions.replies) {
             clients_.answer(r.request, r.kind, {}, r.retry_ms);
         }
@@ -172,7 +198,8 @@
         for (const RequestId id : actions.abandons) runners_.abandon(id);
         for (const Actions::Forward& f : actions.forwards) forward(f);
         for (const std::string& address : actions.forgets) runners_.forget(address);
-        for (const std::string& address : actions.watches) watches_.try_emplace(address, Watch{net::Loop::now(), net::Loop::now(), false});
+        for (const std::string& address : actions.watches)
+            watches_.try_emplace(address, Watch{net::Loop::now(), net::Loop::now(), false});
         for (const Actions::Reply& r : actions.replies) requests_.erase(r.request);
         for (const RequestId id : actions.relays) requests_.erase(id);
         set_timer();
@@ -210,14 +237,17 @@
         if (!address) return;
         MessageConnection::Events events;
         events.up = [this] { line_->send(handler_.registration()); };
-        events.message_received = [this](const ReceivedMessage& message_received) { got(message_received.message); };
+        events.message_received = [this](const ReceivedMessage& message_received) {
+            got(message_received.message);
+        };
         events.ended = [this] { drop_line(); };
         line_ = std::make_unique<MessageConnection>(loop_, *address, kConnect, std::move(events));
     }
 
     void got(const Message& message) {
         const Micros now = net::Loop::now();
-        // It stood still for so long that the coordinator has given its slots to others: nothing is sent by old grants.
+        // It stood still for so long that the coordinator has given its slots to others: nothing is sent by
+        // old grants.
         if (now > turned_ + kAsleep) {
             turned_ = now;
             Event("woke", Level::warning);
@@ -227,8 +257,10 @@
         if (const auto* m = std::get_if<Redirect>(&message)) {
             redirected_to_ = m->leader;
             drop_line();
-            if (redirected_to_.empty()) dialed_at_ = now;
-            else dialed_at_ = 0;
+            if (redirected_to_.empty())
+                dialed_at_ = now;
+            else
+                dialed_at_ = 0;
             return;
         }
         if (const auto* m = std::get_if<ConfigurationSent>(&message)) return take(*m);
@@ -247,7 +279,8 @@
         if (m.version <= handler_.version()) return;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
-                if (m.delta.base != 0 && m.delta.base != handler_.version()) return failure(Kind::bytes_malformed, "a difference to a version that is not held");
+                if (m.delta.base != 0 && m.delta.base != handler_.version())
+                    return failure(Kind::bytes_malformed, "a difference to a version that is not held");
                 BOOST_LEAF_AUTO(body, apply_delta(m.delta.base == 0 ? std::string() : body_, m.delta.bytes));
                 BOOST_LEAF_AUTO(configuration, Configuration::read(body));
                 body_ = std::move(body);
@@ -256,31 +289,50 @@
                 Event("configuration").with("version", handler_.version());
                 return {};
             },
-            [&](Kind kind, const Detail& detail) { Event("configuration_passed_over", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text); },
+            [&](Kind kind, const Detail& detail) {
+                Event("configuration_passed_over", Level::warning)
+                    .with("kind", answer_to(kind).name)
+                    .with("detail", detail.text);
+            },
             [] {});
         say(ConfigurationHeld{handler_.version()});
     }
 
     json::Value explain(const std::string& what) const {
         const Micros now = net::Loop::now();
-        json::Object all{{"node", told(settings_.node_name)}, {"role", told(std::string("proxy"))}, {"version", told(static_cast<double>(handler_.version()))},
-                         {"coordinator", json::Value(handler_.coordinator())}, {"open", told(static_cast<double>(handler_.open()))}, {"malformed_lines", told(static_cast<double>(MessageConnection::malformed()))}};
+        json::Object all{{"node", told(settings_.node_name)},
+                         {"role", told(std::string("proxy"))},
+                         {"version", told(static_cast<double>(handler_.version()))},
+                         {"coordinator", json::Value(handler_.coordinator())},
+                         {"open", told(static_cast<double>(handler_.open()))},
+                         {"malformed_lines", told(static_cast<double>(MessageConnection::malformed()))}};
         json::List requests, splits;
         if (what.empty() || what == "requests")
             for (const Decision& d : handler_.decisions().kept())
-                requests.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)}, {"request", told(static_cast<double>(d.request))}, {"service", told(d.service)},
-                                                   {"runner", told(d.runner)}, {"waited_ms", told_ms(d.waited)}, {"why", told(std::string(d.why))}});
+                requests.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)},
+                                                   {"request", told(static_cast<double>(d.request))},
+                                                   {"service", told(d.service)},
+                                                   {"runner", told(d.runner)},
+                                                   {"waited_ms", told_ms(d.waited)},
+                                                   {"why", told(std::string(d.why))}});
         if (what.empty() || what == "splits")
             for (const RequestHandler::Share& s : handler_.shares())
-                splits.emplace_back(json::Object{{"service", told(s.service)}, {"runner", told(s.runner)}, {"fraction", told(s.fraction)}, {"latency_ms", told(s.latency * 1e3)},
-                                                 {"out", told(s.out)}, {"mode", told(std::string(s.unrestricted ? "unrestricted" : "coordinated"))}});
+                splits.emplace_back(json::Object{
+                    {"service", told(s.service)},
+                    {"runner", told(s.runner)},
+                    {"fraction", told(s.fraction)},
+                    {"latency_ms", told(s.latency * 1e3)},
+                    {"out", told(s.out)},
+                    {"mode", told(std::string(s.unrestricted ? "unrestricted" : "coordinated"))}});
         if (what.empty() || what == "losses") {
             json::List losses;
             for (std::size_t cause = 0; cause < Loss::kCauses; ++cause)
                 for (std::size_t how = 0; how < Loss::kHows; ++how)
                     if (const auto count = handler_.loss_counts()[cause][how]; count > 0)
-                        losses.emplace_back(json::Object{{"cause", told(std::string(Loss::name(static_cast<Loss::Cause>(cause))))}, {"how", told(std::string(Loss::name(static_cast<Loss::How>(how))))},
-                                                         {"count", told(static_cast<double>(count))}});
+                        losses.emplace_back(json::Object{
+                            {"cause", told(std::string(Loss::name(static_cast<Loss::Cause>(cause))))},
+                            {"how", told(std::string(Loss::name(static_cast<Loss::How>(how))))},
+                            {"count", told(static_cast<double>(count))}});
             all["losses"] = json::Value(std::move(losses));
         }
         if (what.empty() || what == "requests") all["requests"] = json::Value(std::move(requests));
@@ -296,8 +348,10 @@
         turned_ = now;
         if (line_) {
             const Micros quiet = registered_ ? kReach : kAnswer;
-            if (now > std::max(line_->heard(), dialed_at_) + quiet) drop_line();
-            else if (registered_ && now >= std::max(line_->heard(), said_at_) + kBeat) say(Heartbeat{});
+            if (now > std::max(line_->heard(), dialed_at_) + quiet)
+                drop_line();
+            else if (registered_ && now >= std::max(line_->heard(), said_at_) + kBeat)
+                say(Heartbeat{});
         }
         if (!line_ && now >= dialed_at_ + kRedial) dial(now);
         Actions actions;
@@ -339,8 +393,10 @@
     void set_timer() {
         const Micros now = net::Loop::now();
         Micros next = std::min(next_sweep_, now + 200'000);
-        if (!line_) next = std::min(next, dialed_at_ + kRedial);
-        else if (registered_) next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
+        if (!line_)
+            next = std::min(next, dialed_at_ + kRedial);
+        else if (registered_)
+            next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
         if (handler_.next_deadline() > 0) next = std::min(next, handler_.next_deadline());
         if (!handler_.coordinator() && handler_.open() > 0) next = std::min(next, now + 30'000);
         for (const auto& [address, w] : watches_)
@@ -382,9 +438,10 @@
 
 int main(int argc, char** argv) {
     using namespace gannethold;
-    const cluster::Settings settings = cluster::begin_process(argc, argv,
-        "gannethold-proxy takes requests from clients and brings them to runners.\n"
-        "It takes its addresses and bounds from the settings file.");
+    const cluster::Settings settings =
+        cluster::begin_process(argc, argv,
+                               "gannethold-proxy takes requests from clients and brings them to runners.\n"
+                               "It takes its addresses and bounds from the settings file.");
     net::Loop loop(cluster::blocks_for(settings));
     cluster::Proxy counter(loop, settings);
     loop.run([] {});
--- a/src/cluster/proxy/request_handler.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -8,8 +8,8 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr std::uint32_t kSoon = 150;        // ms, where a slot is likely to come free
-constexpr Micros kMargin = 15'000;          // for an answer on its way to the client
+constexpr std::uint32_t kSoon = 150;  // ms, where a slot is likely to come free
+constexpr Micros kMargin = 15'000;    // for an answer on its way to the client
 
 }  // namespace
 
@@ -23,9 +23,11 @@
     configuration_ = std::move(configuration);
 }
 
-// ---- requests ------------------------------------------------------------------------------------------------
+// ---- requests
+// ------------------------------------------------------------------------------------------------
 
-void RequestHandler::arrived(Micros now, RequestId id, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Actions& out) {
+void RequestHandler::arrived(Micros now, RequestId id, std::string_view host, std::string_view path,
+                             std::uint32_t deadline_ms, Actions& out) {
     Request& r = requests_[id];
     r.configuration = configuration_;
     if (!configuration_) return give_up(now, id, r, Kind::not_offered, 500, out);
@@ -63,8 +65,9 @@
     const auto fits = [&](bool near) {
         return [this, near, now](const Split::Share& s) {
             const auto at = runners_.find(s.runner);
-            return at != runners_.end() && at->second.state == RunnerState::ready && at->second.number > 0 && s.out < s.slots &&
-                   now >= at->second.aside_until && (!near || at->second.what.zone == options_.zone);
+            return at != runners_.end() && at->second.state == RunnerState::ready && at->second.number > 0 &&
+                   s.out < s.slots && now >= at->second.aside_until &&
+                   (!near || at->second.what.zone == options_.zone);
         };
     };
     const double at = unit();
@@ -80,20 +83,24 @@
     r.asked_at = now;
     asks_[r.ask] = id;
     r.drawn_number = drawn ? runners_[drawn->runner].number : 0;
-    const auto left = [now](Micros until) { return static_cast<std::uint32_t>(std::max<Micros>(0, until - now) / 1000); };
-    out.mails.push_back(AcquireRequest{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service, left(r.aim_at), left(r.deadline_at),
-                            r.route->priority, r.route->shape, r.again});
+    const auto left = [now](Micros until) {
+        return static_cast<std::uint32_t>(std::max<Micros>(0, until - now) / 1000);
+    };
+    out.mails.push_back(AcquireRequest{r.ask, drawn ? runners_[drawn->runner].number : 0, r.service,
+                                       left(r.aim_at), left(r.deadline_at), r.route->priority, r.route->shape,
+                                       r.again});
 }
 
-// So much of a runner's slots is this front's while nobody keeps them for all: the parts of all fronts add up to them.
+// So much of a runner's slots is this front's while nobody keeps them for all: the parts of all fronts add up
+// to them.
 std::uint32_t RequestHandler::part(const Runner& runner) const {
     const std::uint32_t n = std::max(1U, fronts_);
     const auto shift = static_cast<std::uint32_t>(std::hash<std::string>()(runner.what.runner) % n);
     return (runner.what.slots + n - 1 - (rank_ + shift) % n) / n;
 }
 
-// In the coordinator's order, as far as this front's own requests go: one that comes does not take the slot for which a more
-// urgent one waits here.
+// In the coordinator's order, as far as this front's own requests go: one that comes does not take the slot
+// for which a more urgent one waits here.
 void RequestHandler::serve_alone(Micros now, const std::string& service, Actions& out) {
     Coordinator& coordinator = offices_[service];
     std::vector<RequestId> held;
@@ -101,12 +108,14 @@
         if (r.state == State::held && r.service == service) held.push_back(id);
     while (!held.empty()) {
         const auto late = [&](RequestId id) { return now > requests_.at(id).aim_at; };
-        const bool turn = coordinator.turns + 1 >= options_.late_turn && std::any_of(held.begin(), held.end(), late);
+        const bool turn =
+            coordinator.turns + 1 >= options_.late_turn && std::any_of(held.begin(), held.end(), late);
         const auto place = [&](RequestId id) {
             const Request& r = requests_.at(id);
             return std::pair(place_in_line({r.came, r.aim_at, r.route->priority, late(id)}, turn), id);
         };
-        const auto first = std::min_element(held.begin(), held.end(), [&](RequestId a, RequestId b) { return place(a) < place(b); });
+        const auto first = std::min_element(held.begin(), held.end(),
+                                            [&](RequestId a, RequestId b) { return place(a) < place(b); });
         const bool was_late = late(*first);
         if (!send_alone(now, *first, requests_.at(*first), out)) return;
         coordinator.turns = was_late ? 0 : coordinator.turns + 1;
@@ -125,8 +134,11 @@
     const auto fits = [&](bool near) {
         return [this, near, now, &coordinator](const Split::Share& s) {
             const auto at = runners_.find(s.runner);
-            if (at == runners_.end() || at->second.state != RunnerState::ready || now < at->second.aside_until) return false;
-            return at->second.out < (coordinator.unrestricted ? at->second.what.slots : part(at->second)) && (!near || at->second.what.zone == options_.zone);
+            if (at == runners_.end() || at->second.state != RunnerState::ready ||
+                now < at->second.aside_until)
+                return false;
+            return at->second.out < (coordinator.unrestricted ? at->second.what.slots : part(at->second)) &&
+                   (!near || at->second.what.zone == options_.zone);
         };
     };
     const double at = unit();
@@ -146,17 +158,20 @@
     ++r.sends;
     ++runner.out;
     offices_[r.service].split.sent(r.runner);
-    out.forwards.push_back({id, r.runner, runner.what.address, static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
+    out.forwards.push_back({id, r.runner, runner.what.address,
+                            static_cast<std::uint32_t>(std::max<Micros>(1000, r.deadline_at - now) / 1000)});
 }
 
-void RequestHandler::note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why) {
+void RequestHandler::note(Micros now, RequestId id, const Request& r, const std::string& runner,
+                          const char* why) {
     decisions_.add({now, r.came > 0 ? now - r.came : 0, id, r.service, runner, why});
 }
 
 std::vector<RequestHandler::Share> RequestHandler::shares() const {
     std::vector<Share> all;
     for (const auto& [service, coordinator] : offices_)
-        for (const Split::Share& s : coordinator.split.shares()) all.push_back({service, s.runner, s.fraction, s.latency, s.out, coordinator.unrestricted});
+        for (const Split::Share& s : coordinator.split.shares())
+            all.push_back({service, s.runner, s.fraction, s.latency, s.out, coordinator.unrestricted});
     return all;
 }
 
@@ -171,8 +186,10 @@
     }
     if (r.unrestricted) ++coordinator.count, coordinator.busy += took;
     // Of what was sent unasked only what went wrong is told, or what the coordinator counts meanwhile.
-    const bool tell = r.ask > 0 || (number > 0 && (!r.unrestricted || how == Ended::turned_away || how == Ended::unreachable || how == Ended::gone));
-    if (coordinator_ && tell) out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
+    const bool tell = r.ask > 0 || (number > 0 && (!r.unrestricted || how == Ended::turned_away ||
+                                                   how == Ended::unreachable || how == Ended::gone));
+    if (coordinator_ && tell)
+        out.mails.push_back(Release{r.ask, number, how, static_cast<std::uint32_t>(took / 1000)});
     asks_.erase(r.ask);
     r.ask = 0;
     r.by_slot = false;
@@ -188,7 +205,9 @@
     for (auto& [id, r] : requests_) {
         if (r.state != State::out || !r.unrestricted || r.service != m.service) continue;
         r.unrestricted = false;
-        if (const auto runner = runners_.find(r.runner); runner != runners_.end() && runner->second.number > 0) ++outs[runner->second.number];
+        if (const auto runner = runners_.find(r.runner);
+            runner != runners_.end() && runner->second.number > 0)
+            ++outs[runner->second.number];
     }
     if (!outs.empty()) out.mails.push_back(OutstandingReport{{outs.begin(), outs.end()}});
 }
@@ -199,22 +218,27 @@
     reported_ = now;
     for (auto& [service, coordinator] : offices_) {
         if (coordinator.unrestricted && (coordinator.count > 0 || coordinator.busy > 0))
-            loads.loads.push_back({service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)});
+            loads.loads.push_back(
+                {service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)});
         coordinator.last = {service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)};
         coordinator.count = 0, coordinator.busy = 0;
     }
     if (coordinator_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
 }
 
-void RequestHandler::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms, Actions& out) {
+void RequestHandler::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms,
+                             Actions& out) {
     if (r.client) out.replies.push_back({id, kind, retry_ms});
-    if (r.client && r.route) lost(now, r, kind == Kind::may_have_run || kind == Kind::time_over ? Loss::How::failed : Loss::How::refused);
+    if (r.client && r.route)
+        lost(now, r,
+             kind == Kind::may_have_run || kind == Kind::time_over ? Loss::How::failed : Loss::How::refused);
     note(now, id, r, r.runner, answer_to(kind).name);
     close(id);
 }
 
 const char* Loss::name(Cause cause) {
-    static constexpr std::array<const char*, kCauses> names{"cold_start", "slot", "memory", "keeper_away", "runner_lost", "work", "budget", "route"};
+    static constexpr std::array<const char*, kCauses> names{"cold_start",  "slot", "memory", "keeper_away",
+                                                            "runner_lost", "work", "budget", "route"};
     return names[static_cast<std::size_t>(cause)];
 }
 
@@ -290,7 +314,8 @@
             break;
         case RunEnd::unreachable:
             split.ended(runner, 0);
-            if (const auto known = runners_.find(runner); known != runners_.end()) known->second.aside_until = now + 1'000'000;
+            if (const auto known = runners_.find(runner); known != runners_.end())
+                known->second.aside_until = now + 1'000'000;
             release(now, r, Ended::unreachable, out);
             --r.sends;  // nothing was sent
             break;
@@ -303,7 +328,8 @@
     r.slowed = how == RunEnd::not_run ? Loss::Cause::slot : Loss::Cause::runner;
     const bool ran = how == RunEnd::failed || how == RunEnd::may_have_run;
     if (!r.client) return close(id);
-    const bool may_again = (!ran || r.route->idempotent) && r.sends < r.route->attempts && now + 20'000 < r.deadline_at;
+    const bool may_again =
+        (!ran || r.route->idempotent) && r.sends < r.route->attempts && now + 20'000 < r.deadline_at;
     if (may_again) {
         r.again = r.sends > 0;
         return seek(now, id, r, out);
@@ -317,7 +343,8 @@
     give_up(now, id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
 }
 
-// ---- the coordinator ----------------------------------------------------------------------------------------------
+// ---- the coordinator
+// ----------------------------------------------------------------------------------------------
 
 Register RequestHandler::registration() const {
     Register g{options_.name, options_.zone, options_.incarnation, version(), {}, {}};
@@ -331,7 +358,8 @@
         g.holdings.push_back(std::move(h));
     }
     for (const auto& [service, coordinator] : offices_)
-        if (coordinator.unrestricted) g.unrestricted.push_back({service, coordinator.last.count, coordinator.last.busy_ms});
+        if (coordinator.unrestricted)
+            g.unrestricted.push_back({service, coordinator.last.count, coordinator.last.busy_ms});
     return g;
 }
 
@@ -340,8 +368,9 @@
     asks_.clear();
     by_number_.clear();
     for (auto& [id, r] : runners_) r.number = 0;
-    // What was free stays so until this coordinator says otherwise: it has been told with the registration. All functions kept at
-    // once, after a change of coordinators, would be more asks than one coordinator can answer.
+    // What was free stays so until this coordinator says otherwise: it has been told with the registration.
+    // All functions kept at once, after a change of coordinators, would be more asks than one coordinator can
+    // answer.
     for (auto& [id, r] : requests_) {
         if (r.state == State::out) r.ask = 0;  // counted with the registration
         if (r.state == State::held || r.state == State::asking) seek(now, id, r, out);
@@ -373,7 +402,8 @@
 
 void RequestHandler::told(const RunnerTold& m, Actions& out) {
     if (m.state == RunnerState::gone) {
-        if (const auto at = by_number_.find(m.number); at != by_number_.end()) drop_runner(std::string(at->second), out);
+        if (const auto at = by_number_.find(m.number); at != by_number_.end())
+            drop_runner(std::string(at->second), out);
         return;
     }
     Runner& r = runners_[m.runner.runner];
@@ -436,7 +466,11 @@
         }
         r.by_slot = true;
         held_up(r, m->waited);
-        note(now, id, r, runner->second, r.again ? "granted_again" : r.drawn_number == m->runner ? "granted_as_drawn" : r.drawn_number == 0 ? "granted_none_known" : "granted_another_drawn_is_full");
+        note(now, id, r, runner->second,
+             r.again                       ? "granted_again"
+             : r.drawn_number == m->runner ? "granted_as_drawn"
+             : r.drawn_number == 0         ? "granted_none_known"
+                                           : "granted_another_drawn_is_full");
         send(now, id, r, runners_[runner->second], out);
     } else if (const auto* m = std::get_if<Mode>(&message)) {
         set_mode(*m, out);
@@ -451,7 +485,8 @@
     }
 }
 
-// ---- time ----------------------------------------------------------------------------------------------------
+// ---- time
+// ----------------------------------------------------------------------------------------------------
 
 void RequestHandler::tick(Micros now, Actions& out) {
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
@@ -463,7 +498,8 @@
             out.abandons.push_back(id);
             give_up(now, id, r, Kind::time_over, 0, out);
         } else {
-            if (r.state == State::asking && coordinator_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+            if (r.state == State::asking && coordinator_)
+                out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
             give_up(now, id, r, Kind::not_offered, 0, out);
         }
     }
--- a/src/cluster/proxy/request_handler.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -1,7 +1,8 @@
-// What a front does with each request, from its head to its answer. Routes are looked up in the configuration in force,
-// the runner is drawn by the function's split, the slot is asked for at the coordinator (slots/slot_table.hpp); what the answer may
-// be follows from whether the request may have run. While no coordinator answers, a front uses its own part of each
-// runner's slots, so that all fronts together keep the limit.
+// What a front does with each request, from its head to its answer. Routes are looked up in the configuration
+// in force, the runner is drawn by the function's split, the slot is asked for at the coordinator
+// (slots/slot_table.hpp); what the answer may be follows from whether the request may have run. While no
+// coordinator answers, a front uses its own part of each runner's slots, so that all fronts together keep the
+// limit.
 //
 // No I/O and no clock: inputs are noted, and what is to be done is collected in Actions.
 #pragma once
@@ -41,8 +42,8 @@
     std::vector<Message> mails;  // to the coordinator
     std::vector<Forward> forwards;
     std::vector<Reply> replies;
-    std::vector<RequestId> relays;    // the runner's answer goes to the client as it is
-    std::vector<RequestId> abandons;  // the call to the runner is broken off
+    std::vector<RequestId> relays;              // the runner's answer goes to the client as it is
+    std::vector<RequestId> abandons;            // the call to the runner is broken off
     std::vector<std::string> watches, forgets;  // addresses: connect until it works; close what is open
 };
 
@@ -64,7 +65,8 @@
     const char* why = "";
 };
 
-// Why an answer earned less than its whole worth, and how much less: late, refused (it has not run) or failed.
+// Why an answer earned less than its whole worth, and how much less: late, refused (it has not run) or
+// failed.
 struct Loss {
     enum class Cause : std::uint8_t { start, slot, memory, coordinator, runner, work, budget, route };
     enum class How : std::uint8_t { late, refused, failed };
@@ -86,7 +88,8 @@
         Number incarnation = 1;
         Micros reach = 700'000;  // without a word from the coordinator for so long, it is taken for lost
         std::uint64_t chance = 1;
-        int late_turn = 4;  // as the coordinator's (slots/slot_table.hpp): of so many slots one goes to a late one
+        int late_turn =
+            4;  // as the coordinator's (slots/slot_table.hpp): of so many slots one goes to a late one
     };
     explicit RequestHandler(Options terms) : options_(std::move(terms)), chance_(options_.chance * 2 + 1) {}
 
@@ -95,7 +98,8 @@
     const Configuration* configuration() const { return configuration_.get(); }
     Number version() const { return configuration_ ? configuration_->version() : 0; }
 
-    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path, std::uint32_t deadline_ms, Actions& out);
+    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path,
+                 std::uint32_t deadline_ms, Actions& out);
     void client_left(Micros now, RequestId request, Actions& out);
     void ended(Micros now, RequestId request, RunEnd how, Actions& out);
 
@@ -137,7 +141,7 @@
         bool by_slot = false;  // the runner's slot was granted, and is to be released
         bool client = true;    // it still waits
         bool again = false, unrestricted = false;
-        std::uint32_t drawn_number = 0;  // the runner that the coordinator was told
+        std::uint32_t drawn_number = 0;          // the runner that the coordinator was told
         Loss::Cause slowed = Loss::Cause::work;  // by what it was held up last
     };
     struct Runner {
--- a/src/cluster/runners/resources.cpp
+++ b/src/cluster/runners/resources.cpp
@@ -32,8 +32,10 @@
     std::string out;
     for (const char c : token) {
         const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '~') out += c;
-        else out.append({'%', kHex[byte >> 4], kHex[byte & 15]});
+        if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '~')
+            out += c;
+        else
+            out.append({'%', kHex[byte >> 4], kHex[byte & 15]});
     }
     return out;
 }
@@ -61,19 +63,27 @@
 }
 
 leaf::result<Page> RunnersResource::read(const HttpMessage& answer) const {
-    if (answer.status != 200) return failure(Kind::platform_refused, "list: " + std::to_string(answer.status));
+    if (answer.status != 200)
+        return failure(Kind::platform_refused, "list: " + std::to_string(answer.status));
     simdjson::dom::parser parser;
     object top;
     simdjson::dom::array all;
-    if (parser.parse(answer.body).get(top) || top["instances"].get(all)) return failure(Kind::bytes_malformed, "list of runners");
+    if (parser.parse(answer.body).get(top) || top["instances"].get(all))
+        return failure(Kind::bytes_malformed, "list of runners");
     Page page;
     page.next = text(top, "next_page_token");
     for (const element one : all) {
         object o;
         if (one.get(o)) continue;
         Listed l;
-        l.what = {text(o, "runner_id"), text(o, "service"), text(o, "address"), text(o, "zone"), text(o, "worker_id"),
-                  static_cast<std::uint32_t>(std::max<std::int64_t>(1, number(o, "concurrency_slots", 1))), 0, true};
+        l.what = {text(o, "runner_id"),
+                  text(o, "service"),
+                  text(o, "address"),
+                  text(o, "zone"),
+                  text(o, "worker_id"),
+                  static_cast<std::uint32_t>(std::max<std::int64_t>(1, number(o, "concurrency_slots", 1))),
+                  0,
+                  true};
         l.draining = text(o, "state") != "ready";
         if (!l.what.runner.empty() && !l.what.address.empty()) page.runners.push_back(std::move(l));
     }
@@ -83,23 +93,28 @@
 HttpMessage WorkersResource::get() const { return request("GET", "/v1/workers"); }
 
 leaf::result<std::vector<Worker>> WorkersResource::read(const HttpMessage& answer) const {
-    if (answer.status != 200) return failure(Kind::platform_refused, "workers: " + std::to_string(answer.status));
+    if (answer.status != 200)
+        return failure(Kind::platform_refused, "workers: " + std::to_string(answer.status));
     simdjson::dom::parser parser;
     object top;
     simdjson::dom::array all;
-    if (parser.parse(answer.body).get(top) || top["workers"].get(all)) return failure(Kind::bytes_malformed, "list of workers");
+    if (parser.parse(answer.body).get(top) || top["workers"].get(all))
+        return failure(Kind::bytes_malformed, "list of workers");
     std::vector<Worker> workers;
     for (const element one : all) {
         object o;
         if (one.get(o)) continue;
-        Worker w{text(o, "name"), text(o, "zone"), number(o, "memory_mb", 0), number(o, "free_memory_mb", 0), text(o, "state") == "ready"};
+        Worker w{text(o, "name"), text(o, "zone"), number(o, "memory_mb", 0), number(o, "free_memory_mb", 0),
+                 text(o, "state") == "ready"};
         if (!w.name.empty()) workers.push_back(std::move(w));
     }
     return workers;
 }
 
 HttpMessage BeginResource::post(const Fence& fence, const Begin& begin) const {
-    return duty(fence, "/v1/begin", "{\"service\":" + json_text(begin.service) + ",\"worker_id\":" + json_text(begin.worker) + ",\"request_nonce\":" + json_text(begin.nonce) + "}");
+    return duty(fence, "/v1/begin",
+                "{\"service\":" + json_text(begin.service) + ",\"worker_id\":" + json_text(begin.worker) +
+                    ",\"request_nonce\":" + json_text(begin.nonce) + "}");
 }
 
 BeginAnswer BeginResource::read(const HttpMessage& answer, Holding& begun) const {
@@ -117,6 +132,8 @@
     return duty(fence, "/v1/stop", "{\"runner_id\":" + json_text(stop.runner) + "}");
 }
 
-bool StopResource::done(const HttpMessage& answer) const { return answer.status == 200 || answer.status == 404; }
+bool StopResource::done(const HttpMessage& answer) const {
+    return answer.status == 200 || answer.status == 404;
+}
 
 }  // namespace gannethold::cluster
--- a/src/cluster/slots/slot_table.cpp
+++ b/src/cluster/slots/slot_table.cpp
@@ -10,17 +10,18 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr Micros kAside = 1'500'000;     // after a runner could not be reached
-constexpr Micros kUnderWay = 1'000'000;  // what fronts sent before they were told has come there by then
-constexpr Micros kKept = 4'000'000;      // at least, once a function had to be kept again
-constexpr Micros kKnown = 3'000'000;     // so long its traffic must have been seen before it may be free
-constexpr Micros kPause = 5'000'000;     // without a request: what was seen before says nothing any more
-constexpr Micros kForget = 20'000'000;   // a function that nobody asked for so long is active no more
-constexpr double kGuess = 100'000;       // of work never seen, microseconds
+constexpr Micros kAside = 1'500'000;       // after a runner could not be reached
+constexpr Micros kUnderWay = 1'000'000;    // what fronts sent before they were told has come there by then
+constexpr Micros kKept = 4'000'000;        // at least, once a function had to be kept again
+constexpr Micros kKnown = 3'000'000;       // so long its traffic must have been seen before it may be free
+constexpr Micros kPause = 5'000'000;       // without a request: what was seen before says nothing any more
+constexpr Micros kForget = 20'000'000;     // a function that nobody asked for so long is active no more
+constexpr double kGuess = 100'000;         // of work never seen, microseconds
 constexpr std::uint32_t kComeBack = 1000;  // ms, for who is given up in a line that is too long
-constexpr std::uint32_t kFewSlots = 4;   // a runner with fewer is full by chance too often to be free
+constexpr std::uint32_t kFewSlots = 4;     // a runner with fewer is full by chance too often to be free
 
-// Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it full.
+// Of requests that come by chance to a runner with so many slots and that mean load, the part that finds it
+// full.
 double blocked(double load, std::uint32_t slots) {
     double b = 1;
     for (std::uint32_t n = 1; n <= slots; ++n) b = load * b / (n + load * b);
@@ -60,7 +61,9 @@
 void SlotTable::configure(std::shared_ptr<const Configuration> configuration) {
     configuration_ = std::move(configuration);
     for (const Service& s : configuration_->services()) function(s.name);
-    for (auto& [name, f] : functions_) f->service = configuration_->service(name), touch(*f);  // the next tick lets go of those that are not used
+    for (auto& [name, f] : functions_)
+        f->service = configuration_->service(name),
+        touch(*f);  // the next tick lets go of those that are not used
     for (auto& [number, r] : runners_)
         if (r.function->service) r.what.slots = r.function->service->most;
 }
@@ -87,7 +90,8 @@
     return at == usual_.end() ? kGuess : at->second.get(kGuess);
 }
 
-// ---- telling fronts ------------------------------------------------------------------------------------------
+// ---- telling fronts
+// ------------------------------------------------------------------------------------------
 
 void SlotTable::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
     r.told.insert(front);
@@ -105,14 +109,15 @@
         if (fronts_.count(front)) tell(r, front, out);
 }
 
-// A runner refuses connections until it has started, and the platform's list shows that late: one front, of those who
-// will use it, tries until it can connect.
+// A runner refuses connections until it has started, and the platform's list shows that late: one front, of
+// those who will use it, tries until it can connect.
 void SlotTable::watch(Slots& r, std::vector<FrontMail>& out) {
     if (r.state != RunnerState::starting || fronts_.count(r.watcher) || fronts_.empty()) return;
     const Function& f = *r.function;
     const auto rank = [&](Session s, const Front& front) {
         // Those alike in use and zone take turns, by the runner's number.
-        return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)), (s * 2654435761U ^ r.number * 40503U) % 997);
+        return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)),
+                          (s * 2654435761U ^ r.number * 40503U) % 997);
     };
     Session best = 0;
     for (const auto& [session, front] : fronts_)
@@ -121,9 +126,11 @@
     tell(r, best, out, true);
 }
 
-// ---- fronts --------------------------------------------------------------------------------------------------
+// ---- fronts
+// --------------------------------------------------------------------------------------------------
 
-void SlotTable::front_came(Micros now, Session session, const Register& registration, std::vector<FrontMail>& out) {
+void SlotTable::front_came(Micros now, Session session, const Register& registration,
+                           std::vector<FrontMail>& out) {
     Front& front = fronts_[session];
     front.name = registration.name, front.zone = registration.zone;
     for (const Holding& held : registration.holdings) {
@@ -140,8 +147,8 @@
         touch(*r.function);
         tell(r, session, out);
     }
-    // What it takes unasked was free under the coordinator before: so it stays, unless it has been kept here already; by the
-    // loads that are told with it the next sample judges it like any other.
+    // What it takes unasked was free under the coordinator before: so it stays, unless it has been kept here
+    // already; by the loads that are told with it the next sample judges it like any other.
     for (const Load& l : registration.unrestricted) {
         Function& f = function(l.service);
         f.interested.insert(session);
@@ -184,7 +191,8 @@
     }
 }
 
-Function* SlotTable::ask(Micros now, Session session, const AcquireRequest& ask, std::vector<FrontMail>& out) {
+Function* SlotTable::ask(Micros now, Session session, const AcquireRequest& ask,
+                         std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return nullptr;
     const auto known = functions_.find(ask.service);
@@ -202,8 +210,10 @@
         if (f.unrestricted) out.push_back({session, Mode{f.name, true}});
     }
     if (ask.again) {
-        while (!f.tried_again.empty() && f.tried_again.front() < now - options_.budget_window) f.tried_again.pop_front();
-        // Two coordinators in one window, each with half: the budget holds over a change of the coordinator too.
+        while (!f.tried_again.empty() && f.tried_again.front() < now - options_.budget_window)
+            f.tried_again.pop_front();
+        // Two coordinators in one window, each with half: the budget holds over a change of the coordinator
+        // too.
         if (static_cast<double>(f.tried_again.size()) + 1 > options_.budget_slack / 2) {
             out.push_back({session, AcquireDenied{ask.id, 1000}});
             return &f;
@@ -221,17 +231,26 @@
         out.push_back({session, AcquireDenied{ask.id, later, lacks(f)}});
         return &f;
     }
-    const WaitQueue::Waiting waiting{session, ask, now, now + ask.aim_ms * 1000LL, now + ask.deadline_ms * 1000LL, static_cast<Micros>(usual(ask.shape)), lacks(f)};
+    const WaitQueue::Waiting waiting{session,
+                                     ask,
+                                     now,
+                                     now + ask.aim_ms * 1000LL,
+                                     now + ask.deadline_ms * 1000LL,
+                                     static_cast<Micros>(usual(ask.shape)),
+                                     lacks(f)};
     front->second.waiting[ask.id] = {&f, f.waiting.add(waiting)};
     serve(now, f, out);
     return &f;
 }
 
 Slots* SlotTable::choose(Micros now, Function& f, const AcquireRequest& ask, const std::string& zone) {
-    if (const auto drawn = runners_.find(ask.drawn); drawn != runners_.end() && drawn->second.function == &f && open(now, drawn->second))
+    if (const auto drawn = runners_.find(ask.drawn);
+        drawn != runners_.end() && drawn->second.function == &f && open(now, drawn->second))
         return &drawn->second;
     Slots* best = nullptr;
-    const auto rank = [&](const Slots& s) { return (s.what.zone == zone ? 2.0 : 0.0) - static_cast<double>(s.out()) / s.what.slots; };
+    const auto rank = [&](const Slots& s) {
+        return (s.what.zone == zone ? 2.0 : 0.0) - static_cast<double>(s.out()) / s.what.slots;
+    };
     for (const std::uint32_t number : f.runners) {
         Slots& r = runners_.at(number);
         if (open(now, r) && (!best || rank(r) > rank(*best))) best = &r;
@@ -246,8 +265,9 @@
     return slots;
 }
 
-// Against a line so long that whoever comes now would be given up at its end: it is told at once when the line will have
-// shrunk, and what is in the line has a chance. Two fifths of its time are left for the new try. 0: it may wait.
+// Against a line so long that whoever comes now would be given up at its end: it is told at once when the
+// line will have shrunk, and what is in the line has a chance. Two fifths of its time are left for the new
+// try. 0: it may wait.
 std::uint32_t SlotTable::too_long(const Function& f, const AcquireRequest& ask) const {
     const double slots = slots_of(f);
     if (slots == 0) return 0;
@@ -260,11 +280,13 @@
 // What a request that finds no slot is waiting for.
 WaitedFor SlotTable::lacks(const Function& f) const {
     for (const std::uint32_t number : f.runners)
-        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) return WaitedFor::slot;
+        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining)
+            return WaitedFor::slot;
     return f.no_room ? WaitedFor::memory : WaitedFor::start;
 }
 
-void SlotTable::grant(Micros now, Slots& r, Session session, const AcquireRequest& ask, WaitedFor waited, std::vector<FrontMail>& out) {
+void SlotTable::grant(Micros now, Slots& r, Session session, const AcquireRequest& ask, WaitedFor waited,
+                      std::vector<FrontMail>& out) {
     r.given.push_back({session, ask.id, ask.shape, now});
     if (!r.told.count(session)) tell(r, session, out);
     out.push_back({session, AcquireGranted{ask.id, r.number, waited}});
@@ -273,7 +295,8 @@
 void SlotTable::serve(Micros now, Function& f, std::vector<FrontMail>& out) {
     WaitQueue::Place place = 0;
     // A late one never pushes out one that can be in aim but in its turn.
-    while (const WaitQueue::Waiting* const first = f.waiting.first(now, f.turns + 1 >= options_.late_turn, place)) {
+    while (const WaitQueue::Waiting* const first =
+               f.waiting.first(now, f.turns + 1 >= options_.late_turn, place)) {
         const auto front = fronts_.find(first->front);
         Slots* const r = front != fronts_.end() ? choose(now, f, first->ask, front->second.zone) : nullptr;
         if (front != fronts_.end() && !r) return;
@@ -282,11 +305,16 @@
         f.waiting.leave(place);
         if (!r) continue;
         f.turns = late ? 0 : f.turns + 1;
-        if (const WaitQueue::Waiting* const oldest = f.waiting.oldest(); oldest && oldest->since < next.since) {
+        if (const WaitQueue::Waiting* const oldest = f.waiting.oldest();
+            oldest && oldest->since < next.since) {
             ++f.overtaken;
             const bool passed = now > oldest->aim_at - oldest->work;
-            overtakings_.add({now, f.name, next.front, oldest->front, next.ask.id, oldest->ask.id, next.ask.priority, oldest->ask.priority, next.aim_at - now,
-                              oldest->aim_at - now, late && turn ? "turn_of_a_late_one" : passed ? "it_can_be_in_aim" : "less_time_left"});
+            overtakings_.add({now, f.name, next.front, oldest->front, next.ask.id, oldest->ask.id,
+                              next.ask.priority, oldest->ask.priority, next.aim_at - now,
+                              oldest->aim_at - now,
+                              late && turn ? "turn_of_a_late_one"
+                              : passed     ? "it_can_be_in_aim"
+                                           : "less_time_left"});
         }
         front->second.waiting.erase(next.ask.id);
         grant(now, *r, next.front, next.ask, next.waits_for, out);
@@ -296,7 +324,8 @@
 void SlotTable::release(Micros now, Session session, const Release& m, std::vector<FrontMail>& out) {
     const auto front = fronts_.find(session);
     if (front == fronts_.end()) return;
-    if (const auto waits = front->second.waiting.find(m.id); m.id > 0 && waits != front->second.waiting.end()) {
+    if (const auto waits = front->second.waiting.find(m.id);
+        m.id > 0 && waits != front->second.waiting.end()) {
         waits->second.first->waiting.leave(waits->second.second);
         front->second.waiting.erase(waits);
         return;
@@ -304,9 +333,12 @@
     const auto at = runners_.find(m.runner);
     if (at == runners_.end()) return;
     Slots& r = at->second;
-    const auto given = std::find_if(r.given.begin(), r.given.end(), [&](const Slots::Given& g) { return g.front == session && g.ask == m.id; });
+    const auto given = std::find_if(r.given.begin(), r.given.end(), [&](const Slots::Given& g) {
+        return g.front == session && g.ask == m.id;
+    });
     if (given != r.given.end()) {
-        if (m.how == Ended::answered && given->ask > 0) usual_[given->shape].add(static_cast<double>(m.took_ms) * 1e3);
+        if (m.how == Ended::answered && given->ask > 0)
+            usual_[given->shape].add(static_cast<double>(m.took_ms) * 1e3);
         r.given.erase(given);
         if (r.given.empty()) r.idle_since = now;
     }
@@ -314,7 +346,8 @@
     if (m.how == Ended::gone) return gone(now, std::string(r.what.runner), "another has its address", out);
     if (m.how == Ended::unreachable) {
         // It had started and nobody listens there: tried once more after a while, since it may be the path.
-        if (r.state == RunnerState::ready && r.given.empty() && r.aside_until > 0 && now >= r.aside_until && now < r.aside_until + 2 * kAside)
+        if (r.state == RunnerState::ready && r.given.empty() && r.aside_until > 0 && now >= r.aside_until &&
+            now < r.aside_until + 2 * kAside)
             return gone(now, std::string(r.what.runner), "unreachable twice", out);
         if (now >= r.aside_until) r.aside_until = now + kAside;
     }
@@ -341,7 +374,8 @@
     serve(now, *r.function, out);
 }
 
-// ---- free functions ------------------------------------------------------------------------------------------
+// ---- free functions
+// ------------------------------------------------------------------------------------------
 
 void SlotTable::loads(Micros now, Session session, const LoadReport& m) {
     const auto front = fronts_.find(session);
@@ -361,7 +395,8 @@
     for (const auto& [number, count] : m.by_runner) {
         const auto at = runners_.find(number);
         if (at == runners_.end()) continue;
-        for (std::uint32_t n = 0; n < std::min(count, at->second.what.slots); ++n) at->second.given.push_back({session, 0, 0, now});
+        for (std::uint32_t n = 0; n < std::min(count, at->second.what.slots); ++n)
+            at->second.given.push_back({session, 0, 0, now});
     }
 }
 
@@ -375,10 +410,12 @@
 // By chance alone, how often would a runner be full if nobody asked?
 void SlotTable::settle_mode(Micros now, Function& f, std::vector<FrontMail>& out) {
     while (!f.turned_away.empty() && f.turned_away.front() < now - 5'000'000) f.turned_away.pop_front();
-    if (!f.service || !options_.may_be_unrestricted || f.service->most < kFewSlots) return set_mode(f, false, out);
+    if (!f.service || !options_.may_be_unrestricted || f.service->most < kFewSlots)
+        return set_mode(f, false, out);
     std::map<std::string, double> ready;
     for (const std::uint32_t number : f.runners)
-        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining) ready[r.what.zone] += 1;
+        if (const Slots& r = runners_.at(number); r.state == RunnerState::ready && !r.draining)
+            ready[r.what.zone] += 1;
     if (ready.empty()) return set_mode(f, false, out);
     // Fronts send near ones first: each zone's part goes to its own runners, what has none to all.
     double all = 0, rate = 0, near = 0;
@@ -394,17 +431,20 @@
         turned += part * rate * 5 * blocked(1.5 * load * part / count, f.service->most);
     }
     const double allowed = options_.rejection_slack;
-    // The first one turned away is enough: of the allowed ones some more are on their way before all fronts know.
+    // The first one turned away is enough: of the allowed ones some more are on their way before all fronts
+    // know.
     const bool known = now >= f.used_since + kKnown && now < f.last_used + kPause;
     if (f.unrestricted && (turned > 0.3 * allowed || !f.turned_away.empty() || !known)) {
         f.coordinated_until = now + kKept;
         set_mode(f, false, out);
-    } else if (!f.unrestricted && known && now >= f.coordinated_until && f.waiting.empty() && turned < 0.08 * allowed && f.turned_away.empty()) {
+    } else if (!f.unrestricted && known && now >= f.coordinated_until && f.waiting.empty() &&
+               turned < 0.08 * allowed && f.turned_away.empty()) {
         set_mode(f, true, out);
     }
 }
 
-// ---- runners -------------------------------------------------------------------------------------------------
+// ---- runners
+// -------------------------------------------------------------------------------------------------
 
 Slots& SlotTable::add(Micros now, const Holding& what) {
     const std::uint32_t number = next_number_++;
@@ -469,7 +509,8 @@
     return r.given.empty() && now >= r.retired + (r.function->unrestricted ? kUnderWay : 0);
 }
 
-// ---- time ----------------------------------------------------------------------------------------------------
+// ---- time
+// ----------------------------------------------------------------------------------------------------
 
 double SlotTable::expected_wait(Micros now, const Function& f) const {
     // When each slot comes free, by what is at work there; then one after the other for those who wait.
@@ -478,9 +519,13 @@
         const Slots& r = runners_.at(number);
         if (r.draining) continue;
         double first = 0;
-        if (r.state == RunnerState::starting) first = std::max(50'000.0, static_cast<double>(r.began + (f.service ? f.service->boot : 1'000'000) - now));
-        else if (now < r.aside_until) first = static_cast<double>(r.aside_until - now);
-        for (const Slots::Given& g : r.given) free_in.push_back(std::max(usual(g.shape) - static_cast<double>(now - g.since), 20'000.0));
+        if (r.state == RunnerState::starting)
+            first = std::max(50'000.0,
+                             static_cast<double>(r.began + (f.service ? f.service->boot : 1'000'000) - now));
+        else if (now < r.aside_until)
+            first = static_cast<double>(r.aside_until - now);
+        for (const Slots::Given& g : r.given)
+            free_in.push_back(std::max(usual(g.shape) - static_cast<double>(now - g.since), 20'000.0));
         for (std::uint32_t i = r.out(); i < r.what.slots; ++i) free_in.push_back(first);
     }
     if (free_in.empty()) return 1e12;
@@ -525,11 +570,13 @@
             place.rate += (seen - place.rate) * std::min(1.0, kStep / 3.0);
             f.rate += place.rate;
         }
-        // What can not be in time any more is answered at once; so is who has become late and whose turn would come too late.
+        // What can not be in time any more is answered at once; so is who has become late and whose turn
+        // would come too late.
         WaitQueue::Place place = 0;
         while (const WaitQueue::Waiting* const w = f.waiting.hopeless(now, place)) {
             out.push_back({w->front, AcquireDenied{w->ask.id, 0, w->waits_for}});
-            if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
+            if (const auto front = fronts_.find(w->front); front != fronts_.end())
+                front->second.waiting.erase(w->ask.id);
             f.waiting.leave(place);
         }
         const double slots = slots_of(f);
@@ -539,14 +586,18 @@
             const WaitQueue::Waiting* const w = f.waiting.out_of_reach(now, per_place, place);
             if (!w) break;
             out.push_back({w->front, AcquireDenied{w->ask.id, kComeBack, w->waits_for}});
-            if (const auto front = fronts_.find(w->front); front != fronts_.end()) front->second.waiting.erase(w->ask.id);
+            if (const auto front = fronts_.find(w->front); front != fronts_.end())
+                front->second.waiting.erase(w->ask.id);
             f.waiting.leave(place);
         }
         settle_mode(now, f, out);
         if (!f.waiting.empty()) serve(now, f, out);
         // A function that is to be warm is planned for whether or not anyone asks.
-        if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget && !(f.service && f.service->warm())) f.active = false, i = active_.erase(i);
-        else ++i;
+        if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget &&
+            !(f.service && f.service->warm()))
+            f.active = false, i = active_.erase(i);
+        else
+            ++i;
     }
 }
 
--- a/src/cluster/slots/slot_table.hpp
+++ b/src/cluster/slots/slot_table.hpp
@@ -1,13 +1,15 @@
-// The slots of all runners, kept by the one who leads the core, for all fronts in common: a runner is never given more
-// requests at once than its max_concurrency, whoever sends them.
+// The slots of all runners, kept by the one who leads the core, for all fronts in common: a runner is never
+// given more requests at once than its max_concurrency, whoever sends them.
 //
-// A function is in one of two modes. Kept: a front asks for a slot for each request and names the runner that its
-// fractions drew; the fractions say where, the slot says whether. What finds no slot waits here, most urgent first, so
-// that one order holds for all fronts. Free: there is so much room that chance alone keeps runners from being full more
-// often than the operators allow; fronts send where their fractions say and report their loads once a second. A function
-// becomes free, and kept again, by the loads reported and by what runners turn away.
+// A function is in one of two modes. Kept: a front asks for a slot for each request and names the runner that
+// its fractions drew; the fractions say where, the slot says whether. What finds no slot waits here, most
+// urgent first, so that one order holds for all fronts. Free: there is so much room that chance alone keeps
+// runners from being full more often than the operators allow; fronts send where their fractions say and
+// report their loads once a second. A function becomes free, and kept again, by the loads reported and by
+// what runners turn away.
 //
-// Also the common budget of second runners. No I/O and no clock; messages to fronts are collected in FrontMail.
+// Also the common budget of second runners. No I/O and no clock; messages to fronts are collected in
+// FrontMail.
 #pragma once
 
 #include <cstdint>
@@ -43,8 +45,9 @@
     double mean_ = 0, weight_ = 0;
 };
 
-// Demand for slots: what came, each counted with the time that work of its shape takes, as a mean over about so long. The
-// mean is over the time really seen, so that the first requests after a pause count at once and not by and by.
+// Demand for slots: what came, each counted with the time that work of its shape takes, as a mean over about
+// so long. The mean is over the time really seen, so that the first requests after a pause count at once and
+// not by and by.
 class Demand {
   public:
     explicit Demand(double seconds) : seconds_(seconds) {}
@@ -80,9 +83,9 @@
 };
 
 struct Function {
-    struct Place {  // a zone's part
-        int asked = 0;     // since the last sample
-        double rate = 0;   // requests a second, smoothed
+    struct Place {        // a zone's part
+        int asked = 0;    // since the last sample
+        double rate = 0;  // requests a second, smoothed
     };
     struct Part {  // a front's, while free
         double load = 0, rate = 0;
@@ -98,20 +101,20 @@
     WaitQueue waiting;
     std::map<Session, Part> parts;
     std::map<std::string, Place> places;  // by zone
-    // Slots that the work which comes would fill, had each request one at once. What waits is no demand of its own: it is
-    // work that has been counted as it came.
+    // Slots that the work which comes would fill, had each request one at once. What waits is no demand of
+    // its own: it is work that has been counted as it came.
     Demand fast{0.7}, slow{6};
-    double came = 0;                      // seconds of work asked for since the last sample
-    double busy_fast = 0, busy_slow = 0;  // slots at work, smoothed: where work takes longer than is known
-    double load_fast = 0, load_slow = 0;  // of demand and slots at work the larger
-    double rate = 0;                      // requests a second
+    double came = 0;                       // seconds of work asked for since the last sample
+    double busy_fast = 0, busy_slow = 0;   // slots at work, smoothed: where work takes longer than is known
+    double load_fast = 0, load_slow = 0;   // of demand and slots at work the larger
+    double rate = 0;                       // requests a second
     Micros last_used = 0, used_since = 0;  // since: without a long pause
     std::deque<Micros> tried_again, turned_away;
     int turns = 0;                // slots given to waiting ones since a late one had its turn
     std::uint64_t overtaken = 0;  // times that a more urgent one went before one that came earlier
     bool active = false;
-    Micros planned_at = 0;        // for those who wait; the planner's
-    bool no_room = false;         // the last start that was wanted found no worker; the planner's word
+    Micros planned_at = 0;  // for those who wait; the planner's
+    bool no_room = false;   // the last start that was wanted found no worker; the planner's word
 };
 
 // One that came later went before one that came earlier.
@@ -133,8 +136,8 @@
         double rejection_slack = 10;  // what runners of one function may turn away in 5 s
         std::uint32_t first_number = 1;
         bool may_be_unrestricted = true;
-        // Of so many slots that come free one goes to those who can not be in aim any more, while there are any: so
-        // whoever waits in a function gets through, however many urgent ones come.
+        // Of so many slots that come free one goes to those who can not be in aim any more, while there are
+        // any: so whoever waits in a function gets through, however many urgent ones come.
         int late_turn = 4;
     };
     explicit SlotTable(const Options& terms) : options_(terms), next_number_(terms.first_number) {}
@@ -183,7 +186,8 @@
     Function& function(const std::string& name);
     void touch(Function& f);
     Slots* choose(Micros now, Function& f, const AcquireRequest& ask, const std::string& zone);
-    void grant(Micros now, Slots& runner, Session front, const AcquireRequest& ask, WaitedFor waited, std::vector<FrontMail>& out);
+    void grant(Micros now, Slots& runner, Session front, const AcquireRequest& ask, WaitedFor waited,
+               std::vector<FrontMail>& out);
     WaitedFor lacks(const Function& f) const;
     double slots_of(const Function& f) const;  // of all its runners, those that start too
     std::uint32_t too_long(const Function& f, const AcquireRequest& ask) const;
@@ -194,7 +198,9 @@
     void set_mode(Function& f, bool unrestricted, std::vector<FrontMail>& out);
     void settle_mode(Micros now, Function& f, std::vector<FrontMail>& out);
     Slots& add(Micros now, const Holding& what);
-    std::int64_t memory_of(const Slots& s) const { return s.function->service ? s.function->service->memory_mb : 0; }
+    std::int64_t memory_of(const Slots& s) const {
+        return s.function->service ? s.function->service->memory_mb : 0;
+    }
     static bool open(Micros now, const Slots& s) {
         return s.state == RunnerState::ready && !s.draining && now >= s.aside_until && s.out() < s.what.slots;
     }
@@ -208,7 +214,8 @@
     std::set<std::uint32_t> starting_;
     std::map<Session, Front> fronts_;
     std::unordered_map<std::uint16_t, Usual> usual_;
-    std::unordered_map<std::string, Micros> ended_;  // runners that are gone: the list shows them for some time still
+    std::unordered_map<std::string, Micros>
+        ended_;  // runners that are gone: the list shows them for some time still
     std::uint32_t next_number_;
     Record<Overtaking> overtakings_{256};
 };
--- a/src/cluster/slots/wait_queue.cpp
+++ b/src/cluster/slots/wait_queue.cpp
@@ -62,7 +62,9 @@
     grow_late(now);
     if (late_.empty()) return nullptr;
     const Waiting& last = all_.at(late_.rbegin()->second);
-    if (static_cast<double>(now) + per_place * static_cast<double>(late_.size()) <= static_cast<double>(end_of(last))) return nullptr;
+    if (static_cast<double>(now) + per_place * static_cast<double>(late_.size()) <=
+        static_cast<double>(end_of(last)))
+        return nullptr;
     place = late_.rbegin()->second;
     return &last;
 }
--- a/src/cluster/slots/wait_queue.hpp
+++ b/src/cluster/slots/wait_queue.hpp
@@ -1,5 +1,6 @@
-// The requests of all fronts that wait for slots of one function, in the order of slots/urgency.hpp. Adding, taking and
-// leaving cost the logarithm of its length: in an overload it is long, and whoever keeps it has a small part of a core.
+// The requests of all fronts that wait for slots of one function, in the order of slots/urgency.hpp. Adding,
+// taking and leaving cost the logarithm of its length: in an overload it is long, and whoever keeps it has a
+// small part of a core.
 //
 // Times are of the coordinator's steady clock, in microseconds. No I/O and no clock.
 #pragma once
@@ -31,7 +32,8 @@
     void leave(Place place);
     void front_left(Session front);
 
-    // Who goes first; nullptr: nobody waits. turn: whether one that is late has its turn; it has none if nobody is late.
+    // Who goes first; nullptr: nobody waits. turn: whether one that is late has its turn; it has none if
+    // nobody is late.
     const Waiting* first(Micros now, bool turn, Place& place);
     bool is_late(Place place) const { return late_.count({all_.at(place).since, place}) > 0; }
     // Who came first of all; nullptr: nobody waits.
@@ -40,8 +42,8 @@
     // One that would hardly end within its deadline any more; nullptr: none.
     const Waiting* hopeless(Micros now, Place& place) const;
 
-    // The last of those who are late, if at per_place microseconds for each before it its turn would come too late;
-    // nullptr: it would not, or nobody is late.
+    // The last of those who are late, if at per_place microseconds for each before it its turn would come too
+    // late; nullptr: it would not, or nobody is late.
     const Waiting* out_of_reach(Micros now, double per_place, Place& place);
     bool any_in_aim() const { return !in_aim_.empty(); }
 
@@ -54,11 +56,14 @@
   private:
     void grow_late(Micros now);
     static Micros end_of(const Waiting& w) { return w.deadline_at - w.work; }
-    static std::tuple<bool, Micros, Micros> in_aim(const Waiting& w) { return place_in_line({w.since, w.aim_at, w.ask.priority, false}, false); }
+    static std::tuple<bool, Micros, Micros> in_aim(const Waiting& w) {
+        return place_in_line({w.since, w.aim_at, w.ask.priority, false}, false);
+    }
 
     std::map<Place, Waiting> all_;
     std::set<std::pair<std::tuple<bool, Micros, Micros>, Place>> in_aim_;
-    std::set<std::pair<Micros, Place>> late_at_, late_, ends_;  // when it becomes late, of those in aim; by since; by end
+    std::set<std::pair<Micros, Place>> late_at_, late_,
+        ends_;  // when it becomes late, of those in aim; by since; by end
     double work_ = 0;
     Place last_ = 0;
 };
--- a/src/cluster/split/split.cpp
+++ b/src/cluster/split/split.cpp
@@ -15,19 +15,23 @@
 }  // namespace
 
 Split::Share* Split::find(const std::string& runner) {
-    const auto at = std::find_if(shares_.begin(), shares_.end(), [&](const Share& s) { return s.runner == runner; });
+    const auto at =
+        std::find_if(shares_.begin(), shares_.end(), [&](const Share& s) { return s.runner == runner; });
     return at == shares_.end() ? nullptr : &*at;
 }
 
 void Split::rescale() {
     double sum = 0;
     for (const Share& s : shares_) sum += s.fraction;
-    for (Share& s : shares_) s.fraction = sum > 0 ? s.fraction / sum : 1.0 / static_cast<double>(shares_.size());
+    for (Share& s : shares_)
+        s.fraction = sum > 0 ? s.fraction / sum : 1.0 / static_cast<double>(shares_.size());
 }
 
 void Split::enter(const std::string& runner, std::uint32_t slots) {
     if (find(runner)) return;
-    Share fresh{runner, shares_.empty() ? 1.0 : 1.0 / static_cast<double>(shares_.size()), 0, 0, std::max(1U, slots), 0};
+    Share fresh{
+        runner, shares_.empty() ? 1.0 : 1.0 / static_cast<double>(shares_.size()), 0, 0, std::max(1U, slots),
+        0};
     double latency = 0, least = 0;
     int known = 0;
     for (const Share& s : shares_)
@@ -69,7 +73,8 @@
     s->least = s->least > 0 ? std::min(s->least, latency) : latency;
 }
 
-// Runners send no report of their load: it is the own share of the slots that is taken, and T/(1 - rho) with it.
+// Runners send no report of their load: it is the own share of the slots that is taken, and T/(1 - rho) with
+// it.
 double Split::marginal(const Share& s) {
     const double busy = std::min(kMostBusy, static_cast<double>(s.out) / s.slots);
     return busy > 0 ? s.latency / (1 - busy) : s.latency * s.latency / s.least;
--- a/src/cluster/split/split.hpp
+++ b/src/cluster/split/split.hpp
@@ -1,8 +1,9 @@
 // The design: split fractions over the ready runners of one function, seen from one front.
 //
-// Each request's runner is drawn by the fractions; once a period a clamped gradient-projection step moves them toward
-// the least marginal delay. Source: Hofmann and Krajewski, "Quasi-Static Load Balancing in Local Area Networks"; what the
-// operators fixed beyond it (period, clamps, floor, first steps) stands in docs/system.md. No I/O and no clock.
+// Each request's runner is drawn by the fractions; once a period a clamped gradient-projection step moves
+// them toward the least marginal delay. Source: Hofmann and Krajewski, "Quasi-Static Load Balancing in Local
+// Area Networks"; what the operators fixed beyond it (period, clamps, floor, first steps) stands in
+// docs/system.md. No I/O and no clock.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +24,7 @@
         double fraction = 0;
         double latency = 0, least = 0;  // smoothed and least seen, seconds; 0: no sample yet
         std::uint32_t slots = 1, out = 0;
-        double marginal = 0, eta = 0;   // in the step: marginal delay, and its scale
+        double marginal = 0, eta = 0;  // in the step: marginal delay, and its scale
     };
 
     // A new runner enters at the mean fraction and the mean estimate; the others are scaled to make room.
@@ -32,8 +33,8 @@
     // One draw by the fractions over those for which may() holds, unit uniform in [0, 1). nullptr: none.
     const Share* draw(double unit, const std::function<bool(const Share&)>& may) const;
     void sent(const std::string& runner);
-    // Latency in seconds, over the work's usual time where works differ. A "full", an error, a reset or a time-out
-    // counts as the time-out.
+    // Latency in seconds, over the work's usual time where works differ. A "full", an error, a reset or a
+    // time-out counts as the time-out.
     void ended(const std::string& runner, double latency);
     void arrived() { ++arrivals_; }
     // The step of each whole period since the last call; chance picks among equals.
--- a/src/cluster/store/store.cpp
+++ b/src/cluster/store/store.cpp
@@ -47,7 +47,10 @@
             written_ = held->entry.position;
             has_entry_ = true;
             const auto& last_leader = said->entry.members;
-            return PersistentState{p.from == "member", said->term, said->leader, said->nonce, std::move(held->entry), last_leader.empty() ? std::string() : last_leader.front()};
+            return PersistentState{
+                p.from == "member",     said->term,
+                said->leader,           said->nonce,
+                std::move(held->entry), last_leader.empty() ? std::string() : last_leader.front()};
         },
         [] { return PersistentState{}; });
 }
@@ -58,7 +61,9 @@
     // The promise has no entry of its own; who was last_leader stands where that would have its members.
     LogEntry promised;
     if (!state.last_leader.empty()) promised.members = {state.last_leader};
-    batch.Put(kPromise, encode(RecoveryResponse{state.no_vote_through_term, state.term, state.voted_for, promised}, state.member ? "member" : "none"));
+    batch.Put(kPromise,
+              encode(RecoveryResponse{state.no_vote_through_term, state.term, state.voted_for, promised},
+                     state.member ? "member" : "none"));
     const bool entry = !has_entry_ || written_ != state.entry.position;
     if (entry) batch.Put(kEntry, encode(RecoveryResponse{0, 0, {}, state.entry}));
     leveldb::WriteOptions writing;
--- a/src/cluster/store/store.hpp
+++ b/src/cluster/store/store.hpp
@@ -1,10 +1,10 @@
-// The core's state state in LevelDB. Every write is synced before it returns; both records of a change stand in one
-// batch, so that a torn one is there whole or not at all.
+// The core's state state in LevelDB. Every write is synced before it returns; both records of a change stand
+// in one batch, so that a torn one is there whole or not at all.
 //
-// Options, and why: sync on every write (what is said follows from it); paranoid_checks off at opening, since a loss of
-// power may tear what was never synced and the log's tail is then cut where its checksums end; verify_checksums on every
-// read, since what was synced must be whole. A store that can not be read is a lost disk: its owner must not vote as if it
-// had never voted, so it comes back as no member.
+// Options, and why: sync on every write (what is said follows from it); paranoid_checks off at opening, since
+// a loss of power may tear what was never synced and the log's tail is then cut where its checksums end;
+// verify_checksums on every read, since what was synced must be whole. A store that can not be read is a lost
+// disk: its owner must not vote as if it had never voted, so it comes back as no member.
 #pragma once
 
 #include <memory>
--- a/src/cluster/transport/http_caller.cpp
+++ b/src/cluster/transport/http_caller.cpp
@@ -8,12 +8,16 @@
 class HttpCaller::Link final : net::Connection::Owner {
   public:
     Link(HttpCaller& caller, std::string address, const net::Address& to)
-        : caller_(caller), address_(std::move(address)), reader_(http::Kind::answer, caller.loop_.blocks()), kept_since_(net::Loop::now()),
+        : caller_(caller),
+          address_(std::move(address)),
+          reader_(http::Kind::answer, caller.loop_.blocks()),
+          kept_since_(net::Loop::now()),
           connection_(caller.loop_, *this, to, caller.options_.connect_limit) {}
 
     void start(Call call, const HttpMessage& request) {
         call_ = call;
-        id_ = caller_.options_.id_field.empty() ? std::string() : std::string(request.field(caller_.options_.id_field));
+        id_ = caller_.options_.id_field.empty() ? std::string()
+                                                : std::string(request.field(caller_.options_.id_field));
         got_ = false;
         pending_ = bytes_of(request);
         if (up_) send();
@@ -62,14 +66,18 @@
                     answer_ = copy_of(reader_.head());
                     continue;
                 case http::Found::body:
-                    if (answer_.body.size() + reader_.piece().size() > caller_.options_.most_answer) return broken(CallEnd::malformed);
+                    if (answer_.body.size() + reader_.piece().size() > caller_.options_.most_answer)
+                        return broken(CallEnd::malformed);
                     answer_.body.append(reader_.piece());
                     continue;
-                case http::Found::fault: return broken(CallEnd::malformed);
-                case http::Found::end: break;
+                case http::Found::fault:
+                    return broken(CallEnd::malformed);
+                case http::Found::end:
+                    break;
             }
             reader_.restart();
-            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
+            const std::string_view said =
+                id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
             if (!said.empty() && said != id_) {
                 // An answer too many to an earlier request, where ours is due.
                 answer_ = {};
@@ -121,7 +129,8 @@
         if (ending == net::Ending::ended_early && reader_.ends_by_close()) {
             reader_.restart();
             answer_.keeps_alive = false;
-            const std::string_view said = id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
+            const std::string_view said =
+                id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
             // Without a stated end a whole body can not be told from one that was cut.
             (void)said;
             return finish(CallEnd::malformed, {});
@@ -161,7 +170,8 @@
     net::Connection connection_;
 };
 
-HttpCaller::HttpCaller(net::Loop& loop, Options terms, Events events) : loop_(loop), options_(std::move(terms)), events_(std::move(events)) {}
+HttpCaller::HttpCaller(net::Loop& loop, Options terms, Events events)
+    : loop_(loop), options_(std::move(terms)), events_(std::move(events)) {}
 HttpCaller::~HttpCaller() = default;
 
 void HttpCaller::call(Call call, const std::string& address, const HttpMessage& request) {
--- a/src/cluster/transport/http_caller.hpp
+++ b/src/cluster/transport/http_caller.hpp
@@ -1,5 +1,5 @@
-// Calls over HTTP/1.1 with kept connections, one call at a time on each. Every way in which a call can end is told apart
-// by whether it may have been carried out.
+// Calls over HTTP/1.1 with kept connections, one call at a time on each. Every way in which a call can end is
+// told apart by whether it may have been carried out.
 #pragma once
 
 #include <cstdint>
@@ -30,15 +30,17 @@
     struct Events {
         // fresh: the first answer on its connection.
         std::function<void(Call, CallEnd, HttpMessage&&, bool fresh)> ended;
-        std::function<void(const std::string& address)> connected = [](const std::string&) {};  // by preconnect()
+        std::function<void(const std::string& address)> connected = [](const std::string&) {
+        };  // by preconnect()
         std::function<void(const std::string& address)> refused = [](const std::string&) {};
     };
     struct Options {
         Micros connect_limit = 600'000;
-        Micros keep = 8'000'000;            // an idle connection, unless the peer states less
-        std::size_t most_idle = 4;          // for each address
+        Micros keep = 8'000'000;             // an idle connection, unless the peer states less
+        std::size_t most_idle = 4;           // for each address
         std::size_t most_answer = 16 << 20;  // bytes
-        std::string id_field;               // an answer whose field is another than the request's is another's: passed over
+        std::string
+            id_field;  // an answer whose field is another than the request's is another's: passed over
     };
     HttpCaller(net::Loop& loop, Options terms, Events events);
     ~HttpCaller();
--- a/src/cluster/transport/http_message.hpp
+++ b/src/cluster/transport/http_message.hpp
@@ -33,7 +33,8 @@
 
 // Fields that concern one connection only, or that whoever writes the message sets anew.
 inline bool of_one_connection(std::string_view name) {
-    for (const std::string_view one : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade", "Proxy-Connection", "Expect"})
+    for (const std::string_view one : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+                                       "TE", "Trailer", "Upgrade", "Proxy-Connection", "Expect"})
         if (http::same_word(name, one)) return true;
     return false;
 }
--- a/src/cluster/transport/http_service.cpp
+++ b/src/cluster/transport/http_service.cpp
@@ -9,7 +9,10 @@
 class HttpService::Guest final : net::Connection::Owner {
   public:
     Guest(HttpService& service, evutil_socket_t socket)
-        : service_(service), reader_(http::Kind::request, service.loop_.blocks()), since_(net::Loop::now()), connection_(service.loop_, *this, socket) {}
+        : service_(service),
+          reader_(http::Kind::request, service.loop_.blocks()),
+          since_(net::Loop::now()),
+          connection_(service.loop_, *this, socket) {}
 
     void answer(const HttpMessage& message) {
         exchange_ = 0;
@@ -67,7 +70,8 @@
                     if (reader_.length() > service_.limits_.body_bytes) return refuse(413);
                     continue;
                 case http::Found::body:
-                    if (request_.body.size() + reader_.piece().size() > service_.limits_.body_bytes) return refuse(413);
+                    if (request_.body.size() + reader_.piece().size() > service_.limits_.body_bytes)
+                        return refuse(413);
                     request_.body.append(reader_.piece());
                     continue;
                 case http::Found::end:
@@ -178,7 +182,9 @@
     std::vector<Guest*> late;
     for (auto& [key, guest] : guests_) {
         if (guest->waits() || guest->finishing()) continue;
-        if (now > guest->since() + (guest->idle() ? limits_.idle_timeout : limits_.header_timeout + limits_.idle_timeout)) late.push_back(key);
+        if (now > guest->since() +
+                      (guest->idle() ? limits_.idle_timeout : limits_.header_timeout + limits_.idle_timeout))
+            late.push_back(key);
     }
     for (Guest* const guest : late) guest->timed_out();
 }
--- a/src/cluster/transport/http_service.hpp
+++ b/src/cluster/transport/http_service.hpp
@@ -1,5 +1,5 @@
-// Serves HTTP/1.1 on one address: reads whole requests, one at a time on each connection, and writes whole answers.
-// What a client sends ahead waits. Decides nothing but what the limits say.
+// Serves HTTP/1.1 on one address: reads whole requests, one at a time on each connection, and writes whole
+// answers. What a client sends ahead waits. Decides nothing but what the limits say.
 #pragma once
 
 #include <cstdint>
@@ -34,7 +34,8 @@
     void say_goodbye() { leaving_ = true; }
     // Accepts no more, and closes connections on which nothing is under way.
     void close_idle();
-    // Reads no more from clients that wait for nothing; also sweeps what was closed and what was idle too long.
+    // Reads no more from clients that wait for nothing; also sweeps what was closed and what was idle too
+    // long.
     void sweep(Micros now);
     std::size_t under_way() const { return exchanges_.size(); }
     std::size_t connections() const { return guests_.size(); }
--- a/src/cluster/transport/message_connection.cpp
+++ b/src/cluster/transport/message_connection.cpp
@@ -10,10 +10,16 @@
 std::uint64_t MessageConnection::malformed() { return malformed_lines; }
 
 MessageConnection::MessageConnection(net::Loop& loop, evutil_socket_t accepted, Events events)
-    : events_(std::move(events)), open_(true), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, accepted)) {}
+    : events_(std::move(events)),
+      open_(true),
+      heard_(net::Loop::now()),
+      connection_(new net::Connection(loop, *this, accepted)) {}
 
-MessageConnection::MessageConnection(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events)
-    : events_(std::move(events)), heard_(net::Loop::now()), connection_(new net::Connection(loop, *this, to, connect_limit)) {}
+MessageConnection::MessageConnection(net::Loop& loop, const net::Address& to, Micros connect_limit,
+                                     Events events)
+    : events_(std::move(events)),
+      heard_(net::Loop::now()),
+      connection_(new net::Connection(loop, *this, to, connect_limit)) {}
 
 void MessageConnection::send(const Message& message, std::string_view from) {
     if (closed_) return;
@@ -49,7 +55,9 @@
             },
             [&](Kind kind, const Detail& detail) {
                 ++malformed_lines;
-                Event("line_closed", Level::warning).with("kind", answer_to(kind).name).with("detail", detail.text);
+                Event("line_closed", Level::warning)
+                    .with("kind", answer_to(kind).name)
+                    .with("detail", detail.text);
                 close();
                 events_.ended();
             },
--- a/src/cluster/transport/message_connection.hpp
+++ b/src/cluster/transport/message_connection.hpp
@@ -1,4 +1,5 @@
-// One TCP connection between two of the system's own processes, in messages. Bytes that are no message end it.
+// One TCP connection between two of the system's own processes, in messages. Bytes that are no message end
+// it.
 #pragma once
 
 #include <functional>
@@ -24,7 +25,8 @@
     void send(const Message& message, std::string_view from = {});
     void close();
     Micros heard() const { return heard_; }
-    static std::uint64_t malformed();  // lines of this process that were closed for bytes that were no message
+    static std::uint64_t
+    malformed();  // lines of this process that were closed for bytes that were no message
     std::size_t unsent() const { return connection_ ? connection_->unsent_bytes() : 0; }
 
   private:
--- a/src/cluster/wire/codec.cpp
+++ b/src/cluster/wire/codec.cpp
@@ -13,7 +13,9 @@
 // LoadReport of functions, in a report and in a registration.
 template <class List>
 void put_loads(List all, const std::vector<Load>& loads) {
-    for (unsigned i = 0; i < loads.size(); ++i) all[i].setService(loads[i].service), all[i].setCount(loads[i].count), all[i].setBusyMs(loads[i].busy_ms);
+    for (unsigned i = 0; i < loads.size(); ++i)
+        all[i].setService(loads[i].service), all[i].setCount(loads[i].count),
+            all[i].setBusyMs(loads[i].busy_ms);
 }
 
 template <class List>
@@ -23,7 +25,10 @@
     return loads;
 }
 
-WaitedFor waited_for(std::uint8_t value) { return value <= static_cast<std::uint8_t>(WaitedFor::memory) ? static_cast<WaitedFor>(value) : WaitedFor::nothing; }
+WaitedFor waited_for(std::uint8_t value) {
+    return value <= static_cast<std::uint8_t>(WaitedFor::memory) ? static_cast<WaitedFor>(value)
+                                                                 : WaitedFor::nothing;
+}
 
 namespace cp = capnproto;
 
@@ -52,8 +57,8 @@
     to.setWorker(h.worker), to.setSlots(h.slots), to.setOut(h.out), to.setUp(h.up);
 }
 Holding get(cp::Runner::Reader r) {
-    return {text(r.getRunner()), text(r.getService()), text(r.getAddress()), text(r.getZone()), text(r.getWorker()),
-            r.getSlots(), r.getOut(), r.getUp()};
+    return {text(r.getRunner()), text(r.getService()), text(r.getAddress()), text(r.getZone()),
+            text(r.getWorker()), r.getSlots(),         r.getOut(),           r.getUp()};
 }
 
 struct Put {
@@ -70,7 +75,8 @@
     }
     void operator()(const AppendRequest& m) {
         auto to = e.initAppendRequest();
-        to.setTerm(m.term), to.setRound(m.round), put(to.initHead(), m.head), put(to.initCommitted(), m.committed);
+        to.setTerm(m.term), to.setRound(m.round), put(to.initHead(), m.head),
+            put(to.initCommitted(), m.committed);
         to.setCarries(m.carries);
         if (!m.carries) return;
         to.setVersion(m.version), put_all(to.initMembers(static_cast<unsigned>(m.members.size())), m.members);
@@ -83,7 +89,8 @@
     void operator()(const RecoveryRequest& m) { e.setRecoveryRequest(m.nonce); }
     void operator()(const RecoveryResponse& m) {
         auto to = e.initRecoveryResponse();
-        to.setNonce(m.nonce), to.setTerm(m.term), to.setLeader(m.leader), put(to.initPosition(), m.entry.position);
+        to.setNonce(m.nonce), to.setTerm(m.term), to.setLeader(m.leader),
+            put(to.initPosition(), m.entry.position);
         to.setVersion(m.entry.version), to.setBody(data(m.entry.body));
         put_all(to.initMembers(static_cast<unsigned>(m.entry.members.size())), m.entry.members);
     }
@@ -115,7 +122,8 @@
     void operator()(const AcquireRequest& m) {
         auto to = e.initAcquireRequest();
         to.setId(m.id), to.setDrawn(m.drawn), to.setService(m.service), to.setAimMs(m.aim_ms);
-        to.setDeadlineMs(m.deadline_ms), to.setPriority(m.priority), to.setShape(m.shape), to.setAgain(m.again);
+        to.setDeadlineMs(m.deadline_ms), to.setPriority(m.priority), to.setShape(m.shape),
+            to.setAgain(m.again);
     }
     void operator()(const AcquireGranted& m) {
         auto to = e.initAcquireGranted();
@@ -129,7 +137,8 @@
     }
     void operator()(const Release& m) {
         auto to = e.initRelease();
-        to.setId(m.id), to.setRunner(m.runner), to.setHow(static_cast<std::uint8_t>(m.how)), to.setTookMs(m.took_ms);
+        to.setId(m.id), to.setRunner(m.runner), to.setHow(static_cast<std::uint8_t>(m.how)),
+            to.setTookMs(m.took_ms);
     }
     void operator()(const RunnerReachable& m) {
         auto to = e.initRunnerReachable();
@@ -146,14 +155,16 @@
     }
     void operator()(const OutstandingReport& m) {
         auto all = e.initOutstandingReport(static_cast<unsigned>(m.by_runner.size()));
-        for (unsigned i = 0; i < m.by_runner.size(); ++i) all[i].setRunner(m.by_runner[i].first), all[i].setCount(m.by_runner[i].second);
+        for (unsigned i = 0; i < m.by_runner.size(); ++i)
+            all[i].setRunner(m.by_runner[i].first), all[i].setCount(m.by_runner[i].second);
     }
 };
 
 leaf::result<Message> get(cp::Envelope::Reader e) {
     using E = cp::Envelope;
     switch (e.which()) {
-        case E::HEARTBEAT: return Heartbeat{};
+        case E::HEARTBEAT:
+            return Heartbeat{};
         case E::VOTE_REQUEST: {
             const auto m = e.getVoteRequest();
             return VoteRequest{m.getTerm(), get(m.getHeld()), m.getPreVote(), m.getHanded()};
@@ -164,22 +175,38 @@
         }
         case E::APPEND_REQUEST: {
             const auto m = e.getAppendRequest();
-            AppendRequest to{m.getTerm(), m.getRound(), get(m.getHead()), get(m.getCommitted()), m.getCarries(), m.getVersion(), {}, {}, {}};
-            if (to.carries) to.members = get_all(m.getMembers()), to.base = get(m.getBase()), to.delta = get(m.getDelta());
+            AppendRequest to{m.getTerm(),
+                             m.getRound(),
+                             get(m.getHead()),
+                             get(m.getCommitted()),
+                             m.getCarries(),
+                             m.getVersion(),
+                             {},
+                             {},
+                             {}};
+            if (to.carries)
+                to.members = get_all(m.getMembers()), to.base = get(m.getBase()),
+                to.delta = get(m.getDelta());
             return to;
         }
         case E::APPEND_RESPONSE: {
             const auto m = e.getAppendResponse();
             return AppendResponse{m.getTerm(), m.getRound(), get(m.getHeld())};
         }
-        case E::RECOVERY_REQUEST: return RecoveryRequest{e.getRecoveryRequest()};
+        case E::RECOVERY_REQUEST:
+            return RecoveryRequest{e.getRecoveryRequest()};
         case E::RECOVERY_RESPONSE: {
             const auto m = e.getRecoveryResponse();
-            return RecoveryResponse{m.getNonce(), m.getTerm(), text(m.getLeader()),
-                                {get(m.getPosition()), m.getVersion(), get_all(m.getMembers()), text(m.getBody())}};
+            return RecoveryResponse{
+                m.getNonce(),
+                m.getTerm(),
+                text(m.getLeader()),
+                {get(m.getPosition()), m.getVersion(), get_all(m.getMembers()), text(m.getBody())}};
         }
-        case E::JOIN_REQUEST: return JoinRequest{};
-        case E::TIMEOUT_NOW: return TimeoutNow{e.getTimeoutNow()};
+        case E::JOIN_REQUEST:
+            return JoinRequest{};
+        case E::TIMEOUT_NOW:
+            return TimeoutNow{e.getTimeoutNow()};
         case E::REGISTER: {
             const auto m = e.getRegister();
             Register to{text(m.getName()), text(m.getZone()), m.getIncarnation(), m.getVersion(), {}, {}};
@@ -187,7 +214,8 @@
             to.unrestricted = get_loads(m.getUnrestricted());
             return to;
         }
-        case E::REDIRECT: return Redirect{text(e.getRedirect())};
+        case E::REDIRECT:
+            return Redirect{text(e.getRedirect())};
         case E::REGISTERED: {
             const auto m = e.getRegistered();
             return Registered{m.getTerm(), m.getRank(), m.getFronts(), get_all(m.getMembers())};
@@ -196,34 +224,44 @@
             const auto m = e.getConfigurationSent();
             return ConfigurationSent{m.getVersion(), get(m.getDelta())};
         }
-        case E::CONFIGURATION_HELD: return ConfigurationHeld{e.getConfigurationHeld()};
+        case E::CONFIGURATION_HELD:
+            return ConfigurationHeld{e.getConfigurationHeld()};
         case E::RUNNER_TOLD: {
             const auto m = e.getRunnerTold();
             if (m.getState() > static_cast<std::uint8_t>(RunnerState::gone)) break;
-            return RunnerTold{m.getNumber(), static_cast<RunnerState>(m.getState()), get(m.getRunner()), m.getWatch()};
+            return RunnerTold{m.getNumber(), static_cast<RunnerState>(m.getState()), get(m.getRunner()),
+                              m.getWatch()};
         }
         case E::ACQUIRE_REQUEST: {
             const auto m = e.getAcquireRequest();
-            return AcquireRequest{m.getId(), m.getDrawn(), text(m.getService()), m.getAimMs(), m.getDeadlineMs(), m.getPriority(), m.getShape(), m.getAgain()};
+            return AcquireRequest{m.getId(),         m.getDrawn(),    text(m.getService()), m.getAimMs(),
+                                  m.getDeadlineMs(), m.getPriority(), m.getShape(),         m.getAgain()};
         }
-        case E::ACQUIRE_GRANTED: return AcquireGranted{e.getAcquireGranted().getId(), e.getAcquireGranted().getRunner(), waited_for(e.getAcquireGranted().getWaited())};
-        case E::ACQUIRE_DENIED: return AcquireDenied{e.getAcquireDenied().getId(), e.getAcquireDenied().getRetryMs(), waited_for(e.getAcquireDenied().getWaited())};
+        case E::ACQUIRE_GRANTED:
+            return AcquireGranted{e.getAcquireGranted().getId(), e.getAcquireGranted().getRunner(),
+                                  waited_for(e.getAcquireGranted().getWaited())};
+        case E::ACQUIRE_DENIED:
+            return AcquireDenied{e.getAcquireDenied().getId(), e.getAcquireDenied().getRetryMs(),
+                                 waited_for(e.getAcquireDenied().getWaited())};
         case E::RELEASE: {
             const auto m = e.getRelease();
             if (m.getHow() > static_cast<std::uint8_t>(Ended::gone)) break;
             return Release{m.getId(), m.getRunner(), static_cast<Ended>(m.getHow()), m.getTookMs()};
         }
-        case E::MODE: return Mode{text(e.getMode().getService()), e.getMode().getUnrestricted()};
+        case E::MODE:
+            return Mode{text(e.getMode().getService()), e.getMode().getUnrestricted()};
         case E::LOAD_REPORT: {
             const auto m = e.getLoadReport();
             return LoadReport{m.getSpanMs(), get_loads(m.getLoads())};
         }
         case E::OUTSTANDING_REPORT: {
             OutstandingReport to;
-            for (const auto o : e.getOutstandingReport()) to.by_runner.emplace_back(o.getRunner(), o.getCount());
+            for (const auto o : e.getOutstandingReport())
+                to.by_runner.emplace_back(o.getRunner(), o.getCount());
             return to;
         }
-        case E::RUNNER_REACHABLE: return RunnerReachable{e.getRunnerReachable().getRunner(), e.getRunnerReachable().getUp()};
+        case E::RUNNER_REACHABLE:
+            return RunnerReachable{e.getRunnerReachable().getRunner(), e.getRunnerReachable().getUp()};
     }
     return failure(Kind::bytes_malformed, "no message of ours");
 }
@@ -248,7 +286,8 @@
 
 leaf::result<ReceivedMessage> decode(std::string_view packed) {
     try {
-        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
+        kj::ArrayInputStream in(
+            kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
         capnp::PackedMessageReader reader(in);
         const auto envelope = reader.getRoot<cp::Envelope>();
         BOOST_LEAF_AUTO(message, get(envelope));
@@ -262,8 +301,11 @@
     if (read_ > 0) held_.erase(0, std::exchange(read_, 0));
     if (held_.size() < 4) return std::optional<std::string_view>();
     std::size_t length = 0;
-    for (int i = 0; i < 4; ++i) length |= static_cast<std::size_t>(static_cast<unsigned char>(held_[static_cast<std::size_t>(i)])) << (8 * i);
-    if (length > kMost) return failure(Kind::bytes_malformed, "a message of " + std::to_string(length) + " bytes");
+    for (int i = 0; i < 4; ++i)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(held_[static_cast<std::size_t>(i)]))
+                  << (8 * i);
+    if (length > kMost)
+        return failure(Kind::bytes_malformed, "a message of " + std::to_string(length) + " bytes");
     if (held_.size() < 4 + length) return std::optional<std::string_view>();
     read_ = 4 + length;
     return std::optional(std::string_view(held_).substr(4, length));
--- a/src/cluster/wire/codec.hpp
+++ b/src/cluster/wire/codec.hpp
@@ -19,7 +19,8 @@
 // Error: bytes_malformed.
 leaf::result<ReceivedMessage> decode(std::string_view packed);
 
-// Cuts a stream into messages. A length over the bound is an error: against memory taken by a non_member's word.
+// Cuts a stream into messages. A length over the bound is an error: against memory taken by a non_member's
+// word.
 class Frames {
   public:
     static constexpr std::size_t kMost = 16U << 20;
--- a/src/cluster/wire/messages.hpp
+++ b/src/cluster/wire/messages.hpp
@@ -35,8 +35,8 @@
 struct VoteRequest {
     Number term = 0;
     LogPosition held;
-    bool pre_vote = false;   // would you? Nothing is promised by asking
-    bool handed = false;  // the leader itself asked for it
+    bool pre_vote = false;  // would you? Nothing is promised by asking
+    bool handed = false;    // the leader itself asked for it
 };
 struct VoteResponse {
     Number term = 0;
@@ -64,7 +64,7 @@
     LogEntry entry;
 };
 struct JoinRequest {};  // let me in
-struct TimeoutNow {   // campaign at once: the leader leaves
+struct TimeoutNow {     // campaign at once: the leader leaves
     Number term = 0;
 };
 
@@ -82,7 +82,8 @@
     std::string name, zone;
     Number incarnation = 0, version = 0;
     std::vector<Holding> holdings;
-    std::vector<Load> unrestricted;  // functions whose slots it takes unasked, and its part of each in the last second
+    std::vector<Load>
+        unrestricted;  // functions whose slots it takes unasked, and its part of each in the last second
 };
 struct Redirect {  // not me
     std::string leader;
@@ -114,7 +115,12 @@
     std::uint16_t shape = 0;  // of the work, by route: what has one shape takes alike long
     bool again = false;       // a second runner for the same request
 };
-enum class WaitedFor : std::uint8_t { nothing, start, slot, memory };  // memory: a start that no worker has room for
+enum class WaitedFor : std::uint8_t {
+    nothing,
+    start,
+    slot,
+    memory
+};  // memory: a start that no worker has room for
 struct AcquireGranted {
     std::uint32_t id = 0, runner = 0;
     WaitedFor waited = WaitedFor::nothing;
@@ -133,7 +139,8 @@
     std::uint32_t runner = 0;
     bool up = false;  // false: given up
 };
-// How a function's slots are kept. Free: there is so much room that each front sends where its fractions say, unasked.
+// How a function's slots are kept. Free: there is so much room that each front sends where its fractions say,
+// unasked.
 struct Mode {
     std::string service;
     bool unrestricted = false;
@@ -142,12 +149,16 @@
     std::uint32_t span_ms = 0;
     std::vector<Load> loads;
 };
-struct OutstandingReport {  // what a front has out of a function that is no longer free; each is released when it ends
+struct OutstandingReport {  // what a front has out of a function that is no longer free; each is released
+                            // when it ends
     std::vector<std::pair<std::uint32_t, std::uint32_t>> by_runner;  // number, count
 };
 struct Heartbeat {};
 
-using Message = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, RecoveryRequest, RecoveryResponse, JoinRequest, TimeoutNow, Register, Redirect,
-                             Registered, ConfigurationSent, ConfigurationHeld, RunnerTold, AcquireRequest, AcquireGranted, AcquireDenied, Release, RunnerReachable, Heartbeat, Mode, LoadReport, OutstandingReport>;
+using Message =
+    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, RecoveryRequest, RecoveryResponse,
+                 JoinRequest, TimeoutNow, Register, Redirect, Registered, ConfigurationSent,
+                 ConfigurationHeld, RunnerTold, AcquireRequest, AcquireGranted, AcquireDenied, Release,
+                 RunnerReachable, Heartbeat, Mode, LoadReport, OutstandingReport>;
 
 }  // namespace gannethold::cluster
--- a/src/control/caller.cpp
+++ b/src/control/caller.cpp
@@ -19,16 +19,24 @@
 Caller::Caller(const std::string& path) {
     sockaddr_un at{};
     at.sun_family = AF_UNIX;
-    if (path.empty()) throw NobodyThere("which dispatcher? give --socket PATH, or --operator FILE with control.socket in it");
+    if (path.empty())
+        throw NobodyThere(
+            "which dispatcher? give --socket PATH, or --operator FILE with control.socket in it");
     if (path.size() >= sizeof at.sun_path) throw NobodyThere(path + " is too long for a socket");
     std::memcpy(at.sun_path, path.data(), path.size());
     socket_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (connect(socket_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return;
     const int why = errno;
     close(socket_);
-    if (why == ENOENT) throw NobodyThere("there is no socket " + path + ": is control.socket set, and the dispatcher started with --operator?");
-    if (why == EACCES || why == EPERM) throw NobodyThere("not permitted on " + path + ": ask as the user that the dispatcher runs as, or as root");
-    if (why == ECONNREFUSED) throw NobodyThere("nobody serves on " + path + ": the dispatcher that made it is gone; start it again");
+    if (why == ENOENT)
+        throw NobodyThere("there is no socket " + path +
+                          ": is control.socket set, and the dispatcher started with --operator?");
+    if (why == EACCES || why == EPERM)
+        throw NobodyThere("not permitted on " + path +
+                          ": ask as the user that the dispatcher runs as, or as root");
+    if (why == ECONNREFUSED)
+        throw NobodyThere("nobody serves on " + path +
+                          ": the dispatcher that made it is gone; start it again");
     throw NobodyThere("cannot speak to " + path + ": " + std::strerror(why));
 }
 
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -15,7 +15,8 @@
 namespace gannethold::control {
 namespace {
 
-constexpr const char* kCommands[] = {"status", "runners", "tasks", "failures", "drain", "undrain", "hold", "release", "kick", "follow"};
+constexpr const char* kCommands[] = {"status",  "runners", "tasks",   "failures", "drain",
+                                     "undrain", "hold",    "release", "kick",     "follow"};
 constexpr int kLookEvery = 200'000;  // microseconds
 constexpr int kBar = 30;
 
@@ -54,14 +55,20 @@
         const bool over = *phase == "drained" || *phase == "serving";
         if (terminal) {
             const int full = static_cast<int>(kBar * (1 - left / most));
-            std::string line = "[" + std::string(static_cast<std::size_t>(full), '#') + std::string(static_cast<std::size_t>(kBar - full), '.') + "] " + drain_line(*drain);
+            std::string line = "[" + std::string(static_cast<std::size_t>(full), '#') +
+                               std::string(static_cast<std::size_t>(kBar - full), '.') + "] " +
+                               drain_line(*drain);
             std::cout << '\r' << line.substr(0, terminal_width() - 1) << "\033[K" << std::flush;
         }
         if (over || interrupted) {
             if (terminal) std::cout << '\n';
-            if (json) std::cout << json::write(*drain) << '\n';
-            else if (!terminal) std::cout << drain_line(*drain) << '\n';
-            if (interrupted && !over) std::cerr << "gannethold: no longer waiting; the drain goes on (gannethold undrain takes it back)\n";
+            if (json)
+                std::cout << json::write(*drain) << '\n';
+            else if (!terminal)
+                std::cout << drain_line(*drain) << '\n';
+            if (interrupted && !over)
+                std::cerr << "gannethold: no longer waiting; the drain goes on (gannethold undrain takes it "
+                             "back)\n";
             return *phase == "drained" ? kDone : over ? kUndone : kInterrupted;
         }
         usleep(kLookEvery);
@@ -73,9 +80,12 @@
     const json::Value* const missed = answer.find("missed");
     const bool all = missed && missed->get<bool>() && *missed->get<bool>();
     const double some = answer.number("missed").value_or(0);
-    if (e.json) std::cout << json::write(answer) << '\n' << std::flush;
-    else if (all) std::cout << "(another dispatcher's sequence: what was before is not known here)\n" << std::flush;
-    else if (some > 0) std::cout << "(" << static_cast<long long>(some) << " changes were missed)\n" << std::flush;
+    if (e.json)
+        std::cout << json::write(answer) << '\n' << std::flush;
+    else if (all)
+        std::cout << "(another dispatcher's sequence: what was before is not known here)\n" << std::flush;
+    else if (some > 0)
+        std::cout << "(" << static_cast<long long>(some) << " changes were missed)\n" << std::flush;
     while (!interrupted) {
         const auto change = caller.next(500);
         if (change) std::cout << (e.json ? json::write(*change) : change_line(*change)) << '\n' << std::flush;
@@ -95,10 +105,12 @@
     std::signal(SIGTERM, note);
     try {
         if ((e.command == "hold" || e.command == "release") && e.argument.empty()) {
-            std::cerr << "gannethold: " << e.command << " needs the name of a runner (gannethold runners shows them)\n";
+            std::cerr << "gannethold: " << e.command
+                      << " needs the name of a runner (gannethold runners shows them)\n";
             return kUsage;
         }
-        if (e.command == "kick" && (e.argument.empty() || e.argument.find_first_not_of("0123456789") != std::string::npos)) {
+        if (e.command == "kick" &&
+            (e.argument.empty() || e.argument.find_first_not_of("0123456789") != std::string::npos)) {
             std::cerr << "gannethold: kick needs the number of a job\n";
             return kUsage;
         }
@@ -114,13 +126,20 @@
             return wait_for_drain(caller, e.json);
         }
         const std::size_t width = terminal_width();
-        if (e.json) std::cout << json::write(answer) << '\n';
-        else if (e.command == "status") write_status(std::cout, answer);
-        else if (e.command == "runners") write_runners(std::cout, answer, width);
-        else if (e.command == "tasks") write_tasks(std::cout, answer, width);
-        else if (e.command == "failures") write_failures(std::cout, answer, width);
-        else if (e.command == "drain" || e.command == "undrain") std::cout << drain_line(answer) << '\n';
-        else std::cout << e.argument << (e.command == "hold" ? " is held" : " is released") << '\n';
+        if (e.json)
+            std::cout << json::write(answer) << '\n';
+        else if (e.command == "status")
+            write_status(std::cout, answer);
+        else if (e.command == "runners")
+            write_runners(std::cout, answer, width);
+        else if (e.command == "tasks")
+            write_tasks(std::cout, answer, width);
+        else if (e.command == "failures")
+            write_failures(std::cout, answer, width);
+        else if (e.command == "drain" || e.command == "undrain")
+            std::cout << drain_line(answer) << '\n';
+        else
+            std::cout << e.argument << (e.command == "hold" ? " is held" : " is released") << '\n';
         return kDone;
     } catch (const Refused& refused) {
         std::cerr << "gannethold: refused: " << refused.what() << '\n';
--- a/src/control/commands.hpp
+++ b/src/control/commands.hpp
@@ -1,5 +1,5 @@
-// The sub-commands that speak to a running dispatcher: status, runners, tasks, failures, drain, undrain, hold,
-// release, follow.
+// The sub-commands that speak to a running dispatcher: status, runners, tasks, failures, drain, undrain,
+// hold, release, follow.
 #pragma once
 
 #include <optional>
--- a/src/control/desk.cpp
+++ b/src/control/desk.cpp
@@ -20,7 +20,8 @@
 sockaddr_un address(const std::string& path) {
     sockaddr_un at{};
     at.sun_family = AF_UNIX;
-    if (path.size() >= sizeof at.sun_path) throw std::runtime_error("the control socket's path is too long: " + path);
+    if (path.size() >= sizeof at.sun_path)
+        throw std::runtime_error("the control socket's path is too long: " + path);
     std::memcpy(at.sun_path, path.data(), path.size());
     return at;
 }
@@ -28,7 +29,8 @@
 // Whether somebody answers there.
 bool alive(const sockaddr_un& at) {
     const int one = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const bool there = connect(one, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 || errno == EAGAIN;
+    const bool there =
+        connect(one, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 || errno == EAGAIN;
     close(one);
     return there;
 }
@@ -56,8 +58,11 @@
 class Desk::Session {
   public:
     Session(Desk& desk, evutil_socket_t socket, std::string by)
-        : desk_(desk), by_(std::move(by)), limit_(desk.loop_, [this] { end(); }),
-          stream_(bufferevent_socket_new(desk.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE), &bufferevent_free) {
+        : desk_(desk),
+          by_(std::move(by)),
+          limit_(desk.loop_, [this] { end(); }),
+          stream_(bufferevent_socket_new(desk.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE),
+                  &bufferevent_free) {
         bufferevent_setcb(
             stream_.get(), [](bufferevent*, void* self) { static_cast<Session*>(self)->read(); },
             [](bufferevent*, void* self) { static_cast<Session*>(self)->written(); },
@@ -69,7 +74,8 @@
 
     void say(const std::string& line) {
         if (over) return;
-        // Against a client that asks or follows and does not read: it is cut off, and finds out by the sequence.
+        // Against a client that asks or follows and does not read: it is cut off, and finds out by the
+        // sequence.
         evbuffer* const out = bufferevent_get_output(stream_.get());
         if (evbuffer_get_length(out) + line.size() > desk_.furniture_.longest_unread) return end();
         evbuffer_add(out, line.data(), line.size());
@@ -90,7 +96,8 @@
             std::size_t length = 0;
             const evbuffer_ptr end_of_line = evbuffer_search_eol(in, nullptr, &length, EVBUFFER_EOL_LF);
             if (end_of_line.pos < 0) {
-                if (evbuffer_get_length(in) > desk_.furniture_.longest_line) refuse_and_close("a line is too long");
+                if (evbuffer_get_length(in) > desk_.furniture_.longest_line)
+                    refuse_and_close("a line is too long");
                 return;
             }
             std::string line(static_cast<std::size_t>(end_of_line.pos), '\0');
@@ -111,7 +118,8 @@
         const auto version = asked.number("v");
         if (!version || !what) return say(refusal("a request is an object with \"v\" and \"do\""));
         if (*version != kVersion)
-            return say(refusal("version " + std::to_string(static_cast<long>(*version)) + " is not spoken here, " + std::to_string(kVersion) + " is"));
+            return say(refusal("version " + std::to_string(static_cast<long>(*version)) +
+                               " is not spoken here, " + std::to_string(kVersion) + " is"));
         if (*what == "follow") return follow(asked);
         try {
             json::Object o = desk_.office_.answer(*what, asked, by_);
@@ -125,8 +133,10 @@
     }
     void follow(const json::Value& asked) {
         const auto after = asked.number("after");
-        const std::uint64_t from = after && *after >= 0 ? static_cast<std::uint64_t>(*after) : desk_.published_;
-        const std::uint64_t first = desk_.changes_.empty() ? desk_.published_ + 1 : desk_.changes_.front().first;
+        const std::uint64_t from =
+            after && *after >= 0 ? static_cast<std::uint64_t>(*after) : desk_.published_;
+        const std::uint64_t first =
+            desk_.changes_.empty() ? desk_.published_ + 1 : desk_.changes_.front().first;
         json::Object o;
         o["v"] = number(kVersion);
         o["ok"] = json::Value(true);
@@ -169,13 +179,14 @@
     const sockaddr_un at = address(furniture_.path);
     const int door = socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (door < 0) throw std::runtime_error("no descriptor for the control socket");
-    struct stat before{};
+    struct stat before {};
     if (lstat(furniture_.path.c_str(), &before) == 0) {
         // Only a socket of a process that is dead may be replaced: never a file, and never a live one's.
         if (!S_ISSOCK(before.st_mode) || alive(at)) {
             close(door);
-            throw std::runtime_error(S_ISSOCK(before.st_mode) ? "another process serves on " + furniture_.path
-                                                              : furniture_.path + " is there and is no socket");
+            throw std::runtime_error(S_ISSOCK(before.st_mode)
+                                         ? "another process serves on " + furniture_.path
+                                         : furniture_.path + " is there and is no socket");
         }
         unlink(furniture_.path.c_str());
     }
@@ -189,8 +200,11 @@
         throw std::runtime_error("cannot listen on " + furniture_.path + ": " + why);
     }
     door_.reset(evconnlistener_new(
-        loop.base(), [](evconnlistener*, evutil_socket_t s, sockaddr*, int, void* self) { static_cast<Desk*>(self)->accept(s); }, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, door));
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t s, sockaddr*, int, void* self) {
+            static_cast<Desk*>(self)->accept(s);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, door));
     if (!door_) throw std::runtime_error("cannot listen on " + furniture_.path);
 }
 
@@ -208,10 +222,12 @@
         close(socket);
     };
     if (!known || (who.uid != geteuid() && who.uid != 0)) {
-        log_.warning(net::Loop::now(), "control: turned away ", log::as("user", known ? name_of(who.uid) : "somebody"));
+        log_.warning(net::Loop::now(), "control: turned away ",
+                     log::as("user", known ? name_of(who.uid) : "somebody"));
         return turn_away("only the user that the dispatcher runs as, or root, may ask");
     }
-    const auto live = static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return !s->over; }));
+    const auto live = static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return !s->over; }));
     if (live >= furniture_.clients) return turn_away("too many are asking at once; try again");
     sessions_.push_back(std::make_unique<Session>(*this, socket, name_of(who.uid)));
 }
--- a/src/control/desk.hpp
+++ b/src/control/desk.hpp
@@ -3,9 +3,9 @@
 //   asked:     {"v":1,"do":"status"}
 //   answered:  {"v":1,"ok":true,...}   or   {"v":1,"ok":false,"why":"..."}
 //
-// Who may: whoever the system says runs as the dispatcher's own user, or as root. Bounded in clients, in what a
-// line holds, in what waits to be read and in time, so that a slow or silent reader costs nobody else anything.
-// docs/control.md is the page on it.
+// Who may: whoever the system says runs as the dispatcher's own user, or as root. Bounded in clients, in what
+// a line holds, in what waits to be read and in time, so that a slow or silent reader costs nobody else
+// anything. docs/control.md is the page on it.
 #pragma once
 
 #include <event2/event.h>
@@ -36,7 +36,8 @@
 // Who answers. A request is an object; what is asked for stands in "do". Throws Refused.
 class Office {
   public:
-    virtual json::Object answer(const std::string& what, const json::Value& request, const std::string& by) = 0;
+    virtual json::Object answer(const std::string& what, const json::Value& request,
+                                const std::string& by) = 0;
 
   protected:
     ~Office() = default;
@@ -48,14 +49,14 @@
     std::size_t clients = 8;
     std::size_t longest_line = 64 * 1024;
     std::size_t longest_unread = 1024 * 1024;  // bytes that wait for one client to read them
-    Micros patience = 10'000'000;              // for a line to come whole, and for a silent client that follows nothing
-    std::size_t remembered = 1'000;            // changes, for a follower that comes back
+    Micros patience = 10'000'000;    // for a line to come whole, and for a silent client that follows nothing
+    std::size_t remembered = 1'000;  // changes, for a follower that comes back
 };
 
 class Desk {
   public:
-    // Throws std::runtime_error where another process serves on that path or it cannot be made. A file left by a
-    // dead process is taken over.
+    // Throws std::runtime_error where another process serves on that path or it cannot be made. A file left
+    // by a dead process is taken over.
     Desk(net::Loop& loop, const Furniture& furniture, Office& office, log::Log& log);
     ~Desk();
     Desk(const Desk&) = delete;
--- a/src/control/tables.cpp
+++ b/src/control/tables.cpp
@@ -29,7 +29,9 @@
     const json::List* const all = found ? found->get<json::List>() : nullptr;
     return all ? *all : none;
 }
-std::string time_of(const json::Value& v, const char* name) { return v.number(name) ? span(number(v, name)) : ""; }
+std::string time_of(const json::Value& v, const char* name) {
+    return v.number(name) ? span(number(v, name)) : "";
+}
 
 }  // namespace
 
@@ -50,7 +52,8 @@
 void Table::write(std::ostream& out, std::size_t width) const {
     std::vector<std::size_t> wide(rows_.front().size());
     for (const auto& row : rows_)
-        for (std::size_t i = 0; i < row.size() && i < wide.size(); ++i) wide[i] = std::max(wide[i], row[i].size());
+        for (std::size_t i = 0; i < row.size() && i < wide.size(); ++i)
+            wide[i] = std::max(wide[i], row[i].size());
     std::size_t all = 2 * (wide.size() - 1);
     for (const std::size_t w : wide) all += w;
     // Too wide: the widest gives way first, down to what still says something.
@@ -84,7 +87,8 @@
     std::string each;
     if (of)
         for (const auto& [name, n] : *of)
-            if (const auto* count = n.get<json::Number>()) each += (each.empty() ? " (" : ", ") + name + " " + count->text;
+            if (const auto* count = n.get<json::Number>())
+                each += (each.empty() ? " (" : ", ") + name + " " + count->text;
     return line + (each.empty() ? "" : each + ")");
 }
 
@@ -92,17 +96,20 @@
     out << text(a, "name") << " on " << text(a, "listen") << ": ";
     const json::Value* const drain = a.find("drain");
     if (drain) out << drain_line(*drain);
-    out << "\nrunners " << text(a, "runners") << ": " << text(a, "ready") << " ready, " << text(a, "aside") << " set aside, " << text(a, "held")
-        << " held (list version " << text(a, "roster_version") << ")\ntasks " << text(a, "tasks") << ": " << text(a, "out") << " out at runners; "
-        << text(a, "connections") << " connections of clients\nso far " << text(a, "taken") << " taken, " << text(a, "finished") << " finished, "
-        << text(a, "bounced") << " bounced, " << text(a, "abandoned") << " abandoned; " << text(a, "failed_assignments")
-        << " assignments failed\n";
+    out << "\nrunners " << text(a, "runners") << ": " << text(a, "ready") << " ready, " << text(a, "aside")
+        << " set aside, " << text(a, "held") << " held (list version " << text(a, "roster_version")
+        << ")\ntasks " << text(a, "tasks") << ": " << text(a, "out") << " out at runners; "
+        << text(a, "connections") << " connections of clients\nso far " << text(a, "taken") << " taken, "
+        << text(a, "finished") << " finished, " << text(a, "bounced") << " bounced, " << text(a, "abandoned")
+        << " abandoned; " << text(a, "failed_assignments") << " assignments failed\n";
     if (const json::Value* const s = a.find("shadow")) {
-        out << "shadow: " << text(*s, "decisions") << " decisions compared in " << text(*s, "turns") << " turns, " << text(*s, "left_out")
-            << " turns left out for want of time";
+        out << "shadow: " << text(*s, "decisions") << " decisions compared in " << text(*s, "turns")
+            << " turns, " << text(*s, "left_out") << " turns left out for want of time";
         if (const json::Value* const differ = s->find("differ"))
             for (const auto& [kind, n] : *differ->get<json::Object>())
-                if (const auto* count = n.get<json::Number>()) out << (kind == differ->get<json::Object>()->begin()->first ? "; otherwise: " : ", ") << kind << ' ' << count->text;
+                if (const auto* count = n.get<json::Number>())
+                    out << (kind == differ->get<json::Object>()->begin()->first ? "; otherwise: " : ", ")
+                        << kind << ' ' << count->text;
         out << '\n';
     }
 }
@@ -111,16 +118,22 @@
     Table table({"runner", "state", "share", "out", "free", "slots", "report", "why"});
     for (const json::Value& r : list(a, "runners")) {
         std::string why;
-        if (r.text("held_by")) why = "held by " + text(r, "held_by") + " for " + time_of(r, "held_for_ms") + (r.text("held_why") ? ": " + text(r, "held_why") : "");
-        if (r.number("aside_for_ms")) why += (why.empty() ? "" : "; ") + std::string("aside for ") + time_of(r, "aside_for_ms");
-        if (number(r, "warmth") < 1 && r.number("warmth")) why += (why.empty() ? "" : "; ") + std::string("warm to ") + fixed(100 * number(r, "warmth"), 0) + "%";
+        if (r.text("held_by"))
+            why = "held by " + text(r, "held_by") + " for " + time_of(r, "held_for_ms") +
+                  (r.text("held_why") ? ": " + text(r, "held_why") : "");
+        if (r.number("aside_for_ms"))
+            why += (why.empty() ? "" : "; ") + std::string("aside for ") + time_of(r, "aside_for_ms");
+        if (number(r, "warmth") < 1 && r.number("warmth"))
+            why += (why.empty() ? "" : "; ") + std::string("warm to ") + fixed(100 * number(r, "warmth"), 0) +
+                   "%";
         std::string last;
         for (const json::Value& f : list(r, "last_failures"))
             if (const auto* t = f.get<std::string>()) last += (last.empty() ? "last: " : ", ") + *t;
         if (!last.empty()) why += (why.empty() ? "" : "; ") + last;
-        table.add({text(r, "runner"), text(r, "state"), r.number("share") ? fixed(100 * number(r, "share"), 1) + "%" : "", text(r, "out"),
-                   r.number("free") ? fixed(number(r, "free"), 0) : "", r.number("slots") ? fixed(number(r, "slots"), 0) : "",
-                   time_of(r, "report_age_ms"), why});
+        table.add({text(r, "runner"), text(r, "state"),
+                   r.number("share") ? fixed(100 * number(r, "share"), 1) + "%" : "", text(r, "out"),
+                   r.number("free") ? fixed(number(r, "free"), 0) : "",
+                   r.number("slots") ? fixed(number(r, "slots"), 0) : "", time_of(r, "report_age_ms"), why});
     }
     table.write(out, width);
 }
@@ -132,7 +145,8 @@
     titles.push_back("older");
     Table table(titles);
     for (const json::Value& t : list(a, "tasks")) {
-        std::vector<std::string> row{text(t, "workload"), text(t, "waiting"), text(t, "out"), time_of(t, "oldest_ms")};
+        std::vector<std::string> row{text(t, "workload"), text(t, "waiting"), text(t, "out"),
+                                     time_of(t, "oldest_ms")};
         for (const json::Value& n : list(t, "ages"))
             if (const auto* count = n.get<json::Number>()) row.push_back(count->text);
         table.add(std::move(row));
@@ -143,7 +157,8 @@
 void write_failures(std::ostream& out, const json::Value& a, std::size_t width) {
     Table table({"ago", "cause", "runner", "workload", "after", "request"});
     for (const json::Value& f : list(a, "failures"))
-        table.add({time_of(f, "ago_ms"), text(f, "cause"), text(f, "runner"), text(f, "workload"), time_of(f, "after_ms"), text(f, "request")});
+        table.add({time_of(f, "ago_ms"), text(f, "cause"), text(f, "runner"), text(f, "workload"),
+                   time_of(f, "after_ms"), text(f, "request")});
     table.write(out, width);
     out << text(a, "in_all") << " since the start\n";
 }
@@ -153,7 +168,8 @@
     std::string line = text(c, "seq") + "  " + what + ": ";
     if (what == "drain") return line + drain_line(c);
     if (what == "failure")
-        return line + text(c, "cause") + " at " + text(c, "runner") + " after " + time_of(c, "after_ms") + ", " + text(c, "workload") + " " + text(c, "request");
+        return line + text(c, "cause") + " at " + text(c, "runner") + " after " + time_of(c, "after_ms") +
+               ", " + text(c, "workload") + " " + text(c, "request");
     if (what == "choice") return line + text(c, "text");
     return line + text(c, "runner") + " by " + text(c, "by");
 }
--- a/src/dispatcher/calling.cpp
+++ b/src/dispatcher/calling.cpp
@@ -1,4 +1,5 @@
-// What operators' programs are answered at the window. Orders go to the same drain as those of the control socket.
+// What operators' programs are answered at the window. Orders go to the same drain as those of the control
+// socket.
 #include <algorithm>
 
 #include "dispatcher/dispatcher.hpp"
@@ -16,7 +17,8 @@
     for (const RunnerView& r : choice_.runners())
         if (r.ready && (now < r.aside_until || r.doubted)) avoided.insert(r.runner);
     const auto any = [](RunnerId) { return true; };
-    return {unanswered(), book_.count_listed(any), book_.count_listed([&](RunnerId r) { return avoided.contains(r); })};
+    return {unanswered(), book_.count_listed(any),
+            book_.count_listed([&](RunnerId r) { return avoided.contains(r); })};
 }
 
 window::Reply Dispatcher::heed(window::Call call) {
@@ -30,8 +32,10 @@
             return {200, window::spell(tally_, present()), "text/plain; version=0.0.4; charset=utf-8"};
         case window::Call::send_away: {
             // Whoever ordered it before, it is being emptied: that is all that was asked for.
-            if (drain_.phase() != drain::Phase::serving) return {200, "out of service, " + drain_.by() + "\n"};
-            const drain::Ruling ruling = drain_.order(now, now + drain_.manners().longest, 0, kCaller, &drain_.manners().brisk);
+            if (drain_.phase() != drain::Phase::serving)
+                return {200, "out of service, " + drain_.by() + "\n"};
+            const drain::Ruling ruling =
+                drain_.order(now, now + drain_.manners().longest, 0, kCaller, &drain_.manners().brisk);
             if (!ruling.granted) return {409, ruling.why + "\n"};
             log_.info(now, "window: out of service");
             look_at_drain();
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -19,7 +19,8 @@
 // The system kills what has not ended in the longest time that a client waits, or three seconds, and a little
 // more after the signal; no task may still be out then.
 constexpr Micros kLongestStay = 3'000'000, kLastMinute = 400'000;
-// Where another accepts from the same socket, idle connections are closed over so long: not all come anew at once.
+// Where another accepts from the same socket, idle connections are closed over so long: not all come anew at
+// once.
 constexpr Micros kHandingOver = 400'000;
 constexpr Micros kFollowAgain = 500'000;
 
@@ -57,7 +58,8 @@
     return own > theirs ? own - theirs : 1;
 }
 
-orders::Terms with_tubes(const Posting& posting, beanstalk::Furnishing& tubes, beanstalk::Workloads& tube_workloads) {
+orders::Terms with_tubes(const Posting& posting, beanstalk::Furnishing& tubes,
+                         beanstalk::Workloads& tube_workloads) {
     StatedOrders all = posting.orders;
     if (!tubes.entrances.empty()) tube_workloads = beanstalk::add_workloads(all, tubes.trade);
     return orders::Terms(all, posting.workloads());
@@ -91,12 +93,14 @@
                   wakes_.emplace(net::Loop::now() + kFollowAgain, TimerMark{1}), set_wake();
               note(RosterNews{RosterScope::failed, book_.version(), {}});
           }),
-      links_(loop, *this, runners::Reports(posting_.report_names), upkeep(posting_, sockets_left(posting_, tubes_, posting_.sockets))),
+      links_(loop, *this, runners::Reports(posting_.report_names),
+             upkeep(posting_, sockets_left(posting_, tubes_, posting_.sockets))),
       post_(loop, posting_.neighbours,
             [this](PeerId from, std::string_view words) {
                 note(PeerSaid{from, std::string(words)});
             }),
-      server_(loop, net::Door(posting_.listen, posting_.inherited), directory_, *this, room(posting_, sockets_left(posting_, tubes_, posting_.sockets)), log),
+      server_(loop, net::Door(posting_.listen, posting_.inherited), directory_, *this,
+              room(posting_, sockets_left(posting_, tubes_, posting_.sockets)), log),
       wake_(loop, [this] { wake(); }),
       farewell_(loop, [this] { look_at_drain(); }),
       drain_(extras.manners),
@@ -105,21 +109,26 @@
       joined_timer_(loop, [this] { answer_owed(); }),
       watched_(extras.watched),
       watched_most_(extras.watched_most) {
-    if (!watched_.empty()) shadow_ = std::make_unique<shadow::Shadow>(over_ours(Posting::read_file(watched_)), extras.watched_every);
+    if (!watched_.empty())
+        shadow_ =
+            std::make_unique<shadow::Shadow>(over_ours(Posting::read_file(watched_)), extras.watched_every);
     if (!tubes_.entrances.empty())
-        pullers_ = std::make_unique<beanstalk::Server>(loop, tubes_.entrances, tubes_.connections, tubes_.trade, tube_workloads_.places, *this, log);
+        pullers_ = std::make_unique<beanstalk::Server>(loop, tubes_.entrances, tubes_.connections,
+                                                       tubes_.trade, tube_workloads_.places, *this, log);
     if (extras.desk) desk_ = std::make_unique<control::Desk>(loop, *extras.desk, *this, log);
     if (posting_.window) window_ = std::make_unique<window::Window>(loop, *posting_.window, *this, log);
     for (const auto& [name, id] : directory_.workloads) tally_.open(name);
     heard(posting_.known, RosterScope::remembered);
     all_blocks_ = loop.blocks().most();
-    if (!posting_.heirloom.empty()) passage_ = std::make_unique<handover::Passage>(loop, posting_.heirloom, posting_.name, *this, log);
+    if (!posting_.heirloom.empty())
+        passage_ = std::make_unique<handover::Passage>(loop, posting_.heirloom, posting_.name, *this, log);
     if (!extras.keepsake.folder.empty()) recall(extras.keepsake);
     // Where changes come by themselves the module never asks, so the watch is ours to open.
     follows_by_itself_ = Stated(posting_.orders).word("roster.how", "pushed") != "on_request";
     if (follows_by_itself_) follower_.follow(book_.since());
     log_.info(net::Loop::now(), "serving as ", log::as("name", posting_.name), " on ",
-              log::as("listen", posting_.listen.text), ", ", log::as("runners", posting_.known.entries.size()), " runners known");
+              log::as("listen", posting_.listen.text), ", ",
+              log::as("runners", posting_.known.entries.size()), " runners known");
 }
 
 void Dispatcher::run() {
@@ -141,8 +150,9 @@
     if (pullers_) pullers_->exchange().stop_all_by(last_minute_);
     log_.info(left_at, "leaving, ", log::as("tasks", tasks_.size()), " tasks under way");
     if (posting_.inherited) {
-        // The socket outlives this process, and who else has it accepts. What waits in its queue is theirs to take; so is
-        // whoever has a connection here, told so by the end of their answer or, idle, of the connection.
+        // The socket outlives this process, and who else has it accepts. What waits in its queue is theirs to
+        // take; so is whoever has a connection here, told so by the end of their answer or, idle, of the
+        // connection.
         server_.stop_accepting();
         drain_.leave(left_at, last_minute_, left_at, kHandingOver);
     } else {
@@ -151,8 +161,9 @@
     look_at_drain();
 }
 
-// What can change in service: discovery's address and the settings, but for what stands in differences_for_restart. All
-// else that was learned, is held or is under way stays as it is, also the list of runners until the new discovery has spoken.
+// What can change in service: discovery's address and the settings, but for what stands in
+// differences_for_restart. All else that was learned, is held or is under way stays as it is, also the list
+// of runners until the new discovery has spoken.
 void Dispatcher::reload(const std::string& path) {
     const Micros now = net::Loop::now();
     Posting fresh, watched;
@@ -164,7 +175,8 @@
             log_.warning(now, "reload: ", log::as("setting", name), " differs, and needs a restart");
         fresh.keep_until_restart(posting_);
         if (shadow_) watched = Posting::read_file(watched_);
-        if (fresh.orders != posting_.orders) change = terms_.restate(now, fresh.orders, [this](WorkloadId place) { return open(place); });
+        if (fresh.orders != posting_.orders)
+            change = terms_.restate(now, fresh.orders, [this](WorkloadId place) { return open(place); });
     } catch (const std::exception& e) {
         // Against a file that is missing, half written or wrong: what serves goes on as it was, whole.
         tally_.reloaded(false);
@@ -188,8 +200,10 @@
 bool Dispatcher::open(WorkloadId place) const {
     // A tube that shares a workload shares the terms that it had at the start.
     const auto& named = tube_workloads_.places.named;
-    return std::any_of(named.begin(), named.end(), [place](const auto& tube) { return tube.second == place; }) ||
-           std::any_of(tasks_.begin(), tasks_.end(), [place](const auto& task) { return task.second.workload == place; });
+    return std::any_of(named.begin(), named.end(),
+                       [place](const auto& tube) { return tube.second == place; }) ||
+           std::any_of(tasks_.begin(), tasks_.end(),
+                       [place](const auto& task) { return task.second.workload == place; });
 }
 
 // What the connections of each kind may take, of what this process may hold for now.
@@ -213,17 +227,22 @@
         return all.empty() ? std::string("none") : all;
     };
     log_.info(now, "reload: new settings; workloads added: ", log::as("added", list(change.added)),
-              "; dropped: ", log::as("dropped", list(change.dropped)), "; changed: ", log::as("changed", list(change.changed)));
+              "; dropped: ", log::as("dropped", list(change.dropped)),
+              "; changed: ", log::as("changed", list(change.changed)));
 }
 
 // Carries out what the drain wants now: of the front, of the connections, and of whoever still waits.
 void Dispatcher::look_at_drain() {
     const Micros now = net::Loop::now();
-    const drain::Wanted wanted = drain_.look(now, {unanswered(), server_.busy() + (pullers_ && !pullers_->quiet())});
+    const drain::Wanted wanted =
+        drain_.look(now, {unanswered(), server_.busy() + (pullers_ && !pullers_->quiet())});
     if (pullers_) {
-        // A producer keeps its job, and needs no front to be told: from the order on, and at a restart once others are told.
-        pullers_->exchange().turn_away(drain_.leaves() ? wanted.last_answers : drain_.phase() != drain::Phase::serving);
-        pullers_->exchange().hand_out(drain_.phase() == drain::Phase::serving || (drain_.phase() == drain::Phase::draining && !wanted.last_call));
+        // A producer keeps its job, and needs no front to be told: from the order on, and at a restart once
+        // others are told.
+        pullers_->exchange().turn_away(drain_.leaves() ? wanted.last_answers
+                                                       : drain_.phase() != drain::Phase::serving);
+        pullers_->exchange().hand_out(drain_.phase() == drain::Phase::serving ||
+                                      (drain_.phase() == drain::Phase::draining && !wanted.last_call));
         if (wanted.last_answers && drain_.leaves()) pullers_->leave();
     }
     healthy_ = wanted.healthy;
@@ -232,16 +251,18 @@
         if (!server_.leaving()) server_.leave();
     } else if (wanted.last_answers) {
         if (!std::exchange(closing_, true)) idle_at_closing_ = server_.idle();
-        server_.keep_idle(static_cast<std::size_t>(static_cast<double>(idle_at_closing_) * wanted.idle_to_keep));
+        server_.keep_idle(
+            static_cast<std::size_t>(static_cast<double>(idle_at_closing_) * wanted.idle_to_keep));
     } else {
         closing_ = false;
     }
-    // Against a task that waits to the end: it cannot any more, and silence would lose it. Whether it may have run
-    // is the module's to know, so each answer is the honest one, and what is still out is withdrawn.
+    // Against a task that waits to the end: it cannot any more, and silence would lose it. Whether it may
+    // have run is the module's to know, so each answer is the honest one, and what is still out is withdrawn.
     if (wanted.last_call) note(LastCall{});
     if (drain_.phase() != told_phase_) {
         told_phase_ = drain_.phase();
-        log_.info(now, "drain: ", log::as("phase", drain::name_of(told_phase_)), ", ", log::as("tasks", unanswered()), " tasks wait");
+        log_.info(now, "drain: ", log::as("phase", drain::name_of(told_phase_)), ", ",
+                  log::as("tasks", unanswered()), " tasks wait");
         publish("drain", tell_drain());
     }
     if (wanted.exits) {
@@ -272,7 +293,8 @@
         for (RosterEntry& e : news->for_module.entries) e.serves = tube_workloads_.for_pushed;
     guests_.lay_over(news->for_module, holds_, book_);
     note(news->for_module);
-    if (passage_ && passage_->has_heirs()) passage_->tell({handover::Kind::list, roster::spell(book_.held())});
+    if (passage_ && passage_->has_heirs())
+        passage_->tell({handover::Kind::list, roster::spell(book_.held())});
     return true;
 }
 
@@ -321,7 +343,8 @@
     if (task == tasks_.end() || pass_on(task)) return;
     // Nobody waits any more, and what is out is withdrawn: how far it came nobody will hear.
     if (const Task& t = task->second; !t.sign.empty())
-        t.out > 0 || t.ran ? run_book_.may_have_run(net::Loop::now(), t.sign, id) : run_book_.never_ran(t.sign, id);
+        t.out > 0 || t.ran ? run_book_.may_have_run(net::Loop::now(), t.sign, id)
+                           : run_book_.never_ran(t.sign, id);
     end_asking(task);
     note(ClientLeft{id});
     forget_if_over(task);
@@ -334,9 +357,10 @@
     if (ended.ending == net::Ending::out_of_sockets)
         log_.warning(net::Loop::now(), "runners: no descriptor or buffer left for an assignment");
     else if (ended.ending != net::Ending::done)
-        log_.debug(net::Loop::now(), "runners: assignment of ", log::as("request", task->second.request_id), " at ",
-                   log::as("runner", book_.name_of(ended.runner)), " ended: ", net::name_of(ended.ending), ", after ",
-                   log::as("ms", ended.elapsed / 1000), " ms");
+        log_.debug(net::Loop::now(), "runners: assignment of ", log::as("request", task->second.request_id),
+                   " at ", log::as("runner", book_.name_of(ended.runner)),
+                   " ended: ", net::name_of(ended.ending), ", after ", log::as("ms", ended.elapsed / 1000),
+                   " ms");
     if (ended.ending != net::Ending::done) keep_failure(task->second, ended);
     AssignmentEnded e;
     e.task = ended.task;
@@ -437,7 +461,7 @@
     runners::Port& port = port_of(wanted.runner);
     if (pullers_ && &port == &links_) pullers_->exchange().went_elsewhere(wanted.task);
     port.assign(wanted.runner, {wanted.task, number, task->second.request_id, task->second.head,
-                                  &task->second.body, stop_at});
+                                &task->second.body, stop_at});
 }
 
 void Dispatcher::answer(TaskId id, clients::Answer answer, std::string_view result, Micros stay_away) {
--- a/src/dispatcher/dispatcher.hpp
+++ b/src/dispatcher/dispatcher.hpp
@@ -39,11 +39,11 @@
 struct Extras {
     std::optional<control::Furniture> desk;  // none: no control socket
     drain::Manners manners;
-    keepsake::Custom keepsake;  // without a folder nothing is kept
+    keepsake::Custom keepsake;          // without a folder nothing is kept
     storms::Recollection recollection;  // off: a retry of what may have run is a task like any other
-    beanstalk::Furnishing tubes;  // without an entrance it is off
-    // Settings that are watched and never acted by: their file (read again at a reload; empty: none), a turn of so many,
-    // and the processor's time that a second of it may take.
+    beanstalk::Furnishing tubes;        // without an entrance it is off
+    // Settings that are watched and never acted by: their file (read again at a reload; empty: none), a turn
+    // of so many, and the processor's time that a second of it may take.
     std::string watched;
     int watched_every = 16;
     Micros watched_most = 2'000;
@@ -52,13 +52,18 @@
 // Throws std::runtime_error with one line where the tubes would leave too few descriptors to everybody else.
 void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes);
 
-class Dispatcher final : public fronts::Taker, public runners::Sender, public control::Office, public beanstalk::House, public window::Clerk, public handover::Party {
+class Dispatcher final : public fronts::Taker,
+                         public runners::Sender,
+                         public control::Office,
+                         public beanstalk::House,
+                         public window::Clerk,
+                         public handover::Party {
   public:
     Dispatcher(net::Loop& loop, const Posting& posting, log::Log& log, const Extras& extras = {});
 
-    void run();       // until it has left
-    void end_turn();  // settles what the turn brought; run() calls it
-    void leave();     // answers what it has and what still comes, then ends
+    void run();                            // until it has left
+    void end_turn();                       // settles what the turn brought; run() calls it
+    void leave();                          // answers what it has and what still comes, then ends
     void reload(const std::string& path);  // takes from the file what can change in service
     std::uint16_t port() const { return server_.port(); }
     std::uint16_t window_port() const { return window_ ? window_->port() : 0; }
@@ -99,14 +104,17 @@
     void left(TaskId task) override;
     bool knows(const std::string& request_id) const override { return ids_.contains(request_id); }
     bool ready() const override { return !book_.empty() && (!passage_ || passage_->settled()); }
-    void turned_away(WorkloadId workload) override { tally_.ended(workload_name(workload), fronts::Answer::bounced); }
+    void turned_away(WorkloadId workload) override {
+        tally_.ended(workload_name(workload), fronts::Answer::bounced);
+    }
     void errand_ended(runners::ErrandEnded&& ended) override;
     void written_whole() override { tally_.written_whole(); }
     void progressed(TaskId task, int number, RunnerId runner, Stage stage, double share) override;
     void probe_ended(RunnerId runner, net::Ending ending, Micros elapsed, Report&& report) override;
 
     // What the front with tubes asks; in pulling.cpp.
-    TaskId hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan, WorkloadId workload) override;
+    TaskId hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan,
+                   WorkloadId workload) override;
     void take_back(TaskId task) override { left(task); }
     RunnerId worker_joins(const beanstalk::Entrance& by, const Serves& serves, bool cold) override;
     void worker_serves(RunnerId worker, const Serves& serves) override;
@@ -166,7 +174,8 @@
     // What is kept over a restart; in remembering.cpp.
     keepsake::Keeper::Part remember(std::size_t from, std::size_t most) const;
     void recall(const keepsake::Custom& custom);
-    std::size_t take_over(const keepsake::Record& record, const keepsake::Prudence& prudence, const handover::Troubles& troubles);
+    std::size_t take_over(const keepsake::Record& record, const keepsake::Prudence& prudence,
+                          const handover::Troubles& troubles);
     json::Object tell_keepsake() const;
     // What other settings would decide; in watching.cpp.
     StatedOrders over_ours(const Posting& watched) const;
@@ -211,14 +220,15 @@
     storms::RunBook run_book_;
     std::unordered_map<TaskId, Joined> joined_;
     std::unordered_map<TaskId, std::vector<TaskId>> joined_to_;
-    std::unordered_map<TaskId, TaskId> stands_for_;  // a retry that has taken the place of whoever asked first
+    std::unordered_map<TaskId, TaskId>
+        stands_for_;  // a retry that has taken the place of whoever asked first
     std::vector<std::tuple<TaskId, fronts::Answer, std::string>> owed_;
     std::set<std::pair<Micros, TaskId>> joined_until_;
     std::uint64_t joins_ = 0, told_ends_ = 0;
     net::Timer joined_timer_;
-    std::size_t others_ = 0;     // of this name, that live beside this one
+    std::size_t others_ = 0;  // of this name, that live beside this one
     std::size_t all_blocks_ = 0;
-    bool list_is_own_ = false;   // discovery has spoken to this one itself
+    bool list_is_own_ = false;  // discovery has spoken to this one itself
     handover::Troubles troubles_;
     std::unique_ptr<handover::Passage> passage_;
     std::unique_ptr<control::Desk> desk_;
--- a/src/dispatcher/handing_over.cpp
+++ b/src/dispatcher/handing_over.cpp
@@ -1,5 +1,6 @@
-// What an old dispatcher hands to the new one at an upgrade, and what the new one does with it. Both live for a while: they
-// share the limits evenly, and each keeps the rules by itself, since the budgets for cold runners leave half of an even part.
+// What an old dispatcher hands to the new one at an upgrade, and what the new one does with it. Both live for
+// a while: they share the limits evenly, and each keeps the rules by itself, since the budgets for cold
+// runners leave half of an even part.
 #include "dispatcher/dispatcher.hpp"
 
 namespace gannethold::dispatcher {
@@ -17,8 +18,8 @@
     const Micros now = net::Loop::now();
     switch (word.kind) {
         case handover::Kind::list: {
-            // Against a discovery that is slow or down: the old one may know of drains that this one does not. What discovery
-            // has said to this one itself is newer.
+            // Against a discovery that is slow or down: the old one may know of drains that this one does
+            // not. What discovery has said to this one itself is newer.
             if (list_is_own_) return;
             std::optional<roster::Listing> listing;
             try {
@@ -34,8 +35,10 @@
             return;
         case handover::Kind::learned:
             try {
-                const std::size_t believed = take_over(keepsake::read(word.body), {}, std::exchange(troubles_, {}));
-                log_.info(now, "handover: what was learned of ", log::as("runners", believed), " runners goes on");
+                const std::size_t believed =
+                    take_over(keepsake::read(word.body), {}, std::exchange(troubles_, {}));
+                log_.info(now, "handover: what was learned of ", log::as("runners", believed),
+                          " runners goes on");
             } catch (const keepsake::Unreadable& e) {
                 log_.warning(now, "handover: what was learned cannot be read: ", e.what());
             }
@@ -49,7 +52,8 @@
 void Dispatcher::company(std::size_t others) {
     if (others == others_) return;
     others_ = others;
-    log_.info(net::Loop::now(), "handover: ", log::as("others", others), " of this name beside this one; limits are shared");
+    log_.info(net::Loop::now(), "handover: ", log::as("others", others),
+              " of this name beside this one; limits are shared");
     loop_.blocks().bound(own_part(all_blocks_));
     share_out();
 }
--- a/src/dispatcher/office.cpp
+++ b/src/dispatcher/office.cpp
@@ -1,5 +1,5 @@
-// What the dispatcher answers on its control socket: views of what it holds, and orders that it carries out. The
-// names are the protocol's (docs/control.md).
+// What the dispatcher answers on its control socket: views of what it holds, and orders that it carries out.
+// The names are the protocol's (docs/control.md).
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -26,7 +26,8 @@
 }
 Value real(double x) {
     char text[32];
-    const auto [end, wrong] = std::to_chars(text, text + sizeof text, std::isfinite(x) ? x : 0, std::chars_format::fixed, 4);
+    const auto [end, wrong] =
+        std::to_chars(text, text + sizeof text, std::isfinite(x) ? x : 0, std::chars_format::fixed, 4);
     return Value(Number{std::string(text, wrong == std::errc() ? end : text + 1)});
 }
 Value millis(Micros t) { return whole(t / 1000); }
@@ -64,12 +65,16 @@
 
 void Dispatcher::keep_failure(const Task& task, const runners::ErrandEnded& ended) {
     ++failed_;
-    failures_.push_back({net::Loop::now(), task.request_id, book_.name_of(ended.runner), workload_name(task.workload), ended.ending, ended.elapsed});
+    failures_.push_back({net::Loop::now(), task.request_id, book_.name_of(ended.runner),
+                         workload_name(task.workload), ended.ending, ended.elapsed});
     if (failures_.size() > kFailuresKept) failures_.pop_front();
     if (!desk_) return;
     const Failure& f = failures_.back();
-    publish("failure", {{"request", Value(f.request)}, {"runner", Value(f.runner)}, {"workload", Value(f.workload)},
-                        {"cause", Value(std::string(net::name_of(f.ending)))}, {"after_ms", millis(f.elapsed)}});
+    publish("failure", {{"request", Value(f.request)},
+                        {"runner", Value(f.runner)},
+                        {"workload", Value(f.workload)},
+                        {"cause", Value(std::string(net::name_of(f.ending)))},
+                        {"after_ms", millis(f.elapsed)}});
 }
 
 Object Dispatcher::answer(const std::string& what, const Value& request, const std::string& by) {
@@ -112,11 +117,14 @@
     const std::vector<RunnerView> runners = choice_.runners();
     const Micros now = net::Loop::now();
     o["runners"] = whole(runners.size());
-    o["ready"] = whole(std::count_if(runners.begin(), runners.end(), [](const RunnerView& r) { return r.ready; }));
-    o["aside"] = whole(std::count_if(runners.begin(), runners.end(), [now](const RunnerView& r) { return r.ready && now < r.aside_until; }));
+    o["ready"] =
+        whole(std::count_if(runners.begin(), runners.end(), [](const RunnerView& r) { return r.ready; }));
+    o["aside"] = whole(std::count_if(runners.begin(), runners.end(),
+                                     [now](const RunnerView& r) { return r.ready && now < r.aside_until; }));
     o["held"] = whole(holds_.all().size());
     o["tasks"] = whole(unanswered());
-    o["out"] = whole(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.out > 0; }));
+    o["out"] =
+        whole(std::count_if(tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.out > 0; }));
     o["connections"] = whole(server_.sessions());
     o["taken"] = whole(tasks_taken_);
     const figures::Ends ends = tally_.all();
@@ -156,12 +164,12 @@
         o["runner"] = Value(name);
         const auto entry = book_.present(name);
         const bool listed = entry && entry->for_module.entries.front().state == RunnerState::ready;
-        o["state"] = Value(std::string(held                      ? "held"
-                                       : !r.ready                ? (listed ? "closed" : "not ready")
-                                       : now < r.aside_until     ? "aside"
-                                       : r.trial                 ? "on trial"
-                                       : r.warmth < 1            ? "cold"
-                                                                 : "ready"));
+        o["state"] = Value(std::string(held                  ? "held"
+                                       : !r.ready            ? (listed ? "closed" : "not ready")
+                                       : now < r.aside_until ? "aside"
+                                       : r.trial             ? "on trial"
+                                       : r.warmth < 1        ? "cold"
+                                                             : "ready"));
         o["share"] = real(r.ready ? r.share : 0);
         o["out"] = whole(r.out);
         o["slots"] = real(r.slots);
@@ -199,7 +207,8 @@
         ++(task.out > 0 ? row.out : row.waiting);
         const Micros age = now - task.taken_at;
         row.oldest = std::max(row.oldest, age);
-        ++row.ages[static_cast<std::size_t>(std::lower_bound(kAges.begin(), kAges.end(), age) - kAges.begin())];
+        ++row.ages[static_cast<std::size_t>(std::lower_bound(kAges.begin(), kAges.end(), age) -
+                                            kAges.begin())];
     }
     List list;
     for (const auto& [name, row] : rows) {
@@ -237,11 +246,14 @@
 Object Dispatcher::order_drain(const Value& request, const std::string& by) {
     const Micros now = net::Loop::now();
     const auto deadline = request.number("deadline_s");
-    if (!deadline || !std::isfinite(*deadline)) throw control::Refused("by when? \"deadline_s\" is missing or no number");
+    if (!deadline || !std::isfinite(*deadline))
+        throw control::Refused("by when? \"deadline_s\" is missing or no number");
     const double bounded = std::clamp(*deadline, 0.0, 2 * kLongestDeadline);
-    const drain::Ruling ruling = drain_.order(now, now + static_cast<Micros>(bounded * 1e6), ticket_in(request), by);
+    const drain::Ruling ruling =
+        drain_.order(now, now + static_cast<Micros>(bounded * 1e6), ticket_in(request), by);
     if (!ruling.granted) throw control::Refused(ruling.why);
-    log_.info(now, "control: drain within ", log::as("seconds", bounded), " s, ordered by ", log::as("by", by));
+    log_.info(now, "control: drain within ", log::as("seconds", bounded), " s, ordered by ",
+              log::as("by", by));
     look_at_drain();
     return tell_drain();
 }
@@ -272,8 +284,10 @@
 
 Object Dispatcher::hold(const Value& request, const std::string& by) {
     const std::string& runner = runner_in(request);
-    const bool works_here = std::any_of(guests_.all().begin(), guests_.all().end(), [&](const auto& g) { return book_.name_of(g.first) == runner; });
-    if (!works_here && !book_.present(runner)) throw control::Refused("no runner " + runner + " was ever listed");
+    const bool works_here = std::any_of(guests_.all().begin(), guests_.all().end(),
+                                        [&](const auto& g) { return book_.name_of(g.first) == runner; });
+    if (!works_here && !book_.present(runner))
+        throw control::Refused("no runner " + runner + " was ever listed");
     const std::string* const why = request.text("why");
     if (!holds_.add(runner, {net::Loop::now(), by, why ? why->substr(0, 200) : ""}))
         throw control::Refused(runner + " is held already, by " + holds_.all().at(runner).by);
--- a/src/dispatcher/posting.cpp
+++ b/src/dispatcher/posting.cpp
@@ -13,9 +13,12 @@
 namespace gannethold::dispatcher {
 namespace {
 
-// Numbers of zones, kinds, peers and reported values are in use all over, and so is the way by which the list comes.
-constexpr const char* kUntilRestart[] = {"dispatchers",   "kinds",      "me",   "caps.may_tell", "reports.how",
-                                         "reports.names", "roster.how", "rules.only_draining_binds", "zone", "zones"};
+// Numbers of zones, kinds, peers and reported values are in use all over, and so is the way by which the list
+// comes.
+constexpr const char* kUntilRestart[] = {
+    "dispatchers", "kinds",         "me",         "caps.may_tell",
+    "reports.how", "reports.names", "roster.how", "rules.only_draining_binds",
+    "zone",        "zones"};
 
 std::string scalar(const json::Value& value) {
     if (const auto* text = value.get<std::string>()) {
@@ -88,31 +91,48 @@
 constexpr const char* kStatedOfWorkloads[] = {"name", "effect", "due_time_us", "expiry_us"};
 constexpr double kLongest = 30.0 * 86'400e6;  // microseconds; what is longer is a mistake
 
-void collect_names(const std::string& under, const json::Value& value, int depth, std::set<std::string>& names) {
+void collect_names(const std::string& under, const json::Value& value, int depth,
+                   std::set<std::string>& names) {
     const auto* const object = value.get<json::Object>();
     if (!object || depth == 0) return;
     for (const auto& [name, item] : *object) {
         names.insert(under + name);
-        if (under.empty() ? name == "settings" : true) collect_names(under + name + ".", item, depth - 1, names);
+        if (under.empty() ? name == "settings" : true)
+            collect_names(under + name + ".", item, depth - 1, names);
     }
 }
 
 [[noreturn]] void wrong(const std::string& what) { throw std::runtime_error("the configuration " + what); }
 
-// What the module reads, with the bounds of what can be meant: what it would else quietly take for something near.
+// What the module reads, with the bounds of what can be meant: what it would else quietly take for something
+// near.
 struct Bounds {
     const char* name;
     double least, most;
 };
-constexpr Bounds kNumbers[] = {{"dispatchers", 1, 1e6}, {"me", 0, 1e6}, {"resolution_us", 1, 60e6}, {"caps.max_assignments", 1, 1e6},
-                               {"caps.max_retry_after_us", 0, kLongest}, {"caps.keepalive_us", 0, kLongest}, {"customers.count", 0, 1e5},
-                               {"importance.surplus", 0, 1e6}, {"rules.cold_from", 0, 1}, {"rules.warm_after_us", 0, kLongest},
-                               {"rules.fall_multiple", 0.001, 1e6}, {"rules.tip_after_us", 0, kLongest}, {"rules.must_ask_in_us", 0, kLongest},
-                               {"rules.drain_grace_us", 0, kLongest}, {"zone", 0, 1e6}};
-constexpr Bounds kNumbersOfWorkloads[] = {{"window_us", 0, kLongest}, {"importance", 0, 1e9}, {"tardy_importance", 0, 1},
-                                          {"aim_stretch", 0, 1e6}, {"machine_kind", -1, 255}};
-constexpr const char* kYesOrNo[] = {"caps.cancelling", "caps.parallel_tries", "caps.probes", "caps.retry_after", "trade.tells_start",
-                                    "clients.marks_retry", "rules.only_draining_binds"};
+constexpr Bounds kNumbers[] = {{"dispatchers", 1, 1e6},
+                               {"me", 0, 1e6},
+                               {"resolution_us", 1, 60e6},
+                               {"caps.max_assignments", 1, 1e6},
+                               {"caps.max_retry_after_us", 0, kLongest},
+                               {"caps.keepalive_us", 0, kLongest},
+                               {"customers.count", 0, 1e5},
+                               {"importance.surplus", 0, 1e6},
+                               {"rules.cold_from", 0, 1},
+                               {"rules.warm_after_us", 0, kLongest},
+                               {"rules.fall_multiple", 0.001, 1e6},
+                               {"rules.tip_after_us", 0, kLongest},
+                               {"rules.must_ask_in_us", 0, kLongest},
+                               {"rules.drain_grace_us", 0, kLongest},
+                               {"zone", 0, 1e6}};
+constexpr Bounds kNumbersOfWorkloads[] = {{"window_us", 0, kLongest},
+                                          {"importance", 0, 1e9},
+                                          {"tardy_importance", 0, 1},
+                                          {"aim_stretch", 0, 1e6},
+                                          {"machine_kind", -1, 255}};
+constexpr const char* kYesOrNo[] = {"caps.cancelling",          "caps.parallel_tries", "caps.probes",
+                                    "caps.retry_after",         "trade.tells_start",   "clients.marks_retry",
+                                    "rules.only_draining_binds"};
 
 void must_lie_within(const Stated& orders, const std::string& at, const Bounds& b) {
     const std::string name = at + b.name;
@@ -124,7 +144,8 @@
         const auto [end, bad] = std::to_chars(text, text + sizeof text, i == 0 ? b.least : b.most);
         bounds[i].assign(text, bad == std::errc() ? end : text);
     }
-    wrong("has settings." + orders::their_name(name) + " = " + orders.word(name, "") + ", and a number from " + bounds[0] + " to " + bounds[1] + " is expected");
+    wrong("has settings." + orders::their_name(name) + " = " + orders.word(name, "") +
+          ", and a number from " + bounds[0] + " to " + bounds[1] + " is expected");
 }
 
 // Against a file that is short of something or has nonsense in it, before any of it is believed.
@@ -132,17 +153,22 @@
     const Stated orders(p.orders);
     for (const Bounds& b : kNumbers) must_lie_within(orders, "", b);
     for (const char* const name : kYesOrNo) orders.yes(name);
-    if (orders.number("me", 0) >= orders.number("dispatchers", 1)) wrong("has settings.me = " + orders.word("me", "") + ", and a number below that of the dispatchers is expected");
+    if (orders.number("me", 0) >= orders.number("dispatchers", 1))
+        wrong("has settings.me = " + orders.word("me", "") +
+              ", and a number below that of the dispatchers is expected");
     const auto one_of = [&](const std::string& name, const std::string& a, const std::string& b) {
         if (const std::string word = orders.word(name, a); word != a && word != b)
-            wrong("has settings." + orders::their_name(name) + " = " + word + ", and " + a + " or " + b + " is expected");
+            wrong("has settings." + orders::their_name(name) + " = " + word + ", and " + a + " or " + b +
+                  " is expected");
     };
     one_of("roster.how", "pushed", "on_request"), one_of("importance.by", "request", "work");
     for (std::size_t i = 0; i < orders.words("trade.class_stretch").size(); ++i)
         if (const double x = orders.number_in("trade.class_stretch", i, 0); !(x >= 0 && x <= 1e6))
-            wrong("has settings.specifics.class_stretch with " + orders.words("trade.class_stretch")[i] + ", and numbers from 0 to 1e+06 are expected");
+            wrong("has settings.specifics.class_stretch with " + orders.words("trade.class_stretch")[i] +
+                  ", and numbers from 0 to 1e+06 are expected");
     const auto customers = static_cast<std::size_t>(orders.number("customers.count", 0));
-    for (std::size_t i = 0; i < customers; ++i) must_lie_within(orders, "customers." + std::to_string(i) + ".", {"allowance_per_s", 0, 1e9});
+    for (std::size_t i = 0; i < customers; ++i)
+        must_lie_within(orders, "customers." + std::to_string(i) + ".", {"allowance_per_s", 0, 1e9});
     const std::size_t n = p.workloads();
     if (n == 0) wrong("has no workloads");
     std::set<std::string> names;
@@ -150,13 +176,15 @@
         const std::string at = "workloads." + std::to_string(i) + ".";
         for (const char* const name : kStatedOfWorkloads)
             if (orders.word(at + name, "").empty()) wrong("is short of settings." + at + name);
-        if (!names.insert(orders.word(at + "name", "")).second) wrong("names a workload twice: " + orders.word(at + "name", ""));
+        if (!names.insert(orders.word(at + "name", "")).second)
+            wrong("names a workload twice: " + orders.word(at + "name", ""));
         for (const Bounds& b : kNumbersOfWorkloads) must_lie_within(orders, at, b);
         const std::string effect = orders.word(at + "effect", "");
         if (effect != "idempotent" && effect != "fingerprinted" && effect != "side-effecting")
             wrong("knows an effect that is none: settings." + at + "effect is " + effect);
         for (const char* const time : {"due_time_us", "expiry_us"})
-            if (const double t = orders.number(at + time, 0); !(t >= 1 && t <= kLongest)) wrong("has a time that cannot be: settings." + at + time);
+            if (const double t = orders.number(at + time, 0); !(t >= 1 && t <= kLongest))
+                wrong("has a time that cannot be: settings." + at + time);
     }
 }
 
@@ -211,11 +239,13 @@
     std::vector<std::string> differ;
     if (name != other.name) differ.emplace_back("name");
     if (listen.text != other.listen.text) differ.emplace_back("listen");
-    if ((window ? window->text : "") != (other.window ? other.window->text : "")) differ.emplace_back("admin");
+    if ((window ? window->text : "") != (other.window ? other.window->text : ""))
+        differ.emplace_back("admin");
     if (texts(neighbours) != texts(other.neighbours)) differ.emplace_back("peers");
     if (memory_mb != other.memory_mb || sockets != other.sockets) differ.emplace_back("limits");
     for (const char* const name : kUntilRestart)
-        if (Stated(orders).word(name, "") != Stated(other.orders).word(name, "")) differ.push_back(std::string("settings: ") + name);
+        if (Stated(orders).word(name, "") != Stated(other.orders).word(name, ""))
+            differ.push_back(std::string("settings: ") + name);
     return differ;
 }
 
--- a/src/dispatcher/posting.hpp
+++ b/src/dispatcher/posting.hpp
@@ -18,8 +18,8 @@
 struct Posting {
     std::string name;
     net::Address listen, discovery;
-    std::optional<int> inherited;         // the clients' listening socket, where the platform holds it
-    std::string heirloom;                 // the folder that it shares with the one before and the one after; empty: none
+    std::optional<int> inherited;  // the clients' listening socket, where the platform holds it
+    std::string heirloom;  // the folder that it shares with the one before and the one after; empty: none
     std::optional<net::Address> window;  // where operators' programs call; none: nothing listens
     peers::Neighbours neighbours;
     std::uint64_t seed = 0;
@@ -27,7 +27,8 @@
     roster::Listing known;
     StatedOrders orders;
     std::vector<std::string> report_names;  // as runners spell them
-    std::set<std::string> stated;           // which names stand in the file, down to those within a part of the settings
+    std::set<std::string>
+        stated;  // which names stand in the file, down to those within a part of the settings
 
     std::size_t workloads() const;  // that the configuration names
 
@@ -35,8 +36,8 @@
     // heard of from discovery, and a seed is new with each start, so neither counts.
     std::vector<std::string> differences_for_restart(const Posting& other) const;
 
-    // Throws std::runtime_error where a name is missing that the one in force states: with a default in its place, tasks
-    // would go by rules that nobody meant.
+    // Throws std::runtime_error where a name is missing that the one in force states: with a default in its
+    // place, tasks would go by rules that nobody meant.
     void must_state_all_of(const Posting& in_force) const;
     // Takes from the one in force what cannot change in service.
     void keep_until_restart(const Posting& in_force);
--- a/src/dispatcher/pulling.cpp
+++ b/src/dispatcher/pulling.cpp
@@ -16,17 +16,19 @@
     return links_;
 }
 
-// Answers that somebody waits for, and jobs that are in somebody's hands. What waits in a tube is not among them: a drain
-// leaves it there.
+// Answers that somebody waits for, and jobs that are in somebody's hands. What waits in a tube is not among
+// them: a drain leaves it there.
 std::size_t Dispatcher::unanswered() const {
     if (!pullers_) return server_.waiting();
     const fronts::Asker* const jobs = &pullers_->exchange();
-    return server_.waiting() + static_cast<std::size_t>(std::count_if(tasks_.begin(), tasks_.end(), [jobs](const auto& t) {
+    return server_.waiting() +
+           static_cast<std::size_t>(std::count_if(tasks_.begin(), tasks_.end(), [jobs](const auto& t) {
                return t.second.asker == jobs && t.second.out > 0;
            }));
 }
 
-TaskId Dispatcher::hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan, WorkloadId workload) {
+TaskId Dispatcher::hand_in(const queue::Job& job, const std::string& tube, const beanstalk::TubePlan& plan,
+                           WorkloadId workload) {
     fronts::Handed handed;
     const std::string number = std::to_string(static_cast<std::uint64_t>(job.id));
     handed.id = "job-" + posting_.name + "-" + number;
@@ -49,19 +51,24 @@
     return entry.runner;
 }
 
-void Dispatcher::worker_serves(RunnerId worker, const Serves& serves) { note(guests_.news(guests_.serves(worker, serves), holds_, book_)); }
+void Dispatcher::worker_serves(RunnerId worker, const Serves& serves) {
+    note(guests_.news(guests_.serves(worker, serves), holds_, book_));
+}
 
 void Dispatcher::worker_leaves(RunnerId worker) {
     note(guests_.news(guests_.leaves(worker), holds_, book_));
     // Against a stranger held for its name: the next one to come may be given it.
     const std::string& name = book_.name_of(worker);
-    if (holds_.remove(name)) log_.info(net::Loop::now(), "control: released ", log::as("runner", name), ", which has gone");
+    if (holds_.remove(name))
+        log_.info(net::Loop::now(), "control: released ", log::as("runner", name), ", which has gone");
 }
 
 void must_fit(const Posting& posting, const beanstalk::Furnishing& tubes) {
     constexpr std::size_t kForTheRest = 32;
-    if (!tubes.entrances.empty() && tubes.connections + tubes.entrances.size() + kForTheRest > posting.sockets)
-        throw std::runtime_error("beanstalk.connections: " + std::to_string(tubes.connections) + " of " + std::to_string(posting.sockets) +
+    if (!tubes.entrances.empty() &&
+        tubes.connections + tubes.entrances.size() + kForTheRest > posting.sockets)
+        throw std::runtime_error("beanstalk.connections: " + std::to_string(tubes.connections) + " of " +
+                                 std::to_string(posting.sockets) +
                                  " sockets leave too few for runners and other clients");
 }
 
@@ -78,7 +85,8 @@
     x.queue().each_tube([&](queue::TubeId, const queue::Tube& t) {
         Object o;
         o["tube"] = Value(t.name);
-        o["ready"] = whole(t.ready.size()), o["delayed"] = whole(t.delayed.size()), o["handed"] = whole(t.handed);
+        o["ready"] = whole(t.ready.size()), o["delayed"] = whole(t.delayed.size()),
+        o["handed"] = whole(t.handed);
         o["buried"] = whole(t.buried.size()), o["may_have_run"] = whole(t.withheld.size());
         tubes.push_back(Value(std::move(o)));
     });
@@ -90,9 +98,12 @@
 Object Dispatcher::kick(const Value& request, const std::string& by) {
     if (!pullers_) throw control::Refused("there are no tubes here");
     const auto job = request.number("job");
-    if (!job || !(*job >= 1 && *job < 1e15)) throw control::Refused("which job? \"job\" is missing or no number");
-    if (!pullers_->exchange().kick_for_good(static_cast<std::uint64_t>(*job))) throw control::Refused("no buried job has that number");
-    log_.info(net::Loop::now(), "control: job ", log::as("job", static_cast<std::uint64_t>(*job)), " may run again, by ", log::as("by", by));
+    if (!job || !(*job >= 1 && *job < 1e15))
+        throw control::Refused("which job? \"job\" is missing or no number");
+    if (!pullers_->exchange().kick_for_good(static_cast<std::uint64_t>(*job)))
+        throw control::Refused("no buried job has that number");
+    log_.info(net::Loop::now(), "control: job ", log::as("job", static_cast<std::uint64_t>(*job)),
+              " may run again, by ", log::as("by", by));
     return {{"job", Value(Number{std::to_string(static_cast<std::uint64_t>(*job))})}};
 }
 
--- a/src/dispatcher/repeating.cpp
+++ b/src/dispatcher/repeating.cpp
@@ -1,4 +1,5 @@
-// Retries of tasks with effects: one that is recognised joins the task that it repeats, or hears what became of it.
+// Retries of tasks with effects: one that is recognised joins the task that it repeats, or hears what became
+// of it.
 #include <algorithm>
 
 #include "dispatcher/dispatcher.hpp"
@@ -13,14 +14,19 @@
 
 // Empty: a retry of it could not be told from another task, or would do no harm.
 std::string Dispatcher::sign_of(const fronts::Handed& handed) const {
-    const std::string at = "workloads." + std::to_string(static_cast<std::uint32_t>(handed.workload)) + ".effect";
-    if (const auto effect = terms_.stated().find(at); effect != terms_.stated().end() && effect->second == "idempotent") return "";
-    const std::string whose = std::to_string(static_cast<std::uint32_t>(handed.workload)) + "/" + std::to_string(static_cast<std::uint32_t>(handed.customer)) + "/";
+    const std::string at =
+        "workloads." + std::to_string(static_cast<std::uint32_t>(handed.workload)) + ".effect";
+    if (const auto effect = terms_.stated().find(at);
+        effect != terms_.stated().end() && effect->second == "idempotent")
+        return "";
+    const std::string whose = std::to_string(static_cast<std::uint32_t>(handed.workload)) + "/" +
+                              std::to_string(static_cast<std::uint32_t>(handed.customer)) + "/";
     if (!handed.fingerprint.empty()) return whose + "k" + handed.fingerprint;
     return recollection_.by_path && handed.key != 0 ? whose + "p" + std::to_string(handed.key) : "";
 }
 
-bool Dispatcher::take_as_repeat(TaskId id, fronts::Asker& asker, const fronts::Handed& handed, Micros expiry) {
+bool Dispatcher::take_as_repeat(TaskId id, fronts::Asker& asker, const fronts::Handed& handed,
+                                Micros expiry) {
     // By its path alone a first try is no repeat: two of them may be meant.
     if (handed.fingerprint.empty() && !handed.repeat) return false;
     const std::string sign = sign_of(handed);
@@ -37,7 +43,8 @@
     } else {
         ++told_ends_;
         const bool has_result = known->state == storms::RunState::finished && known->result;
-        owed_.emplace_back(id, has_result ? fronts::Answer::finished : fronts::Answer::abandoned, has_result ? *known->result : "");
+        owed_.emplace_back(id, has_result ? fronts::Answer::finished : fronts::Answer::abandoned,
+                           has_result ? *known->result : "");
         one.first = TaskId{};
         noted_ = true;
     }
@@ -78,13 +85,17 @@
     if (task.sign.empty()) return;
     const Micros now = net::Loop::now();
     switch (answer) {
-        case fronts::Answer::finished: return run_book_.finished(now, task.sign, id, result);
-        case fronts::Answer::abandoned: return run_book_.may_have_run(now, task.sign, id);
-        case fronts::Answer::bounced: return run_book_.never_ran(task.sign, id);
+        case fronts::Answer::finished:
+            return run_book_.finished(now, task.sign, id, result);
+        case fronts::Answer::abandoned:
+            return run_book_.may_have_run(now, task.sign, id);
+        case fronts::Answer::bounced:
+            return run_book_.never_ran(task.sign, id);
     }
 }
 
-void Dispatcher::answer_joined(TaskId first, fronts::Answer answer, std::string_view result, Micros stay_away) {
+void Dispatcher::answer_joined(TaskId first, fronts::Answer answer, std::string_view result,
+                               Micros stay_away) {
     std::erase_if(stands_for_, [first](const auto& s) { return s.second == first; });
     const auto others = joined_to_.find(first);
     if (others == joined_to_.end()) return;
@@ -101,7 +112,8 @@
 void Dispatcher::answer_owed() {
     const Micros now = net::Loop::now();
     while (!joined_until_.empty() && joined_until_.begin()->first <= now)
-        owed_.emplace_back(joined_until_.begin()->second, fronts::Answer::abandoned, ""), joined_until_.erase(joined_until_.begin());
+        owed_.emplace_back(joined_until_.begin()->second, fronts::Answer::abandoned, ""),
+            joined_until_.erase(joined_until_.begin());
     for (auto& [id, answer, result] : std::exchange(owed_, {})) {
         const auto one = joined_.find(id);
         if (one == joined_.end()) continue;
@@ -116,8 +128,11 @@
 
 json::Object Dispatcher::tell_repeats() const {
     const auto whole = [](auto n) { return json::Value(json::Number{std::to_string(n)}); };
-    return {{"known", whole(run_book_.size())}, {"bytes", whole(run_book_.bytes())}, {"joined", whole(joins_)},
-            {"told_the_end", whole(told_ends_)}, {"fell_out_early", whole(run_book_.fallen_out())}};
+    return {{"known", whole(run_book_.size())},
+            {"bytes", whole(run_book_.bytes())},
+            {"joined", whole(joins_)},
+            {"told_the_end", whole(told_ends_)},
+            {"fell_out_early", whole(run_book_.fallen_out())}};
 }
 
 }  // namespace gannethold::dispatcher
--- a/src/dispatcher/watching.cpp
+++ b/src/dispatcher/watching.cpp
@@ -1,4 +1,5 @@
-// What other settings would have decided: read, sampled within a bound of the processor's time, counted and told.
+// What other settings would have decided: read, sampled within a bound of the processor's time, counted and
+// told.
 #include <ctime>
 
 #include "dispatcher/dispatcher.hpp"
@@ -22,8 +23,8 @@
     return shadow::laid_over(terms_.stated(), orders::Terms(watched.orders, watched.workloads()).stated());
 }
 
-// Before the module hears it. What is left of this second's time decides whether a turn is sampled at all, so that a
-// busy dispatcher drops this first.
+// Before the module hears it. What is left of this second's time decides whether a turn is sampled at all, so
+// that a busy dispatcher drops this first.
 void Dispatcher::watch_turn(const Event& event) {
     const Micros now = net::Loop::now();
     if (now - watch_second_ >= 1'000'000) watch_second_ = now, watch_spent_ = 0;
@@ -49,16 +50,20 @@
     if (std::exchange(watch_log_, now + kTellEvery) == 0) return;
     std::string each;
     for (std::size_t i = 0; i < shadow::kNames.size(); ++i)
-        each += (i > 0 ? ", " : "") + std::string(shadow::kNames[i]) + " " + std::to_string(shadow_->counts().differ[i]);
-    log_.info(now, "shadow: ", log::as("decisions", shadow_->counts().decisions), " decisions compared; otherwise: ",
-              log::as("differ", each));
+        each += (i > 0 ? ", " : "") + std::string(shadow::kNames[i]) + " " +
+                std::to_string(shadow_->counts().differ[i]);
+    log_.info(now, "shadow: ", log::as("decisions", shadow_->counts().decisions),
+              " decisions compared; otherwise: ", log::as("differ", each));
 }
 
 json::Object Dispatcher::tell_watched() const {
     const shadow::Counts& counts = shadow_->counts();
     json::Object differ;
-    for (std::size_t i = 0; i < shadow::kNames.size(); ++i) differ[shadow::kNames[i]] = whole(counts.differ[i]);
-    return {{"turns", whole(counts.turns)}, {"decisions", whole(counts.decisions)}, {"left_out", whole(watch_left_out_)},
+    for (std::size_t i = 0; i < shadow::kNames.size(); ++i)
+        differ[shadow::kNames[i]] = whole(counts.differ[i]);
+    return {{"turns", whole(counts.turns)},
+            {"decisions", whole(counts.decisions)},
+            {"left_out", whole(watch_left_out_)},
             {"differ", json::Value(std::move(differ))}};
 }
 
--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -30,7 +30,8 @@
     return {false, ticket_, "the order of " + by_ + " stands, ticket " + std::to_string(ticket_)};
 }
 
-Ruling Drain::order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by, const Pace* pace) {
+Ruling Drain::order(Micros now, Micros deadline, std::uint64_t ticket, const std::string& by,
+                    const Pace* pace) {
     if (leaves()) return {false, 0, "the dispatcher is leaving for good"};
     if (deadline > now + manners_.longest) return {false, ticket_, "the deadline is more than a day away"};
     if (ordered_ && ticket != ticket_) return refused();
@@ -79,8 +80,8 @@
     return deadline_;
 }
 
-// Before the front can have noticed, who has a connection has no other way; but with a near deadline half of the
-// time must do.
+// Before the front can have noticed, who has a connection has no other way; but with a near deadline half of
+// the time must do.
 Micros Drain::closing_from() const {
     if (phase_ == Phase::leaving) return leave_closing_from_;
     return since_ + std::min(pace_.front_notices, std::max<Micros>(0, deadline_ - since_) / 2);
@@ -89,23 +90,28 @@
 Wanted Drain::look(Micros now, const Left& left) {
     Wanted w;
     if (phase_ == Phase::serving) return w;
-    // A signal is heard of by the front through connections that are refused once the process is gone; until it
-    // closes, it stays as healthy as it is.
+    // A signal is heard of by the front through connections that are refused once the process is gone; until
+    // it closes, it stays as healthy as it is.
     const Micros from = closing_from();
     const bool closing = now >= from;
     w.healthy = phase_ == Phase::leaving ? !closing : false;
     w.last_answers = closing;
     if (closing) {
-        const Micros takes = phase_ == Phase::leaving ? leave_closing_takes_ : std::min(pace_.closing_takes, std::max<Micros>(0, deadline_ - from) / 2);
-        w.idle_to_keep = takes > 0 ? std::max(0.0, 1 - static_cast<double>(now - from) / static_cast<double>(takes)) : 0;
+        const Micros takes = phase_ == Phase::leaving
+                                 ? leave_closing_takes_
+                                 : std::min(pace_.closing_takes, std::max<Micros>(0, deadline_ - from) / 2);
+        w.idle_to_keep =
+            takes > 0 ? std::max(0.0, 1 - static_cast<double>(now - from) / static_cast<double>(takes)) : 0;
     }
     const bool over = now >= deadline_;
     // Whoever comes after the deadline finds nobody who may still answer in time.
-    const Micros takes_until = phase_ != Phase::leaving && pace_.takes_for > 0 ? since_ + pace_.takes_for : deadline_;
+    const Micros takes_until =
+        phase_ != Phase::leaving && pace_.takes_for > 0 ? since_ + pace_.takes_for : deadline_;
     w.turns_away = over || now >= takes_until;
     if (over && !called_) w.last_call = called_ = true;
     if (phase_ == Phase::leaving) {
-        w.exits = (closing && w.idle_to_keep <= 0 && left.tasks == 0 && left.busy == 0) || now >= std::max(deadline_, since_) + kAfterCall;
+        w.exits = (closing && w.idle_to_keep <= 0 && left.tasks == 0 && left.busy == 0) ||
+                  now >= std::max(deadline_, since_) + kAfterCall;
         if (w.exits) phase_ = Phase::gone;
     } else {
         // Empty before the deadline it is drained too, as long as nobody comes.
@@ -113,12 +119,13 @@
         const bool quiet = left.tasks == 0 && (left.busy == 0 || phase_ == Phase::drained);
         phase_ = quiet && (over || (closing && w.idle_to_keep <= 0)) ? Phase::drained : Phase::draining;
     }
-    const Micros next = !closing                                              ? from
-                        : w.idle_to_keep > 0 || phase_ == Phase::leaving      ? now + kPace
-                        : now < takes_until                                   ? takes_until
-                        : !over                                               ? deadline_
-                                                                              : 0;
-    w.wake_at = next > 0 && !over ? std::min({next, deadline_, takes_until > now ? takes_until : deadline_}) : next;
+    const Micros next = !closing                                         ? from
+                        : w.idle_to_keep > 0 || phase_ == Phase::leaving ? now + kPace
+                        : now < takes_until                              ? takes_until
+                        : !over                                          ? deadline_
+                                                                         : 0;
+    w.wake_at =
+        next > 0 && !over ? std::min({next, deadline_, takes_until > now ? takes_until : deadline_}) : next;
     return w;
 }
 
