--- a/src/figures/tally.hpp
+++ b/src/figures/tally.hpp
@@ -14,7 +14,8 @@
     std::uint64_t finished = 0, bounced = 0, abandoned = 0;
 };
 
-// Counts never fall and never start anew: a workload that is dropped keeps its row, and has it again if it returns.
+// Counts never fall and never start anew: a workload that is dropped keeps its row, and has it again if it
+// returns.
 class Tally {
   public:
     // From now on that workload has a row, with zeros if nothing of it has ended yet.
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -43,9 +43,7 @@
     // Who is near among those that joined, and the table, is for the caller to settle.
     void seat(const std::vector<RosterEntry>& entries) {
         for (std::size_t i = 0; i < size(); ++i) runners_[i].fraction = table[i].fraction;
-        std::erase_if(runners_, [](const Runner& r) {
-            return !r.ready && r.out == 0 && !r.probing;
-        });
+        std::erase_if(runners_, [](const Runner& r) { return !r.ready && r.out == 0 && !r.probing; });
         count_near();
         std::vector<Runner> joined;
         for (const RosterEntry& e : entries) {
--- a/src/fronts/front.hpp
+++ b/src/fronts/front.hpp
@@ -1,4 +1,5 @@
-// What every front and the dispatcher say to each other, whatever protocol the front speaks: tasks in, endings out.
+// What every front and the dispatcher say to each other, whatever protocol the front speaks: tasks in,
+// endings out.
 #pragma once
 
 #include <string>
@@ -22,7 +23,8 @@
     Micros cost_hint = 0;
     double slots = 1, memory = 0;
     bool repeat = false;
-    bool pushable = true;  // whether a runner that is spoken to over HTTP may get it: it needs a head and a body then
+    bool pushable =
+        true;  // whether a runner that is spoken to over HTTP may get it: it needs a head and a body then
 };
 
 // Who handed tasks in and hears how they end. Called once for each, also from inside a call to the Taker.
--- a/src/handover/passage.cpp
+++ b/src/handover/passage.cpp
@@ -31,7 +31,8 @@
 // A name may hold what no file's name may.
 std::string in_folder(const std::string& folder, std::string name) {
     std::replace_if(
-        name.begin(), name.end(), [](unsigned char c) { return !std::isalnum(c) && c != '-' && c != '_'; }, '_');
+        name.begin(), name.end(), [](unsigned char c) { return !std::isalnum(c) && c != '-' && c != '_'; },
+        '_');
     return folder + "/gannethold-" + name.substr(0, 40);
 }
 
@@ -39,8 +40,10 @@
 
 class Passage::Line final : public net::Connection::Owner {
   public:
-    Line(Passage& passage, evutil_socket_t accepted) : passage_(passage), connection_(passage.loop_, *this, accepted) {}
-    Line(Passage& passage, const net::Address& to) : passage_(passage), connection_(passage.loop_, *this, to, kPatience) {}
+    Line(Passage& passage, evutil_socket_t accepted)
+        : passage_(passage), connection_(passage.loop_, *this, accepted) {}
+    Line(Passage& passage, const net::Address& to)
+        : passage_(passage), connection_(passage.loop_, *this, to, kPatience) {}
 
     void say(const Word& word) { connection_.write(spell(word)); }
     void close() { connection_.close(); }
@@ -63,10 +66,15 @@
 };
 
 Passage::Passage(net::Loop& loop, const std::string& folder, std::string name, Party& party, log::Log& log)
-    : loop_(loop), path_(in_folder(folder, name)), name_(std::move(name)), party_(party), log_(log),
+    : loop_(loop),
+      path_(in_folder(folder, name)),
+      name_(std::move(name)),
+      party_(party),
+      log_(log),
       patience_(loop, [this] {
           if (settled_) return;
-          log_.warning(net::Loop::now(), "handover: the old dispatcher says no more; served by what is known");
+          log_.warning(net::Loop::now(),
+                       "handover: the old dispatcher says no more; served by what is known");
           settle();
       }) {
     if (const auto there = at(path_); there && access(path_.c_str(), F_OK) == 0)
@@ -78,7 +86,8 @@
 
 Passage::~Passage() = default;
 
-// Under another name first, so that there is never a moment without one; whoever asked at the old one is in its queue.
+// Under another name first, so that there is never a moment without one; whoever asked at the old one is in
+// its queue.
 void Passage::open() {
     const auto fresh = at(path_ + ".new");
     try {
@@ -86,11 +95,14 @@
         unlink(fresh->text.c_str());
         door_ = std::make_unique<net::Listener>(
             loop_, *fresh, [this](evutil_socket_t socket) { accept(socket); }, [] {});
-        if (std::rename(fresh->text.c_str(), path_.c_str()) != 0) throw std::runtime_error("cannot name it " + path_);
+        if (std::rename(fresh->text.c_str(), path_.c_str()) != 0)
+            throw std::runtime_error("cannot name it " + path_);
     } catch (const std::exception& e) {
-        // Against a folder that cannot be written, or a system that knows no such sockets: an upgrade then goes without.
+        // Against a folder that cannot be written, or a system that knows no such sockets: an upgrade then
+        // goes without.
         door_.reset();
-        log_.warning(net::Loop::now(), "handover: ", e.what(), "; an upgrade will begin from the configuration");
+        log_.warning(net::Loop::now(), "handover: ", e.what(),
+                     "; an upgrade will begin from the configuration");
     }
 }
 
@@ -117,7 +129,8 @@
         const auto greeting = read_greeting(word.body);
         // Against the socket of somebody else, or a form that is not known.
         if (!greeting || greeting->name != name_ || greeting->version != kVersion) {
-            log_.warning(net::Loop::now(), "handover: whoever answers at ", path_, " is no dispatcher of this name");
+            log_.warning(net::Loop::now(), "handover: whoever answers at ", path_,
+                         " is no dispatcher of this name");
             line.close();
             return ended(line);
         }
@@ -141,7 +154,8 @@
         greeted_ = false;
         settle();
     } else {
-        const auto heir = std::find_if(heirs_.begin(), heirs_.end(), [&](const auto& h) { return h.get() == &line; });
+        const auto heir =
+            std::find_if(heirs_.begin(), heirs_.end(), [&](const auto& h) { return h.get() == &line; });
         if (heir == heirs_.end()) return;
         ended_.splice(ended_.end(), heirs_, heir);
         // It had put its socket in the place of ours; whoever comes now must find this one again.
--- a/src/handover/passage.hpp
+++ b/src/handover/passage.hpp
@@ -1,9 +1,10 @@
-// The way between an old and a new dispatcher of one name at an upgrade: a Unix-domain socket in the folder that both
-// share. The new one asks there, hears what the old one knows, and takes the place of its socket, for a newer one still.
-// As long as the line stands both live, and share limits; its end says that the other is gone, however that came.
+// The way between an old and a new dispatcher of one name at an upgrade: a Unix-domain socket in the folder
+// that both share. The new one asks there, hears what the old one knows, and takes the place of its socket,
+// for a newer one still. As long as the line stands both live, and share limits; its end says that the other
+// is gone, however that came.
 //
-// What else lies there (the socket of a dead process, a foreign file, a foreign speaker) is passed over: nothing here is
-// needed in order to serve.
+// What else lies there (the socket of a dead process, a foreign file, a foreign speaker) is passed over:
+// nothing here is needed in order to serve.
 #pragma once
 
 #include <list>
@@ -21,9 +22,9 @@
 // The dispatcher at one end. Called in a turn of the loop.
 class Party {
   public:
-    virtual std::vector<Word> hand_over() = 0;              // all that a new one is to know
-    virtual void handed(const Word& word) = 0;              // by the old one
-    virtual void company(std::size_t others) = 0;           // so many of this name live beside this one
+    virtual std::vector<Word> hand_over() = 0;     // all that a new one is to know
+    virtual void handed(const Word& word) = 0;     // by the old one
+    virtual void company(std::size_t others) = 0;  // so many of this name live beside this one
 
   protected:
     ~Party() = default;
@@ -39,7 +40,8 @@
     // What has changed since, to whoever is new beside this one.
     void tell(const Word& word);
     bool has_heirs() const { return !heirs_.empty(); }
-    // Whether all has been heard that there is: false only while an old one is still speaking, and not for long.
+    // Whether all has been heard that there is: false only while an old one is still speaking, and not for
+    // long.
     bool settled() const { return settled_; }
     std::size_t others() const;
     void sweep();
--- a/src/handover/words.cpp
+++ b/src/handover/words.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr std::array<std::pair<Kind, std::string_view>, 5> kNames{{{Kind::greeting, "greeting"},
-                                                                  {Kind::list, "list"},
-                                                                  {Kind::troubles, "troubles"},
-                                                                  {Kind::learned, "learned"},
-                                                                  {Kind::done, "done"}}};
+                                                                   {Kind::list, "list"},
+                                                                   {Kind::troubles, "troubles"},
+                                                                   {Kind::learned, "learned"},
+                                                                   {Kind::done, "done"}}};
 constexpr std::size_t kLongestHead = 40;
 constexpr Micros kLongestTrouble = 600'000'000;
 
@@ -37,7 +37,8 @@
 }  // namespace
 
 std::string spell(const Word& word) {
-    const auto name = std::find_if(kNames.begin(), kNames.end(), [&](const auto& n) { return n.first == word.kind; });
+    const auto name =
+        std::find_if(kNames.begin(), kNames.end(), [&](const auto& n) { return n.first == word.kind; });
     return std::string(name->second) + " " + std::to_string(word.body.size()) + "\n" + word.body;
 }
 
@@ -67,7 +68,8 @@
         const std::string_view called = left.substr(0, space);
         Word word{{}, std::string(left.substr(line + 1, length))};
         from_ += line + 1 + length;
-        const auto name = std::find_if(kNames.begin(), kNames.end(), [&](const auto& n) { return n.second == called; });
+        const auto name =
+            std::find_if(kNames.begin(), kNames.end(), [&](const auto& n) { return n.second == called; });
         if (name == kNames.end()) continue;
         word.kind = name->first;
         return word;
--- a/src/handover/words.hpp
+++ b/src/handover/words.hpp
@@ -50,8 +50,8 @@
 
 // By a runner's name; microseconds.
 struct Trouble {
-    Micros aside_for = 0;   // 0: it is not
-    Micros cold_for = -1;   // since it started or was last found broken; -1: it is warm
+    Micros aside_for = 0;  // 0: it is not
+    Micros cold_for = -1;  // since it started or was last found broken; -1: it is warm
 };
 using Troubles = std::map<std::string, Trouble>;
 std::string spell(const Troubles& troubles);
--- a/src/house/house_rules.cpp
+++ b/src/house/house_rules.cpp
@@ -10,7 +10,8 @@
     p.effect = s.one_of("effect", {"side-effecting", "idempotent"}, p.effect);
     p.due = static_cast<Micros>(s.number("due_s", 60, 0.001, 30 * 86'400) * 1e6);
     p.expiry = static_cast<Micros>(s.number("expiry_s", 3'600, 0.01, 30 * 86'400) * 1e6);
-    if (p.expiry < p.due) s.wrong("expiry_s", "is shorter than due_s: everything would be given up before it is late");
+    if (p.expiry < p.due)
+        s.wrong("expiry_s", "is shorter than due_s: everything would be given up before it is late");
     p.importance = s.number("importance", 1, 0.001, 1e6);
     p.pushed = static_cast<std::size_t>(s.whole("pushed", 0, 0, 100'000));
     return p;
@@ -18,13 +19,15 @@
 
 beanstalk::Furnishing read_tubes(const sheets::Sheet& s) {
     beanstalk::Furnishing f;
-    const auto enter = [&](const sheets::Sheet& from, const std::string& name, const std::string& text, const std::string& kind, const std::string& zone) {
+    const auto enter = [&](const sheets::Sheet& from, const std::string& name, const std::string& text,
+                           const std::string& kind, const std::string& zone) {
         const auto at = net::Address::read(text);
         if (!at) from.wrong(name, "is no address: \"" + text + "\"");
         f.entrances.push_back({*at, kind, zone});
     };
     for (const std::string& text : s.words("listen")) enter(s, "listen", text, "", "");
-    for (const sheets::Sheet& e : s.tables("entrance")) enter(e, "address", e.word("address", ""), e.word("kind", ""), e.word("zone", ""));
+    for (const sheets::Sheet& e : s.tables("entrance"))
+        enter(e, "address", e.word("address", ""), e.word("kind", ""), e.word("zone", ""));
     f.connections = static_cast<std::size_t>(s.whole("connections", 64, 1, 100'000));
     beanstalk::Trade& t = f.trade;
     t.longest_body = static_cast<std::size_t>(s.whole("longest_job", 65'535, 1, 64 << 20));
@@ -39,7 +42,8 @@
         p.name = one.word("name", "");
         p.workload = one.word("workload", "");
         if (p.name.empty()) one.wrong("name", "is missing: which tube?");
-        if (!p.workload.empty() && (one.has("effect") || one.has("due_s") || one.has("expiry_s") || one.has("importance")))
+        if (!p.workload.empty() &&
+            (one.has("effect") || one.has("due_s") || one.has("expiry_s") || one.has("importance")))
             one.wrong("workload", "says all of effect, times and importance; they cannot stand beside it");
         t.tubes.push_back(std::move(p));
     }
@@ -49,11 +53,13 @@
 HouseRules take(const sheets::Sheet& sheet) {
     HouseRules rules;
     const sheets::Sheet log = sheet.table("log");
-    rules.log_form = log.one_of("form", {"plain", "json"}, "plain") == "json" ? log::Form::json : log::Form::plain;
+    rules.log_form =
+        log.one_of("form", {"plain", "json"}, "plain") == "json" ? log::Form::json : log::Form::plain;
     const sheets::Sheet control = sheet.table("control");
     rules.control.path = control.word("socket", "");
     rules.control.clients = static_cast<std::size_t>(control.whole("clients", 8, 1, 64));
-    rules.control.remembered = static_cast<std::size_t>(control.whole("remembered_changes", 1'000, 10, 100'000));
+    rules.control.remembered =
+        static_cast<std::size_t>(control.whole("remembered_changes", 1'000, 10, 100'000));
     const sheets::Sheet drain = sheet.table("drain");
     rules.drain.front_notices = static_cast<Micros>(drain.number("front_notices_s", 2, 0, 600) * 1e6);
     rules.drain.closing_takes = static_cast<Micros>(drain.number("closing_takes_s", 2, 0, 600) * 1e6);
@@ -62,13 +68,16 @@
     rules.recollection.by_path = repeats.yes("by_path", false);
     rules.recollection.keep = static_cast<Micros>(repeats.number("keep_s", 600, 0.1, 86'400) * 1e6);
     rules.recollection.most = static_cast<std::size_t>(repeats.whole("most", 10'000, 1, 100'000'000));
-    rules.recollection.most_bytes = static_cast<std::size_t>(repeats.number("most_mb", 4, 0.001, 1e6) * 1048576);
-    rules.recollection.longest_result = static_cast<std::size_t>(repeats.whole("longest_result", 8'192, 0, 1 << 20));
+    rules.recollection.most_bytes =
+        static_cast<std::size_t>(repeats.number("most_mb", 4, 0.001, 1e6) * 1048576);
+    rules.recollection.longest_result =
+        static_cast<std::size_t>(repeats.whole("longest_result", 8'192, 0, 1 << 20));
     rules.tubes = read_tubes(sheet.table("beanstalk"));
     const sheets::Sheet keepsake = sheet.table("keepsake");
     rules.keepsake.folder = keepsake.word("folder", "");
     rules.keepsake.every = static_cast<Micros>(keepsake.number("every_s", 30, 0.1, 86'400) * 1e6);
-    rules.keepsake.prudence.half_life_ms = static_cast<std::int64_t>(keepsake.number("half_life_h", 12, 0.001, 24 * 365) * 3.6e6);
+    rules.keepsake.prudence.half_life_ms =
+        static_cast<std::int64_t>(keepsake.number("half_life_h", 12, 0.001, 24 * 365) * 3.6e6);
     const sheets::Sheet shadow = sheet.table("shadow");
     rules.watch.configuration = shadow.word("configuration", "");
     rules.watch.every = static_cast<int>(shadow.whole("every", 16, 1, 1'000'000));
--- a/src/house/house_rules.hpp
+++ b/src/house/house_rules.hpp
@@ -1,5 +1,5 @@
-// The operators' own file, one table a subsystem. What is missing has a cautious default, and the whole file may
-// be: the dispatcher then serves as the platform's configuration says and no more.
+// The operators' own file, one table a subsystem. What is missing has a cautious default, and the whole file
+// may be: the dispatcher then serves as the platform's configuration says and no more.
 #pragma once
 
 #include <string>
@@ -19,11 +19,11 @@
     drain::Manners drain;
     storms::Recollection recollection;
     beanstalk::Furnishing tubes;  // without an entrance it is off
-    keepsake::Custom keepsake;   // an empty folder: nothing is kept
+    keepsake::Custom keepsake;    // an empty folder: nothing is kept
     // Other settings that are watched beside those in force; an empty path: none are.
     struct Watch {
         std::string configuration;
-        int every = 16;             // turns, of which one is sampled
+        int every = 16;                // turns, of which one is sampled
         Micros most_a_second = 2'000;  // of the processor's time
     } watch;
 
--- a/src/keepsake/ageing.cpp
+++ b/src/keepsake/ageing.cpp
@@ -6,8 +6,8 @@
 namespace gannethold::keepsake {
 namespace {
 
-// Another process on the same machine: most of what it does is the machine's. Elsewhere, or behind another address,
-// it may be another machine of that kind.
+// Another process on the same machine: most of what it does is the machine's. Elsewhere, or behind another
+// address, it may be another machine of that kind.
 constexpr double kRestarted = 0.5, kElsewhere = 0.25;
 constexpr double kNothing = 0.02;  // less is not worth a row
 
@@ -17,7 +17,8 @@
     const std::int64_t age = now_ms - written_ms;
     // Against clocks that went backwards: a little is met every day, more means that no age can be told.
     if (age < -prudence.skew_ms || written_ms <= 0) return 0;
-    const double halvings = static_cast<double>(std::max<std::int64_t>(0, age)) / static_cast<double>(std::max<std::int64_t>(1, prudence.half_life_ms));
+    const double halvings = static_cast<double>(std::max<std::int64_t>(0, age)) /
+                            static_cast<double>(std::max<std::int64_t>(1, prudence.half_life_ms));
     const double left = std::exp2(-halvings);
     return left < kNothing ? 0 : left;
 }
--- a/src/keepsake/ageing.hpp
+++ b/src/keepsake/ageing.hpp
@@ -10,8 +10,9 @@
 // What a reader goes by.
 struct Prudence {
     std::int64_t half_life_ms = 12 * 3'600'000LL;
-    std::int64_t skew_ms = 300'000;  // a file from so far in the future is taken for one of now; beyond, for none
-    double most_samples = 8;         // however much was learned: so many live samples weigh as much
+    std::int64_t skew_ms =
+        300'000;              // a file from so far in the future is taken for one of now; beyond, for none
+    double most_samples = 8;  // however much was learned: so many live samples weigh as much
 };
 
 // What is known now of a runner that was kept.
--- a/src/keepsake/disk.cpp
+++ b/src/keepsake/disk.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 [[noreturn]] void fail(const char* what, const std::string& path) {
-    throw std::runtime_error(std::string("keepsake: cannot ") + what + " " + path + ": " + std::strerror(errno));
+    throw std::runtime_error(std::string("keepsake: cannot ") + what + " " + path + ": " +
+                             std::strerror(errno));
 }
 
 class SystemDisk final : public Disk {
@@ -37,7 +38,9 @@
         if (::fsync(file) != 0) fail("sync", "the file aside");
     }
     void close(int file) override { ::close(file); }
-    bool link(const std::string& from, const std::string& to) override { return ::link(from.c_str(), to.c_str()) == 0; }
+    bool link(const std::string& from, const std::string& to) override {
+        return ::link(from.c_str(), to.c_str()) == 0;
+    }
     void rename(const std::string& from, const std::string& to) override {
         if (::rename(from.c_str(), to.c_str()) != 0) fail("rename", from);
     }
@@ -59,7 +62,8 @@
         char piece[65'536];
         ssize_t n = 0;
         // By what comes, not by what the file says that it holds.
-        while (bytes.size() < most && (n = ::read(file, piece, std::min(sizeof piece, most - bytes.size()))) > 0)
+        while (bytes.size() < most &&
+               (n = ::read(file, piece, std::min(sizeof piece, most - bytes.size()))) > 0)
             bytes.append(piece, static_cast<std::size_t>(n));
         const int why = errno;
         ::close(file);
@@ -77,9 +81,10 @@
 }
 
 std::string Claim::hold() {
-    struct stat ours{}, there{};
-    if (file_ >= 0 && ::fstat(file_, &ours) == 0 && ::stat(path_.c_str(), &there) == 0 && ours.st_ino == there.st_ino &&
-        ours.st_dev == there.st_dev)
+    struct stat ours {
+    }, there{};
+    if (file_ >= 0 && ::fstat(file_, &ours) == 0 && ::stat(path_.c_str(), &there) == 0 &&
+        ours.st_ino == there.st_ino && ours.st_dev == there.st_dev)
         return "";
     give_up();
     file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
@@ -88,7 +93,8 @@
     const bool taken = errno == EWOULDBLOCK;
     const std::string why = std::strerror(errno);
     give_up();
-    return taken ? "keepsake: another dispatcher of this name keeps in this folder (" + path_ + "), so this one keeps nothing"
+    return taken ? "keepsake: another dispatcher of this name keeps in this folder (" + path_ +
+                       "), so this one keeps nothing"
                  : "keepsake: cannot claim " + path_ + ": " + why;
 }
 
--- a/src/keepsake/disk.hpp
+++ b/src/keepsake/disk.hpp
@@ -1,5 +1,5 @@
-// What a shelf asks of a file system, one call for each step that a power cut can fall between, so that a test can
-// play a disk that loses what was not synced.
+// What a shelf asks of a file system, one call for each step that a power cut can fall between, so that a
+// test can play a disk that loses what was not synced.
 #pragma once
 
 #include <optional>
@@ -15,7 +15,8 @@
     virtual void append(int file, std::string_view bytes) = 0;
     virtual void sync(int file) = 0;
     virtual void close(int file) = 0;
-    virtual bool link(const std::string& from, const std::string& to) = 0;  // false: it cannot be, which may be normal
+    virtual bool link(const std::string& from,
+                      const std::string& to) = 0;  // false: it cannot be, which may be normal
     virtual void rename(const std::string& from, const std::string& to) = 0;
     virtual void remove(const std::string& path) = 0;  // which need not be there
     virtual void sync_folder(const std::string& path) = 0;
@@ -36,8 +37,8 @@
     Claim(const Claim&) = delete;
     Claim& operator=(const Claim&) = delete;
 
-    // Whether it is ours, tried anew if not: "" or why not. Against a folder that was taken away and made again, in
-    // which another could claim the same name, it must be the file that stands there now.
+    // Whether it is ours, tried anew if not: "" or why not. Against a folder that was taken away and made
+    // again, in which another could claim the same name, it must be the file that stands there now.
     std::string hold();
     void give_up();
 
--- a/src/keepsake/keeper.cpp
+++ b/src/keepsake/keeper.cpp
@@ -15,7 +15,8 @@
 
 }  // namespace
 
-Keeper::Keeper(net::Loop& loop, const Shelf& shelf, Micros every, std::function<Part(std::size_t, std::size_t)> part,
+Keeper::Keeper(net::Loop& loop, const Shelf& shelf, Micros every,
+               std::function<Part(std::size_t, std::size_t)> part,
                std::function<void(const std::string&, bool)> heard)
     : shelf_(shelf),
       every_(every),
@@ -28,7 +29,9 @@
     claimed();  // who comes second is told at once
 }
 
-Micros Keeper::pace(Micros every, unsigned failed_in_a_row) { return every << std::min(failed_in_a_row, kMostDoublings); }
+Micros Keeper::pace(Micros every, unsigned failed_in_a_row) {
+    return every << std::min(failed_in_a_row, kMostDoublings);
+}
 
 bool Keeper::claimed() {
     const std::string why = claim_.hold();
@@ -92,7 +95,8 @@
     ++kept_.failed_in_a_row;
     const Micros wait = pace(every_, kept_.failed_in_a_row);
     // Once for each reason: a disk that stays full says nothing new every half minute.
-    if (std::exchange(kept_.last_failure, why) != why) heard_(why + "; service goes on, and it is tried again more rarely", false);
+    if (std::exchange(kept_.last_failure, why) != why)
+        heard_(why + "; service goes on, and it is tried again more rarely", false);
     timer_.set(net::Loop::now() + wait);
 }
 
--- a/src/keepsake/keeper.hpp
+++ b/src/keepsake/keeper.hpp
@@ -1,5 +1,5 @@
-// Has a keepsake written now and then without holding up the loop: a few runners a turn are told to a scribe, which
-// spells, writes and syncs while the dispatcher goes on. One at a time, and not for long.
+// Has a keepsake written now and then without holding up the loop: a few runners a turn are told to a scribe,
+// which spells, writes and syncs while the dispatcher goes on. One at a time, and not for long.
 #pragma once
 
 #include <functional>
@@ -21,9 +21,9 @@
 
 struct Kept {
     std::uint64_t written = 0, failed = 0;
-    Micros last_at = 0;       // of the last that was written; 0: none yet
+    Micros last_at = 0;                       // of the last that was written; 0: none yet
     Micros held_up = 0, longest_held_up = 0;  // the loop, by the longest turn of the last keepsake and of all
-    Micros took = 0;          // from the first part told to the word that it lies on the disk
+    Micros took = 0;                          // from the first part told to the word that it lies on the disk
     std::string last_failure;
     unsigned failed_in_a_row = 0;
 };
@@ -34,9 +34,11 @@
         Record record;
         std::size_t next = 0;  // where the next one begins; 0: this was the last
     };
-    // part: of all that is known, from that place on, about so many runners. Places that come or go meanwhile may be
-    // missed once or told twice. heard: one line when the keeping begins to fail, fails otherwise, or works again.
-    Keeper(net::Loop& loop, const Shelf& shelf, Micros every, std::function<Part(std::size_t from, std::size_t most)> part,
+    // part: of all that is known, from that place on, about so many runners. Places that come or go meanwhile
+    // may be missed once or told twice. heard: one line when the keeping begins to fail, fails otherwise, or
+    // works again.
+    Keeper(net::Loop& loop, const Shelf& shelf, Micros every,
+           std::function<Part(std::size_t from, std::size_t most)> part,
            std::function<void(const std::string& line, bool good)> heard);
     Keeper(const Keeper&) = delete;
     Keeper& operator=(const Keeper&) = delete;
--- a/src/keepsake/record.hpp
+++ b/src/keepsake/record.hpp
@@ -1,6 +1,6 @@
-// What is kept over a restart, by names that outlive it, and how it stands in a file: a head with magic, version,
-// length and checksum, then CBOR maps. A reader passes over names that it does not know and has a default for those
-// that are missing, so files of an older and of a newer minor form can be read. No I/O.
+// What is kept over a restart, by names that outlive it, and how it stands in a file: a head with magic,
+// version, length and checksum, then CBOR maps. A reader passes over names that it does not know and has a
+// default for those that are missing, so files of an older and of a newer minor form can be read. No I/O.
 #pragma once
 
 #include <array>
@@ -57,7 +57,8 @@
 Record read(const std::string& bytes);  // throws Unreadable
 // Of a file's first bytes; 0: it is no keepsake, or its head is cut.
 std::uint32_t form_of(const std::string& head);
-// The same bytes with the length and checksum that belong to them: for tests, whose bodies are to be looked into.
+// The same bytes with the length and checksum that belong to them: for tests, whose bodies are to be looked
+// into.
 std::string sealed(std::string bytes);
 
 }  // namespace gannethold::keepsake
--- a/src/keepsake/scribe.hpp
+++ b/src/keepsake/scribe.hpp
@@ -1,5 +1,6 @@
-// A process of our own that spells, writes and syncs keepsakes, started once while there is little to copy: the
-// dispatcher hands it what is known in parts, as its loop finds the time, and never waits for it or for a disk.
+// A process of our own that spells, writes and syncs keepsakes, started once while there is little to copy:
+// the dispatcher hands it what is known in parts, as its loop finds the time, and never waits for it or for a
+// disk.
 #pragma once
 
 #include <sys/types.h>
--- a/src/keepsake/shelf.cpp
+++ b/src/keepsake/shelf.cpp
@@ -26,7 +26,8 @@
     const std::string aside = path_ + ".new", before = path_ + ".before", linked = path_ + ".link";
     // Against going back to an older program: what the newer one learned is not ours to write over.
     if (const auto there = disk_->read(path_, kHeadBytes); there && form_of(*there) > kForm)
-        throw std::runtime_error("keepsake: " + path_ + " is of a newer form (" + std::to_string(form_of(*there)) + ") and is left alone");
+        throw std::runtime_error("keepsake: " + path_ + " is of a newer form (" +
+                                 std::to_string(form_of(*there)) + ") and is left alone");
     const int file = disk_->create(aside);
     try {
         for (std::string_view left = bytes; !left.empty(); left.remove_prefix(std::min(kPiece, left.size())))
--- a/src/keepsake/shelf.hpp
+++ b/src/keepsake/shelf.hpp
@@ -12,12 +12,13 @@
 
 class Shelf {
   public:
-    // folder/name.keep, with name.keep.before beside it. The folder must be there; the disk outlives the shelf.
+    // folder/name.keep, with name.keep.before beside it. The folder must be there; the disk outlives the
+    // shelf.
     Shelf(std::string folder, const std::string& name, Disk& disk = system_disk());
 
-    // Writes aside, syncs, puts it in the place of the one before, syncs the folder: whatever happens in between, a
-    // reader finds a whole file. Blocks as long as the disk does. Throws std::runtime_error, also where a file of a
-    // newer form lies there: that is left alone.
+    // Writes aside, syncs, puts it in the place of the one before, syncs the folder: whatever happens in
+    // between, a reader finds a whole file. Blocks as long as the disk does. Throws std::runtime_error, also
+    // where a file of a newer form lies there: that is left alone.
     void put(const std::string& bytes) const;
 
     struct Found {
--- a/src/keepsake/show.hpp
+++ b/src/keepsake/show.hpp
@@ -9,6 +9,7 @@
 namespace gannethold::keepsake {
 
 // 0: it is whole; 1: it cannot be read, which is said on `wrong`. verify prints one line only.
-int show(const std::string& path, bool verify_only, const Prudence& prudence, std::ostream& out, std::ostream& wrong);
+int show(const std::string& path, bool verify_only, const Prudence& prudence, std::ostream& out,
+         std::ostream& wrong);
 
 }  // namespace gannethold::keepsake
--- a/src/ledger.hpp
+++ b/src/ledger.hpp
@@ -35,7 +35,8 @@
         importance = orders.number(at + "importance", 1);
         tardy = orders.number(at + "tardy_importance", 0);
         stretch = orders.number(at + "aim_stretch", orders.number_in("trade.class_stretch", place, 0));
-        kind = static_cast<int>(orders.number(at + "machine_kind", orders.number_in("trade.class_kind", place, -1)));
+        kind = static_cast<int>(
+            orders.number(at + "machine_kind", orders.number_in("trade.class_kind", place, -1)));
     }
 
     bool repeats_anywhere() const {
@@ -57,9 +58,10 @@
     Micros least_late = -1;  // what a first try's age looks like, where a try has less than the expiry
     double typical() const { return latency.mean(1) * static_cast<double>(due); }
 
-    // All of them by other orders. What was learned goes along where it still says the same: it is kept over the due time.
-    static std::vector<Workload> restated(const std::vector<Workload>& before, const Stated& orders, std::size_t count,
-                                          const std::vector<WorkloadId>& learn_from) {
+    // All of them by other orders. What was learned goes along where it still says the same: it is kept over
+    // the due time.
+    static std::vector<Workload> restated(const std::vector<Workload>& before, const Stated& orders,
+                                          std::size_t count, const std::vector<WorkloadId>& learn_from) {
         std::vector<Workload> all;
         for (std::size_t i = 0; i < count; ++i) {
             Workload& w = all.emplace_back(orders, i);
@@ -98,7 +100,7 @@
 struct Task {
     TaskArrived asked;
     Micros born = 0, due = 0, latest_start = 0, last_hope = 0, stay_away = 0, ask_after = 0;
-    Micros spare_from = 0;  // from here on too late to be in time: it takes only what others leave
+    Micros spare_from = 0;       // from here on too late to be in time: it takes only what others leave
     double cost = 0, worth = 0;  // cost: microseconds that a typical runner takes
     std::vector<Leg> legs;
     std::optional<RunnerId> drawn;
@@ -155,8 +157,8 @@
     bool unlisted = false;                  // called gone, or left out of a list, where that does not bind
     bool sampled = false, stirred = false;  // has samples of its own; has new ones
     bool doubted = false;                   // a connection to it broke, and it has not answered since
-    bool told_of = false;                   // what is believed of it was handed on, and not contradicted so far
-    int contradictions = 0;                 // by live samples in a row
+    bool told_of = false;    // what is believed of it was handed on, and not contradicted so far
+    int contradictions = 0;  // by live samples in a row
     float blame = 0, busy = 0;
     double fraction = 0, smoothed = 1, least = 0;
     Histogram latency;  // over the cost
@@ -196,7 +198,8 @@
 struct Kind {
     Histogram latency;
     bool stirred = false;
-    double smoothed = 1, weight = 0, slots = 0;  // slots: as reports tell them or begins show, 0 before any has
+    double smoothed = 1, weight = 0,
+           slots = 0;  // slots: as reports tell them or begins show, 0 before any has
 
     void add(double value) {
         latency.add(value);
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,6 +1,6 @@
-// Lines for the operators: a level filter over an output stream, and a bound on lines a second. In plain form a
-// line is a sentence; in JSON form it is one object with time, level, what (the same sentence), and by themselves
-// the values that were named:
+// Lines for the operators: a level filter over an output stream, and a bound on lines a second. In plain form
+// a line is a sentence; in JSON form it is one object with time, level, what (the same sentence), and by
+// themselves the values that were named:
 //
 //   log.info(now, "reload: ", log::as("setting", name), " differs, and needs a restart");
 #pragma once
--- a/src/lore.hpp
+++ b/src/lore.hpp
@@ -1,5 +1,5 @@
-// What a dispatcher has learned and may hand on to the one after it: plain beliefs, nothing that would make it think
-// a runner ready, warm or well.
+// What a dispatcher has learned and may hand on to the one after it: plain beliefs, nothing that would make
+// it think a runner ready, warm or well.
 #pragma once
 
 #include <cstddef>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,7 +30,8 @@
     return posting.memory_mb * 1024 * 1024 / 2 / net::BlockPool::kBytes;
 }
 
-// What the platform says in the environment beside the configuration. Throws std::runtime_error with one line.
+// What the platform says in the environment beside the configuration. Throws std::runtime_error with one
+// line.
 void heed_environment(dispatcher::Posting& posting) {
     if (const char* const at = std::getenv("RELAY_ADMIN"); at && *at && !posting.window) {
         posting.window = net::Address::read(at);
@@ -39,7 +40,8 @@
     if (const char* const door = std::getenv("RELAY_ACCEPT_FD"); door && *door) {
         int descriptor = -1;
         const char* const end = door + std::strlen(door);
-        if (const auto [read, wrong] = std::from_chars(door, end, descriptor); wrong != std::errc() || read != end || descriptor < 0)
+        if (const auto [read, wrong] = std::from_chars(door, end, descriptor);
+            wrong != std::errc() || read != end || descriptor < 0)
             throw std::runtime_error(std::string("RELAY_ACCEPT_FD is no descriptor: ") + door);
         posting.inherited = descriptor;
         if (const char* const folder = std::getenv("TMPDIR"); folder && *folder) posting.heirloom = folder;
@@ -111,7 +113,9 @@
             if (std::strcmp(words[1], name) == 0) {
                 const std::string self(words[0]);
                 const auto slash = self.rfind('/');
-                const std::string other = (slash == std::string::npos ? "" : self.substr(0, slash + 1)) + "gannethold-" + (std::strcmp(name, "waiting") == 0 ? "explain" : name);
+                const std::string other = (slash == std::string::npos ? "" : self.substr(0, slash + 1)) +
+                                          "gannethold-" +
+                                          (std::strcmp(name, "waiting") == 0 ? "explain" : name);
                 std::vector<char*> with(words + 1, words + count);
                 std::string only = "--what=waiting";
                 if (std::strcmp(name, "waiting") == 0) with.push_back(only.data());
@@ -121,14 +125,15 @@
                 return kUsage;
             }
 
-    std::string command, operators_path, in_force, path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "",
-                                         level = "info";
+    std::string command, operators_path, in_force,
+        path = std::getenv("RELAY_CONFIG") ? std::getenv("RELAY_CONFIG") : "", level = "info";
     control::Errand errand;
     options::options_description shown("Options");
     shown.add_options()("help,h", "say this")("configuration,c", options::value(&path),
                                               "the configuration, as JSON (default: $RELAY_CONFIG)")(
         "operator,o", options::value(&operators_path), "the operators' own file, as TOML (default: none)")(
-        "in-force", options::value(&in_force), "check: refuse all that SIGHUP refuses where that file is in force")(
+        "in-force", options::value(&in_force),
+        "check: refuse all that SIGHUP refuses where that file is in force")(
         "log-level,l", options::value(&level), "least level that is logged: debug, info, warning or error");
     options::options_description asked("To a running dispatcher");
     asked.add_options()("socket,s", options::value(&errand.socket),
@@ -148,21 +153,24 @@
     all.add_options()("file", options::value(&file));
     places.add("command", 1).add("argument", 1).add("file", 1);
     const auto explain = [&](std::ostream& out) -> std::ostream& {
-        return out << "Usage: gannethold COMMAND [options]\n\n"
-                      "  serve    take tasks and push them to runners, until SIGTERM; SIGHUP reloads\n"
-                      "  check    read the configuration and say whether it can be served\n"
-                      "  version  say the version\n\n"
-                      "  status, runners, tasks, failures   what a running dispatcher holds\n"
-                      "  drain    answer all that it has by a deadline, and take nothing after\n"
-                      "  undrain  take that back\n"
-                      "  hold RUNNER, release RUNNER        send nothing new there, and again\n"
-                      "  kick JOB  let a job that may have run run again (gannethold status shows how many there are)\n"
-                      "  follow   what changes, as it changes\n"
-                      "  keepsake show|verify FILE          what is kept over a restart, and what of it is believed now\n\n"
-                   << shown << '\n'
-                   << asked
-                   << "\nExit status of what is asked of a running dispatcher: 0 done, 2 wrong use, 3 refused, "
-                      "4 nobody there,\n5 (drain --wait) the drain was undone, 130 interrupted.\n";
+        return out
+               << "Usage: gannethold COMMAND [options]\n\n"
+                  "  serve    take tasks and push them to runners, until SIGTERM; SIGHUP reloads\n"
+                  "  check    read the configuration and say whether it can be served\n"
+                  "  version  say the version\n\n"
+                  "  status, runners, tasks, failures   what a running dispatcher holds\n"
+                  "  drain    answer all that it has by a deadline, and take nothing after\n"
+                  "  undrain  take that back\n"
+                  "  hold RUNNER, release RUNNER        send nothing new there, and again\n"
+                  "  kick JOB  let a job that may have run run again (gannethold status shows how many there "
+                  "are)\n"
+                  "  follow   what changes, as it changes\n"
+                  "  keepsake show|verify FILE          what is kept over a restart, and what of it is "
+                  "believed now\n\n"
+               << shown << '\n'
+               << asked
+               << "\nExit status of what is asked of a running dispatcher: 0 done, 2 wrong use, 3 refused, "
+                  "4 nobody there,\n5 (drain --wait) the drain was undone, 130 interrupted.\n";
     };
     try {
         options::variables_map given;
@@ -179,14 +187,16 @@
             if (given.contains("deadline")) errand.deadline_s = given["deadline"].as<double>();
             if (given.contains("ticket")) errand.ticket = given["ticket"].as<std::uint64_t>();
             if (given.contains("after")) errand.after = given["after"].as<std::uint64_t>();
-            if (errand.socket.empty()) errand.socket = house::HouseRules::read_file(operators_path).control.path;
+            if (errand.socket.empty())
+                errand.socket = house::HouseRules::read_file(operators_path).control.path;
             return control::run(errand);
         }
         if (command == "keepsake") {
             if ((errand.argument != "show" && errand.argument != "verify") || file.empty())
                 throw options::error("keepsake needs show or verify, and a file");
             return keepsake::show(file, errand.argument == "verify",
-                                  house::HouseRules::read_file(operators_path).keepsake.prudence, std::cout, std::cerr);
+                                  house::HouseRules::read_file(operators_path).keepsake.prudence, std::cout,
+                                  std::cerr);
         }
         if (command != "serve" && command != "check")
             throw options::error(command.empty() ? "no command given" : "no such command: " + command);
--- a/src/net/block_pool.hpp
+++ b/src/net/block_pool.hpp
@@ -20,7 +20,9 @@
     BlockPool(const BlockPool&) = delete;
     BlockPool& operator=(const BlockPool&) = delete;
 
-    void bound(std::size_t most) { most_ = most; }  // from now on; what is out beyond it comes back in its time
+    void bound(std::size_t most) {
+        most_ = most;
+    }              // from now on; what is out beyond it comes back in its time
     char* take();  // nullptr once all are out
     void give_back(char* block);
     std::size_t out() const { return out_; }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -95,7 +95,8 @@
 
 void Connection::abort() {
     const linger at_once{1, 0};
-    if (stream_) setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    if (stream_)
+        setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     close();
 }
 
@@ -103,7 +104,9 @@
     return stream_ && evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
 }
 
-std::size_t Connection::unsent_bytes() const { return stream_ ? evbuffer_get_length(bufferevent_get_output(stream_.get())) : 0; }
+std::size_t Connection::unsent_bytes() const {
+    return stream_ ? evbuffer_get_length(bufferevent_get_output(stream_.get())) : 0;
+}
 
 bool Connection::stale() const {
     char next;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -31,13 +31,15 @@
     constexpr unsigned kManner = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
     if (door.inherited) {
         if (!listens(*door.inherited))
-            throw std::runtime_error("descriptor " + std::to_string(*door.inherited) + " was handed down and is no listening socket");
+            throw std::runtime_error("descriptor " + std::to_string(*door.inherited) +
+                                     " was handed down and is no listening socket");
         // Two processes are woken for one connection, and the second must not wait in accept.
         evutil_make_socket_nonblocking(*door.inherited);
         evutil_make_socket_closeonexec(*door.inherited);
         socket_.reset(evconnlistener_new(loop.base(), take, this, kManner, 0, *door.inherited));
     } else {
-        socket_.reset(evconnlistener_new_bind(loop.base(), take, this, kManner, kBacklog, door.at.get(), static_cast<int>(door.at.length)));
+        socket_.reset(evconnlistener_new_bind(loop.base(), take, this, kManner, kBacklog, door.at.get(),
+                                              static_cast<int>(door.at.length)));
     }
     if (!socket_) throw std::runtime_error("cannot listen on " + door.at.text);
     sockaddr_storage where{};
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -13,7 +13,8 @@
 
 namespace gannethold::net {
 
-// Where clients come: an address of our own to bind, or a listening socket that was handed down and others have too.
+// Where clients come: an address of our own to bind, or a listening socket that was handed down and others
+// have too.
 struct Door {
     Door(const Address& bound, std::optional<int> handed_down = {}) : at(bound), inherited(handed_down) {}
     Address at;
--- a/src/orders/terms.cpp
+++ b/src/orders/terms.cpp
@@ -9,7 +9,8 @@
 
 const std::string kWorkloads = "workloads.";
 // Lists over the workloads by their order; beside a workload that has a clause of its own they do not count.
-const std::pair<const char*, const char*> kLists[] = {{"trade.class_stretch", "aim_stretch"}, {"trade.class_kind", "machine_kind"}};
+const std::pair<const char*, const char*> kLists[] = {{"trade.class_stretch", "aim_stretch"},
+                                                      {"trade.class_kind", "machine_kind"}};
 
 std::size_t count_in(const StatedOrders& stated) {
     return static_cast<std::size_t>(std::clamp(Stated(stated).number("workloads.count", 0), 0.0, 1e4));
@@ -25,7 +26,8 @@
     // The order in the file is no term: the same workload may stand elsewhere in the next.
     for (const auto& [list, clause] : kLists) {
         const auto items = Stated(stated).words(list);
-        if (!items.empty() && !clauses.contains(clause)) clauses[clause] = items[std::min(n, items.size() - 1)];
+        if (!items.empty() && !clauses.contains(clause))
+            clauses[clause] = items[std::min(n, items.size() - 1)];
     }
     return clauses;
 }
@@ -33,11 +35,13 @@
 StatedOrders Terms::spell(const StatedOrders& rest, const std::vector<Place>& places) {
     StatedOrders stated;
     for (const auto& [name, value] : rest)
-        if (!name.starts_with(kWorkloads) && std::none_of(std::begin(kLists), std::end(kLists), [&](const auto& l) { return name == l.first; }))
+        if (!name.starts_with(kWorkloads) && std::none_of(std::begin(kLists), std::end(kLists),
+                                                          [&](const auto& l) { return name == l.first; }))
             stated.emplace(name, value);
     stated[kWorkloads + "count"] = std::to_string(places.size());
     for (std::size_t i = 0; i < places.size(); ++i)
-        for (const auto& [clause, value] : places[i].clauses) stated[kWorkloads + std::to_string(i) + "." + clause] = value;
+        for (const auto& [clause, value] : places[i].clauses)
+            stated[kWorkloads + std::to_string(i) + "." + clause] = value;
     return stated;
 }
 
@@ -70,14 +74,19 @@
     for (std::size_t i = 0; i < count_in(fresh); ++i) {
         Clauses clauses = clauses_of(fresh, i);
         const std::string name = clauses["name"];
-        const auto before = std::find_if(places_.begin(), places_.end(), [&](WorkloadId p) { return name_of(p) == name; });
+        const auto before =
+            std::find_if(places_.begin(), places_.end(), [&](WorkloadId p) { return name_of(p) == name; });
         // The same terms may stand in a place at rest: a workload that comes back is the one it was.
         std::size_t at = 0;
         while (at < all.size() && (all[at].foreign || all[at].in_force || all[at].clauses != clauses)) ++at;
         if (at == all.size())
             for (at = 0; at < all.size(); ++at)
-                if (!all[at].foreign && !all[at].in_force && now - all[at].left_at >= kRest && !open(static_cast<WorkloadId>(at))) break;
-        if (at == kMost) throw std::runtime_error("more than " + std::to_string(kMost) + " workloads are open, with those of earlier configurations");
+                if (!all[at].foreign && !all[at].in_force && now - all[at].left_at >= kRest &&
+                    !open(static_cast<WorkloadId>(at)))
+                    break;
+        if (at == kMost)
+            throw std::runtime_error("more than " + std::to_string(kMost) +
+                                     " workloads are open, with those of earlier configurations");
         if (at == all.size()) all.emplace_back(), change.learn_from.push_back(static_cast<WorkloadId>(at));
         if (all[at].clauses != clauses) {
             // Nothing that another workload taught belongs to this one.
--- a/src/orders/terms.hpp
+++ b/src/orders/terms.hpp
@@ -1,7 +1,8 @@
 // The terms of the workloads over changes of the orders in service. No I/O and no clock: times are passed in.
 //
-// A task keeps the terms under which it was taken. So a workload whose terms change gets another place in the decision
-// module, and the old place goes on for what is open there; it is used again once nothing is, and some time has passed.
+// A task keeps the terms under which it was taken. So a workload whose terms change gets another place in the
+// decision module, and the old place goes on for what is open there; it is used again once nothing is, and
+// some time has passed.
 #pragma once
 
 #include <cstddef>
@@ -18,11 +19,12 @@
 class Terms {
   public:
     static constexpr std::size_t kMost = 256;  // places, open ones and those at rest
-    // What is under way between a request's head and its task is no task yet, so a place rests for so long at least.
+    // What is under way between a request's head and its task is no task yet, so a place rests for so long at
+    // least.
     static constexpr Micros kRest = 10'000'000;
 
-    // configured: how many workloads, from the first on, the configuration names; those behind it belong to other fronts
-    // and stay as they are.
+    // configured: how many workloads, from the first on, the configuration names; those behind it belong to
+    // other fronts and stay as they are.
     Terms(const StatedOrders& stated, std::size_t configured);
 
     // What the module goes by: every place that is open or at rest with its terms.
@@ -33,7 +35,7 @@
 
     struct Change {
         std::vector<std::string> added, dropped, changed;  // names
-        std::vector<WorkloadId> learn_from;                // for each place, the one whose learning it takes over
+        std::vector<WorkloadId> learn_from;  // for each place, the one whose learning it takes over
     };
     using Open = std::function<bool(WorkloadId)>;
     // All or nothing: throws std::runtime_error, with everything as it was, where no place is left.
--- a/src/queue/job_queue.cpp
+++ b/src/queue/job_queue.cpp
@@ -71,8 +71,8 @@
     return true;
 }
 
-std::optional<JobId> JobQueue::put(Micros now, TubeId tube, std::uint32_t priority, Micros delay, Micros time_to_run,
-                                   std::string&& body) {
+std::optional<JobId> JobQueue::put(Micros now, TubeId tube, std::uint32_t priority, Micros delay,
+                                   Micros time_to_run, std::string&& body) {
     const std::size_t weight = body.size() + kEach;
     if (jobs_.size() >= bounds_.jobs || bytes_ + weight > bounds_.bytes) return std::nullopt;
     const JobId id = next_id();
@@ -170,7 +170,8 @@
         Tube& t = at(id);
         bool stirs = false;
         if (t.paused_until > 0 && t.paused_until <= now) t.paused_until = t.pause = 0, stirs = true;
-        for (Job* job; (job = t.delayed.first()) && job->due <= now && most > 0; --most) make_ready(*job), stirs = true;
+        for (Job* job; (job = t.delayed.first()) && job->due <= now && most > 0; --most)
+            make_ready(*job), stirs = true;
         if (stirs) stirred.push_back(id);
         for (const Micros at : {t.paused_until, t.delayed.first() ? t.delayed.first()->due : 0})
             if (at > 0 && (next == 0 || at < next)) next = at;
--- a/src/queue/job_queue.hpp
+++ b/src/queue/job_queue.hpp
@@ -1,6 +1,6 @@
-// Jobs that wait longer than a client would: ready ones by priority and age in their tubes, delayed ones by when they
-// are due, buried ones until somebody kicks them. Bounded in count and bytes. No I/O and no clock: times are passed in,
-// in microseconds. What is handed out has left the order and is only remembered here.
+// Jobs that wait longer than a client would: ready ones by priority and age in their tubes, delayed ones by
+// when they are due, buried ones until somebody kicks them. Bounded in count and bytes. No I/O and no clock:
+// times are passed in, in microseconds. What is handed out has left the order and is only remembered here.
 #pragma once
 
 #include <cstdint>
@@ -24,7 +24,7 @@
     std::uint64_t rank = 0;  // in the heap that it is in; the id settles a tie, so age does
     std::string body;
     Micros put_at = 0, due = 0, delay = 0, time_to_run = 0;
-    TaskId task{};           // while it is handed out
+    TaskId task{};  // while it is handed out
     TubeId tube{};
     std::uint32_t priority = 0, place = 0;
     std::uint32_t reserves = 0, timeouts = 0, releases = 0, buries = 0, kicks = 0;
@@ -41,7 +41,9 @@
     std::size_t size() const { return jobs_.size(); }
 
   private:
-    static bool before(const Job& a, const Job& b) { return a.rank != b.rank ? a.rank < b.rank : a.id < b.id; }
+    static bool before(const Job& a, const Job& b) {
+        return a.rank != b.rank ? a.rank < b.rank : a.id < b.id;
+    }
     void settle(std::size_t place);
     void put(std::size_t place, Job* job);
 
@@ -51,12 +53,14 @@
 struct Tube {
     std::string name;
     JobHeap ready, delayed, buried;
-    JobHeap withheld;  // buried, and may have run: not for everybody to kick
+    JobHeap withheld;                               // buried, and may have run: not for everybody to kick
     std::size_t handed = 0, urgent = 0, users = 0;  // users: whoever uses or watches it
     std::uint64_t total = 0, deleted = 0, pauses = 0;
     Micros pause = 0, paused_until = 0;
 
-    std::size_t jobs() const { return ready.size() + delayed.size() + buried.size() + withheld.size() + handed; }
+    std::size_t jobs() const {
+        return ready.size() + delayed.size() + buried.size() + withheld.size() + handed;
+    }
 };
 
 struct Bounds {
@@ -70,7 +74,9 @@
     // A tube by its name, made where there is none; none: there are as many as there may be.
     std::optional<TubeId> tube(const std::string& name);
     std::optional<TubeId> find_tube(const std::string& name) const;
-    bool has(TubeId tube) const { return static_cast<std::size_t>(tube) < tubes_.size() && tubes_[static_cast<std::size_t>(tube)]; }
+    bool has(TubeId tube) const {
+        return static_cast<std::size_t>(tube) < tubes_.size() && tubes_[static_cast<std::size_t>(tube)];
+    }
     Tube& at(TubeId tube) { return *tubes_[static_cast<std::size_t>(tube)]; }
     const Tube& at(TubeId tube) const { return *tubes_[static_cast<std::size_t>(tube)]; }
     void used(TubeId tube) { ++at(tube).users; }
@@ -82,7 +88,8 @@
     }
 
     // Takes a job; none: over the bounds.
-    std::optional<JobId> put(Micros now, TubeId tube, std::uint32_t priority, Micros delay, Micros time_to_run, std::string&& body);
+    std::optional<JobId> put(Micros now, TubeId tube, std::uint32_t priority, Micros delay,
+                             Micros time_to_run, std::string&& body);
     JobId next_id() { return JobId{++last_}; }  // for what is handed out without having been put
     Job* find(JobId id);
 
@@ -93,8 +100,8 @@
     void bury(Job& job);
     bool remove(Job& job);  // the reference is not good after; true where its tube is gone with it
     void pause(TubeId tube, Micros now, Micros by);
-    // What was delayed and is due becomes ready, at most so many in one go against a burst that holds up a loop; returns
-    // when something changes next, now if there is more, 0 if nothing does by itself.
+    // What was delayed and is due becomes ready, at most so many in one go against a burst that holds up a
+    // loop; returns when something changes next, now if there is more, 0 if nothing does by itself.
     Micros pass(Micros now, std::size_t most, std::vector<TubeId>& stirred);
 
     std::size_t size() const { return jobs_.size(); }
--- a/src/roster/book.cpp
+++ b/src/roster/book.cpp
@@ -33,7 +33,8 @@
 
 RosterEntry Book::guest(const std::string& name, const std::string& kind, const std::string& zone) {
     RosterEntry e;
-    const auto known = std::find_if(names_.begin(), names_.end(), [&](const auto& one) { return one.second == name; });
+    const auto known =
+        std::find_if(names_.begin(), names_.end(), [&](const auto& one) { return one.second == name; });
     e.runner = known == names_.end() ? number_for(name) : known->first;
     e.zone = place_in<ZoneId>(zones_, zone), e.kind = place_in<KindId>(kinds_, kind);
     return e;
@@ -52,8 +53,9 @@
     const Entry& e = held.entry;
     const RunnerState state = e.state.value_or(RunnerState::gone);
     News news{{RosterScope::changes, version_, {}}, {}};
-    news.for_module.entries.push_back({held.runner, place_in<ZoneId>(zones_, e.zone), place_in<KindId>(kinds_, e.kind),
-                                       GroupId{e.group}, state, e.share, held.started_at});
+    news.for_module.entries.push_back({held.runner, place_in<ZoneId>(zones_, e.zone),
+                                       place_in<KindId>(kinds_, e.kind), GroupId{e.group}, state, e.share,
+                                       held.started_at});
     if (e.address) news.seats.push_back({held.runner, *e.address, state == RunnerState::ready, false});
     return news;
 }
@@ -97,7 +99,8 @@
     for (auto& [id, held] : held_) {
         if (listed.contains(id) || held.entry.state == RunnerState::gone) continue;
         held.entry.state = RunnerState::gone;
-        if (held.entry.address && gone_binds_) news.seats.push_back({held.runner, *held.entry.address, false, false});
+        if (held.entry.address && gone_binds_)
+            news.seats.push_back({held.runner, *held.entry.address, false, false});
     }
     return news;
 }
--- a/src/roster/book.hpp
+++ b/src/roster/book.hpp
@@ -12,9 +12,10 @@
 
 class Book {
   public:
-    // gone_binds: whether connections to a runner that is called gone, or left out, are given up. Where they are not, the
-    // module goes on by the runner's own answers.
-    Book(std::vector<std::string> zones, std::vector<std::string> kinds, log::Log& log, bool gone_binds = true)
+    // gone_binds: whether connections to a runner that is called gone, or left out, are given up. Where they
+    // are not, the module goes on by the runner's own answers.
+    Book(std::vector<std::string> zones, std::vector<std::string> kinds, log::Log& log,
+         bool gone_binds = true)
         : zones_(std::move(zones)), kinds_(std::move(kinds)), log_(log), gone_binds_(gone_binds) {}
 
     struct Seat {
@@ -35,7 +36,8 @@
     std::uint32_t version() const { return version_; }
     // From where to follow: from the beginning once discovery and this book have come apart.
     std::uint32_t since() const { return apart_ ? 0 : version_; }
-    // Against another discovery that counts its versions otherwise: nothing it says is older than what is held.
+    // Against another discovery that counts its versions otherwise: nothing it says is older than what is
+    // held.
     void count_anew() { version_ = 0, apart_ = false; }
     bool empty() const { return held_.empty(); }
     // All that is held, for another dispatcher.
--- a/src/roster/guests.hpp
+++ b/src/roster/guests.hpp
@@ -1,5 +1,5 @@
-// Runners that no list names: workers that have connected and ask for tasks. An overlay over what discovery says, like
-// the operators' holds. Names are given out again once their last bearer has gone. No I/O.
+// Runners that no list names: workers that have connected and ask for tasks. An overlay over what discovery
+// says, like the operators' holds. Names are given out again once their last bearer has gone. No I/O.
 #pragma once
 
 #include <map>
@@ -13,7 +13,8 @@
 class Guests {
   public:
     // Who has just come; its entry for the module.
-    RosterEntry joins(Book& book, const std::string& kind, const std::string& zone, const Serves& serves, Micros started_at) {
+    RosterEntry joins(Book& book, const std::string& kind, const std::string& zone, const Serves& serves,
+                      Micros started_at) {
         std::size_t n = 1;
         while (numbers_.contains(n)) ++n;
         const std::string name = "worker-" + std::to_string(n);
@@ -40,13 +41,15 @@
 
     // As the module is to hear it: a held one drains.
     RosterNews news(RosterEntry entry, const Holds& holds, const Book& book) const {
-        if (entry.state == RunnerState::ready && holds.has(book.name_of(entry.runner))) entry.state = RunnerState::draining;
+        if (entry.state == RunnerState::ready && holds.has(book.name_of(entry.runner)))
+            entry.state = RunnerState::draining;
         return {RosterScope::guests, book.version(), {entry}};
     }
     // A list that says all says nothing of guests: they stay.
     void lay_over(RosterNews& news, const Holds& holds, const Book& book) const {
         if (news.scope == RosterScope::changes) return;
-        for (const auto& [id, entry] : entries_) news.entries.push_back(this->news(entry, holds, book).entries.front());
+        for (const auto& [id, entry] : entries_)
+            news.entries.push_back(this->news(entry, holds, book).entries.front());
     }
 
   private:
--- a/src/roster/holds.hpp
+++ b/src/roster/holds.hpp
@@ -1,5 +1,5 @@
-// Runners that the operators hold back: an overlay over what discovery says. For the module a held runner drains,
-// whatever the list says of it; who is released is again what the list says. No I/O.
+// Runners that the operators hold back: an overlay over what discovery says. For the module a held runner
+// drains, whatever the list says of it; who is released is again what the list says. No I/O.
 #pragma once
 
 #include <map>
--- a/src/runners/links.cpp
+++ b/src/runners/links.cpp
@@ -94,7 +94,8 @@
 
 void Links::restate(const Upkeep& upkeep) {
     upkeep_ = upkeep;
-    while (links_.size() - ended_.size() > upkeep_.most_links && close_an_idle_one()) {}
+    while (links_.size() - ended_.size() > upkeep_.most_links && close_an_idle_one()) {
+    }
 }
 
 Link* Links::open_link(RunnerId runner, Place& place) {
--- a/src/runners/port.hpp
+++ b/src/runners/port.hpp
@@ -1,4 +1,5 @@
-// The ways by which assignments reach runners: one that is spoken to is pushed them, one that asks is handed them.
+// The ways by which assignments reach runners: one that is spoken to is pushed them, one that asks is handed
+// them.
 #pragma once
 
 #include <string>
@@ -14,7 +15,7 @@
     TaskId task{};
     int number = 0;
     std::string request_id;
-    std::string head;                   // of the request over HTTP, without the time it has and the empty line
+    std::string head;  // of the request over HTTP, without the time it has and the empty line
     const net::Blocks* body = nullptr;  // kept by the sender until the errand has ended
     Micros stop_at = 0;
 };
--- a/src/shadow/shadow.cpp
+++ b/src/shadow/shadow.cpp
@@ -31,14 +31,16 @@
             if (const auto* w = std::get_if<Withdraw>(&action)) withdrawn.emplace(w->task, w->assignment);
             if (const auto* p = std::get_if<Probe>(&action)) probed.insert(p->runner);
             if (const auto* c = std::get_if<CloseIdle>(&action)) closed.insert(c->runner);
-            if (std::holds_alternative<FollowRoster>(action) || std::holds_alternative<AskRoster>(action)) called.insert(0);
+            if (std::holds_alternative<FollowRoster>(action) || std::holds_alternative<AskRoster>(action))
+                called.insert(0);
         }
     }
 };
 
 template <class Set>
 void count_unlike(const Set& a, const Set& b, Kind kind, Counts& counts) {
-    for (const auto& item : a) ++counts.decisions, counts.differ[static_cast<std::size_t>(kind)] += !b.contains(item);
+    for (const auto& item : a)
+        ++counts.decisions, counts.differ[static_cast<std::size_t>(kind)] += !b.contains(item);
     for (const auto& item : b)
         if (!a.contains(item)) ++counts.decisions, ++counts.differ[static_cast<std::size_t>(kind)];
 }
@@ -60,7 +62,8 @@
         const auto named = places.find(Stated(in_force).word(at + "name", ""));
         const StatedOrders& from = named == places.end() ? in_force : other;
         const std::string from_at = named == places.end() ? at : named->second;
-        for (auto clause = from.lower_bound(from_at); clause != from.end() && clause->first.starts_with(from_at); ++clause)
+        for (auto clause = from.lower_bound(from_at);
+             clause != from.end() && clause->first.starts_with(from_at); ++clause)
             all[at + clause->first.substr(from_at.size())] = clause->second;
     }
     return all;
@@ -68,7 +71,9 @@
 
 void compare(const std::vector<Action>& done, const std::vector<Action>& other, Counts& counts) {
     const Decided a(done), b(other);
-    const auto answered = [](const Decided& d, TaskId task) { return d.bounced.contains(task) || d.abandoned.contains(task); };
+    const auto answered = [](const Decided& d, TaskId task) {
+        return d.bounced.contains(task) || d.abandoned.contains(task);
+    };
     for (const auto& [task, runner] : a.sent) {
         ++counts.decisions;
         const auto there = b.sent.find(task);
--- a/src/shadow/shadow.hpp
+++ b/src/shadow/shadow.hpp
@@ -1,8 +1,10 @@
-// Watches what other settings would decide, beside those in force. Pure: no I/O and no clock; times are passed in.
+// Watches what other settings would decide, beside those in force. Pure: no I/O and no clock; times are
+// passed in.
 //
-// In one turn of so many a copy of the module takes the other settings, hears the same events, and what it wants is
-// compared with what was done; then it is thrown away. So nothing of it reaches the module in force, and each sampled
-// turn starts from what that one has learned. What only builds up under the other settings is not seen.
+// In one turn of so many a copy of the module takes the other settings, hears the same events, and what it
+// wants is compared with what was done; then it is thrown away. So nothing of it reaches the module in force,
+// and each sampled turn starts from what that one has learned. What only builds up under the other settings
+// is not seen.
 //
 //   shadow.begin(now, choice);        before the first event of a turn
 //   shadow.note(now, event);          each event, as the module hears it
@@ -19,16 +21,17 @@
 namespace gannethold::shadow {
 
 enum class Kind { runner, held_or_sent, bounced, abandoned, withdrawn, probe, list_call, connection_closed };
-inline constexpr std::array<const char*, 8> kNames{"another runner", "held or sent", "bounced", "abandoned",
-                                                   "withdrawn", "probe", "call for the list", "connection closed"};
+inline constexpr std::array<const char*, 8> kNames{"another runner",    "held or sent",     "bounced",
+                                                   "abandoned",         "withdrawn",        "probe",
+                                                   "call for the list", "connection closed"};
 
 struct Counts {
     std::uint64_t turns = 0, decisions = 0;  // sampled; a decision is one that either of the two took
     std::array<std::uint64_t, kNames.size()> differ{};
 };
 
-// The other settings for the workloads in force: a workload of the same name goes by its terms there, one that is not
-// named there keeps those that it has. Both as orders::Terms::stated() spells them.
+// The other settings for the workloads in force: a workload of the same name goes by its terms there, one
+// that is not named there keeps those that it has. Both as orders::Terms::stated() spells them.
 StatedOrders laid_over(const StatedOrders& in_force, const StatedOrders& other);
 
 // What differs between what was done in a turn and what the other would have done; adds to the counts.
@@ -40,9 +43,10 @@
     explicit Shadow(StatedOrders other, int every) : other_(std::move(other)), every_(every) {}
 
     void restate(StatedOrders other) { other_ = std::move(other); }
-    // Whether there is time for it is for the caller to say; a turn that is due and left out is not made up for.
+    // Whether there is time for it is for the caller to say; a turn that is due and left out is not made up
+    // for.
     void begin(Micros now, const Choice& choice, bool has_time = true);
-    void skip() { copy_.reset(); }  // the rest of a turn that has begun
+    void skip() { copy_.reset(); }                             // the rest of a turn that has begun
     bool samples_next() const { return turn_ + 1 >= every_; }  // asked before begin()
     bool watching() const { return copy_ != nullptr; }
     void note(Micros now, const Event& event) {
--- a/src/sheets/sheet.cpp
+++ b/src/sheets/sheet.cpp
@@ -38,7 +38,8 @@
                 const std::string name(key.str());
                 if (asked.contains(name)) continue;
                 const std::string near = near_name(name, {asked.begin(), asked.end()});
-                complain(&value, "no such name: " + full(name) + (near.empty() ? "" : "; did you mean " + near + "?"));
+                complain(&value, "no such name: " + full(name) +
+                                     (near.empty() ? "" : "; did you mean " + near + "?"));
             }
         }
         for (const auto& one : inner) one->check_all_asked();
@@ -73,7 +74,8 @@
         held->root = root;
         held->table = root.get();
     } catch (const toml::parse_error& e) {
-        throw SheetError(source + ":" + std::to_string(e.source().begin.line) + ": " + std::string(e.description()));
+        throw SheetError(source + ":" + std::to_string(e.source().begin.line) + ": " +
+                         std::string(e.description()));
     }
     return Sheet(std::move(held));
 }
@@ -139,7 +141,8 @@
     const toml::array* const list = node->as_array();
     if (!list) held_->complain(node, held_->full(name) + " is not a list of texts");
     for (const toml::node& one : *list) {
-        if (!one.is_string()) held_->complain(&one, held_->full(name) + " holds what is not a text in quotes");
+        if (!one.is_string())
+            held_->complain(&one, held_->full(name) + " holds what is not a text in quotes");
         all.push_back(*one.value<std::string>());
     }
     return all;
@@ -171,7 +174,8 @@
     std::vector<Sheet> all;
     if (!node) return all;
     const toml::array* const list = node->as_array();
-    if (!list) held_->complain(node, held_->full(name) + " is not a list of tables, [[" + held_->full(name) + "]]");
+    if (!list)
+        held_->complain(node, held_->full(name) + " is not a list of tables, [[" + held_->full(name) + "]]");
     for (const toml::node& one : *list) {
         if (!one.is_table()) held_->complain(&one, held_->full(name) + " holds what is not a table");
         all.push_back(Sheet(held_->child(one.as_table(), name)));
--- a/src/sheets/sheet.hpp
+++ b/src/sheets/sheet.hpp
@@ -1,6 +1,6 @@
 // A TOML file as its readers need it: each asks for the names that it knows, with the bounds that it accepts,
-// and what is wrong is told with file, line and name. Names that nobody asked for are refused with a near one,
-// against a setting that is misspelt and silently does nothing.
+// and what is wrong is told with file, line and name. Names that nobody asked for are refused with a near
+// one, against a setting that is misspelt and silently does nothing.
 //
 //   Sheet sheet = Sheet::read_file("operator.toml");
 //   auto log = sheet.table("log");
@@ -31,7 +31,8 @@
 
     bool has(const std::string& name) const;
     double number(const std::string& name, double otherwise, double least, double most) const;
-    std::int64_t whole(const std::string& name, std::int64_t otherwise, std::int64_t least, std::int64_t most) const;
+    std::int64_t whole(const std::string& name, std::int64_t otherwise, std::int64_t least,
+                       std::int64_t most) const;
     bool yes(const std::string& name, bool otherwise) const;
     std::string word(const std::string& name, const std::string& otherwise) const;
     std::string one_of(const std::string& name, std::initializer_list<const char*> choices,
--- a/src/simwire/wire.hpp
+++ b/src/simwire/wire.hpp
@@ -43,7 +43,6 @@
 Header read_header(std::string_view bytes, std::size_t stream_at);
 Batch read_batch(const Header& header, std::string_view body, std::size_t stream_at);
 
-
 class ReplyWriter {
   public:
     void instance(InstanceId who);
--- a/src/storms/run_book.cpp
+++ b/src/storms/run_book.cpp
@@ -49,7 +49,8 @@
 
 RunBook::Runs::iterator RunBook::out(const std::string& sign, TaskId task) {
     const auto run = runs_.find(sign);
-    return run != runs_.end() && run->second.state == RunState::out && run->second.task == task ? run : runs_.end();
+    return run != runs_.end() && run->second.state == RunState::out && run->second.task == task ? run
+                                                                                                : runs_.end();
 }
 
 void RunBook::forget(Runs::iterator run) {
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -29,7 +29,13 @@
 using Serves = std::bitset<256>;
 
 enum class RunnerState { ready, draining, gone };
-enum class RosterScope { failed, complete, remembered, changes, guests };  // guests: changes that no list told
+enum class RosterScope {
+    failed,
+    complete,
+    remembered,
+    changes,
+    guests
+};  // guests: changes that no list told
 enum class Outcome { finished, error, full, timed_out, connect_failed, reset, withdrawn, moot };
 enum class Stage { begun, progress };
 
@@ -49,7 +55,7 @@
     bool takes(WorkloadId w) const {
         return static_cast<std::size_t>(w) >= serves.size() || serves[static_cast<std::size_t>(w)];
     }
-    bool pulls = false;     // it asks for tasks: it has room when it says so, and no probe can tell more
+    bool pulls = false;  // it asks for tasks: it has room when it says so, and no probe can tell more
 };
 
 // Load as a runner tells it, in the order of the names in "reports.names".
@@ -119,7 +125,8 @@
     Stage stage{};
 };
 
-// Other orders in service. A workload keeps its place as long as its terms; what is open goes on under those it came by.
+// Other orders in service. A workload keeps its place as long as its terms; what is open goes on under those
+// it came by.
 struct OrdersRestated {
     StatedOrders orders;
     std::vector<WorkloadId> learn_from;  // by place: whose learning it takes over; one that is none: nobody's
--- a/src/window/window.cpp
+++ b/src/window/window.cpp
@@ -17,7 +17,10 @@
     Caller(Window& window, evutil_socket_t socket)
         : window_(window),
           reader_(http::Kind::request, window.loop_.blocks()),
-          limit_(window.loop_, [this] { say({408, "the call came no further\n"}); }),
+          limit_(window.loop_,
+                 [this] {
+                     say({408, "the call came no further\n"});
+                 }),
           connection_(window.loop_, *this, socket) {
         limit_.set(net::Loop::now() + kPatience);
     }
@@ -55,7 +58,8 @@
                     // Only now: half a call is none, whatever it would have asked for.
                     return say(window_.clerk_.heed(call_));
                 case http::Found::fault:
-                    return say({reader_.fault() == http::Fault::out_of_blocks ? 503 : 400, "this cannot be read\n"});
+                    return say(
+                        {reader_.fault() == http::Fault::out_of_blocks ? 503 : 400, "this cannot be read\n"});
             }
         }
     }
@@ -98,8 +102,8 @@
     callers_.back()->place = std::prev(callers_.end());
 }
 
-// Against callers who come and say nothing: who has been answered and only has to close goes first, then whoever came first
-// of those that have not made their call.
+// Against callers who come and say nothing: who has been answered and only has to close goes first, then
+// whoever came first of those that have not made their call.
 void Window::make_room() {
     for (const bool told : {true, false})
         for (const auto& caller : callers_)
--- a/src/window/window.hpp
+++ b/src/window/window.hpp
@@ -1,5 +1,6 @@
-// The second address, at which operators' programs call: HTTP/1.1, one call to a connection. Bounded in callers and
-// in time, so that who says nothing, or half a call, costs neither another caller nor a client anything.
+// The second address, at which operators' programs call: HTTP/1.1, one call to a connection. Bounded in
+// callers and in time, so that who says nothing, or half a call, costs neither another caller nor a client
+// anything.
 #pragma once
 
 #include <list>
--- a/src/window/words.hpp
+++ b/src/window/words.hpp
@@ -1,4 +1,5 @@
-// What operators' programs say at the window and how they are answered; the platform's names end here. No I/O.
+// What operators' programs say at the window and how they are answered; the platform's names end here. No
+// I/O.
 #pragma once
 
 #include <string>
--- a/tests/beanstalk_stories.cpp
+++ b/tests/beanstalk_stories.cpp
@@ -24,9 +24,11 @@
     for (std::string_view piece : pieces) {
         for (Found found; !piece.empty() && (found = reader.read(piece)) != Found::nothing;) {
             const Command& c = reader.command();
-            all += found == Found::command ? std::string(name_of(c.verb)) + " " + std::to_string(c.id) + " " + std::to_string(c.priority) + " " +
-                                                 std::to_string(c.delay_s) + " " + std::to_string(c.run_s) + " " + std::to_string(c.seconds) +
-                                                 " " + std::to_string(c.bound) + " " + c.tube + " [" + c.body + "]"
+            all += found == Found::command
+                       ? std::string(name_of(c.verb)) + " " + std::to_string(c.id) + " " +
+                             std::to_string(c.priority) + " " + std::to_string(c.delay_s) + " " +
+                             std::to_string(c.run_s) + " " + std::to_string(c.seconds) + " " +
+                             std::to_string(c.bound) + " " + c.tube + " [" + c.body + "]"
                    : found == Found::bad_format      ? "BAD_FORMAT"
                    : found == Found::unknown_command ? "UNKNOWN_COMMAND"
                    : found == Found::expected_crlf   ? "EXPECTED_CRLF"
@@ -39,16 +41,23 @@
 
 }  // namespace
 
-// ---- the parser --------------------------------------------------------------------------------------------
+// ---- the parser
+// --------------------------------------------------------------------------------------------
 
 TEST_CASE("the same bytes give the same commands wherever they are cut, faults among them") {
     const std::string bytes =
-        "put 1 2 3 5\r\nhello\r\nreserve\r\nreserve-with-timeout 4\r\ndelete 7\r\nrelease 8 1 2\r\nbury 9 3\r\ntouch 1\r\nwatch a.b-c\r\n"
-        "put 1 2 3 4\r\nhello world\r\nput 1 0 1 40\r\n" + std::string(40, 'x') + "\r\nput 0 0 0 0\r\n\r\npause-tube t 5\r\nnonsense 1 2\r\n"
-        "put 1 1 1 2\r\n\r\n\r\nkick -1\r\n" + std::string(300, 'y') + "\r\nstats-tube " + std::string(201, 'n') + "\r\nput 1 0 1 3\r\na\nb\r\nquit\r\n";
+        "put 1 2 3 5\r\nhello\r\nreserve\r\nreserve-with-timeout 4\r\ndelete 7\r\nrelease 8 1 2\r\nbury 9 "
+        "3\r\ntouch 1\r\nwatch a.b-c\r\n"
+        "put 1 2 3 4\r\nhello world\r\nput 1 0 1 40\r\n" +
+        std::string(40, 'x') +
+        "\r\nput 0 0 0 0\r\n\r\npause-tube t 5\r\nnonsense 1 2\r\n"
+        "put 1 1 1 2\r\n\r\n\r\nkick -1\r\n" +
+        std::string(300, 'y') + "\r\nstats-tube " + std::string(201, 'n') +
+        "\r\nput 1 0 1 3\r\na\nb\r\nquit\r\n";
     const std::string whole = told({bytes});
     CHECK(whole.find("put 0 1 2 3 0 0  [hello]") == 0);
-    CHECK(whole.find("EXPECTED_CRLF\nJOB_TOO_BIG\nput 0 0 0 0 0 0  []\npause-tube 0 0 5 0 0 0 t []\nUNKNOWN_COMMAND\n") != std::string::npos);
+    CHECK(whole.find("EXPECTED_CRLF\nJOB_TOO_BIG\nput 0 0 0 0 0 0  []\npause-tube 0 0 5 0 0 0 t "
+                     "[]\nUNKNOWN_COMMAND\n") != std::string::npos);
     CHECK(whole.find("[\r\n]") != std::string::npos);  // a body may hold line ends
     CHECK(whole.find("[a\nb]\nquit") != std::string::npos);
     CHECK(std::count(whole.begin(), whole.end(), '\n') == 21);
@@ -62,18 +71,43 @@
 }
 
 TEST_CASE("numbers that are negative, huge or none, and names that are none, are refused one by one") {
-    for (const char* const line : {"put -1 0 1 1", "put 4294967296 0 1 1", "put 1 99999999999999999999 1 1", "put 1 0 1 4294967296", "put 1 0 1",
-                                   "put 1 0 1 1 1", "put  1 0 1 1", "delete", "delete -5", "delete 18446744073709551616", "delete 5x", "use",
-                                   "use -a", "use a b", "use a\tb", "watch h\xc3\xa9", "reserve 1", "reserve-with-timeout", "reserve-with-timeout -1",
-                                   "kick x", "pause-tube t", "pause-tube t -1", "stats x", "release 1 2", "bury 1", "touch"})
+    for (const char* const line : {"put -1 0 1 1",
+                                   "put 4294967296 0 1 1",
+                                   "put 1 99999999999999999999 1 1",
+                                   "put 1 0 1 4294967296",
+                                   "put 1 0 1",
+                                   "put 1 0 1 1 1",
+                                   "put  1 0 1 1",
+                                   "delete",
+                                   "delete -5",
+                                   "delete 18446744073709551616",
+                                   "delete 5x",
+                                   "use",
+                                   "use -a",
+                                   "use a b",
+                                   "use a\tb",
+                                   "watch h\xc3\xa9",
+                                   "reserve 1",
+                                   "reserve-with-timeout",
+                                   "reserve-with-timeout -1",
+                                   "kick x",
+                                   "pause-tube t",
+                                   "pause-tube t -1",
+                                   "stats x",
+                                   "release 1 2",
+                                   "bury 1",
+                                   "touch"})
         CHECK_MESSAGE(told({std::string(line) + "\r\n"}) == "BAD_FORMAT\n", line);
     for (const char* const line : {"", " ", "RESERVE", "reserve-", "deletee 1", "\n"})
         CHECK_MESSAGE(told({std::string(line) + "\r\n"}) == "UNKNOWN_COMMAND\n", line);
 }
 
-// ---- what may have run -------------------------------------------------------------------------------------
+// ---- what may have run
+// -------------------------------------------------------------------------------------
 
-TEST_CASE("time to run is over for a side-effecting job: no second run, one final state, and the late delete finds nothing") {
+TEST_CASE(
+    "time to run is over for a side-effecting job: no second run, one final state, and the late delete finds "
+    "nothing") {
     Hall hall(Hall::trade("side-effecting"));
     const SessionId producer = hall.connect(), slow = hall.connect(), other = hall.connect();
     const auto job = Hall::number(hall.ask(producer, put("final-view")));
@@ -82,7 +116,8 @@
     hall.pass(30 * kSecond);
     CHECK(hall.runs["final-view"] == 1);
     CHECK(hall.state(job) == "buried");
-    CHECK(hall.ask(slow, "delete " + std::to_string(job)) == "DELETED\r\n");  // anybody may throw away what lies buried
+    CHECK(hall.ask(slow, "delete " + std::to_string(job)) ==
+          "DELETED\r\n");  // anybody may throw away what lies buried
     CHECK(hall.state(job) == "none");
     // Not its end as a run: a worker's word on a job that is no longer its own.
     const auto second = Hall::number(hall.ask(producer, put("second")));
@@ -90,7 +125,10 @@
     CHECK(hall.runs["second"] == 1);
     hall.pass(30 * kSecond);
     for (const char* const late : {"release ", "bury ", "touch "})
-        CHECK(hall.ask(other, late + std::to_string(second) + (std::string(late) == "release " ? " 1 0" : std::string(late) == "bury " ? " 1" : "")) == "NOT_FOUND\r\n");
+        CHECK(hall.ask(other, late + std::to_string(second) +
+                                  (std::string(late) == "release " ? " 1 0"
+                                   : std::string(late) == "bury "  ? " 1"
+                                                                   : "")) == "NOT_FOUND\r\n");
     CHECK(hall.ask(producer, "kick 10") == "KICKED 0\r\n");
     CHECK(hall.ask(producer, "kick-job " + std::to_string(second)) == "NOT_FOUND\r\n");
     CHECK(hall.ask(slow, "reserve-job " + std::to_string(second)) == "NOT_FOUND\r\n");
@@ -154,19 +192,23 @@
     const SessionId producer = hall.connect(), one = hall.connect();
     std::vector<std::string> numbers;
     for (int i = 0; i < 10; ++i) {
-        numbers.push_back(std::to_string(Hall::number(hall.ask(producer, put("j" + std::to_string(i), "1 0 60")))));
+        numbers.push_back(
+            std::to_string(Hall::number(hall.ask(producer, put("j" + std::to_string(i), "1 0 60")))));
         CHECK(hall.ask(one, "reserve").starts_with("RESERVED " + numbers.back() + " "));
     }
-    for (int i = 0; i < 5; ++i) CHECK(hall.ask(one, "delete " + numbers[static_cast<std::size_t>(i)]) == "DELETED\r\n");
+    for (int i = 0; i < 5; ++i)
+        CHECK(hall.ask(one, "delete " + numbers[static_cast<std::size_t>(i)]) == "DELETED\r\n");
     CHECK(hall.ask(one, "release " + numbers[5] + " 1 0") == "RELEASED\r\n");
     CHECK(hall.ask(one, "bury " + numbers[6] + " 1") == "BURIED\r\n");
     CHECK(hall.state(static_cast<std::uint64_t>(std::stoull(numbers[5]))) == "ready");
     hall.hang_up(one);
-    for (int i = 6; i < 10; ++i) CHECK(hall.state(std::stoull(numbers[static_cast<std::size_t>(i)])) == "buried");
+    for (int i = 6; i < 10; ++i)
+        CHECK(hall.state(std::stoull(numbers[static_cast<std::size_t>(i)])) == "buried");
     CHECK(hall.exchange.tasks_out() == 0);
 }
 
-// ---- reserves ----------------------------------------------------------------------------------------------
+// ---- reserves
+// ----------------------------------------------------------------------------------------------
 
 TEST_CASE("a reserve that times out loses no job, and the next one gets it") {
     Hall hall(Hall::trade("side-effecting"));
@@ -193,7 +235,9 @@
     CHECK(hall.ask(one, "reserve") == "DEADLINE_SOON\r\n");
 }
 
-TEST_CASE("two waiting workers are split by fractions, not by who came first; urgent jobs go before, then older ones") {
+TEST_CASE(
+    "two waiting workers are split by fractions, not by who came first; urgent jobs go before, then older "
+    "ones") {
     Hall hall(Hall::trade("idempotent"));
     const SessionId producer = hall.connect(), a = hall.connect(), b = hall.connect();
     int to_a = 0;
@@ -255,7 +299,8 @@
     CHECK(hall.state(std::stoull(first)) == "reserved");
 }
 
-// ---- drains, bounds ----------------------------------------------------------------------------------------
+// ---- drains, bounds
+// ----------------------------------------------------------------------------------------
 
 TEST_CASE("in a drain nothing is put, what is in hands ends as its worker says, and what waits stays") {
     Hall hall(Hall::trade("side-effecting"));
@@ -273,7 +318,8 @@
     CHECK(hall.said[one].empty());
     CHECK(hall.state(b) == "ready");
     CHECK(hall.state(std::stoull(a)) == "buried");
-    // The last call finds nobody who waits; undone, the next job goes to who stood in its reserve all the while.
+    // The last call finds nobody who waits; undone, the next job goes to who stood in its reserve all the
+    // while.
     hall.choice.note(hall.now, LastCall{});
     hall.settle();
     hall.exchange.hand_out(true);
@@ -343,14 +389,19 @@
         }
         CHECK((got < 200) == cold);
         Micros waited = 0;
-        for (; waited < 60 * kSecond && !hall.said[one].starts_with("RESERVED") && cold; waited += 10'000) hall.pass(10'000);
-        MESSAGE((cold ? "cold: " : "warm: "), got, " of 200 within 0.2 s; the next after ", waited / 1000, " ms");
+        for (; waited < 60 * kSecond && !hall.said[one].starts_with("RESERVED") && cold; waited += 10'000)
+            hall.pass(10'000);
+        MESSAGE((cold ? "cold: " : "warm: "), got, " of 200 within 0.2 s; the next after ", waited / 1000,
+                " ms");
     }
 }
 
-// ---- all at once -------------------------------------------------------------------------------------------
+// ---- all at once
+// -------------------------------------------------------------------------------------------
 
-TEST_CASE("drawn days: whatever producers and workers do, no side-effecting job runs twice by itself and none is lost") {
+TEST_CASE(
+    "drawn days: whatever producers and workers do, no side-effecting job runs twice by itself and none is "
+    "lost") {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
         std::ranlux24_base chance(static_cast<std::uint32_t>(seed));
         const auto drawn = [&](unsigned n) { return static_cast<unsigned>(chance() % n); };
@@ -386,7 +437,9 @@
                 hall.pass(drawn(5'000));
             } else if (what < 7) {
                 const std::string body = "j" + std::to_string(step);
-                const auto id = Hall::number(hall.ask(s, put(body, std::to_string(drawn(9)) + (drawn(5) ? " 0 " : " 2 ") + std::to_string(1 + drawn(4)))));
+                const auto id =
+                    Hall::number(hall.ask(s, put(body, std::to_string(drawn(9)) + (drawn(5) ? " 0 " : " 2 ") +
+                                                           std::to_string(1 + drawn(4)))));
                 if (id > 0) put_jobs[body] = id, body_of[id] = body;
             } else if (what < 11) {
                 hall.ask(s, "reserve-with-timeout " + std::to_string(drawn(4)));
@@ -398,9 +451,13 @@
                     continue;
                 }
                 hands[s].pop_back();
-                if (what == 12) handed_back[body_of[id]] += hall.ask(s, "release " + number + " 1 " + std::to_string(drawn(2))) == "RELEASED\r\n";
-                else if (what == 13) hall.ask(s, "bury " + number + " 1");
-                else if (hall.ask(s, "delete " + number) == "DELETED\r\n") deleted.insert(body_of[id]);
+                if (what == 12)
+                    handed_back[body_of[id]] +=
+                        hall.ask(s, "release " + number + " 1 " + std::to_string(drawn(2))) == "RELEASED\r\n";
+                else if (what == 13)
+                    hall.ask(s, "bury " + number + " 1");
+                else if (hall.ask(s, "delete " + number) == "DELETED\r\n")
+                    deleted.insert(body_of[id]);
             }
         }
         for (const SessionId s : all) hall.hang_up(s);
@@ -409,9 +466,14 @@
         for (const auto& [body, id] : put_jobs) {
             // One final state: thrown away or done, or still there in one place.
             const std::string state = hall.state(id);
-            CHECK_MESSAGE((state == "none") == deleted.contains(body), "seed ", seed, ", ", body, " is ", state);
-            if (state != "none") CHECK_MESSAGE((state == "ready" || state == "buried" || state == "delayed"), "seed ", seed, ", ", body, " is ", state);
-            if (!harmless) CHECK_MESSAGE(hall.runs[body] <= 1 + handed_back[body], "seed ", seed, ", ", body, " ran ", hall.runs[body], " times");
+            CHECK_MESSAGE((state == "none") == deleted.contains(body), "seed ", seed, ", ", body, " is ",
+                          state);
+            if (state != "none")
+                CHECK_MESSAGE((state == "ready" || state == "buried" || state == "delayed"), "seed ", seed,
+                              ", ", body, " is ", state);
+            if (!harmless)
+                CHECK_MESSAGE(hall.runs[body] <= 1 + handed_back[body], "seed ", seed, ", ", body, " ran ",
+                              hall.runs[body], " times");
         }
         CHECK(hall.answers_twice == 0);
         CHECK(hall.answers_late == 0);
@@ -422,7 +484,9 @@
 TEST_CASE("every command and every error word, as the protocol's page has them") {
     Hall hall(Hall::trade("idempotent"));
     const SessionId a = hall.connect();
-    const auto says = [&](const std::string& words, const std::string& wanted) { CHECK_MESSAGE(hall.ask(a, words) == wanted, words); };
+    const auto says = [&](const std::string& words, const std::string& wanted) {
+        CHECK_MESSAGE(hall.ask(a, words) == wanted, words);
+    };
     const auto yaml = [&](const std::string& words, const std::string& part) {
         const std::string got = hall.ask(a, words);
         REQUIRE(got.starts_with("OK "));
@@ -452,10 +516,13 @@
     says("peek 3", "NOT_FOUND\r\n");
     says("peek-ready", "FOUND 1 2\r\nhi\r\n");
     says("peek-delayed", "FOUND 2 2\r\nyo\r\n");
-    yaml("stats-tube paint", "current-jobs-urgent: 1\ncurrent-jobs-ready: 1\ncurrent-jobs-reserved: 0\ncurrent-jobs-delayed: 1\ncurrent-jobs-buried: 0\ntotal-jobs: 2\n");
+    yaml("stats-tube paint",
+         "current-jobs-urgent: 1\ncurrent-jobs-ready: 1\ncurrent-jobs-reserved: 0\ncurrent-jobs-delayed: "
+         "1\ncurrent-jobs-buried: 0\ntotal-jobs: 2\n");
     says("stats-tube none", "NOT_FOUND\r\n");
     says("reserve", "RESERVED 1 2\r\nhi\r\n");
-    yaml("stats-job 1", "id: 1\ntube: \"paint\"\nstate: reserved\npri: 9\nage: 0\ndelay: 0\nttr: 60\ntime-left: 60\n");
+    yaml("stats-job 1",
+         "id: 1\ntube: \"paint\"\nstate: reserved\npri: 9\nage: 0\ndelay: 0\nttr: 60\ntime-left: 60\n");
     says("stats-job 3", "NOT_FOUND\r\n");
     says("touch 1", "TOUCHED\r\n");
     says("touch 2", "NOT_FOUND\r\n");
@@ -486,7 +553,9 @@
     CHECK(hall.exchange.sessions() == 0);
 }
 
-TEST_CASE("a worker back on a new connection while its old one stands silent: the job is in one pair of hands at a time") {
+TEST_CASE(
+    "a worker back on a new connection while its old one stands silent: the job is in one pair of hands at a "
+    "time") {
     Hall hall(Hall::trade("side-effecting"));
     const SessionId producer = hall.connect(), old_one = hall.connect();
     const auto job = std::to_string(Hall::number(hall.ask(producer, put("view", "1 0 3"))));
@@ -502,7 +571,9 @@
     CHECK(hall.state(std::stoull(job)) == "buried");
 }
 
-TEST_CASE("a worker that an operator holds back and that says nothing: its job ends by its time, and it gets no other") {
+TEST_CASE(
+    "a worker that an operator holds back and that says nothing: its job ends by its time, and it gets no "
+    "other") {
     Hall hall(Hall::trade("side-effecting"));
     const SessionId producer = hall.connect(), one = hall.connect();
     const auto job = Hall::number(hall.ask(producer, put("a", "1 0 3")));
--- a/tests/choice_stories.cpp
+++ b/tests/choice_stories.cpp
@@ -313,9 +313,12 @@
     }
 }
 
-TEST_CASE("what comes too late waits while a late answer earns, takes only what others leave, and is answered in time") {
+TEST_CASE(
+    "what comes too late waits while a late answer earns, takes only what others leave, and is answered in "
+    "time") {
     for (const double free : {2.0, 1.0}) {
-        FakeHost host(orders_with({{"workloads.0.tardy_importance", "0.4"}, {"clients.marks_retry", "true"}}));
+        FakeHost host(
+            orders_with({{"workloads.0.tardy_importance", "0.4"}, {"clients.marks_retry", "true"}}));
         host.fleet(1, 2);
         host.ask(), host.ask();
         TaskArrived late;
@@ -411,7 +414,8 @@
 
 // ---- at size ----
 
-TEST_CASE("hundreds spread over the fleet and spare a cold runner, also if late reports show it alone as free") {
+TEST_CASE(
+    "hundreds spread over the fleet and spare a cold runner, also if late reports show it alone as free") {
     for (const bool late : {false, true}) {
         std::map<RunnerId, int> got;
         for (unsigned me = 0; me < 400; ++me) {
@@ -419,12 +423,14 @@
             auto list = host.entries(20);
             list[0].started_at = host.now;
             host.fleet(list);
-            for (unsigned id = 1; id <= 20; ++id) host.report(id, late && id > 1 ? 0 : 2, late && id > 1 ? 9 : 0);
+            for (unsigned id = 1; id <= 20; ++id)
+                host.report(id, late && id > 1 ? 0 : 2, late && id > 1 ? 9 : 0);
             host.ask();
             for (const Assign& a : host.assigned) ++got[a.runner];
         }
         CHECK(got[RunnerId{1}] <= 12);
-        for (unsigned id = 2; id <= 20; ++id) CHECK((got[RunnerId{id}] <= 45 && (late || got[RunnerId{id}] > 5)));
+        for (unsigned id = 2; id <= 20; ++id)
+            CHECK((got[RunnerId{id}] <= 45 && (late || got[RunnerId{id}] > 5)));
     }
 }
 
@@ -433,11 +439,15 @@
     const Micros start = 10'000'000, step = 40'000, work = 700'000;
     std::vector<std::unique_ptr<FakeHost>> all;
     for (unsigned me = 0; me < kAll; ++me) {
-        all.push_back(std::make_unique<FakeHost>(
-            orders_with({{"dispatchers", "100"}, {"me", std::to_string(me)}, {"caps.probes", "true"},
-                         {"rules.cold_from", "0.32"}, {"rules.warm_after_us", "9000000"}, {"rules.fall_multiple", "2.5"},
-                         {"rules.tip_after_us", "1000000"}, {"workloads.0.due_time_us", "700000"}}),
-            me + 1));
+        all.push_back(std::make_unique<FakeHost>(orders_with({{"dispatchers", "100"},
+                                                              {"me", std::to_string(me)},
+                                                              {"caps.probes", "true"},
+                                                              {"rules.cold_from", "0.32"},
+                                                              {"rules.warm_after_us", "9000000"},
+                                                              {"rules.fall_multiple", "2.5"},
+                                                              {"rules.tip_after_us", "1000000"},
+                                                              {"workloads.0.due_time_us", "700000"}}),
+                                                 me + 1));
         auto list = FakeHost::entries(2);
         list[1].started_at = start;
         all.back()->fleet(list);
@@ -486,7 +496,8 @@
         host.end(Outcome::error, 20'000);
         host.pass(5'000'000);
         const auto views = host.choice.runners();
-        const auto view = std::find_if(views.begin(), views.end(), [&](const RunnerView& v) { return v.runner == failing; });
+        const auto view = std::find_if(views.begin(), views.end(),
+                                       [&](const RunnerView& v) { return v.runner == failing; });
         CHECK((view->aside_until > host.now) == large);
     }
 }
@@ -500,7 +511,8 @@
 }
 
 TEST_CASE("what waits at a runner stays there, and is answered once no length of it would end it in time") {
-    for (const char* stretch : {"1", "2"}) {  // due after 1 s, given up after 5 s: hopeless after 1 s, or after 3
+    for (const char* stretch :
+         {"1", "2"}) {  // due after 1 s, given up after 5 s: hopeless after 1 s, or after 3
         FakeHost host(silent_orders(2, 0, {{"workloads.0.aim_stretch", stretch}}));
         host.fleet(3, 2);
         const TaskId task = host.ask();
@@ -560,8 +572,11 @@
 TEST_CASE("a cold runner is sent to by those who have it near, all together within the rule's budget") {
     int all_sent = 0;
     for (int me = 0; me < 10; ++me) {
-        FakeHost host(silent_orders(10, me, {{"rules.fall_multiple", "4"}, {"rules.tip_after_us", "1500000"},
-                                             {"rules.cold_from", "0.4"}, {"workloads.0.due_time_us", "300000"}}));
+        FakeHost host(silent_orders(10, me,
+                                    {{"rules.fall_multiple", "4"},
+                                     {"rules.tip_after_us", "1500000"},
+                                     {"rules.cold_from", "0.4"},
+                                     {"workloads.0.due_time_us", "300000"}}));
         std::vector<RosterEntry> entries = FakeHost::entries(10);
         entries[4].started_at = host.now - 1;
         host.fleet(std::move(entries));
@@ -574,11 +589,15 @@
     CHECK(all_sent * 0.3 <= 4 * 0.4 * 1.5);  // seconds of work, in the rule's window
 }
 
-TEST_CASE("with more dispatchers than a runner has slots, all who have a cold one near still keep its budget") {
+TEST_CASE(
+    "with more dispatchers than a runner has slots, all who have a cold one near still keep its budget") {
     double sent = 0;  // seconds of work, to a runner just started, in less than the rule's window
     for (int me = 0; me < 40; ++me) {
-        FakeHost host(silent_orders(40, me, {{"rules.fall_multiple", "4"}, {"rules.tip_after_us", "1500000"},
-                                             {"rules.cold_from", "0.4"}, {"workloads.0.due_time_us", "500000"}}));
+        FakeHost host(silent_orders(40, me,
+                                    {{"rules.fall_multiple", "4"},
+                                     {"rules.tip_after_us", "1500000"},
+                                     {"rules.cold_from", "0.4"},
+                                     {"workloads.0.due_time_us", "500000"}}));
         std::vector<RosterEntry> entries = FakeHost::entries(4);  // ten to a runner
         entries[1].started_at = host.now - 1;
         host.fleet(std::move(entries));
@@ -628,7 +647,8 @@
     for (const bool many : {true, false}) {
         FakeHost host(orders_with({{"dispatchers", many ? "900" : "3"}, {"caps.keepalive_us", "60000000"}}));
         host.fleet(200, 2);
-        for (int i = 0; i < 3; ++i, host.pass(1'000'000)) host.ask(), host.pass(100'000), host.end(Outcome::finished);
+        for (int i = 0; i < 3; ++i, host.pass(1'000'000))
+            host.ask(), host.pass(100'000), host.end(Outcome::finished);
         CHECK((host.count<CloseIdle>() > 0) == many);
     }
 }
@@ -665,7 +685,8 @@
     CHECK(host.assigned.size() == 1);
 }
 
-TEST_CASE("events about what is not known are passed over; a client that left has its work withdrawn, unanswered") {
+TEST_CASE(
+    "events about what is not known are passed over; a client that left has its work withdrawn, unanswered") {
     FakeHost host;
     host.fleet(1, 1);
     host.ask();
@@ -720,13 +741,16 @@
     for (int i = 0; i < 12; ++i) {  // twelve round trips of 5 ms, every answer as quick as the first
         const std::size_t out = host.assigned.size();
         host.pass(5'000);
-        for (; ended < out; ++ended) host.end(Outcome::finished, 5'000, static_cast<int>(host.assigned.size() - 1 - ended));
+        for (; ended < out; ++ended)
+            host.end(Outcome::finished, 5'000, static_cast<int>(host.assigned.size() - 1 - ended));
     }
     CHECK(host.now - began < 100'000);
     CHECK(host.assigned.size() == 30);
 }
 
-TEST_CASE("where only draining binds, what a list calls gone goes on by its own answers, and a drain holds until a start") {
+TEST_CASE(
+    "where only draining binds, what a list calls gone goes on by its own answers, and a drain holds until a "
+    "start") {
     StatedOrders orders = plain_orders();
     orders["rules.only_draining_binds"] = "true";
     FakeHost host(orders);
@@ -766,10 +790,13 @@
     host.pass(6'000'000);
     CHECK_FALSE(sent_to(3));
     orders["rules.only_draining_binds"] = "perhaps";
-    CHECK_THROWS_WITH(Choice(orders, 1), "standing order rules.only_draining_binds is neither true nor false: perhaps");
+    CHECK_THROWS_WITH(Choice(orders, 1),
+                      "standing order rules.only_draining_binds is neither true nor false: perhaps");
 }
 
-TEST_CASE("a large fleet spreads its first calls for the list and waits longer after each failure; a small one asks at once") {
+TEST_CASE(
+    "a large fleet spreads its first calls for the list and waits longer after each failure; a small one "
+    "asks at once") {
     // When each of a fleet first asks, and when again after failures in a row, from its start.
     const auto asks = [](int dispatchers, std::uint64_t seed) {
         StatedOrders orders = plain_orders();
--- a/tests/control_stories.cpp
+++ b/tests/control_stories.cpp
@@ -23,10 +23,11 @@
     return e;
 }
 
-
 struct Ruled : Town {
-    explicit Ruled(int runners = 1, const std::string& workload = "pure", Micros notices = 0, const std::string& expiry = "900000")
-        : Town(runners, workload, "", "\"memory_mb\":64,\"sockets\":64", "on_request", expiry, extras(notices, 0)) {}
+    explicit Ruled(int runners = 1, const std::string& workload = "pure", Micros notices = 0,
+                   const std::string& expiry = "900000")
+        : Town(runners, workload, "", "\"memory_mb\":64,\"sockets\":64", "on_request", expiry,
+               extras(notices, 0)) {}
 
     Wire operator_() const {
         sockaddr_un at{};
@@ -53,7 +54,9 @@
         int n = 0;
         for (const auto& door : doors)
             for (Wire& wire : door->guests())
-                for (std::size_t at = wire.look().got.find("POST "); at != std::string::npos; at = wire.got.find("POST ", at + 1)) ++n;
+                for (std::size_t at = wire.look().got.find("POST "); at != std::string::npos;
+                     at = wire.got.find("POST ", at + 1))
+                    ++n;
         return n;
     }
 };
@@ -84,12 +87,13 @@
     op.got.clear();
     op.say("{\"v\":9,\"do\":\"status\"}\n");
     CHECK(t.until([&] { return op.has("version 9 is not spoken here"); }));
-    struct stat file{};
+    struct stat file {};
     REQUIRE(stat(socket_path().c_str(), &file) == 0);
     CHECK((file.st_mode & 0777) == 0600);
 }
 
-TEST_CASE("a side-effecting task still running at the deadline gets one honest answer, and runs nowhere else") {
+TEST_CASE(
+    "a side-effecting task still running at the deadline gets one honest answer, and runs nowhere else") {
     Ruled t(2, "side_effect", 0, "5000000");
     Wire client = t.client();
     client.say(Town::post("one", "X-Timeout: 5000m\r\n"));
@@ -117,7 +121,8 @@
     CHECK(t.requests_at_runners() == 1);
 }
 
-TEST_CASE("a drain cancelled after clients were sent elsewhere takes new ones, and nobody is answered twice") {
+TEST_CASE(
+    "a drain cancelled after clients were sent elsewhere takes new ones, and nobody is answered twice") {
     Ruled t(1, "pure", 100'000);
     Wire kept = t.client(), other = t.client();
     kept.say(Town::post("one"));
@@ -133,7 +138,8 @@
     CHECK(kept.ended());
     other.say(Town::post("two"));
     t.at_runner("two");
-    const json::Value undone = t.ask("\"do\":\"undrain\",\"ticket\":" + std::to_string(static_cast<int>(*order.number("ticket"))));
+    const json::Value undone =
+        t.ask("\"do\":\"undrain\",\"ticket\":" + std::to_string(static_cast<int>(*order.number("ticket"))));
     REQUIRE(Ruled::ok(undone));
     CHECK(t.phase() == "serving");
     t.at_runner("two").say(Town::done("two"));
@@ -187,13 +193,15 @@
     t.at_runner("one");
     REQUIRE(Ruled::ok(t.ask("\"do\":\"drain\",\"deadline_s\":20")));
     t.dispatcher->leave();
-    CHECK(t.ask("\"do\":\"undrain\",\"ticket\":1").text("why")->find("leaving for good") != std::string::npos);
+    CHECK(t.ask("\"do\":\"undrain\",\"ticket\":1").text("why")->find("leaving for good") !=
+          std::string::npos);
     t.at_runner("one").say(Town::done("one"));
     CHECK(t.until([&] { return client.has("picture"); }));
     CHECK(t.until([&] { return t.loop.stopping(); }));
 }
 
-TEST_CASE("an assignment whose connection is still coming up when its runner is held goes elsewhere, unbegun") {
+TEST_CASE(
+    "an assignment whose connection is still coming up when its runner is held goes elsewhere, unbegun") {
     Ruled t(2, "side_effect");
     REQUIRE(Ruled::ok(t.ask("\"do\":\"hold\",\"runner\":\"s-1\"")));
     t.doors[0]->stick();
@@ -205,7 +213,8 @@
     t.at_runner("one").say(Town::done("one"));
     CHECK(t.until([&] { return client.has("picture"); }));
     CHECK(t.requests_at_runners() == 1);
-    CHECK(*t.ask("\"do\":\"failures\"").find("failures")->get<json::List>()->front().text("cause") == "runner drains, nothing written");
+    CHECK(*t.ask("\"do\":\"failures\"").find("failures")->get<json::List>()->front().text("cause") ==
+          "runner drains, nothing written");
 }
 
 TEST_CASE("nothing new goes to a held runner, whatever discovery says; released it is back") {
@@ -301,7 +310,8 @@
     CHECK(*t.ask(stranger, "\"do\":\"follow\",\"after\":900").find("missed")->get<bool>());
 }
 
-TEST_CASE("a socket's file of a dead process is taken over, one of a live process or a plain file is refused") {
+TEST_CASE(
+    "a socket's file of a dead process is taken over, one of a live process or a plain file is refused") {
     const std::string path = socket_path();
     sockaddr_un at{};
     at.sun_family = AF_UNIX;
--- a/tests/drain_stories.cpp
+++ b/tests/drain_stories.cpp
@@ -135,9 +135,12 @@
             if (d.phase() == Phase::serving && draw(2) == 0) ++tasks;
             const Wanted w = d.look(now, {tasks, tasks});
             // Serving, nothing is wanted of anybody.
-            if (d.phase() == Phase::serving) CHECK((w.healthy && !w.turns_away && !w.last_answers && !w.last_call && !w.exits));
-            else CHECK(d.deadline().has_value());
-            // A call comes once for each deadline, never before it, and whoever is turned away is so after it only.
+            if (d.phase() == Phase::serving)
+                CHECK((w.healthy && !w.turns_away && !w.last_answers && !w.last_call && !w.exits));
+            else
+                CHECK(d.deadline().has_value());
+            // A call comes once for each deadline, never before it, and whoever is turned away is so after it
+            // only.
             if (w.last_call) {
                 CHECK(now >= *d.deadline());
                 CHECK(granted_since_call);
@@ -145,12 +148,14 @@
                 tasks = 0;
             }
             if (w.turns_away) CHECK(now >= *d.deadline());
-            if (d.phase() != Phase::serving && now >= *d.deadline()) CHECK((w.turns_away && !granted_since_call));
+            if (d.phase() != Phase::serving && now >= *d.deadline())
+                CHECK((w.turns_away && !granted_since_call));
             // Nobody exits with a task unanswered, nor on an operator's order.
             if (w.exits) CHECK((d.phase() == Phase::gone && (tasks == 0 || now >= *d.deadline())));
             if (d.phase() == Phase::drained) CHECK(tasks == 0);
             // Something will look again where something is still to change.
-            if (d.phase() == Phase::draining && now < *d.deadline()) CHECK((w.wake_at > now && w.wake_at <= *d.deadline()));
+            if (d.phase() == Phase::draining && now < *d.deadline())
+                CHECK((w.wake_at > now && w.wake_at <= *d.deadline()));
             if (tasks > 0 && draw(3) == 0) --tasks;
             gone = d.phase() == Phase::gone;
         }
--- a/tests/fuzz/beanstalk.cpp
+++ b/tests/fuzz/beanstalk.cpp
@@ -1,5 +1,6 @@
-// The reader of beanstalkd's protocol, and the exchange behind it: the same bytes whole and in pieces must say the same, and
-// whatever two sessions say no job may be lost or be in two hands. A floor that gives each worker what comes first.
+// The reader of beanstalkd's protocol, and the exchange behind it: the same bytes whole and in pieces must
+// say the same, and whatever two sessions say no job may be lost or be in two hands. A floor that gives each
+// worker what comes first.
 #include <cstdint>
 #include <cstdlib>
 #include <deque>
@@ -14,7 +15,10 @@
 
 class Ground final : public Floor {
   public:
-    explicit Ground(const Trade& trade) : trade_(trade), workloads_(add_workloads(orders_, trade_)), exchange(trade_, workloads_.places, *this) {}
+    explicit Ground(const Trade& trade)
+        : trade_(trade),
+          workloads_(add_workloads(orders_, trade_)),
+          exchange(trade_, workloads_.places, *this) {}
 
     void say(SessionId, std::string&& words) override { said += words; }
     void close(SessionId session) override { closing.push_back(session); }
@@ -23,7 +27,9 @@
         return tasks.back();
     }
     void take_back(TaskId task) override { std::erase(tasks, task); }
-    RunnerId worker_joins(SessionId, const Serves&, bool) override { return workers.emplace_back(RunnerId{++joined_}); }
+    RunnerId worker_joins(SessionId, const Serves&, bool) override {
+        return workers.emplace_back(RunnerId{++joined_});
+    }
     void worker_serves(RunnerId, const Serves&) override {}
     void worker_leaves(RunnerId worker) override { std::erase(workers, worker); }
     void worker_room(RunnerId, double slots) override {
@@ -35,14 +41,19 @@
     void settle(Micros now) {
         for (int turn = 0; turn < 4; ++turn) {
             for (const auto& e : std::exchange(ended, {}))
-                exchange.answer(e.task, e.ending == net::Ending::done ? fronts::Answer::finished
-                                        : e.ending == net::Ending::stopped_unsent ? fronts::Answer::bounced : fronts::Answer::abandoned, "", 0);
+                exchange.answer(e.task,
+                                e.ending == net::Ending::done             ? fronts::Answer::finished
+                                : e.ending == net::Ending::stopped_unsent ? fronts::Answer::bounced
+                                                                          : fronts::Answer::abandoned,
+                                "", 0);
             for (const SessionId s : std::exchange(closing, {})) exchange.closed(now, s);
             exchange.pass(now);
             std::vector<TaskId> out;
             out.swap(tasks);
             for (const TaskId task : out)
-                if (!workers.empty()) exchange.assign(workers[static_cast<std::size_t>(task) % workers.size()], {task, 0, "", "", nullptr, now + 60'000'000});
+                if (!workers.empty())
+                    exchange.assign(workers[static_cast<std::size_t>(task) % workers.size()],
+                                    {task, 0, "", "", nullptr, now + 60'000'000});
         }
     }
 
@@ -71,7 +82,9 @@
         bytes.remove_prefix(now.size());
         for (Found found; !now.empty() && (found = reader.read(now)) != Found::nothing;) {
             all += std::to_string(static_cast<int>(found));
-            if (found == Found::command) all += name_of(reader.command().verb) + reader.command().tube + reader.command().body + std::to_string(reader.command().id);
+            if (found == Found::command)
+                all += name_of(reader.command().verb) + reader.command().tube + reader.command().body +
+                       std::to_string(reader.command().id);
         }
     }
     return all;
@@ -99,7 +112,8 @@
         left.remove_prefix(line.size());
         if (line.front() == '\0') now += 700'000, line.remove_prefix(1);
         if (!line.empty() && line.front() == '\1') who = 1 - who, line.remove_prefix(1);
-        for (Found found; !line.empty() && !ground.exchange.waits(sessions[who]) && (found = readers[who].read(line)) != Found::nothing;) {
+        for (Found found; !line.empty() && !ground.exchange.waits(sessions[who]) &&
+                          (found = readers[who].read(line)) != Found::nothing;) {
             ground.exchange.heard(now, sessions[who], found, std::move(readers[who].command()));
             ground.settle(now);
             // One that said quit is replaced.
--- a/tests/fuzz/keepsake.cpp
+++ b/tests/fuzz/keepsake.cpp
@@ -1,5 +1,5 @@
-// The reader of keepsakes. A checksum keeps nearly all bytes from its inner parts, so each input is also read as a
-// body under a head that is right.
+// The reader of keepsakes. A checksum keeps nearly all bytes from its inner parts, so each input is also read
+// as a body under a head that is right.
 #include <cstdint>
 #include <cstdlib>
 
--- a/tests/hall.hpp
+++ b/tests/hall.hpp
@@ -1,5 +1,5 @@
-// An exchange and a decision module without a socket between them, in virtual time: what a dispatcher does with both, and
-// a count of who ran what.
+// An exchange and a decision module without a socket between them, in virtual time: what a dispatcher does
+// with both, and a count of who ran what.
 #pragma once
 
 #include <map>
@@ -17,7 +17,10 @@
 class Hall final : public Floor {
   public:
     explicit Hall(Trade trade = {}, std::uint64_t seed = 1)
-        : orders_(plain_orders()), trade_(std::move(trade)), workloads_(add_workloads(orders_, trade_)), choice(orders_, seed),
+        : orders_(plain_orders()),
+          trade_(std::move(trade)),
+          workloads_(add_workloads(orders_, trade_)),
+          choice(orders_, seed),
           exchange(trade_, workloads_.places, *this) {}
 
     static Trade trade(const std::string& effect, bool cold = false) {
@@ -72,7 +75,8 @@
             for (const Action& a : out) {
                 if (const auto* w = std::get_if<WakeAt>(&a)) wakes_.insert(w->at);
                 if (const auto* s = std::get_if<Assign>(&a)) assign(*s);
-                if (const auto* b = std::get_if<Bounce>(&a)) answer(b->task, fronts::Answer::bounced, b->stay_away);
+                if (const auto* b = std::get_if<Bounce>(&a))
+                    answer(b->task, fronts::Answer::bounced, b->stay_away);
                 if (const auto* b = std::get_if<Abandon>(&a)) answer(b->task, fronts::Answer::abandoned, 0);
                 if (const auto* w = std::get_if<Withdraw>(&a)) exchange.withdraw(w->task, w->assignment);
                 if (const auto* p = std::get_if<Probe>(&a)) exchange.probe(p->runner);
@@ -94,7 +98,8 @@
     // ---- Floor ----
     void say(SessionId to, std::string&& words) override {
         if (words.starts_with("RESERVED ")) {
-            // By what the worker is told, and not by what the exchange holds: the body names the job for good.
+            // By what the worker is told, and not by what the exchange holds: the body names the job for
+            // good.
             const std::string body = words.substr(words.find('\n') + 1, words.size() - words.find('\n') - 3);
             ++runs[body];
             last_number[body] = number(words);
@@ -102,7 +107,8 @@
         said[to] += words;
     }
     void close(SessionId session) override { exchange.closed(now, session); }
-    TaskId hand_in(const queue::Job& job, const std::string&, const TubePlan& plan, WorkloadId workload) override {
+    TaskId hand_in(const queue::Job& job, const std::string&, const TubePlan& plan,
+                   WorkloadId workload) override {
         TaskArrived a;
         a.task = TaskId{++tasks_};
         a.workload = workload, a.customer = CustomerId{UINT32_MAX}, a.expiry = now + plan.expiry;
@@ -136,16 +142,19 @@
     void errand_ended(runners::ErrandEnded&& e) override {
         const bool finished = e.ending == net::Ending::done;
         if (finished) answer(e.task, fronts::Answer::finished, 0);
-        const Outcome outcome = finished                                    ? Outcome::finished
-                                : e.ending == net::Ending::handed_back      ? Outcome::full
-                                : e.ending == net::Ending::stopped_unsent   ? Outcome::moot
-                                : e.ending == net::Ending::withdrawn        ? Outcome::withdrawn
-                                : e.ending == net::Ending::stopped          ? Outcome::timed_out
-                                : e.ending == net::Ending::failed           ? Outcome::error
-                                                                            : Outcome::reset;
-        choice.note(now, AssignmentEnded{e.task, !tasks[e.task].waits, 0, e.elapsed, e.runner, e.number, outcome, {}});
-    }
-    void probe_ended(RunnerId worker) override { choice.note(now, ProbeEnded{worker, Outcome::finished, 0, {}}); }
+        const Outcome outcome = finished                                  ? Outcome::finished
+                                : e.ending == net::Ending::handed_back    ? Outcome::full
+                                : e.ending == net::Ending::stopped_unsent ? Outcome::moot
+                                : e.ending == net::Ending::withdrawn      ? Outcome::withdrawn
+                                : e.ending == net::Ending::stopped        ? Outcome::timed_out
+                                : e.ending == net::Ending::failed         ? Outcome::error
+                                                                          : Outcome::reset;
+        choice.note(now, AssignmentEnded{
+                             e.task, !tasks[e.task].waits, 0, e.elapsed, e.runner, e.number, outcome, {}});
+    }
+    void probe_ended(RunnerId worker) override {
+        choice.note(now, ProbeEnded{worker, Outcome::finished, 0, {}});
+    }
 
     struct Task {
         queue::JobId job{};
@@ -155,7 +164,7 @@
     };
     Micros now = 10'000'000;
     std::map<SessionId, std::string> said;
-    std::map<std::string, int> runs;                     // by body
+    std::map<std::string, int> runs;  // by body
     std::map<std::string, std::uint64_t> last_number;
     std::map<TaskId, Task> tasks;
     std::map<RunnerId, RosterEntry> entries;
@@ -164,7 +173,8 @@
   private:
     void assign(const Assign& wanted) {
         Task& t = tasks[wanted.task];
-        exchange.assign(wanted.runner, {wanted.task, t.assignments++, "", "", nullptr, wanted.stop_at > 0 ? std::min(wanted.stop_at, t.expiry) : t.expiry});
+        exchange.assign(wanted.runner, {wanted.task, t.assignments++, "", "", nullptr,
+                                        wanted.stop_at > 0 ? std::min(wanted.stop_at, t.expiry) : t.expiry});
     }
     void answer(TaskId task, fronts::Answer answer, Micros stay_away) {
         Task& t = tasks[task];
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -27,12 +27,18 @@
 namespace gannethold {
 
 inline StatedOrders plain_orders() {
-    StatedOrders orders{{"workloads.count", "3"},           {"workloads.0.effect", "idempotent"},
-                        {"workloads.1.effect", "fingerprinted"}, {"workloads.2.effect", "side-effecting"},
-                        {"workloads.1.group", "cell"},      {"workloads.1.window_us", "4000000"},
-                        {"workloads.0.importance", "1"},    {"workloads.1.importance", "9"},
-                        {"rules.fall_multiple", "400"},     {"caps.max_assignments", "4"},
-                        {"caps.cancelling", "true"},        {"reports.names", "free_slots,waiting,held"}};
+    StatedOrders orders{{"workloads.count", "3"},
+                        {"workloads.0.effect", "idempotent"},
+                        {"workloads.1.effect", "fingerprinted"},
+                        {"workloads.2.effect", "side-effecting"},
+                        {"workloads.1.group", "cell"},
+                        {"workloads.1.window_us", "4000000"},
+                        {"workloads.0.importance", "1"},
+                        {"workloads.1.importance", "9"},
+                        {"rules.fall_multiple", "400"},
+                        {"caps.max_assignments", "4"},
+                        {"caps.cancelling", "true"},
+                        {"reports.names", "free_slots,waiting,held"}};
     for (const std::string workload : {"workloads.0.", "workloads.1.", "workloads.2."})
         orders[workload + "due_time_us"] = "1000000", orders[workload + "expiry_us"] = "5000000";
     return orders;
@@ -108,7 +114,8 @@
             number += each.task == s.task;
             if (&each == &s) break;
         }
-        AssignmentEnded e{s.task, outcome == Outcome::finished, 0, elapsed, s.runner, number, outcome, report};
+        AssignmentEnded e{s.task, outcome == Outcome::finished, 0, elapsed, s.runner, number, outcome,
+                          report};
         tell(e);
     }
     template <class A>
@@ -211,7 +218,8 @@
     }
     // Whoever has come; the newest is last.
     std::deque<Wire>& guests() {
-        for (int one; socket_ >= 0 && (one = accept(socket_, nullptr, nullptr)) >= 0;) guests_.emplace_back(one);
+        for (int one; socket_ >= 0 && (one = accept(socket_, nullptr, nullptr)) >= 0;)
+            guests_.emplace_back(one);
         return guests_;
     }
     std::string address() const { return "127.0.0.1:" + std::to_string(port); }
@@ -232,25 +240,28 @@
                   const dispatcher::Extras& extras = {}, const std::string& beside = "") {
         for (int i = 0; i < runners; ++i) doors.push_back(std::make_unique<Door>());
         text =
-            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) +
-            "\"," + beside + "\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
+            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(Door(-1).port) + "\"," + beside +
+            "\"discovery\":\"" + discovery.address() + "\",\"seed\":\"2a\",\"limits\":{" + limits +
             "},\"known\":" + list(7, "SERVING", true) +
-            ",\"settings\":{\"balancers\":1,\"registry_mode\":\"" + how + "\",\"resolution_us\":1000,"
+            ",\"settings\":{\"balancers\":1,\"registry_mode\":\"" + how +
+            "\",\"resolution_us\":1000,"
             "\"reporting\":{\"names\":[\"x0\",\"q\",\"rif\"]},\"specifics\":{\"report_x0\":\"free slots\"},"
             "\"caps\":{\"cancelling\":true,\"connect_timeout_us\":150000,\"keepalive_us\":600000,"
-            "\"max_assignments\":3,\"retry_after\":true,\"max_retry_after_us\":1500000" + caps +
-            "},\"rules\":{\"fall_multiple\":400},\"workloads\":[{\"name\":\"render\",\"effect\":\"" + workload +
-            "\",\"due_time_us\":600000,\"expiry_us\":" + expiry + ",\"importance\":1}]}}";
-        dispatcher = std::make_unique<dispatcher::Dispatcher>(loop, dispatcher::Posting::read(text), log, extras);
+            "\"max_assignments\":3,\"retry_after\":true,\"max_retry_after_us\":1500000" +
+            caps + "},\"rules\":{\"fall_multiple\":400},\"workloads\":[{\"name\":\"render\",\"effect\":\"" +
+            workload + "\",\"due_time_us\":600000,\"expiry_us\":" + expiry + ",\"importance\":1}]}}";
+        dispatcher =
+            std::make_unique<dispatcher::Dispatcher>(loop, dispatcher::Posting::read(text), log, extras);
         dispatcher->end_turn();
     }
     std::string list(int version, const std::string& state, bool full, long long started = 0) const {
-        std::string text = "{\"version\":" + std::to_string(version) + ",\"full\":" + (full ? "true" : "false") +
-                           ",\"servers\":[";
+        std::string text = "{\"version\":" + std::to_string(version) +
+                           ",\"full\":" + (full ? "true" : "false") + ",\"servers\":[";
         for (const auto& door : doors)
-            text += (door == doors.front() ? "" : ",") + ("{\"id\":\"s-" + std::to_string(&door - &doors[0])) +
-                    "\",\"addr\":\"" + door->address() + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\"" +
-                    state + "\",\"weight\":1.0,\"started_ms\":" + std::to_string(started) + "}";
+            text += (door == doors.front() ? "" : ",") +
+                    ("{\"id\":\"s-" + std::to_string(&door - &doors[0])) + "\",\"addr\":\"" +
+                    door->address() + "\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":0,\"state\":\"" + state +
+                    "\",\"weight\":1.0,\"started_ms\":" + std::to_string(started) + "}";
         return text + "]}";
     }
     void turn() {
@@ -265,10 +276,14 @@
         }
         return false;
     }
-    void pass(int milliseconds) { until([] { return false; }, milliseconds); }
+    void pass(int milliseconds) {
+        until([] { return false; }, milliseconds);
+    }
 
     // With a second address, at which operators' programs call.
-    static std::string with_window() { return "\"admin\":\"127.0.0.1:" + std::to_string(Door(-1).port) + "\","; }
+    static std::string with_window() {
+        return "\"admin\":\"127.0.0.1:" + std::to_string(Door(-1).port) + "\",";
+    }
     Wire caller(const std::string& words = "") const {
         Wire wire = Wire::to(dispatcher->window_port());
         wire.say(words);
--- a/tests/house_stories.cpp
+++ b/tests/house_stories.cpp
@@ -32,8 +32,10 @@
 
 TEST_CASE("a name that is misspelt is refused with its line and a near one") {
     CHECK(wrong("[log]\nfrom = \"json\"\n") == "operator.toml:2: no such name: log.from; did you mean form?");
-    CHECK(wrong("# first\n[lgo]\nform = \"json\"\n") == "operator.toml:2: no such name: lgo; did you mean log?");
-    CHECK(wrong("[log]\nform = \"xml\"\n") == "operator.toml:2: log.form is \"xml\", it may be one of plain, json");
+    CHECK(wrong("# first\n[lgo]\nform = \"json\"\n") ==
+          "operator.toml:2: no such name: lgo; did you mean log?");
+    CHECK(wrong("[log]\nform = \"xml\"\n") ==
+          "operator.toml:2: log.form is \"xml\", it may be one of plain, json");
     CHECK(wrong("[log]\nform = 3\n") == "operator.toml:2: log.form is not a text in quotes");
     CHECK(wrong("log = 3\n") == "operator.toml:1: log is not a table");
     CHECK(wrong("[log\n").find("operator.toml:1: ") == 0);
--- a/tests/keepsake_stories.cpp
+++ b/tests/keepsake_stories.cpp
@@ -34,7 +34,8 @@
     r.written_ms = 1'700'000'000'000 + generation;
     r.dispatcher = "n0";
     for (std::size_t i = 0; i < runners; ++i)
-        r.runners.push_back({"s-" + std::to_string(i), "m", "a", "127.0.0.1:6000", generation, Bins(20, 1.5F), 0.5, 4, 0.02});
+        r.runners.push_back(
+            {"s-" + std::to_string(i), "m", "a", "127.0.0.1:6000", generation, Bins(20, 1.5F), 0.5, 4, 0.02});
     r.holds.push_back({"s-1", "ada", "rewiring", 1'700'000'000'000});
     return r;
 }
@@ -59,7 +60,9 @@
     CHECK_THROWS_AS(read(""), Unreadable);
 }
 
-TEST_CASE("power cut at any step of a write, whatever of the unsynced survives: a whole generation, and none is lost once kept") {
+TEST_CASE(
+    "power cut at any step of a write, whatever of the unsynced survives: a whole generation, and none is "
+    "lost once kept") {
     int cuts = 0, disks = 0;
     // The folder may never have been synced since the generation before, and the one before that.
     for (const bool folder_syncs : {true, false}) {
@@ -68,7 +71,10 @@
                 PlayedDisk disk;
                 const Shelf shelf("d", "n0", disk);
                 int kept = 0;
-                if (!folder_syncs) disk.fails = [&](const char* what) { return std::string(what) == "sync folder" && generations < 3; };
+                if (!folder_syncs)
+                    disk.fails = [&](const char* what) {
+                        return std::string(what) == "sync folder" && generations < 3;
+                    };
                 for (int g = 1; g < generations; ++g) {
                     try {
                         shelf.put(spell(record(g, 3)));
@@ -126,7 +132,9 @@
     }
 }
 
-TEST_CASE("a file of a newer form is left alone and said so; one of an older form, or with names unknown, is read") {
+TEST_CASE(
+    "a file of a newer form is left alone and said so; one of an older form, or with names unknown, is "
+    "read") {
     PlayedDisk disk;
     const Shelf shelf("d", "n0", disk);
     std::string newer = spell(record(1));
@@ -143,7 +151,8 @@
     using nlohmann::json;
     const std::string head = spell({}).substr(0, kHeadBytes);
     std::string body;
-    json::to_cbor({{"at", 5}, {"runners", {{{"n", "s-1"}, {"s", 4}}}}, {"weather", {{"rain", {1, 2, 3}}}}}, body);
+    json::to_cbor({{"at", 5}, {"runners", {{{"n", "s-1"}, {"s", 4}}}}, {"weather", {{"rain", {1, 2, 3}}}}},
+                  body);
     const Record old = read(sealed(head + body));
     REQUIRE(old.runners.size() == 1);
     CHECK(old.runners[0].started_ms == 4);
@@ -152,9 +161,12 @@
 
 TEST_CASE("lying lengths and bottomless bodies take neither memory nor the stack") {
     const std::string head = spell({}).substr(0, kHeadBytes);
-    CHECK_THROWS_AS(read(sealed(head + std::string(1'000'000, '\x81'))), Unreadable);                 // lists in lists
-    CHECK_THROWS_AS(read(sealed(head + "\xa1\x61n\x9b\x0f\xff\xff\xff\xff\xff\xff\xff")), Unreadable);  // 2^60 items
-    CHECK_THROWS_AS(read(sealed(head + "\xa1\x61n\x7b\x0f\xff\xff\xff\xff\xff\xff\xff" "x")), Unreadable);  // a text of 2^60
+    CHECK_THROWS_AS(read(sealed(head + std::string(1'000'000, '\x81'))), Unreadable);  // lists in lists
+    CHECK_THROWS_AS(read(sealed(head + "\xa1\x61n\x9b\x0f\xff\xff\xff\xff\xff\xff\xff")),
+                    Unreadable);  // 2^60 items
+    CHECK_THROWS_AS(read(sealed(head + "\xa1\x61n\x7b\x0f\xff\xff\xff\xff\xff\xff\xff"
+                                       "x")),
+                    Unreadable);  // a text of 2^60
     std::string long_said = spell(record(1, 3));
     long_said[12] = long_said[13] = long_said[14] = long_said[15] = '\x7f';
     CHECK_THROWS_WITH_AS(read(long_said), doctest::Contains("it should be"), Unreadable);
@@ -165,17 +177,19 @@
 // A keeper that keeps a record of so many runners, in a loop of its own.
 struct Desk {
     explicit Desk(const std::string& folder, std::size_t runners = 100, Micros every = 20'000)
-        : keeper(loop, Shelf(folder, "n0"), every,
-                 [this, runners](std::size_t from, std::size_t most) {
-                     Keeper::Part part{record(generation, 0), 0};
-                     if (from > 0) part.record.holds.clear();
-                     for (std::size_t i = from; i < runners && i - from < most; ++i) {
-                         part.record.runners.push_back({"s-" + std::to_string(i), "m", "a", "x", generation, Bins(20, 1.5F), 0.5, 4, 0.02});
-                         if (i + 1 < runners && i + 1 - from == most) part.next = i + 1;
-                     }
-                     return part;
-                 },
-                 [this](const std::string& line, bool good) { heard.push_back((good ? "+" : "-") + line); }) {}
+        : keeper(
+              loop, Shelf(folder, "n0"), every,
+              [this, runners](std::size_t from, std::size_t most) {
+                  Keeper::Part part{record(generation, 0), 0};
+                  if (from > 0) part.record.holds.clear();
+                  for (std::size_t i = from; i < runners && i - from < most; ++i) {
+                      part.record.runners.push_back({"s-" + std::to_string(i), "m", "a", "x", generation,
+                                                     Bins(20, 1.5F), 0.5, 4, 0.02});
+                      if (i + 1 < runners && i + 1 - from == most) part.next = i + 1;
+                  }
+                  return part;
+              },
+              [this](const std::string& line, bool good) { heard.push_back((good ? "+" : "-") + line); }) {}
     bool until(const std::function<bool()>& holds) {
         for (const Micros end = net::Loop::now() + 5'000'000; net::Loop::now() < end; usleep(500)) {
             loop.turn(false);
@@ -203,20 +217,24 @@
         desk.keeper.begin();
         const Micros at = net::Loop::now() + 4'000 * round;
         desk.until([&] { return net::Loop::now() >= at; });
-        if (desk.keeper.scribe() > 0) kill(desk.keeper.scribe(), SIGKILL), scribes.insert(desk.keeper.scribe());
+        if (desk.keeper.scribe() > 0)
+            kill(desk.keeper.scribe(), SIGKILL), scribes.insert(desk.keeper.scribe());
         REQUIRE(desk.until([&] { return !desk.keeper.busy(); }));
         const Shelf::Found found = Shelf(folder.path, "n0").take();
         REQUIRE(found.record);
         CHECK(found.passed_over.empty());
         CHECK(found.record->runners.size() == 500);
-        for (const KeptRunner& r : found.record->runners) CHECK(r.started_ms == found.record->runners[0].started_ms);
+        for (const KeptRunner& r : found.record->runners)
+            CHECK(r.started_ms == found.record->runners[0].started_ms);
     }
     CHECK(scribes.size() > 20);
     const auto before = desk.keeper.kept().written;
     CHECK(desk.until([&] { return desk.keeper.kept().written > before; }));
 }
 
-TEST_CASE("two dispatchers of one name on one folder: the second is told, keeps nothing, and keeps once the first has gone") {
+TEST_CASE(
+    "two dispatchers of one name on one folder: the second is told, keeps nothing, and keeps once the first "
+    "has gone") {
     const Folder folder;
     auto first = std::make_unique<Desk>(folder.path);
     first->generation = 1;
@@ -251,7 +269,8 @@
     CHECK(Keeper::pace(30, 0) == 30);
     CHECK(Keeper::pace(30, 1) == 60);
     CHECK(Keeper::pace(30, 900) == 480);
-    // A folder in the place of the file aside, as a stand-in for one that may not be written (a test may run as root).
+    // A folder in the place of the file aside, as a stand-in for one that may not be written (a test may run
+    // as root).
     files::create_directory(folder.path + "/n0.keep.new");
     REQUIRE(desk.until([&] { return desk.keeper.kept().failed_in_a_row > 0; }));
     CHECK(desk.heard.back().find("cannot write") != std::string::npos);
@@ -297,7 +316,8 @@
     CHECK(show(shelf.path(), true, {}, out, wrong) == 1);
     CHECK(show(shelf.path() + ".before", false, {}, out, wrong) == 0);
     CHECK(out.str().find("50 runners") != std::string::npos);
-    CHECK_THROWS_WITH_AS(Shelf("/nowhere", "n0").put("x"), doctest::Contains("cannot write"), std::runtime_error);
+    CHECK_THROWS_WITH_AS(Shelf("/nowhere", "n0").put("x"), doctest::Contains("cannot write"),
+                         std::runtime_error);
 }
 
 TEST_CASE("beliefs fade with age, with another start, place or kind, and clocks that go wrong are met") {
@@ -306,8 +326,8 @@
     CHECK(weight_left(now, now, p) == 1);
     CHECK(weight_left(now - 12 * kHour, now, p) == doctest::Approx(0.5));
     CHECK(weight_left(now - 7 * 24 * kHour, now, p) == 0);
-    CHECK(weight_left(now + 60'000, now, p) == 1);       // a clock a little behind
-    CHECK(weight_left(now + 24 * kHour, now, p) == 0);   // from the future: no age can be told
+    CHECK(weight_left(now + 60'000, now, p) == 1);      // a clock a little behind
+    CHECK(weight_left(now + 24 * kHour, now, p) == 0);  // from the future: no age can be told
     CHECK(weight_left(0, now, p) == 0);
     KeptRunner k;
     k.kind = "m", k.zone = "a", k.address = "x", k.started_ms = 5;
@@ -338,7 +358,8 @@
 }
 
 Lore aged_lore(Lore lore) {
-    for (RunnerLore& r : lore.runners) r.latency.take(aged({r.latency.bins().begin(), r.latency.bins().end()}, 1, 8));
+    for (RunnerLore& r : lore.runners)
+        r.latency.take(aged({r.latency.bins().begin(), r.latency.bins().end()}, 1, 8));
     return lore;
 }
 
@@ -391,7 +412,8 @@
         ++tasks;
         host.ask();
         host.pass(20'000);
-        host.end(Outcome::finished, host.assigned.back().runner == RunnerId{1} ? 400'000 : 50'000, 0, {8, 0, 0});
+        host.end(Outcome::finished, host.assigned.back().runner == RunnerId{1} ? 400'000 : 50'000, 0,
+                 {8, 0, 0});
     }
     MESSAGE("put right after ", tasks, " tasks at 50 a second");
     CHECK(tasks < 500);
@@ -419,7 +441,8 @@
     CHECK(sent_in_first_second(true) <= sent_in_first_second(false));
 }
 
-TEST_CASE("a dispatcher writes without holding up its loop, and the one after believes it and keeps the holds") {
+TEST_CASE(
+    "a dispatcher writes without holding up its loop, and the one after believes it and keeps the holds") {
     const Folder folder;
     dispatcher::Extras extras;
     extras.desk.emplace();
@@ -442,7 +465,8 @@
         }
         ask(t, "\"do\":\"hold\",\"runner\":\"s-1\",\"why\":\"cable\"");
         const double before = *ask(t, "\"do\":\"status\"").find("keepsake")->number("written");
-        REQUIRE(t.until([&] { return *ask(t, "\"do\":\"status\"").find("keepsake")->number("written") > before + 1; }));
+        REQUIRE(t.until(
+            [&] { return *ask(t, "\"do\":\"status\"").find("keepsake")->number("written") > before + 1; }));
         CHECK(*ask(t, "\"do\":\"status\"").find("keepsake")->number("failed") == 0);
     }
     {
@@ -454,7 +478,8 @@
         files::remove_all(folder.path + "/n0.keep");
         files::create_directory(folder.path + "/n0.keep.new");
         REQUIRE(t.until([&] { return *ask(t, "\"do\":\"status\"").find("keepsake")->number("failed") > 0; }));
-        CHECK(ask(t, "\"do\":\"status\"").find("keepsake")->text("last_failure")->find("cannot write") != std::string::npos);
+        CHECK(ask(t, "\"do\":\"status\"").find("keepsake")->text("last_failure")->find("cannot write") !=
+              std::string::npos);
         Wire client = t.client();
         client.say(Town::post("on"));
         t.at_runner("on").say(Town::done("on"));
@@ -462,7 +487,9 @@
     }
 }
 
-TEST_CASE("of the beliefs on a fleet that has gone, those on who is left are taken, and none of a fleet wholly changed") {
+TEST_CASE(
+    "of the beliefs on a fleet that has gone, those on who is left are taken, and none of a fleet wholly "
+    "changed") {
     const Folder folder;
     dispatcher::Extras extras;
     extras.keepsake.folder = folder.path;
--- a/tests/parser_stories.cpp
+++ b/tests/parser_stories.cpp
@@ -262,7 +262,8 @@
     const std::string workload = "{\"name\":\"w\",\"effect\":\"token\",\"due_time_us\":1,\"expiry_us\":1}";
     CHECK(why("{" + places + ",\"settings\":{\"workloads\":[" + workload + "]}}") == "none");
     CHECK(why("{" + places + ",\"settings\":{}}").find("has no workloads") != std::string::npos);
-    CHECK(why("{" + places + ",\"settings\":{\"workloads\":[" + workload + "," + workload + "]}}").find("names a workload twice: w") != std::string::npos);
+    CHECK(why("{" + places + ",\"settings\":{\"workloads\":[" + workload + "," + workload + "]}}")
+              .find("names a workload twice: w") != std::string::npos);
     CHECK(why("{").find("is not JSON") != std::string::npos);
     CHECK(why("{}").find("no listen address") != std::string::npos);
     CHECK(why("{\"listen\":\"here\"}").find("is none: here") != std::string::npos);
@@ -272,10 +273,10 @@
     CHECK(why("{" + places + ",\"settings\":{},\"limits\":{\"sockets\":0}}").find("limit") !=
           std::string::npos);
     CHECK_THROWS_AS(dispatcher::Posting::read_file("/nowhere/at/all"), std::runtime_error);
-    const auto read = dispatcher::Posting::read(
-        "{" + places +
-        ",\"settings\":{\"dcs\":[\"a "
-        "b\",\"c\"],\"workloads\":[" + workload + "],\"caps\":{\"probes\":true}}}");
+    const auto read = dispatcher::Posting::read("{" + places +
+                                                ",\"settings\":{\"dcs\":[\"a "
+                                                "b\",\"c\"],\"workloads\":[" +
+                                                workload + "],\"caps\":{\"probes\":true}}}");
     CHECK(read.orders.at("zones") == "a_b,c");
     CHECK(read.orders.at("workloads.0.effect") == "fingerprinted");
     CHECK(read.orders.at("workloads.count") == "1");
--- a/tests/played_disk.hpp
+++ b/tests/played_disk.hpp
@@ -1,5 +1,6 @@
-// A disk that a story can fail at any step, or cut the power of: what was not synced is then there wholly, in part or
-// not at all, and names that were not synced in any combination. Pessimistic on purpose; no real file system is worse.
+// A disk that a story can fail at any step, or cut the power of: what was not synced is then there wholly, in
+// part or not at all, and names that were not synced in any combination. Pessimistic on purpose; no real file
+// system is worse.
 #pragma once
 
 #include <functional>
@@ -19,9 +20,9 @@
   public:
     static constexpr std::size_t kPage = 128;
 
-    int steps = 0;                                   // that were taken
-    int cut_at = -1;                                 // the step in which the power goes
-    std::function<bool(const char* what)> fails;     // whether that step ends in an error
+    int steps = 0;                                // that were taken
+    int cut_at = -1;                              // the step in which the power goes
+    std::function<bool(const char* what)> fails;  // whether that step ends in an error
 
     int create(const std::string& path) override {
         step("create");
@@ -32,7 +33,8 @@
     }
     void append(int file, std::string_view bytes) override {
         // The cut may fall inside: half of it has reached the cache.
-        if (steps == cut_at) files_[static_cast<std::size_t>(file)].bytes += bytes.substr(0, bytes.size() / 2);
+        if (steps == cut_at)
+            files_[static_cast<std::size_t>(file)].bytes += bytes.substr(0, bytes.size() / 2);
         step("write");
         files_[static_cast<std::size_t>(file)].bytes += bytes;
     }
@@ -119,21 +121,35 @@
             for (std::size_t i = page * kPage; i < std::min(size, (page + 1) * kPage); ++i) bytes[i] = 0;
         };
         switch (pattern) {
-            case 0: return bytes;
-            case 1: return "";
-            case 2: return bytes.substr(0, size / 2);
-            case 3: return bytes.substr(0, size > 0 ? size - 1 : 0);
-            case 4: return std::string(size, '\0');
-            case 5: for (std::size_t p = 0; p < all; p += 2) lose(p); return bytes;
-            case 6: for (std::size_t p = 1; p < all; p += 2) lose(p); return bytes;
-            case 7: if (all > 0) lose(all - 1); return bytes;
-            default: if (all > 0) lose(0); return bytes;
+            case 0:
+                return bytes;
+            case 1:
+                return "";
+            case 2:
+                return bytes.substr(0, size / 2);
+            case 3:
+                return bytes.substr(0, size > 0 ? size - 1 : 0);
+            case 4:
+                return std::string(size, '\0');
+            case 5:
+                for (std::size_t p = 0; p < all; p += 2) lose(p);
+                return bytes;
+            case 6:
+                for (std::size_t p = 1; p < all; p += 2) lose(p);
+                return bytes;
+            case 7:
+                if (all > 0) lose(all - 1);
+                return bytes;
+            default:
+                if (all > 0) lose(0);
+                return bytes;
         }
     }
 
     std::vector<File> files_;
     std::map<std::string, std::size_t> names_, lasting_;
-    std::vector<std::vector<std::pair<std::string, int>>> pending_;  // changes of names, each whole or not at all
+    std::vector<std::vector<std::pair<std::string, int>>>
+        pending_;  // changes of names, each whole or not at all
 };
 
 }  // namespace gannethold::keepsake
--- a/tests/shadow_stories.cpp
+++ b/tests/shadow_stories.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-// A made day at one dispatcher: what it decided, and what a shadow beside it counted. Each task ends after its time, and
-// runners tell when it begins.
+// A made day at one dispatcher: what it decided, and what a shadow beside it counted. Each task ends after
+// its time, and runners tell when it begins.
 struct Day {
     std::vector<std::string> decided;
     shadow::Counts counts;
 
     // hand_made: compares as a shadow should, by a copy that this story keeps for itself.
-    Day(const StatedOrders& orders, const StatedOrders* other, int every = 1, shadow::Counts* hand_made = nullptr) {
+    Day(const StatedOrders& orders, const StatedOrders* other, int every = 1,
+        shadow::Counts* hand_made = nullptr) {
         Choice choice(orders, 7);
         std::unique_ptr<Shadow> beside;
         if (other) beside = std::make_unique<Shadow>(shadow::laid_over(orders, *other), every);
@@ -45,7 +46,8 @@
             if (beside) beside->settle(now, out);
             if (own) own->settle(now, others), count_sendings(out, others, *hand_made);
             for (const Action& action : out) {
-                if (const auto* w = std::get_if<WakeAt>(&action)) coming.emplace(std::max(w->at, now + 1), TimerDue{});
+                if (const auto* w = std::get_if<WakeAt>(&action))
+                    coming.emplace(std::max(w->at, now + 1), TimerDue{});
                 if (const auto* b = std::get_if<Bounce>(&action)) note("bounce", b->task);
                 if (const auto* b = std::get_if<Abandon>(&action)) note("abandon", b->task);
                 if (const auto* s = std::get_if<Assign>(&action)) {
@@ -53,15 +55,20 @@
                     const int number = legs[s->task]++;
                     const Micros takes = 200'000 + 1'000 * (static_cast<Micros>(s->task) * 37 % 400);
                     coming.emplace(now + 1'000, Progress{s->task, 0, s->runner, number, Stage::begun});
-                    coming.emplace(now + takes, AssignmentEnded{s->task, true, 0, takes, s->runner, number, Outcome::finished, {}});
+                    coming.emplace(
+                        now + takes,
+                        AssignmentEnded{s->task, true, 0, takes, s->runner, number, Outcome::finished, {}});
                 }
             }
         }
         if (beside) counts = beside->counts();
     }
-    void note(const std::string& what, TaskId task) { decided.push_back(std::to_string(static_cast<std::uint64_t>(task)) + " " + what); }
+    void note(const std::string& what, TaskId task) {
+        decided.push_back(std::to_string(static_cast<std::uint64_t>(task)) + " " + what);
+    }
 
-    static void count_sendings(const std::vector<Action>& ours, const std::vector<Action>& others, shadow::Counts& counts) {
+    static void count_sendings(const std::vector<Action>& ours, const std::vector<Action>& others,
+                               shadow::Counts& counts) {
         std::map<std::uint64_t, std::vector<int>> to;  // by task: the runner here, and there
         for (const auto* list : {&ours, &others})
             for (const Action& action : *list)
@@ -106,7 +113,9 @@
     shadow::Counts by_hand;
     const StatedOrders orders = silent(3, 0), other = silent(3, 2);  // another part of the fleet is near
     const Day day(orders, &other, 1, &by_hand);
-    const auto of = [](const shadow::Counts& c, Kind kind) { return c.differ[static_cast<std::size_t>(kind)]; };
+    const auto of = [](const shadow::Counts& c, Kind kind) {
+        return c.differ[static_cast<std::size_t>(kind)];
+    };
     CHECK(of(day.counts, Kind::runner) > 0);
     CHECK(of(day.counts, Kind::runner) == of(by_hand, Kind::runner));
     CHECK(of(day.counts, Kind::held_or_sent) == of(by_hand, Kind::held_or_sent));
@@ -137,17 +146,22 @@
     using T = TaskId;
     using R = RunnerId;
     shadow::Counts c;
-    shadow::compare({Assign{T{1}, R{1}}, Assign{T{2}, R{1}}, Bounce{T{3}}, Abandon{T{4}}, Withdraw{T{5}, 0}, Probe{R{1}}, FollowRoster{}, CloseIdle{R{2}}},
+    shadow::compare({Assign{T{1}, R{1}}, Assign{T{2}, R{1}}, Bounce{T{3}}, Abandon{T{4}}, Withdraw{T{5}, 0},
+                     Probe{R{1}}, FollowRoster{}, CloseIdle{R{2}}},
                     {Assign{T{1}, R{2}}, Bounce{T{6}}, Assign{T{3}, R{1}}, LogLine{"x"}, WakeAt{5}}, c);
     CHECK(c.differ == std::array<std::uint64_t, 8>{1, 1, 2, 1, 1, 1, 1, 1});
     CHECK(c.decisions == 9);
 }
 
-TEST_CASE("shadow: a workload goes by the terms of its name, wherever it stands; one that is not named keeps its own") {
-    const StatedOrders ours{{"workloads.count", "2"}, {"workloads.0.name", "a"}, {"workloads.0.due_time_us", "1"},
-                            {"workloads.1.name", "b"}, {"workloads.1.due_time_us", "2"}, {"me", "3"}};
-    const StatedOrders other{{"workloads.count", "2"}, {"workloads.0.name", "c"}, {"workloads.0.due_time_us", "3"},
-                             {"workloads.1.name", "a"}, {"workloads.1.due_time_us", "4"}, {"me", "5"}};
+TEST_CASE(
+    "shadow: a workload goes by the terms of its name, wherever it stands; one that is not named keeps its "
+    "own") {
+    const StatedOrders ours{{"workloads.count", "2"},         {"workloads.0.name", "a"},
+                            {"workloads.0.due_time_us", "1"}, {"workloads.1.name", "b"},
+                            {"workloads.1.due_time_us", "2"}, {"me", "3"}};
+    const StatedOrders other{{"workloads.count", "2"},         {"workloads.0.name", "c"},
+                             {"workloads.0.due_time_us", "3"}, {"workloads.1.name", "a"},
+                             {"workloads.1.due_time_us", "4"}, {"me", "5"}};
     const StatedOrders all = shadow::laid_over(ours, other);
     CHECK(all.at("workloads.count") == "2");
     CHECK(all.at("workloads.0.due_time_us") == "4");
@@ -155,15 +169,18 @@
     CHECK(all.at("me") == "5");
 }
 
-TEST_CASE("shadow, on sockets: a bad second configuration is refused at start and at a reload, and service goes on") {
+TEST_CASE(
+    "shadow, on sockets: a bad second configuration is refused at start and at a reload, and service goes "
+    "on") {
     const std::string path = "watched-" + std::to_string(getpid()) + ".json";
     const auto put = [&](const std::string& words) { std::ofstream(path) << words; };
     Town plain;
     put(plain.with("\"max_assignments\":3", "\"max_assignments\":-3"));
     dispatcher::Extras extras;
     extras.watched = path, extras.watched_every = 1, extras.watched_most = 1'000'000;
-    CHECK_THROWS_WITH_AS(Town(1, "pure", "", "\"memory_mb\":64,\"sockets\":64", "on_request", "900000", extras),
-                         doctest::Contains("settings.caps.max_assignments = -3"), std::runtime_error);
+    CHECK_THROWS_WITH_AS(
+        Town(1, "pure", "", "\"memory_mb\":64,\"sockets\":64", "on_request", "900000", extras),
+        doctest::Contains("settings.caps.max_assignments = -3"), std::runtime_error);
     put(plain.text);
     Town town(1, "pure", "", "\"memory_mb\":64,\"sockets\":64", "on_request", "900000", extras);
     put("{");
--- a/tests/socket_stories.cpp
+++ b/tests/socket_stories.cpp
@@ -427,7 +427,8 @@
 TEST_CASE("an error reaches a client that goes on sending") {
     Town town;
     Wire client = town.client();
-    client.say("POST /render/key HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\nContent-Length: 60000000\r\n\r\n");
+    client.say(
+        "POST /render/key HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9m\r\nContent-Length: 60000000\r\n\r\n");
     for (int i = 0; i < 500; ++i) client.say(std::string(16'384, 'b')), town.turn();
     CHECK(client.has("HTTP/1.1 413"));
     CHECK(town.loop.blocks().out() == 0);
@@ -457,7 +458,8 @@
         town.at_runner(id).say(Town::done(id));
         REQUIRE(town.until([&] { return kept.back().has("picture"); }));
     }
-    for (int i = 0; i < 18; ++i) bad.push_back(town.client()), bad.back().say(i % 2 ? "" : "POST "), town.turn();
+    for (int i = 0; i < 18; ++i)
+        bad.push_back(town.client()), bad.back().say(i % 2 ? "" : "POST "), town.turn();
     town.pass(150);
     Wire early = town.client();  // said its request before the loop turns, with twenty silent ones behind it
     early.say(Town::post("early"));
@@ -580,7 +582,8 @@
     town.reload(town.with(town.discovery.address(), moved.address()));
     REQUIRE(town.until([&] { return watched(moved, "0"); }, 200));
     old.say(Town::chunk(town.list(10, "DRAINING", true) + "\n"));
-    moved.guests()[0].say(Town::taken + Town::chunk(town.list(2, "SERVING", true) + "\n"));  // counts otherwise
+    moved.guests()[0].say(Town::taken +
+                          Town::chunk(town.list(2, "SERVING", true) + "\n"));  // counts otherwise
     town.pass(50);
     old.hang_up();
     runner.say(Town::done("r1"));  // what was under way, and its connections, live on
--- a/tests/storm_stories.cpp
+++ b/tests/storm_stories.cpp
@@ -1,4 +1,5 @@
-// Retries of tasks with effects: whatever becomes of the first, no retry that can be recognised is a second run.
+// Retries of tasks with effects: whatever becomes of the first, no retry that can be recognised is a second
+// run.
 #include "helpers.hpp"
 
 #include "storms/run_book.hpp"
@@ -31,7 +32,8 @@
 
 }  // namespace
 
-TEST_CASE("what ended falls out by its age, the oldest first where it is too much, and what is out never does") {
+TEST_CASE(
+    "what ended falls out by its age, the oldest first where it is too much, and what is out never does") {
     RunBook book({true, false, 10 * kSecond, 3, 1 << 20, 4});
     book.began(0, "out", TaskId{1});
     for (unsigned i = 0; i < 5; ++i) {
@@ -80,7 +82,8 @@
     CHECK(second.look().got.empty());
     CHECK(runs(t) == 1);
     runner.say(Town::done("a", "image"));
-    for (Wire* w : {&first, &second, &third}) CHECK(t.until([&] { return w->has("200") && w->has("image"); }));
+    for (Wire* w : {&first, &second, &third})
+        CHECK(t.until([&] { return w->has("200") && w->has("image"); }));
     // Another key, and another workload's effect, are other tasks.
     first.say(keyed("d", "k2"));
     t.at_runner("d").say(Town::done("d"));
@@ -110,7 +113,9 @@
     CHECK(runs(t) == 1);
 }
 
-TEST_CASE("the first client gone: a retry that waits takes its place; one that comes later hears that it may have run") {
+TEST_CASE(
+    "the first client gone: a retry that waits takes its place; one that comes later hears that it may have "
+    "run") {
     Town t = town();
     Wire first = t.client(), second = t.client();
     first.say(keyed("a"));
@@ -148,7 +153,9 @@
     CHECK(t.until([&] { return third.has("502"); }, 100));
 }
 
-TEST_CASE("a first that certainly never ran leaves its retry a first try; a retry out of time is answered before its expiry") {
+TEST_CASE(
+    "a first that certainly never ran leaves its retry a first try; a retry out of time is answered before "
+    "its expiry") {
     Town t = town();
     Wire first = t.client(), second = t.client();
     for (auto& door : t.doors) door->shut();
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -1,8 +1,10 @@
 // Plays the text files of scenarios/, each a test of its own, on simulated time. Words of a line:
 //   cores N seeds N fronts N delay MS loss P workers N memory MB      the world, first
 //   service NAME slots N boot MS memory MB aim MS timeout MS priority N [of NAME] [once]
-//                                         in every configuration that is put; of: a further route to that service
-//   at S WORDS                                                        S seconds after the start; times never fall
+//                                         in every configuration that is put; of: a further route to that
+//                                         service
+//   at S WORDS                                                        S seconds after the start; times never
+//   fall
 // What may happen, and be expected, stands in act() and look() below.
 #define BOOST_TEST_NO_MAIN
 #define BOOST_TEST_ALTERNATIVE_INIT_API
@@ -63,7 +65,8 @@
         if (w[0] == "cores") {
             World::Shape s;
             s.cores = static_cast<std::size_t>(value(w, "cores", 3));
-            s.seeds = static_cast<std::size_t>(value(w, "seeds", static_cast<double>(std::min<std::size_t>(3, s.cores))));
+            s.seeds = static_cast<std::size_t>(
+                value(w, "seeds", static_cast<double>(std::min<std::size_t>(3, s.cores))));
             s.fronts = static_cast<std::size_t>(value(w, "fronts", 0));
             s.delay = static_cast<Micros>(value(w, "delay", 1) * 1e3);
             s.loss = value(w, "loss", 0);
@@ -116,28 +119,50 @@
         const std::string& verb = w.at(0);
         if (verb == "expect") return expect(w);
         if (verb == "tell") return std::printf("%s\n", x.told().c_str()), void();  // how each core stands
-        if (verb == "kill" && w.at(1) == "all") for (std::size_t i = 0; i < x.cores(); ++i) x.kill_core(i);
-        else if (verb == "kill" && w.at(1) == "front") x.kill_front(std::stoul(w.at(2)));
-        else if (verb == "kill") x.kill_core(core(w.at(1)));
-        else if (verb == "wipe") x.kill_core(core(w.at(1)), true);
-        else if (verb == "crash") x.crash_in_write(core(w.at(1)));
-        else if (verb == "start" && w.at(1) == "all") for (std::size_t i = 0; i < x.cores(); ++i) x.start_core(i);
-        else if (verb == "start") x.start_core(core(w.at(1)));
-        else if (verb == "add") last_ = x.add_core();
-        else if (verb == "disk") x.disk(core(w.at(1)), w.at(2) == "works");
-        else if (verb == "cut") cut(core(w.at(1)), w.size() > 2 && w[2] == "one-way");
-        else if (verb == "hear") hear(core(w.at(1)));
-        else if (verb == "heal") x.heal();
-        else if (verb == "stall") x.stall_core(core(w.at(1)), static_cast<Micros>(std::stod(w.at(2)) * 1e6));
-        else if (verb == "resign") x.resign_core(core(w.at(1)));
-        else if (verb == "put") x.put(std::stoull(w.at(1)), core(w.at(2)), w.size() > 3 ? w[3] : "");
-        else if (verb == "front") x.cut_front(std::stoul(w.at(1)), w.at(2) == "off");
-        else if (verb == "crash-worker") x.crash_worker(w.at(1));
-        else if (verb == "drain-worker") x.drain_worker(w.at(1));
-        else if (verb == "answers-lost") x.answers_lost(std::stod(w.at(1)));
-        else if (verb == "reuse-address") x.reuse_address(w.at(1));
-        else if (verb == "load") load(w);
-        else BOOST_FAIL("no such deed: " + verb);
+        if (verb == "kill" && w.at(1) == "all")
+            for (std::size_t i = 0; i < x.cores(); ++i) x.kill_core(i);
+        else if (verb == "kill" && w.at(1) == "front")
+            x.kill_front(std::stoul(w.at(2)));
+        else if (verb == "kill")
+            x.kill_core(core(w.at(1)));
+        else if (verb == "wipe")
+            x.kill_core(core(w.at(1)), true);
+        else if (verb == "crash")
+            x.crash_in_write(core(w.at(1)));
+        else if (verb == "start" && w.at(1) == "all")
+            for (std::size_t i = 0; i < x.cores(); ++i) x.start_core(i);
+        else if (verb == "start")
+            x.start_core(core(w.at(1)));
+        else if (verb == "add")
+            last_ = x.add_core();
+        else if (verb == "disk")
+            x.disk(core(w.at(1)), w.at(2) == "works");
+        else if (verb == "cut")
+            cut(core(w.at(1)), w.size() > 2 && w[2] == "one-way");
+        else if (verb == "hear")
+            hear(core(w.at(1)));
+        else if (verb == "heal")
+            x.heal();
+        else if (verb == "stall")
+            x.stall_core(core(w.at(1)), static_cast<Micros>(std::stod(w.at(2)) * 1e6));
+        else if (verb == "resign")
+            x.resign_core(core(w.at(1)));
+        else if (verb == "put")
+            x.put(std::stoull(w.at(1)), core(w.at(2)), w.size() > 3 ? w[3] : "");
+        else if (verb == "front")
+            x.cut_front(std::stoul(w.at(1)), w.at(2) == "off");
+        else if (verb == "crash-worker")
+            x.crash_worker(w.at(1));
+        else if (verb == "drain-worker")
+            x.drain_worker(w.at(1));
+        else if (verb == "answers-lost")
+            x.answers_lost(std::stod(w.at(1)));
+        else if (verb == "reuse-address")
+            x.reuse_address(w.at(1));
+        else if (verb == "load")
+            load(w);
+        else
+            BOOST_FAIL("no such deed: " + verb);
     }
 
     void cut(std::size_t i, bool one_way) {
@@ -153,18 +178,24 @@
     // load SERVICE rate R for S work MS deadline MS [front F]: else over all fronts in turn.
     void load(const Words& w) {
         const double rate = value(w, "rate", 10), span = value(w, "for", 1);
-        const int work = static_cast<int>(value(w, "work", 60)), deadline = static_cast<int>(value(w, "deadline", 4000));
+        const int work = static_cast<int>(value(w, "work", 60)),
+                  deadline = static_cast<int>(value(w, "deadline", 4000));
         const int only = static_cast<int>(value(w, "front", -1));
         for (int n = 0; n < static_cast<int>(rate * span); ++n) {
-            const auto front = static_cast<std::size_t>(only >= 0 ? only : n % static_cast<int>(value(w, "fronts", 2)));
-            world_->at(world_->now() + static_cast<Micros>(n / rate * 1e6), [this, front, service = w.at(1), work, deadline] { world_->request(front, service, work, deadline); });
+            const auto front =
+                static_cast<std::size_t>(only >= 0 ? only : n % static_cast<int>(value(w, "fronts", 2)));
+            world_->at(world_->now() + static_cast<Micros>(n / rate * 1e6),
+                       [this, front, service = w.at(1), work, deadline] {
+                           world_->request(front, service, work, deadline);
+                       });
         }
     }
 
     double look(const std::string& what) {
         World& x = *world_;
         const auto colon = what.find(':');
-        const std::string name = what.substr(0, colon), arg = colon == std::string::npos ? "" : what.substr(colon + 1);
+        const std::string name = what.substr(0, colon),
+                          arg = colon == std::string::npos ? "" : what.substr(colon + 1);
         if (name == "leaders") return static_cast<double>(x.leaders());
         if (name == "acknowledged") return static_cast<double>(x.acknowledged());
         if (name == "committed") return static_cast<double>(x.committed());
@@ -198,14 +229,18 @@
         ++checked_;
         const double seen = look(w.at(1)), wanted = std::stod(w.at(3));
         const std::string told = w[1] + " is " + std::to_string(seen);
-        if (w.at(2) == "=") BOOST_TEST(seen == wanted, told);
-        else if (w[2] == "<") BOOST_TEST(seen < wanted, told);
-        else if (w[2] == ">") BOOST_TEST(seen > wanted, told);
-        else BOOST_FAIL("no such comparison: " + w[2]);
+        if (w.at(2) == "=")
+            BOOST_TEST(seen == wanted, told);
+        else if (w[2] == "<")
+            BOOST_TEST(seen < wanted, told);
+        else if (w[2] == ">")
+            BOOST_TEST(seen > wanted, told);
+        else
+            BOOST_FAIL("no such comparison: " + w[2]);
     }
 
-    // configuration KIND JSON; settings KIND a=b;c=d. ok: it is taken. The rest of the kind behind a colon must stand
-    // in the detail.
+    // configuration KIND JSON; settings KIND a=b;c=d. ok: it is taken. The rest of the kind behind a colon
+    // must stand in the detail.
     void check_text(bool settings, const std::string& kind, std::string text) {
         ++checked_;
         std::string got = "ok", detail;
@@ -214,16 +249,20 @@
                 if (c == ';') c = '\n';
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
-                if (settings) BOOST_LEAF_CHECK(Settings::parse(text));
-                else BOOST_LEAF_CHECK(Configuration::read(text));
+                if (settings)
+                    BOOST_LEAF_CHECK(Settings::parse(text));
+                else
+                    BOOST_LEAF_CHECK(Configuration::read(text));
                 return {};
             },
             [&](Kind k, const Detail& d) { got = answer_to(k).name, detail = d.text; }, [&] { got = "?"; });
         const auto colon = kind.find(':');
         BOOST_TEST(got == kind.substr(0, colon), got + " " + detail);
-        if (colon != std::string::npos) BOOST_TEST(detail.find(kind.substr(colon + 1)) != std::string::npos, detail);
+        if (colon != std::string::npos)
+            BOOST_TEST(detail.find(kind.substr(colon + 1)) != std::string::npos, detail);
         if (!settings && got != "ok") {
-            const int status = got == "configuration_cut" ? answer_to(Kind::configuration_cut).status : answer_to(Kind::configuration_invalid).status;
+            const int status = got == "configuration_cut" ? answer_to(Kind::configuration_cut).status
+                                                          : answer_to(Kind::configuration_invalid).status;
             BOOST_TEST((status >= 400 && status < 500));
         }
     }
@@ -247,7 +286,10 @@
     const auto ballots = [&](const std::string& from) {
         out = {};
         consensus.receive(12'001'000, from, VoteResponse{4, true, true}, out);
-        return std::count_if(out.sends.begin(), out.sends.end(), [](const auto& mail) { return std::holds_alternative<VoteRequest>(mail.message) && !std::get<VoteRequest>(mail.message).pre_vote; });
+        return std::count_if(out.sends.begin(), out.sends.end(), [](const auto& mail) {
+            return std::holds_alternative<VoteRequest>(mail.message) &&
+                   !std::get<VoteRequest>(mail.message).pre_vote;
+        });
     };
     // In term 4 its lost disk may have voted for another: with b alone it has one vote of three.
     BOOST_TEST(ballots("b") == 0);
@@ -258,12 +300,14 @@
     std::string old_text = "{\"routes\":[", new_text = old_text;
     for (int i = 0; i < 900; ++i) {
         old_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":4000},";
-        new_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":" + (i == 450 ? "100" : "4000") + "},";
+        new_text += "{\"name\":\"r-" + std::to_string(i * 7919) +
+                    "\",\"timeout_ms\":" + (i == 450 ? "100" : "4000") + "},";
     }
     const std::string delta = make_delta(old_text, new_text);
     BOOST_TEST(delta.size() < 150U);
     const auto got = [](std::string_view base, std::string_view bytes) {
-        return leaf::try_handle_all([&] { return apply_delta(base, bytes); }, [] { return std::string("refused"); });
+        return leaf::try_handle_all([&] { return apply_delta(base, bytes); },
+                                    [] { return std::string("refused"); });
     };
     BOOST_TEST(got(old_text, delta) == new_text);
     BOOST_TEST(got(new_text, delta) == "refused");
@@ -280,14 +324,19 @@
     const AcquireRequest ask{7, 3, "huvo11a", 300, 4000, 1, 5, true};
     std::string bytes = encode(ask, "10.0.0.1:80");
     const auto read = [](std::string_view packed) {
-        return leaf::try_handle_all([&]() -> leaf::result<std::optional<ReceivedMessage>> { BOOST_LEAF_AUTO(l, decode(packed)); return std::optional(l); },
-                                    [] { return std::optional<ReceivedMessage>(); });
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<ReceivedMessage>> {
+                BOOST_LEAF_AUTO(l, decode(packed));
+                return std::optional(l);
+            },
+            [] { return std::optional<ReceivedMessage>(); });
     };
     const auto back = read(std::string_view(bytes).substr(4));
     BOOST_REQUIRE(back.has_value());
     const auto* const same = std::get_if<AcquireRequest>(&back->message);
     BOOST_REQUIRE(same != nullptr);
-    BOOST_TEST((same->service == ask.service && same->deadline_ms == ask.deadline_ms && same->again && back->from == "10.0.0.1:80"));
+    BOOST_TEST((same->service == ask.service && same->deadline_ms == ask.deadline_ms && same->again &&
+                back->from == "10.0.0.1:80"));
     std::mt19937 random(5);
     for (int n = 0; n < 20'000; ++n) {
         std::string noise = bytes.substr(4);
@@ -296,7 +345,12 @@
     }
     Frames frames;
     frames.add(std::string("\xff\xff\xff\xff", 4));
-    const bool refused = leaf::try_handle_all([&]() -> leaf::result<bool> { BOOST_LEAF_CHECK(frames.next()); return false; }, [] { return true; });
+    const bool refused = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(frames.next());
+            return false;
+        },
+        [] { return true; });
     BOOST_TEST(refused);
 }
 
@@ -349,10 +403,19 @@
 };
 
 PersistentState opened(Store& store, const std::string& folder) {
-    return leaf::try_handle_all([&] { return store.open(folder); }, []() -> PersistentState { BOOST_FAIL("the store does not open"); return {}; });
+    return leaf::try_handle_all([&] { return store.open(folder); },
+                                []() -> PersistentState {
+                                    BOOST_FAIL("the store does not open");
+                                    return {};
+                                });
 }
 void written(Store& store, const PersistentState& d) {
-    BOOST_TEST(leaf::try_handle_all([&]() -> leaf::result<bool> { BOOST_LEAF_CHECK(store.write(d)); return true; }, [] { return false; }));
+    BOOST_TEST(leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(store.write(d));
+            return true;
+        },
+        [] { return false; }));
 }
 
 BOOST_AUTO_TEST_CASE(the_store_gives_back_what_was_written_and_stays_under_its_bound) {
@@ -381,7 +444,8 @@
             written(store, kept(1, 1000)), written(store, kept(2, 1000));
         }
         for (const auto& f : folder.files())
-            if (f.extension() == ".log" && std::filesystem::file_size(f) > torn) std::filesystem::resize_file(f, std::filesystem::file_size(f) - torn);
+            if (f.extension() == ".log" && std::filesystem::file_size(f) > torn)
+                std::filesystem::resize_file(f, std::filesystem::file_size(f) - torn);
         Store store;
         const PersistentState back = opened(store, folder.path);
         BOOST_TEST((!back.member || back.entry.body == kept(back.entry.version, 1000).entry.body));
@@ -414,11 +478,14 @@
 bool init() {
     for (const std::string& path : files())
         boost::unit_test::framework::master_test_suite().add(boost::unit_test::make_test_case(
-            [path] { Scenario(path).play(); }, std::filesystem::path(path).stem().string(), __FILE__, __LINE__));
+            [path] { Scenario(path).play(); }, std::filesystem::path(path).stem().string(), __FILE__,
+            __LINE__));
     return true;
 }
 
 }  // namespace
 }  // namespace gannethold::cluster::played
 
-int main(int argc, char** argv) { return boost::unit_test::unit_test_main(&gannethold::cluster::played::init, argc, argv); }
+int main(int argc, char** argv) {
+    return boost::unit_test::unit_test_main(&gannethold::cluster::played::init, argc, argv);
+}
