--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -27,7 +27,8 @@
         Number version = 0;
         Micros next = 0;
         std::size_t overtakings = 0;  // looked at
-        Coordinator(Number t, const SlotTable::Options& b, const Planner::Options& p, Micros now) : term(t), slot_table(b), planner(p, now), listing({20, 400'000}, now) {}
+        Coordinator(Number t, const SlotTable::Options& b, const Planner::Options& p, Micros now)
+            : term(t), slot_table(b), planner(p, now), listing({20, 400'000}, now) {}
     };
     std::unique_ptr<Coordinator> coordinator;
     bool first = true;
@@ -66,15 +67,21 @@
         Front& front = *fronts_[f];
         front.name = "front-" + std::to_string(f);
         front.zone = "z" + std::to_string(f % 3);
-        front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{front.name, front.zone, 1, kReach, shape.seed + f});
+        front.handler = std::make_unique<RequestHandler>(
+            RequestHandler::Options{front.name, front.zone, 1, kReach, shape.seed + f});
         at(now_ + 1'000, [this, f] { tick_front(f); });
     }
 }
 World::~World() = default;
 
 bool World::chance(double p) { return p > 0 && std::uniform_real_distribution<>(0, 1)(random_) < p; }
-Micros World::hop() { return shape_.delay + static_cast<Micros>(std::uniform_real_distribution<>(0, 3)(random_) * static_cast<double>(shape_.delay)); }
-void World::at(Micros when, std::function<void()> what) { later_.push({std::max(when, now_), ++order_, std::move(what)}); }
+Micros World::hop() {
+    return shape_.delay + static_cast<Micros>(std::uniform_real_distribution<>(0, 3)(random_) *
+                                              static_cast<double>(shape_.delay));
+}
+void World::at(Micros when, std::function<void()> what) {
+    later_.push({std::max(when, now_), ++order_, std::move(what)});
+}
 
 void World::run(Micros until) {
     while (!later_.empty() && later_.top().at <= until) {
@@ -87,10 +94,12 @@
 }
 
 void World::breach(const std::string& what) {
-    if (breaches.size() < 20) breaches.push_back(std::to_string(static_cast<double>(now_) / 1e6) + " s: " + what);
+    if (breaches.size() < 20)
+        breaches.push_back(std::to_string(static_cast<double>(now_) / 1e6) + " s: " + what);
 }
 
-// ---- cores ---------------------------------------------------------------------------------------------------
+// ---- cores
+// ---------------------------------------------------------------------------------------------------
 
 void World::open_core(Core& core) {
     Consensus::Options terms;
@@ -172,8 +181,10 @@
             carry_out(core, out);
         }
         if (core.up && core.consensus) look(core);
-        if (core.up && core.coordinator && now_ >= core.coordinator->next && core.consensus->leads(now_)) coordinator_step(core);
-        if (core.up && core.consensus) next = std::min(next, std::max(now_ + 1'000, core.consensus->next_tick()));
+        if (core.up && core.coordinator && now_ >= core.coordinator->next && core.consensus->leads(now_))
+            coordinator_step(core);
+        if (core.up && core.consensus)
+            next = std::min(next, std::max(now_ + 1'000, core.consensus->next_tick()));
     }
     if (!core.up || core.life != life) return;
     at(next, [this, i, life] {
@@ -182,7 +193,9 @@
 }
 
 void World::carry_out(Core& core, Output& out) {
-    const std::size_t i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
+    const std::size_t i = static_cast<std::size_t>(
+        std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) -
+        cores_.begin());
     const auto send = [&] {
         for (const auto& mail : out.sends)
             for (std::size_t to = 0; to < cores_.size(); ++to)
@@ -195,10 +208,12 @@
                 acknowledged_ = std::max(acknowledged_, version);
                 // What is acknowledged under its number is the one that is held, or a higher one is.
                 const LogEntry* entry = core.consensus ? core.consensus->committed() : nullptr;
-                if (!entry || entry->version < version) breach("acknowledged version " + std::to_string(version) + " is not committed");
+                if (!entry || entry->version < version)
+                    breach("acknowledged version " + std::to_string(version) + " is not committed");
                 else if (entry->version == version) {
                     const auto [known, fresh] = acked_bodies_.emplace(version, entry->body);
-                    if (!fresh && known->second != entry->body) breach("two bodies acknowledged as version " + std::to_string(version));
+                    if (!fresh && known->second != entry->body)
+                        breach("two bodies acknowledged as version " + std::to_string(version));
                 }
             }
             tickets_.erase(t);
@@ -228,7 +243,8 @@
         const LogEntry& entry = *core.consensus->committed();
         if (entry.version > 0) {
             const auto [known, fresh] = seen_bodies_.emplace(entry.version, entry.body);
-            if (!fresh && known->second != entry.body) breach("two bodies committed as version " + std::to_string(entry.version));
+            if (!fresh && known->second != entry.body)
+                breach("two bodies committed as version " + std::to_string(entry.version));
         }
     }
     look(core);
@@ -258,18 +274,23 @@
     at(now_ + hop(), std::move(arrive));
 }
 
-// ---- the coordinator ----------------------------------------------------------------------------------------------
+// ---- the coordinator
+// ----------------------------------------------------------------------------------------------
 
 void World::look(Core& core) {
     if (!core.up || !core.consensus || now_ < core.stalled_until) return;
     const bool leads = core.consensus->leads(now_);
     if (leads) {
-        const auto i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
+        const auto i = static_cast<std::size_t>(
+            std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) -
+            cores_.begin());
         const auto [known, fresh] = term_leader_.emplace(core.consensus->term(), i);
-        if (!fresh && known->second != i) breach("two leaders in term " + std::to_string(core.consensus->term()));
+        if (!fresh && known->second != i)
+            breach("two leaders in term " + std::to_string(core.consensus->term()));
         if (leaders() > 1) breach("two act as leader at once");
     }
-    if (core.coordinator && (!core.consensus->holds() || core.coordinator->term != core.consensus->term())) close_coordinator(core);
+    if (core.coordinator && (!core.consensus->holds() || core.coordinator->term != core.consensus->term()))
+        close_coordinator(core);
     if (leads && !core.coordinator && !fronts_.empty()) {
         SlotTable::Options b;
         b.budget_slack = 20;
@@ -280,7 +301,8 @@
         for (const char* z : {"z0", "z1", "z2"}) p.region_of[z] = "r";
         core.coordinator = std::make_unique<Core::Coordinator>(core.consensus->term(), b, p, now_);
     }
-    if (leads && core.coordinator && core.consensus->committed() && core.consensus->committed()->version > core.coordinator->version) {
+    if (leads && core.coordinator && core.consensus->committed() &&
+        core.consensus->committed()->version > core.coordinator->version) {
         core.coordinator->version = core.consensus->committed()->version;
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
@@ -291,7 +313,9 @@
                     at(now_ + hop(), [this, f, c, version] {
                         Front& front = *fronts_[f];
                         if (!front.up || front.off) return;
-                        if (front.handler->version() > 0 && c->version() < front.best_version && front.handler->version() < front.best_version) breach("a front went back");
+                        if (front.handler->version() > 0 && c->version() < front.best_version &&
+                            front.handler->version() < front.best_version)
+                            breach("a front went back");
                         front.handler->configure(c);
                         front.best_version = std::max(front.best_version, version);
                         if (front.handler->version() < front.best_version) breach("a front went back");
@@ -309,7 +333,9 @@
 }
 
 void World::coordinator_step(Core& core) {
-    const std::size_t i = static_cast<std::size_t>(std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) - cores_.begin());
+    const std::size_t i = static_cast<std::size_t>(
+        std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) -
+        cores_.begin());
     Core::Coordinator& k = *core.coordinator;
     k.next = now_ + SlotTable::kSample;
     std::vector<FrontMail> mail;
@@ -317,7 +343,9 @@
     std::vector<Worker> workers;
     for (std::size_t w = 0; w < shape_.workers; ++w) {
         const std::string name = "w-" + std::to_string(w);
-        if (!workers_down_.count(name)) workers.push_back({name, "z" + std::to_string(w % 3), shape_.worker_mb, 0, !workers_draining_.count(name)});
+        if (!workers_down_.count(name))
+            workers.push_back(
+                {name, "z" + std::to_string(w % 3), shape_.worker_mb, 0, !workers_draining_.count(name)});
     }
     k.planner.workers(now_, workers);
     std::string token;
@@ -325,7 +353,8 @@
         Page page;
         for (const auto& [id, r] : runners_)
             if (now_ >= r->listed_at && (!r->ended || now_ < r->ended_seen()))
-                page.runners.push_back({{id, r->service, r->address, r->zone, r->worker, r->slots, 0, true}, r->draining});
+                page.runners.push_back(
+                    {{id, r->service, r->address, r->zone, r->worker, r->slots, 0, true}, r->draining});
         bool whole = false;
         std::vector<std::string> gone;
         k.listing.page(now_, page, whole, gone);
@@ -338,11 +367,12 @@
     for (const auto& [number, r] : k.slot_table.runners()) {
         std::set<std::pair<Session, std::uint32_t>> granted;
         for (const Slots::Given& g : r.given)
-            if (g.ask > 0 && !granted.insert({g.front, g.ask}).second) breach("one ask has two slots of " + r.what.runner);
+            if (g.ask > 0 && !granted.insert({g.front, g.ask}).second)
+                breach("one ask has two slots of " + r.what.runner);
         if (granted.size() > r.what.slots) breach("more granted than " + r.what.runner + " has slots");
     }
-    // Nobody goes before one that came earlier but by having less time left, or where that one can not be in aim, or as a
-    // late one in its turn.
+    // Nobody goes before one that came earlier but by having less time left, or where that one can not be in
+    // aim, or as a late one in its turn.
     const auto& overtakings = k.slot_table.overtakings();
     const std::size_t fresh = std::min(overtakings.all() - k.overtakings, overtakings.kept().size());
     k.overtakings = overtakings.all();
@@ -351,7 +381,8 @@
         const bool urgent = o.aim_left + o.priority * kRank <= o.before_aim_left + o.before_priority * kRank;
         const bool past = std::string(o.why) != "less_time_left";
         if (!past && !urgent) breach("one with more time left went first in " + o.service);
-        if (std::string(o.why) == "it_can_be_in_aim" && o.aim_left <= 0) breach("one that is late itself went before a late one in " + o.service);
+        if (std::string(o.why) == "it_can_be_in_aim" && o.aim_left <= 0)
+            breach("one that is late itself went before a late one in " + o.service);
     }
     overtaken += fresh;
     k.planner.plan_all(now_, k.slot_table, mail);
@@ -364,7 +395,8 @@
         const Number life = core.life, term = k.term;
         at(now_ + hop(), [this, s, i, life, term] {
             const auto at = runners_.find(s.runner);
-            if (at != runners_.end() && !at->second->ended) at->second->ended = true, at->second->ended_at = now_;
+            if (at != runners_.end() && !at->second->ended)
+                at->second->ended = true, at->second->ended_at = now_;
             Core& c = *cores_[i];
             if (c.life != life || !c.coordinator || c.coordinator->term != term) return;
             c.coordinator->planner.stop_answered(s.runner, true);
@@ -388,19 +420,22 @@
             std::string& id = nonces_[key];
             if (id.empty()) {
                 std::int64_t used = 0;
-                const auto made = std::find_if(services.begin(), services.end(), [&](const Made& m) { return m.name == b.service; });
+                const auto made = std::find_if(services.begin(), services.end(),
+                                               [&](const Made& m) { return m.name == b.service; });
                 for (const auto& [other, r] : runners_)
                     if (!r->ended && r->worker == b.worker)
                         for (const Made& m : services)
                             if (m.name == r->service) used += m.memory_mb;
-                if (made == services.end() || workers_down_.count(b.worker) || workers_draining_.count(b.worker) || used + made->memory_mb > shape_.worker_mb) {
+                if (made == services.end() || workers_down_.count(b.worker) ||
+                    workers_draining_.count(b.worker) || used + made->memory_mb > shape_.worker_mb) {
                     nonces_.erase(key);
                     answer = BeginAnswer::no_room;
                 } else {
                     ++starts;
                     id = "i-" + std::to_string(++made_);
                     auto r = std::make_unique<Runner>();
-                    r->id = id, r->service = b.service, r->worker = b.worker, r->zone = "z" + std::to_string(std::stoul(b.worker.substr(2)) % 3);
+                    r->id = id, r->service = b.service, r->worker = b.worker,
+                    r->zone = "z" + std::to_string(std::stoul(b.worker.substr(2)) % 3);
                     r->address = "10.9.0." + std::to_string(made_) + ":1";
                     r->slots = made->slots;
                     r->ready_at = now_ + made->boot_ms * 1000LL;
@@ -444,7 +479,8 @@
     mail.clear();
 }
 
-// ---- fronts --------------------------------------------------------------------------------------------------
+// ---- fronts
+// --------------------------------------------------------------------------------------------------
 
 void World::to_coordinator(std::size_t f, const Message& message) {
     Front& front = *fronts_[f];
@@ -452,15 +488,18 @@
     const std::size_t core = *front.core;
     const Number life = front.core_life, term = front.term;
     const Session session = front.session;
-    at(now_ + shape_.delay, [this, f, core, life, term, session, message] { take(f, core, life, term, session, message); });
+    at(now_ + shape_.delay,
+       [this, f, core, life, term, session, message] { take(f, core, life, term, session, message); });
 }
 
-void World::take(std::size_t f, std::size_t core, Number life, Number term, Session session, const Message& message) {
+void World::take(std::size_t f, std::size_t core, Number life, Number term, Session session,
+                 const Message& message) {
     Core& c = *cores_[core];
     if (!c.up || c.life != life || !c.coordinator || c.coordinator->term != term || fronts_[f]->off) return;
     if (now_ < c.stalled_until || !c.consensus || !c.consensus->leads(now_)) {
         // Held by the connection until it wakes, and by the coordinator until the lease is back.
-        at(std::max(now_, c.stalled_until) + 2'000, [=, this] { take(f, core, life, term, session, message); });
+        at(std::max(now_, c.stalled_until) + 2'000,
+           [=, this] { take(f, core, life, term, session, message); });
         return;
     }
     std::vector<FrontMail> mail;
@@ -487,9 +526,11 @@
     if (front.up) {
         Actions d;
         const Core* const c = front.core ? cores_[*front.core].get() : nullptr;
-        if (c && (!c->up || c->life != front.core_life || !c->coordinator || c->coordinator->term != front.term || front.off)) {
+        if (c && (!c->up || c->life != front.core_life || !c->coordinator ||
+                  c->coordinator->term != front.term || front.off)) {
             if (!front.off || now_ > front.heard + kReach) {
-                if (c->up && c->coordinator && c->coordinator->term == front.term && c->life == front.core_life) {
+                if (c->up && c->coordinator && c->coordinator->term == front.term &&
+                    c->life == front.core_life) {
                     std::vector<FrontMail> mail;
                     cores_[*front.core]->coordinator->slot_table.front_left(now_, front.session, mail);
                     cores_[*front.core]->coordinator->fronts.erase(f);
@@ -508,13 +549,19 @@
                 front.heard = front.next = now_;
                 next.coordinator->fronts.insert(f);
                 std::vector<FrontMail> mail;
-                const auto rank = static_cast<std::uint32_t>(std::distance(next.coordinator->fronts.begin(), next.coordinator->fronts.find(f)));
-                mail.push_back({front.session, Registered{front.term, rank, static_cast<std::uint32_t>(fronts_.size()), {}}});
-                next.coordinator->slot_table.front_came(now_, front.session, front.handler->registration(), mail);
-                if (next.consensus && next.consensus->committed() && next.consensus->committed()->version > front.handler->version())
+                const auto rank = static_cast<std::uint32_t>(
+                    std::distance(next.coordinator->fronts.begin(), next.coordinator->fronts.find(f)));
+                mail.push_back(
+                    {front.session,
+                     Registered{front.term, rank, static_cast<std::uint32_t>(fronts_.size()), {}}});
+                next.coordinator->slot_table.front_came(now_, front.session, front.handler->registration(),
+                                                        mail);
+                if (next.consensus && next.consensus->committed() &&
+                    next.consensus->committed()->version > front.handler->version())
                     leaf::try_handle_all(
                         [&]() -> leaf::result<void> {
-                            BOOST_LEAF_AUTO(configuration, Configuration::read(next.consensus->committed()->body));
+                            BOOST_LEAF_AUTO(configuration,
+                                            Configuration::read(next.consensus->committed()->body));
                             front.handler->configure(configuration);
                             front.best_version = std::max(front.best_version, front.handler->version());
                             return {};
@@ -527,7 +574,9 @@
         front.handler->tick(now_, d);
         actions(f, d);
         for (auto w = front.watches.begin(); w != front.watches.end();) {
-            const auto r = std::find_if(runners_.begin(), runners_.end(), [&](const auto& one) { return one.second->address == w->first && !one.second->ended; });
+            const auto r = std::find_if(runners_.begin(), runners_.end(), [&](const auto& one) {
+                return one.second->address == w->first && !one.second->ended;
+            });
             if (r == runners_.end() || now_ < r->second->ready_at) {
                 ++w;
                 continue;
@@ -587,7 +636,9 @@
             });
         };
         at(now_ + hop(), [this, id, want, address, end] {
-            const auto r = std::find_if(runners_.begin(), runners_.end(), [&](const auto& one) { return one.second->address == address && !one.second->ended; });
+            const auto r = std::find_if(runners_.begin(), runners_.end(), [&](const auto& one) {
+                return one.second->address == address && !one.second->ended;
+            });
             if (r == runners_.end() || now_ < r->second->ready_at) return end(RunEnd::unreachable);
             Runner& runner = *r->second;
             if (runner.id != want) return end(RunEnd::misdirected);
@@ -608,18 +659,23 @@
                 if (at == runners_.end() || t.at != key) return;
                 t.at.clear();
                 --at->second->busy;
-                end(lost || (at->second->ended && workers_down_.count(at->second->worker)) ? RunEnd::may_have_run : RunEnd::answered);
+                end(lost || (at->second->ended && workers_down_.count(at->second->worker))
+                        ? RunEnd::may_have_run
+                        : RunEnd::answered);
             });
         });
     }
 }
 
 void World::cut_front(std::size_t f, bool off) { fronts_[f]->off = off; }
-void World::delay_front(std::size_t f, Micros span) { fronts_[f]->next = std::max(fronts_[f]->next, now_) + span; }
+void World::delay_front(std::size_t f, Micros span) {
+    fronts_[f]->next = std::max(fronts_[f]->next, now_) + span;
+}
 
 void World::kill_front(std::size_t f) {
     Front& front = *fronts_[f];
-    if (front.core && cores_[*front.core]->coordinator && cores_[*front.core]->coordinator->term == front.term) {
+    if (front.core && cores_[*front.core]->coordinator &&
+        cores_[*front.core]->coordinator->term == front.term) {
         std::vector<FrontMail> mail;
         cores_[*front.core]->coordinator->slot_table.front_left(now_, front.session, mail);
         cores_[*front.core]->coordinator->fronts.erase(f);
@@ -629,28 +685,33 @@
     front.core.reset();
     front.best_version = 0;
     front.watches.clear();
-    front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{front.name, front.zone, front.life + 1, kReach, shape_.seed + f + front.life * 100});
+    front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{
+        front.name, front.zone, front.life + 1, kReach, shape_.seed + f + front.life * 100});
     at(now_ + 500'000, [this, f] { tick_front(f); });
 }
 
-// ---- the world outside ---------------------------------------------------------------------------------------
+// ---- the world outside
+// ---------------------------------------------------------------------------------------
 
 std::string World::body(Number version, const std::string& mark) const {
     std::ostringstream text;
     text << "{\"version\":" << version << ",\"routes\":[";
     for (std::size_t i = 0; i < services.size(); ++i) {
         const Made& m = services[i];
-        text << (i ? "," : "") << "{\"name\":\"r-" << m.name << "\",\"host\":\"h.example\",\"path_prefix\":\"/" << m.name << "/\",\"route_kind\":\""
-             << (m.idempotent ? "idempotent" : "non_idempotent") << "\",\"timeout_ms\":" << m.timeout_ms << ",\"target_latency_ms\":" << m.aim_ms
-             << ",\"priority\":" << m.priority << ",\"service\":\"" << (m.of.empty() ? m.name : m.of) << "\",\"max_attempts\":" << m.attempts << "}";
+        text << (i ? "," : "") << "{\"name\":\"r-" << m.name
+             << "\",\"host\":\"h.example\",\"path_prefix\":\"/" << m.name << "/\",\"route_kind\":\""
+             << (m.idempotent ? "idempotent" : "non_idempotent") << "\",\"timeout_ms\":" << m.timeout_ms
+             << ",\"target_latency_ms\":" << m.aim_ms << ",\"priority\":" << m.priority << ",\"service\":\""
+             << (m.of.empty() ? m.name : m.of) << "\",\"max_attempts\":" << m.attempts << "}";
     }
     text << "],\"services\":[";
     bool any = false;
     for (std::size_t i = 0; i < services.size(); ++i) {
         const Made& m = services[i];
         if (!m.of.empty()) continue;
-        text << (std::exchange(any, true) ? "," : "") << "{\"name\":\"" << m.name << "\",\"connection_limit\":20,\"memory_mb\":" << m.memory_mb << ",\"boot_duration_ms\":" << m.boot_ms
-             << ",\"max_concurrency\":" << m.slots << "}";
+        text << (std::exchange(any, true) ? "," : "") << "{\"name\":\"" << m.name
+             << "\",\"connection_limit\":20,\"memory_mb\":" << m.memory_mb
+             << ",\"boot_duration_ms\":" << m.boot_ms << ",\"max_concurrency\":" << m.slots << "}";
     }
     text << "],\"mark\":\"" << mark << "\"}";
     return text.str();
@@ -663,7 +724,9 @@
     if (!c.consensus->leads(now_)) {
         const std::string leader = c.consensus->leader();
         for (std::size_t i = 0; i < cores_.size(); ++i)
-            if (i != core && cores_[i]->name == leader && cores_[i]->up && cores_[i]->consensus && cores_[i]->consensus->leads(now_)) return put(version, i, mark);
+            if (i != core && cores_[i]->name == leader && cores_[i]->up && cores_[i]->consensus &&
+                cores_[i]->consensus->leads(now_))
+                return put(version, i, mark);
         return;
     }
     Output out;
@@ -682,7 +745,8 @@
     for (const Made& m : services)
         if (m.name == service) t.idempotent = m.idempotent, t.aim = m.aim_ms * 1000LL;
     Actions d;
-    front.handler->arrived(now_, id, "h.example", "/" + service + "/x", static_cast<std::uint32_t>(deadline_ms), d);
+    front.handler->arrived(now_, id, "h.example", "/" + service + "/x",
+                           static_cast<std::uint32_t>(deadline_ms), d);
     actions(f, d);
 }
 
@@ -698,7 +762,8 @@
     for (auto& [id, r] : runners_)
         if (r->worker == worker && !r->ended) {
             r->draining = true;
-            at(now_ + 4'000'000, [this, id = id] { runners_[id]->ended = true, runners_[id]->ended_at = now_; });
+            at(now_ + 4'000'000,
+               [this, id = id] { runners_[id]->ended = true, runners_[id]->ended_at = now_; });
         }
 }
 
@@ -713,16 +778,20 @@
     }
 }
 
-// ---- looks ---------------------------------------------------------------------------------------------------
+// ---- looks
+// ---------------------------------------------------------------------------------------------------
 
 std::size_t World::leaders() const {
     std::size_t n = 0;
-    for (const auto& c : cores_) n += c->up && c->consensus && now_ >= c->stalled_until && c->consensus->leads(now_);
+    for (const auto& c : cores_)
+        n += c->up && c->consensus && now_ >= c->stalled_until && c->consensus->leads(now_);
     return n;
 }
 std::optional<std::size_t> World::leader() const {
     for (std::size_t i = 0; i < cores_.size(); ++i)
-        if (cores_[i]->up && cores_[i]->consensus && now_ >= cores_[i]->stalled_until && cores_[i]->consensus->leads(now_)) return i;
+        if (cores_[i]->up && cores_[i]->consensus && now_ >= cores_[i]->stalled_until &&
+            cores_[i]->consensus->leads(now_))
+            return i;
     return {};
 }
 Number World::committed() const {
@@ -755,7 +824,9 @@
     return text;
 }
 bool World::core_up(std::size_t i) const { return cores_[i]->up; }
-bool World::core_recovering(std::size_t i) const { return !cores_[i]->consensus || cores_[i]->consensus->recovering(); }
+bool World::core_recovering(std::size_t i) const {
+    return !cores_[i]->consensus || cores_[i]->consensus->recovering();
+}
 std::string World::told() const {
     std::ostringstream text;
     for (const auto& c : cores_) {
@@ -764,8 +835,10 @@
             continue;
         }
         const PersistentState& d = c->consensus->state();
-        text << "[term " << d.term << " voted " << d.voted_for << " no_vote_through_term " << d.no_vote_through_term << " entry " << d.entry.position.term << "." << d.entry.position.index
-             << " members " << d.entry.members.size() << (d.member ? "" : " non_member") << " leader " << c->consensus->leader() << "] ";
+        text << "[term " << d.term << " voted " << d.voted_for << " no_vote_through_term "
+             << d.no_vote_through_term << " entry " << d.entry.position.term << "." << d.entry.position.index
+             << " members " << d.entry.members.size() << (d.member ? "" : " non_member") << " leader "
+             << c->consensus->leader() << "] ";
     }
     return text.str();
 }
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -1,6 +1,6 @@
-// A whole system on simulated time: the project's state machines for cores and fronts, and stand-ins for disks, network,
-// platform, runners, clients and the operator. No sockets, no clock, no sleep. After each step it checks what must hold
-// whatever happens; a breach is told once, with its time.
+// A whole system on simulated time: the project's state machines for cores and fronts, and stand-ins for
+// disks, network, platform, runners, clients and the operator. No sockets, no clock, no sleep. After each
+// step it checks what must hold whatever happens; a breach is told once, with its time.
 #pragma once
 
 #include <cstdint>
@@ -68,7 +68,8 @@
     void resign_core(std::size_t i);
     void cut_front(std::size_t f, bool off);
     void kill_front(std::size_t f);
-    void delay_front(std::size_t f, Micros span);  // what the coordinator says to it comes so much later, in order
+    void delay_front(std::size_t f,
+                     Micros span);  // what the coordinator says to it comes so much later, in order
     void put(Number version, std::size_t core, const std::string& mark = {});
     std::string body(Number version, const std::string& mark) const;
     // One request at a front for that service; outcomes are counted by status.
@@ -84,16 +85,16 @@
     Number acknowledged() const { return acknowledged_; }
     Number committed() const;  // at the leader; 0: none
     std::size_t members() const;
-    std::uint64_t greetings() const { return session_; }  // of fronts, so far
-    std::map<int, int> statuses;  // of answers, by HTTP status
+    std::uint64_t greetings() const { return session_; }          // of fronts, so far
+    std::map<int, int> statuses;                                  // of answers, by HTTP status
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
-    std::map<std::string, Micros> worst_of;                        // longest time to a whole answer
+    std::map<std::string, Micros> worst_of;                       // longest time to a whole answer
     std::uint64_t overtaken = 0;
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
-    std::size_t runners(const std::string& service) const;  // that live
+    std::size_t runners(const std::string& service) const;   // that live
     bool is_unrestricted(const std::string& service) const;  // at the leader: fronts take its slots unasked
-    std::string placed() const;                             // zone:count of all live runners
+    std::string placed() const;                              // zone:count of all live runners
     bool core_up(std::size_t i) const;
     bool core_recovering(std::size_t i) const;
     std::string told() const;  // how each core stands
@@ -117,7 +118,8 @@
     void coordinator_step(Core& core);
     void post(std::size_t core, std::vector<FrontMail>& mail);
     void to_coordinator(std::size_t front, const Message& message);
-    void take(std::size_t front, std::size_t core, Number life, Number term, Session session, const Message& message);
+    void take(std::size_t front, std::size_t core, Number life, Number term, Session session,
+              const Message& message);
     void tick_front(std::size_t f);
     void actions(std::size_t f, Actions& d);
     void begin(std::size_t core, Number life, const Begin& begin, Number fence);
--- a/tests/terms_stories.cpp
+++ b/tests/terms_stories.cpp
@@ -1,4 +1,5 @@
-// New settings in service: the terms of workloads over changes, the module's part in it, and reloads on sockets.
+// New settings in service: the terms of workloads over changes, the module's part in it, and reloads on
+// sockets.
 #include "helpers.hpp"
 #include "orders/terms.hpp"
 
@@ -10,8 +11,12 @@
 using Rows = std::vector<std::pair<std::string, std::string>>;  // name, effect
 
 StatedOrders stated(const Rows& rows, const std::string& attempts = "3") {
-    StatedOrders all{{"workloads.count", std::to_string(rows.size())}, {"caps.max_assignments", attempts}, {"caps.cancelling", "true"},
-                     {"rules.fall_multiple", "400"}, {"reports.names", "free_slots,waiting,held"}, {"trade.class_stretch", "1.5,2.5"}};
+    StatedOrders all{{"workloads.count", std::to_string(rows.size())},
+                     {"caps.max_assignments", attempts},
+                     {"caps.cancelling", "true"},
+                     {"rules.fall_multiple", "400"},
+                     {"reports.names", "free_slots,waiting,held"},
+                     {"trade.class_stretch", "1.5,2.5"}};
     for (std::size_t i = 0; i < rows.size(); ++i) {
         const std::string at = "workloads." + std::to_string(i) + ".";
         all[at + "name"] = rows[i].first, all[at + "effect"] = rows[i].second;
@@ -111,17 +116,22 @@
     // One attempt only, even where nothing ran.
     const TaskId one = host.ask(place);
     host.end(Outcome::connect_failed);
-    CHECK(std::count_if(host.assigned.begin(), host.assigned.end(), [&](const Assign& a) { return a.task == one; }) == 1);
+    CHECK(std::count_if(host.assigned.begin(), host.assigned.end(),
+                        [&](const Assign& a) { return a.task == one; }) == 1);
     CHECK(host.answers.at(one) == 1);
 }
 
-TEST_CASE("on sockets: a new workload is served by its own rules, open tasks by the old, a dropped one is not known") {
+TEST_CASE(
+    "on sockets: a new workload is served by its own rules, open tasks by the old, a dropped one is not "
+    "known") {
     Town town(3, "pure", "", "\"memory_mb\":64,\"sockets\":64");
     Wire open = town.client();
     open.say(Town::post("o"));
     Wire& runner = town.at_runner("o");
-    const std::string two = town.with("\"importance\":1}]", "\"importance\":1},{\"name\":\"proof\",\"effect\":\"token\",\"due_time_us\":600000,"
-                                                            "\"expiry_us\":700000,\"importance\":2}]");
+    const std::string two =
+        town.with("\"importance\":1}]",
+                  "\"importance\":1},{\"name\":\"proof\",\"effect\":\"token\",\"due_time_us\":600000,"
+                  "\"expiry_us\":700000,\"importance\":2}]");
     town.reload(two);
     CHECK(town.said.str().find("workloads added: proof; dropped: none; changed: none") != std::string::npos);
     Wire proof = town.client();
@@ -160,20 +170,24 @@
              {without("\"name\":\"n0\","), "is short of name"},
              {without("\"seed\":\"2a\","), "is short of seed"},
              {without(",\"rules\":{\"fall_multiple\":400}"), "is short of settings.rules"},
-             {without("\"registry_mode\":\"on_request\","), "is short of settings.registry_mode, which the one in force states"},
+             {without("\"registry_mode\":\"on_request\","),
+              "is short of settings.registry_mode, which the one in force states"},
              {without("\"cancelling\":true,"), "is short of settings.caps.cancelling"},
              {without("\"max_assignments\":3,"), "is short of settings.caps.max_assignments"},
              {without("\"effect\":\"pure\","), "is short of settings.workloads.0.effect"},
              {without(",\"expiry_us\":900000"), "is short of settings.workloads.0.expiry_us"},
-             {town.with("\"expiry_us\":900000", "\"expiry_us\":0"), "has a time that cannot be: settings.workloads.0.expiry_us"},
+             {town.with("\"expiry_us\":900000", "\"expiry_us\":0"),
+              "has a time that cannot be: settings.workloads.0.expiry_us"},
              {town.with("\"expiry_us\":900000", "\"expiry_us\":-5"), "has a time that cannot be"},
-             {town.with("\"max_assignments\":3", "\"max_assignments\":0"), "settings.caps.max_assignments = 0, and a number from 1"},
+             {town.with("\"max_assignments\":3", "\"max_assignments\":0"),
+              "settings.caps.max_assignments = 0, and a number from 1"},
              {town.with("\"effect\":\"pure\"", "\"effect\":\"purple\""), "knows an effect that is none"}}) {
         town.said.str("");
         // Another address of discovery in the same file must not be believed either.
         const std::string moved = "127.0.0.1:9", at = town.discovery.address();
         std::string file = words;
-        if (const auto found = file.find(at); found != std::string::npos) file.replace(found, at.size(), moved);
+        if (const auto found = file.find(at); found != std::string::npos)
+            file.replace(found, at.size(), moved);
         town.reload(file);
         CHECK_MESSAGE(town.said.str().find(why) != std::string::npos, why << ": " << town.said.str());
         CHECK(town.said.str().find("discovery moves") == std::string::npos);
@@ -186,23 +200,32 @@
     CHECK(town.until([&] { return client.has("picture"); }));
 }
 
-TEST_CASE("a setting that cannot be meant is refused with its name and what was expected, before any of it is believed") {
+TEST_CASE(
+    "a setting that cannot be meant is refused with its name and what was expected, before any of it is "
+    "believed") {
     const Town town;
     for (const auto& [words, why] : std::vector<std::pair<std::string, std::string>>{
              {town.with("\"max_assignments\":3", "\"max_assignments\":-1"), "and a number from 1"},
              {town.with("\"max_assignments\":3", "\"max_assignments\":\"three\""), "is not a number: three"},
              {town.with("\"resolution_us\":1000", "\"resolution_us\":1e400"), "resolution_us"},
              {town.with("\"cancelling\":true", "\"cancelling\":\"perhaps\""), "neither true nor false"},
-             {town.with("\"importance\":1", "\"importance\":-2"), "settings.workloads.0.importance = -2, and a number from 0"},
-             {town.with("\"fall_multiple\":400", "\"fall_multiple\":400,\"cold_from\":1.5"), "settings.rules.cold_from = 1.5, and a number from 0 to 1"},
-             {town.with("\"importance\":1", "\"importance\":1,\"aim_stretch\":-0.5"), "aim_stretch = -0.5"}}) {
-        CHECK_THROWS_WITH_AS(dispatcher::Posting::read(words), doctest::Contains(why.c_str()), std::runtime_error);
+             {town.with("\"importance\":1", "\"importance\":-2"),
+              "settings.workloads.0.importance = -2, and a number from 0"},
+             {town.with("\"fall_multiple\":400", "\"fall_multiple\":400,\"cold_from\":1.5"),
+              "settings.rules.cold_from = 1.5, and a number from 0 to 1"},
+             {town.with("\"importance\":1", "\"importance\":1,\"aim_stretch\":-0.5"),
+              "aim_stretch = -0.5"}}) {
+        CHECK_THROWS_WITH_AS(dispatcher::Posting::read(words), doctest::Contains(why.c_str()),
+                             std::runtime_error);
     }
     CHECK_THROWS_WITH_AS(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":4,\"me\":4")),
                          doctest::Contains("settings.me = 4"), std::runtime_error);
     CHECK_THROWS_WITH_AS(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":0")),
                          doctest::Contains("settings.balancers = 0"), std::runtime_error);
-    CHECK_THROWS_WITH_AS(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":1,\"tenants\":[{\"name\":\"t\",\"allowance_per_s\":-1}]")),
-                         doctest::Contains("settings.tenants.0.allowance_per_s = -1"), std::runtime_error);
-    CHECK_NOTHROW(dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":4,\"unheard_of\":[1,2]")));
+    CHECK_THROWS_WITH_AS(
+        dispatcher::Posting::read(town.with(
+            "\"balancers\":1", "\"balancers\":1,\"tenants\":[{\"name\":\"t\",\"allowance_per_s\":-1}]")),
+        doctest::Contains("settings.tenants.0.allowance_per_s = -1"), std::runtime_error);
+    CHECK_NOTHROW(
+        dispatcher::Posting::read(town.with("\"balancers\":1", "\"balancers\":4,\"unheard_of\":[1,2]")));
 }
--- a/tests/tube_stories.cpp
+++ b/tests/tube_stories.cpp
@@ -1,5 +1,5 @@
-// Both fronts on one dispatcher, over sockets: tasks by HTTP served by workers that ask, jobs from tubes pushed to runners,
-// and clients who say nothing, too much or nonsense.
+// Both fronts on one dispatcher, over sockets: tasks by HTTP served by workers that ask, jobs from tubes
+// pushed to runners, and clients who say nothing, too much or nonsense.
 #include "helpers.hpp"
 
 #include <algorithm>
@@ -8,9 +8,11 @@
 
 namespace {
 
-dispatcher::Extras with_tubes(std::size_t pushed = 0, const std::string& shares = "", std::size_t connections = 64) {
+dispatcher::Extras with_tubes(std::size_t pushed = 0, const std::string& shares = "",
+                              std::size_t connections = 64) {
     dispatcher::Extras extras;
-    extras.tubes.entrances.push_back({*net::Address::read("127.0.0.1:" + std::to_string(Door(-1).port)), "m", "a"});
+    extras.tubes.entrances.push_back(
+        {*net::Address::read("127.0.0.1:" + std::to_string(Door(-1).port)), "m", "a"});
     extras.tubes.connections = connections;
     extras.tubes.trade.cold = false;
     beanstalk::TubePlan plan;
@@ -24,7 +26,9 @@
 
 Wire tube_client(const Town& t) { return Wire::to(t.dispatcher->pullers()->port()); }
 
-std::string put(const std::string& body) { return "put 1 0 60 " + std::to_string(body.size()) + "\r\n" + body + "\r\n"; }
+std::string put(const std::string& body) {
+    return "put 1 0 60 " + std::to_string(body.size()) + "\r\n" + body + "\r\n";
+}
 
 // The number in the last RESERVED that came.
 std::string reserved(const Wire& wire) {
@@ -48,9 +52,12 @@
     CHECK(worker.has("DELETED\r\n"));
 }
 
-TEST_CASE("a worker lost with a task of HTTP: harmless goes on to the next, side-effecting is given up and never run again") {
+TEST_CASE(
+    "a worker lost with a task of HTTP: harmless goes on to the next, side-effecting is given up and never "
+    "run again") {
     for (const bool harmless : {true, false}) {
-        Town t(0, harmless ? "pure" : "side_effect", "", kLimits, "on_request", "900000", with_tubes(0, "render"));
+        Town t(0, harmless ? "pure" : "side_effect", "", kLimits, "on_request", "900000",
+               with_tubes(0, "render"));
         Wire lost = tube_client(t), client = t.client();
         lost.say("watch render\r\nreserve\r\n");
         client.say(Town::post("h1"));
@@ -71,7 +78,9 @@
     }
 }
 
-TEST_CASE("a job from a tube is pushed to a runner over HTTP where the operator allows it, and is gone once it is done") {
+TEST_CASE(
+    "a job from a tube is pushed to a runner over HTTP where the operator allows it, and is gone once it is "
+    "done") {
     Town t(1, "pure", "", kLimits, "on_request", "900000", with_tubes(2));
     Wire producer = tube_client(t);
     producer.say("use render\r\n" + put("pixels"));
@@ -112,7 +121,9 @@
     producer.say("kick 5\r\n");
     REQUIRE(t.until([&] { return producer.has("KICKED 0"); }));
     Wire desk = Wire::to_path(extras.desk->path);
-    desk.say("{\"v\":1,\"do\":\"kick\",\"job\":1}\n{\"v\":1,\"do\":\"kick\",\"job\":1}\n{\"v\":1,\"do\":\"status\"}\n");
+    desk.say(
+        "{\"v\":1,\"do\":\"kick\",\"job\":1}\n{\"v\":1,\"do\":\"kick\",\"job\":1}\n{\"v\":1,\"do\":"
+        "\"status\"}\n");
     REQUIRE(t.until([&] { return desk.has("no buried job has that number") && desk.has("\"tubes\""); }));
     const auto second_run = [&] {
         for (Wire& w : t.doors[0]->guests())
@@ -153,7 +164,9 @@
     CHECK(t.until([&] { return producer.has("INSERTED"); }));
 }
 
-TEST_CASE("at a restart workers in a reserve are let go, what is in hands is honestly ended, and it says what is lost") {
+TEST_CASE(
+    "at a restart workers in a reserve are let go, what is in hands is honestly ended, and it says what is "
+    "lost") {
     Town t(0, "pure", "", kLimits, "on_request", "900000", with_tubes());
     Wire producer = tube_client(t), holder = tube_client(t), waiter = tube_client(t);
     producer.say(put("a") + put("b") + "pause-tube default 60\r\n");
@@ -167,7 +180,9 @@
     CHECK(t.said.str().find("2 jobs that wait in tubes are lost") != std::string::npos);
 }
 
-TEST_CASE("clients who say nothing, half a line, nonsense or too much are ended within 3 s, and nobody else is harmed") {
+TEST_CASE(
+    "clients who say nothing, half a line, nonsense or too much are ended within 3 s, and nobody else is "
+    "harmed") {
     Town t(0, "pure", "", kLimits, "on_request", "900000", with_tubes(0, "", 32));
     Wire waiting = tube_client(t), good = tube_client(t);
     waiting.say("reserve\r\n");
@@ -179,7 +194,8 @@
         silent.push_back(tube_client(t));
         t.turn();
     }
-    Wire drip = tube_client(t), nonsense = tube_client(t), endless = tube_client(t), half_body = tube_client(t);
+    Wire drip = tube_client(t), nonsense = tube_client(t), endless = tube_client(t),
+         half_body = tube_client(t);
     nonsense.say("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     half_body.say("list-tubes\r\nput 1 0 1 100\r\nhalf");
     REQUIRE(t.until([&] { return nonsense.ended(); }));
@@ -201,13 +217,16 @@
     CHECK(t.until([&] { return waiting.has("for who waits"); }));
 }
 
-TEST_CASE("hundreds of commands in one breath are answered in their order, a reserve among them holds up what follows") {
+TEST_CASE(
+    "hundreds of commands in one breath are answered in their order, a reserve among them holds up what "
+    "follows") {
     Town t(0, "pure", "", kLimits, "on_request", "900000", with_tubes());
     Wire one = tube_client(t);
     std::string all, wanted;
     for (int i = 1; i <= 400; ++i) all += put("x"), wanted += "INSERTED " + std::to_string(i) + "\r\n";
     for (int i = 1; i <= 400; ++i)
-        all += "reserve\r\ndelete " + std::to_string(i) + "\r\n", wanted += "RESERVED " + std::to_string(i) + " 1\r\nx\r\nDELETED\r\n";
+        all += "reserve\r\ndelete " + std::to_string(i) + "\r\n",
+            wanted += "RESERVED " + std::to_string(i) + " 1\r\nx\r\nDELETED\r\n";
     one.say(all + "reserve-with-timeout 0\r\nlist-tube-used\r\n");
     wanted += "TIMED_OUT\r\nUSING default\r\n";
     CHECK(t.until([&] { return one.look().got.size() >= wanted.size(); }, 10'000));
--- a/tests/upgrade_stories.cpp
+++ b/tests/upgrade_stories.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-// What the platform does: it holds the clients' socket, starts a dispatcher with it, and a second beside the first.
+// What the platform does: it holds the clients' socket, starts a dispatcher with it, and a second beside the
+// first.
 struct Platform {
-    Platform() { town = std::make_unique<Town>(4, "pure", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "3000000"); }
+    Platform() {
+        town =
+            std::make_unique<Town>(4, "pure", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "3000000");
+    }
     std::unique_ptr<dispatcher::Dispatcher> start(const std::string& text) {
         dispatcher::Posting posting = dispatcher::Posting::read(text);
         posting.inherited = dup(socket);
@@ -30,11 +34,13 @@
         port = ntohs(at.sin_port);
     }
     bool until(const std::function<bool()>& holds, int milliseconds = 3000) {
-        return town->until([&] {
-            if (elder) elder->end_turn();
-            if (heir) heir->end_turn();
-            return holds();
-        }, milliseconds);
+        return town->until(
+            [&] {
+                if (elder) elder->end_turn();
+                if (heir) heir->end_turn();
+                return holds();
+            },
+            milliseconds);
     }
     Wire& at_runner(const std::string& id) {
         Wire* at = nullptr;
@@ -81,11 +87,14 @@
     p.begin();
     dispatcher::Posting posting = dispatcher::Posting::read(p.town->text);
     posting.inherited = ::socket(AF_INET, SOCK_STREAM, 0);
-    CHECK_THROWS_WITH(dispatcher::Dispatcher(p.town->loop, posting, p.town->log), doctest::Contains("is no listening socket"));
+    CHECK_THROWS_WITH(dispatcher::Dispatcher(p.town->loop, posting, p.town->log),
+                      doctest::Contains("is no listening socket"));
     close(*posting.inherited);
 }
 
-TEST_CASE("in an upgrade the old one lets in nobody more, answers what it has, and what is in the queue is the new one's") {
+TEST_CASE(
+    "in an upgrade the old one lets in nobody more, answers what it has, and what is in the queue is the new "
+    "one's") {
     Platform p;
     p.begin();
     p.elder = p.start(p.town->text);
@@ -143,7 +152,8 @@
         CHECK(words[0].body == "a\nb");
         CHECK(words[1].kind == Kind::done);
     }
-    for (const std::string& foreign : std::vector<std::string>{"HTTP/1.1 200 OK\r\n\r\n", "list -1\n", "list 99999999999\n", "\n", std::string(60, 'x')}) {
+    for (const std::string& foreign : std::vector<std::string>{
+             "HTTP/1.1 200 OK\r\n\r\n", "list -1\n", "list 99999999999\n", "\n", std::string(60, 'x')}) {
         Reader reader;
         reader.feed(foreign);
         CHECK_FALSE(reader.next());
@@ -169,8 +179,10 @@
     const std::string list = p.town->list(9, "DRAINING", true);
     const auto second = list.find("{\"id\":\"s-1\"");  // the first drains, the others serve
     std::string rest = list.substr(second);
-    for (auto at = rest.find("DRAINING"); at != std::string::npos; at = rest.find("DRAINING")) rest.replace(at, 8, "SERVING");
-    for (Wire& watch : discovery.guests()) watch.say(Town::taken + Town::chunk(list.substr(0, second) + rest + "\n"));
+    for (auto at = rest.find("DRAINING"); at != std::string::npos; at = rest.find("DRAINING"))
+        rest.replace(at, 8, "SERVING");
+    for (Wire& watch : discovery.guests())
+        watch.say(Town::taken + Town::chunk(list.substr(0, second) + rest + "\n"));
     p.until([] { return false; }, 50);
     p.heir = p.start(p.town->text);  // whose configuration says that all serve
     REQUIRE(p.until([&] { return p.said("handover: heard what the old dispatcher knows"); }));
@@ -254,7 +266,8 @@
 }
 
 TEST_CASE("a foreign speaker, one cut off and one of another form keep nobody from serving") {
-    for (const std::string words : {"", "greeting 24\n{\"v\":1,\"name\":\"other\"}", "greeting 20\n{\"v\":1,\"name\":\"n0\"}list 9\n{\"version\"",
+    for (const std::string words : {"", "greeting 24\n{\"v\":1,\"name\":\"other\"}",
+                                    "greeting 20\n{\"v\":1,\"name\":\"n0\"}list 9\n{\"version\"",
                                     "what is this?", "greeting 21\n{\"v\":99,\"name\":\"n0\"}"}) {
         CAPTURE(words);
         Platform p;
--- a/tests/window_stories.cpp
+++ b/tests/window_stories.cpp
@@ -7,9 +7,12 @@
 namespace {
 
 bool yes(const std::string& answer) { return answer.starts_with("HTTP/1.1 200 "); }
-bool no(const std::string& answer, int status) { return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " "); }
+bool no(const std::string& answer, int status) {
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
 
-Town a_town(const std::string& limits = "\"memory_mb\":64,\"sockets\":96", const std::string& effect = "pure", const std::string& caps = "") {
+Town a_town(const std::string& limits = "\"memory_mb\":64,\"sockets\":96", const std::string& effect = "pure",
+            const std::string& caps = "") {
     return Town(1, effect, caps, limits, "on_request", "900000", {}, Town::with_window());
 }
 
@@ -40,7 +43,8 @@
     CHECK(no(town.call("POST", "/control/ready"), 405));
     CHECK(no(town.call("GET", "/control/out-of-service"), 405));
     CHECK(no(town.call("DELETE", "/control/in-service"), 405));
-    for (const std::string words : {"POST /control/out-of-service HTTP/9\r\n\r\n", "\r\r\r\nPOST", "POST /control/out-of-service HTTP/1.1\r\nContent-Length: -1\r\n\r\n"}) {
+    for (const std::string words : {"POST /control/out-of-service HTTP/9\r\n\r\n", "\r\r\r\nPOST",
+                                    "POST /control/out-of-service HTTP/1.1\r\nContent-Length: -1\r\n\r\n"}) {
         Wire wire = town.caller(words);
         REQUIRE(town.until([&] { return wire.ended(); }, 3000));
         CHECK(wire.got.starts_with("HTTP/1.1 "));
@@ -82,11 +86,13 @@
         clients.back().say(Town::post("c" + std::to_string(i)));
     }
     REQUIRE(town.until([&] { return figure(town, "app_outstanding") == 20; }, 900));
-    CHECK(town.until([&] { return std::all_of(idlers.begin(), idlers.end(), [](Wire& w) { return w.ended(); }); }, 3000));
+    CHECK(town.until(
+        [&] { return std::all_of(idlers.begin(), idlers.end(), [](Wire& w) { return w.ended(); }); }, 3000));
 }
 
 TEST_CASE("the figures are those of the day that was played") {
-    Town town(2, "pure", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "900000", {}, Town::with_window());
+    Town town(2, "pure", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "900000", {},
+              Town::with_window());
     CHECK(figure(town, "app_succeeded_total{service=\"render\"}") == 0);
     CHECK(figure(town, "app_discovered") == 2);
     for (int i = 0; i < 5; ++i) {
@@ -133,7 +139,8 @@
 }
 
 TEST_CASE("an assignment counts once its last byte is written, and a connect that fails never does") {
-    Town town(1, "side_effect", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "900000", {}, Town::with_window());
+    Town town(1, "side_effect", "", "\"memory_mb\":64,\"sockets\":96", "on_request", "900000", {},
+              Town::with_window());
     town.doors[0]->shut();
     Wire client = town.client();
     client.say(Town::post("a"));
@@ -142,7 +149,9 @@
     CHECK(figure(town, "app_succeeded_total{service=\"render\"}") == 0);
 }
 
-TEST_CASE("a workload that ended its quotes would end the figures: it is escaped, and a dropped one keeps its counts") {
+TEST_CASE(
+    "a workload that ended its quotes would end the figures: it is escaped, and a dropped one keeps its "
+    "counts") {
     figures::Tally tally;
     tally.open("a\"b\\c\nd");
     tally.ended("gone", fronts::Answer::abandoned);
@@ -152,7 +161,8 @@
     CHECK(all.find("app_aborted_total{service=\"gone\"} 1\n") != std::string::npos);
     tally.open("gone");
     CHECK(tally.ends().at("gone").finished == 1);
-    for (const std::string line : {"app_outstanding 3\n", "app_discovered 2\n", "app_ejected 1\n", "app_sighup_applied_total 0\n"})
+    for (const std::string line :
+         {"app_outstanding 3\n", "app_discovered 2\n", "app_ejected 1\n", "app_sighup_applied_total 0\n"})
         CHECK(all.find(line) != std::string::npos);
 }
 
--- a/tests/wire_stories.cpp
+++ b/tests/wire_stories.cpp
@@ -28,7 +28,9 @@
     return Bytes().n(1'000'000, 8).n(body.made.size(), 4).n(records, 4).made + body.made;
 }
 
-Bytes created(const std::string& orders) { return Bytes().n(120, 1).n(3, 2).n(10, 1).n(42, 8).text(orders, 4); }
+Bytes created(const std::string& orders) {
+    return Bytes().n(120, 1).n(3, 2).n(10, 1).n(42, 8).text(orders, 4);
+}
 
 struct Played {
     int status;
@@ -49,7 +51,8 @@
     body.n(50, 1).n(5, 8).n(1, 1).n(0, 4).n(800, 4).n(55, 4).n(2, 1).n(104, 2).n(1, 1).n(0x3fc00000, 4);
     body.n(110, 1).n(5, 8).n(0x3f000000, 4).n(55, 4).n(1, 1).n(2, 1).n(90, 1).n(4, 4).text("hi", 2);
     const std::string bytes = frame(body, 6);
-    const Batch batch = read_batch(read_header(bytes, 0), std::string_view(bytes).substr(kHeaderBytes), kHeaderBytes);
+    const Batch batch =
+        read_batch(read_header(bytes, 0), std::string_view(bytes).substr(kHeaderBytes), kHeaderBytes);
     REQUIRE(batch.records.size() == 5);
     const auto& news = std::get<RosterNews>(std::get<Event>(batch.records[1].what));
     CHECK(news.entries[0].runner == RunnerId{55});
@@ -76,8 +79,9 @@
 }
 
 TEST_CASE("settings are told in our words, unknown ones pass") {
-    const auto orders = orders::read_lines("workloads.0.effect=token\nreporting.names=x0,q,rif\nspecifics.report_x0=free_slots\n"
-                                    "tenants.count=2\nodd.thing=a=b\n");
+    const auto orders = orders::read_lines(
+        "workloads.0.effect=token\nreporting.names=x0,q,rif\nspecifics.report_x0=free_slots\n"
+        "tenants.count=2\nodd.thing=a=b\n");
     CHECK(orders.at("workloads.0.effect") == "fingerprinted");
     CHECK(orders.at("reports.names") == "free_slots,waiting,held");
     CHECK(orders.at("customers.count") == "2");
