Planner: a start on a worker that drains or is down is given up at once

Change: with each list of workers, starts on those that drain or stand there no more are ended, so that another is planned.

--- a/src/cluster/placement/planner.cpp
+++ b/src/cluster/placement/planner.cpp
@@ -136,6 +136,17 @@
     plan(now, slot_table, f, mail);
 }
 
+// What starts on a worker that drains or is down never comes up: another start is planned for at once.
+void Planner::end_lost_starts(Micros now, SlotTable& slot_table, std::vector<FrontMail>& mail) const {
+    std::vector<std::string> lost;
+    for (const auto& [number, runner] : slot_table.runners()) {
+        const auto worker = workers_.find(runner.what.worker);
+        const bool up = worker != workers_.end() && worker->second.ready;
+        if (runner.state == RunnerState::starting && !up) lost.push_back(runner.what.runner);
+    }
+    for (const std::string& runner : lost) slot_table.gone(now, runner, "its worker drains or is down", mail);
+}
+
 void Planner::plan(Micros now, SlotTable& slot_table, Function& f, std::vector<FrontMail>& mail) {
     if (!committed(now)) return;
     // Nobody asks, nothing runs, none is to be warm.
--- a/src/cluster/placement/planner.hpp
+++ b/src/cluster/placement/planner.hpp
@@ -46,6 +46,8 @@
     Planner(const Options& terms, Micros now) : options_(terms), since_(now), tokens_at_(now) {}
 
     void workers(Micros now, std::vector<Worker> all);
+    // Call after workers(): ends the starts on workers that drain or stand there no more.
+    void end_lost_starts(Micros now, SlotTable& slot_table, std::vector<FrontMail>& mail) const;
     void list_read(Micros now) { listed_ = now; }
     bool committed(Micros now) const {
         return listed_ > 0 && !workers_.empty() && now >= since_ + options_.settle;
--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -194,6 +194,7 @@
                     if (!answered) return failure(Kind::platform_silent, "workers");
                     BOOST_LEAF_AUTO(all, workers_.read(answer));
                     planner_.workers(now, std::move(all));
+                    planner_.end_lost_starts(now, slot_table_, mail);
                     return {};
                 },
                 [&](Kind kind, const Detail& detail) {
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -349,6 +349,7 @@
                 {name, "z" + std::to_string(w % 3), shape_.worker_mb, 0, !workers_draining_.count(name)});
     }
     k.planner.workers(now_, workers);
+    k.planner.end_lost_starts(now_, k.slot_table, mail);
     std::string token;
     if (k.listing.due(now_, token)) {
         Page page;
@@ -763,6 +764,11 @@
     for (auto& [id, r] : runners_)
         if (r->worker == worker && !r->ended) {
             r->draining = true;
+            if (now_ < r->ready_at) {  // what was still to start there never comes up
+                r->ended = true;
+                r->ended_at = now_;
+                continue;
+            }
             at(now_ + 4'000'000,
                [this, id = id] { runners_[id]->ended = true, runners_[id]->ended_at = now_; });
         }
