Coordinator: one configuration is under way to a proxy at a time

Cause: each new version was written to every proxy's connection whether or not the one before had been taken, so a proxy behind a slow link had hundreds queued before its heartbeats. Change: the next difference, from what the proxy confirmed to the newest version, follows the confirmation; versions between are skipped.

--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -73,14 +73,12 @@
     plan(net::Loop::now());
 }
 
-// What the front lacks, as the difference to what it holds.
+// What the front lacks, as the difference to what it holds. One version is under way to a front: the next, which may skip
+// some, follows its confirmation, so that however slow its link is no more than one is queued there.
 void Coordinator::push(Session session, Front& front) {
-    if (version_ == 0 || front.version >= version_ || front.sent == version_) return;
-    // What was sent it will hold when this comes: a connection keeps the order. If it could not take it, it
-    // says so.
-    const Number holds = std::max(front.version, front.sent);
-    const auto base = bodies_.find(holds);
-    const Number from = base == bodies_.end() ? 0 : holds;
+    if (version_ == 0 || front.version >= version_ || front.sent != 0) return;
+    const auto base = bodies_.find(front.version);
+    const Number from = base == bodies_.end() ? 0 : front.version;
     std::string& delta = deltas_[from];
     if (delta.empty())
         delta = make_delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
--- a/src/cluster/programs/coordinator.hpp
+++ b/src/cluster/programs/coordinator.hpp
@@ -47,7 +47,6 @@
     struct Front {
         std::string name;
         Number version = 0, sent = 0;
-        Micros sent_at = 0;
     };
 
     void push(Session session, Front& front);
