Mend LOST: an ending front answers all that is open before its loop stops

Cause: after SIGTERM the front went on as before and stopped its loop at grace_period - 0.3 s, whatever was open. A request that waited at the coordinator for a slot (State::asking; with no coordinator State::held) has up to its own deadline, 8 s for long work, which is more than the grace period: its connection was closed unanswered. Nothing gave an answer before the stop, and the stop did not look at answers not yet written.

Change: - proxy/shutdown.hpp: a state machine for the end (close idle, answer what is open, stop) with time and the number of unfinished connections as its only inputs. It answers 0.4 s before the kill, stops once all is written, and 0.1 s before the kill at the latest. - RequestHandler::begin_shutdown: what is not with a runner and usually takes longer than is left is refused at once (503, Retry-After, Connection: close), as is a new request or a slot granted too late. Shorter work is served as before. How long work takes is learnt by the front (proxy/work_time.hpp); with no observation its aim stands for it. - RequestHandler::answer_all: 503 for what never ran, 502 for what may have run. - HttpService::unfinished counts a request half read and an answer not yet written, so the loop does not stop on them. - HttpService::close_idle closes idle connections without reading on: a request that crosses the close is not read and may be sent elsewhere. It was read and dropped. - A request whose client left stayed in the front's memory for good; it is erased.

--- a/src/cluster/programs/proxy.cpp
+++ b/src/cluster/programs/proxy.cpp
@@ -12,6 +12,7 @@
 #include "cluster/base/events.hpp"
 #include "cluster/configuration/delta.hpp"
 #include "cluster/proxy/request_handler.hpp"
+#include "cluster/proxy/shutdown.hpp"
 #include "cluster/programs/admin.hpp"
 #include "cluster/programs/process.hpp"
 #include "cluster/transport/http_caller.hpp"
@@ -23,7 +24,8 @@
 
 constexpr Micros kConnect = 350'000, kAnswer = 500'000, kReach = 800'000, kBeat = 250'000, kRedial = 60'000;
 constexpr Micros kWatchEach = 40'000;
-constexpr Micros kAsleep = 1'000'000;  // timers are at most 0.2 s apart
+constexpr Micros kShutdownCheck = 50'000;  // what is written meanwhile is noticed so late
+constexpr Micros kAsleep = 1'000'000;      // timers are at most 0.2 s apart
 constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner",
                kNotRun[] = "X-Request-Not-Run";
 
@@ -74,7 +76,7 @@
     // ---- clients ----
 
     void ready(HttpService::Exchange exchange) {
-        if (leaving_) return readiness_.answer(exchange, Kind::leaving, {}, 1000);
+        if (shutdown_.begun()) return readiness_.answer(exchange, Kind::leaving, {}, 1000);
         if (!handler_.configuration())
             return readiness_.answer(exchange, Kind::no_majority, "no configuration yet", 500);
         HttpMessage answer;
@@ -96,6 +98,7 @@
     }
 
     void left(HttpService::Exchange exchange) {
+        requests_.erase(exchange);  // its client does not wait any more, so it is not sent again
         Actions actions;
         handler_.client_left(net::Loop::now(), exchange, actions);
         carry_out(actions);
@@ -382,14 +385,31 @@
             runners_.sweep(now);
             if (now >= next_look_) next_look_ = now + 2'000'000, watch_.look(false);
         }
-        if (leaving_) {
-            if (now >= leaving_ + 2'600'000 && !closed_) closed_ = true, clients_.close_idle();
-            const bool done = closed_ && clients_.under_way() == 0;
-            if (done || now >= leaving_ + settings_.grace_period - 300'000) loop_.stop();
-        }
+        if (shutdown_.begun()) shut_down(now);
         set_timer();
     }
 
+    void shut_down(Micros now) {
+        for (;;) {
+            switch (shutdown_.step(now, clients_.unfinished())) {
+                case Shutdown::Step::none:
+                    return;
+                case Shutdown::Step::close_idle:
+                    clients_.close_idle();
+                    break;
+                case Shutdown::Step::answer_open: {
+                    Actions actions;
+                    handler_.answer_all(now, actions);
+                    carry_out(actions);
+                    break;
+                }
+                case Shutdown::Step::stop:
+                    loop_.stop();
+                    return;
+            }
+        }
+    }
+
     void set_timer() {
         const Micros now = net::Loop::now();
         Micros next = std::min(next_sweep_, now + 200'000);
@@ -398,6 +418,7 @@
         else if (registered_)
             next = std::min(next, std::max(line_->heard(), said_at_) + kBeat);
         if (handler_.next_deadline() > 0) next = std::min(next, handler_.next_deadline());
+        if (shutdown_.begun()) next = std::min(next, now + kShutdownCheck);
         if (!handler_.coordinator() && handler_.open() > 0) next = std::min(next, now + 30'000);
         for (const auto& [address, w] : watches_)
             if (!w.out) next = std::min(next, w.next);
@@ -405,11 +426,14 @@
     }
 
     void leave() {
-        if (leaving_) return;
-        leaving_ = net::Loop::now();
+        if (shutdown_.begun()) return;
+        const Micros now = net::Loop::now();
+        shutdown_.begin(now, settings_.grace_period);
         Event("leaving").with("open", handler_.open());
         clients_.say_goodbye();
-        set_timer();
+        Actions actions;
+        handler_.begin_shutdown(now, shutdown_.answer_by(), actions);
+        carry_out(actions);
     }
 
     net::Loop& loop_;
@@ -426,8 +450,9 @@
     std::string redirected_to_, body_;
     std::size_t next_core_ = static_cast<std::size_t>(getpid());
     Micros turned_ = net::Loop::now();
-    Micros dialed_at_ = -1'000'000, said_at_ = 0, next_sweep_ = 0, next_look_ = 0, leaving_ = 0;
-    bool registered_ = false, closed_ = false;
+    Micros dialed_at_ = -1'000'000, said_at_ = 0, next_sweep_ = 0, next_look_ = 0;
+    bool registered_ = false;
+    Shutdown shutdown_;
     ExplainResource explain_;
     net::Timer timer_;
     net::Signal term_, int_;
--- a/src/cluster/proxy/request_handler.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -8,8 +8,9 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr std::uint32_t kSoon = 150;  // ms, where a slot is likely to come free
-constexpr Micros kMargin = 15'000;    // for an answer on its way to the client
+constexpr std::uint32_t kSoon = 150;      // ms, where a slot is likely to come free
+constexpr std::uint32_t kElsewhere = 50;  // ms, where another front takes the request
+constexpr Micros kMargin = 15'000;        // for an answer on its way to the client
 
 }  // namespace
 
@@ -56,6 +57,7 @@
 void RequestHandler::seek(Micros now, RequestId id, Request& r, Actions& out) {
     r.runner.clear();
     r.by_slot = r.unrestricted = false;
+    if (!fits_before_end(now, r)) return give_up(now, id, r, Kind::leaving, kElsewhere, out);
     if (!coordinator_) {
         r.state = State::held;
         return serve_alone(now, std::string(r.service), out);
@@ -296,6 +298,7 @@
         case RunEnd::answered:
             split.ended(runner, static_cast<double>(std::max<Micros>(took, 100)) / 1e6);
             release(now, r, Ended::answered, out);
+            work_times_[kind_of(*r.route)].add(took);
             if (r.client) out.relays.push_back(id);
             if (r.client && now > r.aim_at) lost(now, r, Loss::How::late);
             return close(id);
@@ -457,10 +460,12 @@
         Request& r = requests_.at(id);
         const auto runner = by_number_.find(m->runner);
         const bool usable = runner != by_number_.end() && runners_[runner->second].state != RunnerState::gone;
-        if (!usable || now + 5'000 > r.deadline_at) {
+        const bool ends_in_time = fits_before_end(now, r);
+        if (!usable || !ends_in_time || now + 5'000 > r.deadline_at) {
             asks_.erase(ask);
             out.mails.push_back(Release{m->id, m->runner, Ended::unused, 0});
             r.ask = 0;
+            if (!ends_in_time) return give_up(now, id, r, Kind::leaving, kElsewhere, out);
             if (!usable && now + 20'000 < r.deadline_at) return seek(now, id, r, out);
             return give_up(now, id, r, Kind::not_offered, 0, out);
         }
@@ -493,16 +498,13 @@
         const RequestId id = deadlines_.begin()->second;
         Request& r = requests_.at(id);
         if (r.state == State::out) {
-            offices_[r.service].split.ended(r.runner, static_cast<double>(r.route->timeout) / 1e6);
-            release(now, r, Ended::failed, out);
-            out.abandons.push_back(id);
-            give_up(now, id, r, Kind::time_over, 0, out);
+            break_off(now, id, r, Kind::time_over, out);
         } else {
-            if (r.state == State::asking && coordinator_)
-                out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+            withdraw_ask(r, out);
             give_up(now, id, r, Kind::not_offered, 0, out);
         }
     }
+    refuse_what_can_not_end(now, out);
     if (!coordinator_) {
         std::set<std::string> services;
         for (const auto& [id, r] : requests_)
@@ -512,4 +514,51 @@
     report(now, out);
 }
 
+// ---- the end of this process ---------------------------------------------------------------------------
+
+bool RequestHandler::fits_before_end(Micros now, const Request& r) const {
+    if (answer_by_ == 0) return true;
+    const auto known = work_times_.find(kind_of(*r.route));
+    std::optional<Micros> work;
+    if (known != work_times_.end()) work = known->second.usual_longest();
+    // The operators mean the aim to be kept: without an observation it stands for the time of the work.
+    return now + work.value_or(r.route->aim) <= answer_by_;
+}
+
+void RequestHandler::withdraw_ask(const Request& r, Actions& out) {
+    if (r.state == State::asking && coordinator_) out.mails.push_back(Release{r.ask, 0, Ended::unused, 0});
+}
+
+void RequestHandler::break_off(Micros now, RequestId id, Request& r, Kind kind, Actions& out) {
+    offices_[r.service].split.ended(r.runner, static_cast<double>(r.route->timeout) / 1e6);
+    release(now, r, Ended::failed, out);
+    out.abandons.push_back(id);
+    give_up(now, id, r, kind, 0, out);
+}
+
+void RequestHandler::begin_shutdown(Micros now, Micros answer_by, Actions& out) {
+    answer_by_ = answer_by;
+    refuse_what_can_not_end(now, out);
+}
+
+void RequestHandler::refuse_what_can_not_end(Micros now, Actions& out) {
+    if (answer_by_ == 0) return;
+    std::vector<RequestId> refused;
+    for (const auto& [id, r] : requests_)
+        if (r.state != State::out && !fits_before_end(now, r)) refused.push_back(id);
+    for (const RequestId id : refused) {
+        Request& r = requests_.at(id);
+        withdraw_ask(r, out);
+        give_up(now, id, r, Kind::leaving, kElsewhere, out);
+    }
+}
+
+void RequestHandler::answer_all(Micros now, Actions& out) {
+    answer_by_ = now;
+    refuse_what_can_not_end(now, out);
+    std::vector<RequestId> sent;
+    for (const auto& [id, r] : requests_) sent.push_back(id);
+    for (const RequestId id : sent) break_off(now, id, requests_.at(id), Kind::may_have_run, out);
+}
+
 }  // namespace gannethold::cluster
--- a/src/cluster/proxy/request_handler.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,6 +22,7 @@
 #include "cluster/base/error.hpp"
 #include "cluster/base/record.hpp"
 #include "cluster/configuration/configuration.hpp"
+#include "cluster/proxy/work_time.hpp"
 #include "cluster/split/split.hpp"
 #include "cluster/wire/messages.hpp"
 
@@ -114,6 +116,14 @@
     void reached(Micros now, const std::string& address, bool up, Actions& out);
 
     void tick(Micros now, Actions& out);
+
+    /// This process ends and can give its last answers at `answer_by`. From now on a request that was not
+    /// sent to a runner, and whose work usually takes longer than is left, is refused at once: it has not run
+    /// and can go elsewhere.
+    void begin_shutdown(Micros now, Micros answer_by, Actions& out);
+    /// Answers all that is open: a refusal for what never ran, a failure for what may have run. What arrives
+    /// later is refused.
+    void answer_all(Micros now, Actions& out);
     const Record<Decision>& decisions() const { return decisions_; }
     const Record<Loss>& losses() const { return losses_; }
     const LossCounts& loss_counts() const { return loss_counts_; }
@@ -144,6 +154,10 @@
         std::uint32_t drawn_number = 0;          // the runner that the coordinator was told
         Loss::Cause slowed = Loss::Cause::work;  // by what it was held up last
     };
+    // Routes that agree in these are taken to ask for work that takes alike long. A route's shape would not
+    // do: its number means something else in the next configuration.
+    using WorkKind = std::tuple<std::uint8_t, Micros, bool>;  // priority, aim, idempotent
+    static WorkKind kind_of(const Route& route) { return {route.priority, route.aim, route.idempotent}; }
     struct Runner {
         Holding what;
         std::uint32_t number = 0, out = 0;
@@ -177,6 +191,10 @@
     void drop_runner(const std::string& runner, Actions& out);
     std::uint32_t part(const Runner& runner) const;
     double unit();
+    bool fits_before_end(Micros now, const Request& r) const;
+    void refuse_what_can_not_end(Micros now, Actions& out);
+    void withdraw_ask(const Request& r, Actions& out);
+    void break_off(Micros now, RequestId id, Request& r, Kind kind, Actions& out);
 
     Options options_;
     std::shared_ptr<const Configuration> configuration_;
@@ -195,6 +213,8 @@
     LossCounts loss_counts_{};
     std::vector<Loss> new_losses_;
     std::uint64_t chance_;
+    Micros answer_by_ = 0;  // 0: this process does not end
+    std::map<WorkKind, WorkTime> work_times_;
 };
 
 }  // namespace gannethold::cluster
--- a/src/cluster/transport/http_service.cpp
+++ b/src/cluster/transport/http_service.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace gannethold::cluster {
@@ -28,6 +29,12 @@
     bool finishing() const { return finishing_; }
     Micros since() const { return since_; }
     bool waits() const { return exchange_ != 0; }
+    bool unfinished() const { return connection_.unsent() || !(finishing_ || idle()); }
+    // Only while idle. An answer that is still being written is written first.
+    void close_unread() {
+        if (connection_.unsent()) return finish();
+        leave();
+    }
     void finish() {
         finishing_ = true;
         connection_.finish();
@@ -173,8 +180,15 @@
 
 void HttpService::close_idle() {
     if (listener_) listener_->stop();
+    std::vector<Guest*> idle;
     for (auto& [key, guest] : guests_)
-        if (guest->idle() && !guest->finishing()) guest->finish();
+        if (guest->idle() && !guest->finishing()) idle.push_back(key);
+    for (Guest* const guest : idle) guest->close_unread();
+}
+
+std::size_t HttpService::unfinished() const {
+    return static_cast<std::size_t>(std::count_if(
+        guests_.begin(), guests_.end(), [](const auto& entry) { return entry.second->unfinished(); }));
 }
 
 void HttpService::sweep(Micros now) {
--- a/src/cluster/transport/http_service.hpp
+++ b/src/cluster/transport/http_service.hpp
@@ -32,12 +32,18 @@
     void limit(const Limits& limits) { limits_ = limits; }
     // From now on each answer closes its connection.
     void say_goodbye() { leaving_ = true; }
-    // Accepts no more, and closes connections on which nothing is under way.
+    /// Accepts no more, and closes connections on which nothing is under way. What a client sends there
+    /// meanwhile is not read, so that it may send it elsewhere.
     void close_idle();
     // Reads no more from clients that wait for nothing; also sweeps what was closed and what was idle too
     // long.
     void sweep(Micros now);
+    /// Where it listens, until close_idle().
+    std::uint16_t port() const { return listener_ ? listener_->port() : 0; }
     std::size_t under_way() const { return exchanges_.size(); }
+    /// Connections on which a request is being read, waits for its answer, or has an answer that is not yet
+    /// written.
+    std::size_t unfinished() const;
     std::size_t connections() const { return guests_.size(); }
 
   private:
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -11,8 +11,10 @@
 #include <boost/test/unit_test.hpp>
 #include <boost/test/data/test_case.hpp>
 
+#include <cmath>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 #include "cluster/base/settings.hpp"
@@ -125,6 +127,8 @@
             x.kill_front(std::stoul(w.at(2)));
         else if (verb == "kill")
             x.kill_core(core(w.at(1)));
+        else if (verb == "end" && w.at(1) == "front")
+            x.end_front(std::stoul(w.at(2)), static_cast<Micros>(value(w, "grace", 6) * 1e6));
         else if (verb == "wipe")
             x.kill_core(core(w.at(1)), true);
         else if (verb == "crash")
@@ -211,6 +215,7 @@
         if (name == "starts") return x.starts;
         if (name == "stops") return x.stops;
         if (name == "ran") return x.ran;
+        if (name == "unconnected") return x.unconnected;
         if (name == "turned-away") return x.turned_away;
         if (name == "worst-refusal-ms") return static_cast<double>(x.refusal_worst_of[arg]) / 1e3;
         if (name == "free") return x.is_unrestricted(arg);
@@ -296,6 +301,190 @@
     BOOST_TEST(ballots("c") == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_shutdown_closes_answers_and_stops_in_this_order) {
+    using Step = Shutdown::Step;
+    constexpr Micros kBegin = 10'000'000;
+    constexpr Micros kGrace = 6'000'000;
+    Shutdown shutdown;
+    BOOST_TEST((shutdown.step(kBegin, 0) == Step::none));
+    shutdown.begin(kBegin, kGrace);
+    // Nothing is open, and new connections still come.
+    BOOST_TEST((shutdown.step(kBegin + 2'000'000, 0) == Step::none));
+    BOOST_TEST((shutdown.step(kBegin + 2'600'000, 3) == Step::close_idle));
+    BOOST_TEST((shutdown.step(kBegin + 2'600'000, 3) == Step::none));
+    BOOST_TEST((shutdown.step(shutdown.answer_by() - 1, 3) == Step::none));
+    BOOST_TEST((shutdown.step(shutdown.answer_by(), 3) == Step::answer_open));
+    // The answers are made and not all written.
+    BOOST_TEST((shutdown.step(shutdown.answer_by(), 1) == Step::none));
+    BOOST_TEST((shutdown.step(shutdown.answer_by() + 10'000, 0) == Step::stop));
+    // A client that does not read holds the end up to shortly before the kill, and no longer.
+    BOOST_TEST((shutdown.step(kBegin + kGrace - 150'000, 1) == Step::none));
+    BOOST_TEST((shutdown.step(kBegin + kGrace - 100'000, 1) == Step::stop));
+}
+
+BOOST_AUTO_TEST_CASE(a_shutdown_ends_early_once_nothing_is_open) {
+    Shutdown shutdown;
+    shutdown.begin(0, 6'000'000);
+    BOOST_TEST((shutdown.step(2'600'000, 0) == Shutdown::Step::close_idle));
+    BOOST_TEST((shutdown.step(2'600'000, 0) == Shutdown::Step::stop));
+}
+
+BOOST_AUTO_TEST_CASE(a_short_grace_period_still_has_time_for_the_last_answers) {
+    constexpr Micros kGrace = 800'000;
+    Shutdown shutdown;
+    shutdown.begin(0, kGrace);
+    BOOST_TEST(shutdown.answer_by() > kGrace / 2);
+    BOOST_TEST(shutdown.answer_by() < kGrace);
+    BOOST_TEST((shutdown.step(kGrace / 2, 1) == Shutdown::Step::close_idle));
+    BOOST_TEST((shutdown.step(shutdown.answer_by(), 1) == Shutdown::Step::answer_open));
+    BOOST_TEST((shutdown.step(kGrace, 1) == Shutdown::Step::stop));
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_was_held_up_past_its_time_still_answers_before_it_stops) {
+    Shutdown shutdown;
+    shutdown.begin(0, 6'000'000);
+    constexpr Micros kTooLate = 7'000'000;
+    BOOST_TEST((shutdown.step(kTooLate, 4) == Shutdown::Step::close_idle));
+    BOOST_TEST((shutdown.step(kTooLate, 4) == Shutdown::Step::answer_open));
+    BOOST_TEST((shutdown.step(kTooLate, 0) == Shutdown::Step::stop));
+}
+
+BOOST_AUTO_TEST_CASE(the_usual_longest_time_of_work_follows_what_is_seen) {
+    WorkTime work;
+    BOOST_TEST(!work.usual_longest().has_value());
+    std::mt19937 random(11);
+    std::lognormal_distribution<> spread(std::log(1.4e6), 0.4);
+    int longer = 0;
+    constexpr int kAll = 5000;
+    for (int n = 0; n < kAll; ++n) {
+        const auto took = static_cast<Micros>(spread(random));
+        if (n > 20 && took > *work.usual_longest()) ++longer;
+        work.add(took);
+    }
+    BOOST_TEST(longer > kAll / 100);
+    BOOST_TEST(longer < kAll / 10);
+    for (int n = 0; n < 100; ++n) work.add(50'000);
+    BOOST_TEST(*work.usual_longest() < 100'000);
+}
+
+// A request waits for a slot when its front is asked to end. With the fault planted, the front ends as if
+// nothing were open: the check must see it.
+BOOST_AUTO_TEST_CASE(a_front_that_ends_without_answers_is_found) {
+    const auto breaches = [](Sabotage sabotage) {
+        World::Shape shape;
+        shape.fronts = 1;
+        shape.workers = 1;
+        shape.worker_mb = 128;
+        shape.sabotage = sabotage;
+        World world(shape);
+        World::Made service;
+        service.name = "a";
+        service.aim_ms = 8000;
+        service.timeout_ms = 10'000;
+        service.idempotent = false;
+        service.attempts = 1;
+        world.services.push_back(service);
+        const Micros start = world.now();
+        world.run(start + 2'000'000);
+        world.put(1, 0);
+        for (std::size_t core = 1; core < world.cores(); ++core) world.put(1, core);
+        world.run(start + 4'000'000);
+        for (int n = 0; n < 3; ++n) world.request(0, "a", 4000, 10'000);
+        world.run(start + 4'500'000);
+        world.end_front(0, 6'000'000);
+        world.run(start + 14'000'000);
+        return world.breaches.size();
+    };
+    BOOST_TEST(breaches(Sabotage::none) == 0U);
+    BOOST_TEST(breaches(Sabotage::end_without_answers) > 0U);
+}
+
+constexpr char kOneSlowRoute[] =
+    R"({"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","route_kind":"non_idempotent",)"
+    R"("timeout_ms":8000,"target_latency_ms":2000,"priority":0,"service":"a","max_attempts":1}],)"
+    R"("services":[{"name":"a","connection_limit":20,"memory_mb":128,"boot_duration_ms":900,"max_concurrency":1}]})";
+
+// A front that has its configuration and its coordinator, and whose requests wait for slots.
+struct WaitingFront {
+    WaitingFront() : handler({"front-0", "z0", 1, 800'000, 7}) {
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(configuration, Configuration::read(kOneSlowRoute));
+                handler.configure(configuration);
+                return {};
+            },
+            [] { BOOST_FAIL("the configuration can not be read"); });
+        Actions ignored;
+        handler.coordinator_connected(kStart, ignored);
+    }
+
+    Actions arrive(Micros now, RequestId id) {
+        Actions out;
+        handler.arrived(now, id, "h.example", "/a/x", 8000, out);
+        return out;
+    }
+
+    Actions tick(Micros now) {
+        Actions out;
+        handler.tick(now, out);
+        return out;
+    }
+
+    static constexpr Micros kStart = 1'000'000;
+    static constexpr Micros kAnswerBy = kStart + 5'600'000;
+    RequestHandler handler;
+};
+
+BOOST_AUTO_TEST_CASE(a_front_that_ends_refuses_what_it_can_not_end_and_no_more) {
+    WaitingFront front;
+    const Actions asked = front.arrive(WaitingFront::kStart, 1);
+    BOOST_REQUIRE(asked.mails.size() == 1U);
+    const auto* const request = std::get_if<AcquireRequest>(&asked.mails.front());
+    BOOST_REQUIRE(request != nullptr);
+    Actions begun;
+    front.handler.begin_shutdown(WaitingFront::kStart, WaitingFront::kAnswerBy, begun);
+    BOOST_TEST(begun.replies.empty());
+    // The aim stands for the time of the work, 2 s: until 3.6 s it can still end here.
+    BOOST_TEST(front.tick(WaitingFront::kStart + 3'500'000).replies.empty());
+    const Actions late = front.tick(WaitingFront::kStart + 3'700'000);
+    BOOST_REQUIRE(late.replies.size() == 1U);
+    BOOST_TEST((late.replies.front().kind == Kind::leaving));
+    BOOST_TEST(late.replies.front().retry_ms > 0U);
+    // The coordinator is told that the slot is not wanted any more.
+    BOOST_REQUIRE(late.mails.size() == 1U);
+    const auto* const release = std::get_if<Release>(&late.mails.front());
+    BOOST_REQUIRE(release != nullptr);
+    BOOST_TEST((release->id == request->id && release->how == Ended::unused));
+    // What comes now is refused at once.
+    const Actions refused = front.arrive(WaitingFront::kStart + 3'800'000, 2);
+    BOOST_REQUIRE(refused.replies.size() == 1U);
+    BOOST_TEST((refused.replies.front().kind == Kind::leaving));
+    BOOST_TEST(refused.mails.empty());
+    BOOST_TEST(front.handler.open() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_slot_granted_too_late_to_a_front_that_ends_is_given_back_unused) {
+    WaitingFront front;
+    const Actions asked = front.arrive(WaitingFront::kStart, 1);
+    const std::uint32_t id = std::get<AcquireRequest>(asked.mails.front()).id;
+    RunnerTold runner;
+    runner.number = 3;
+    runner.state = RunnerState::ready;
+    runner.runner = {"i-1", "a", "10.1.0.1:80", "z0", "w-0", 1, 0, true};
+    Actions told;
+    front.handler.said(WaitingFront::kStart, runner, told);
+    Actions begun;
+    front.handler.begin_shutdown(WaitingFront::kStart, WaitingFront::kAnswerBy, begun);
+    Actions granted;
+    front.handler.said(WaitingFront::kStart + 3'700'000, AcquireGranted{id, 3}, granted);
+    BOOST_TEST(granted.forwards.empty());
+    BOOST_REQUIRE(granted.replies.size() == 1U);
+    BOOST_TEST((granted.replies.front().kind == Kind::leaving));
+    BOOST_REQUIRE(granted.mails.size() == 1U);
+    const auto& release = std::get<Release>(granted.mails.front());
+    BOOST_TEST((release.id == id && release.runner == 3U && release.how == Ended::unused));
+}
+
 BOOST_AUTO_TEST_CASE(a_difference_gives_the_text_back_and_refuses_another_base) {
     std::string old_text = "{\"routes\":[", new_text = old_text;
     for (int i = 0; i < 900; ++i) {
--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -38,6 +38,8 @@
     std::string name, zone;
     std::unique_ptr<RequestHandler> handler;
     bool up = true, off = false;
+    bool accepts = true;
+    Shutdown shutdown;
     std::optional<std::size_t> core;  // its session
     Number core_life = 0, term = 0, life = 0;
     Session session = 0;
@@ -571,6 +573,7 @@
                 front.handler->coordinator_connected(now_, d);
             }
         }
+        if (!front.shutdown.begun() && front.handler->configuration()) front.accepts = true;
         front.handler->tick(now_, d);
         actions(f, d);
         for (auto w = front.watches.begin(); w != front.watches.end();) {
@@ -586,6 +589,7 @@
             w = front.watches.erase(w);
             actions(f, more);
         }
+        if (front.shutdown.begun()) shut_down_step(f);
     }
     at(now_ + 20'000, [this, f, life] {
         if (fronts_[f]->life == life) tick_front(f);
@@ -667,6 +671,50 @@
     }
 }
 
+void World::end_front(std::size_t f, Micros grace) {
+    Front& front = *fronts_[f];
+    front.shutdown.begin(now_, grace);
+    if (shape_.sabotage == Sabotage::end_without_answers) return;
+    Actions d;
+    front.handler->begin_shutdown(now_, front.shutdown.answer_by(), d);
+    actions(f, d);
+}
+
+void World::shut_down_step(std::size_t f) {
+    Front& front = *fronts_[f];
+    for (;;) {
+        switch (front.shutdown.step(now_, unanswered(f).size())) {
+            case Shutdown::Step::none:
+                return;
+            case Shutdown::Step::close_idle:
+                front.accepts = false;
+                break;
+            case Shutdown::Step::answer_open: {
+                if (shape_.sabotage == Sabotage::end_without_answers) break;
+                Actions d;
+                front.handler->answer_all(now_, d);
+                actions(f, d);
+                break;
+            }
+            case Shutdown::Step::stop:
+                return stop_front(f);
+        }
+    }
+}
+
+void World::stop_front(std::size_t f) {
+    for (const RequestId id : unanswered(f))
+        breach("front-" + std::to_string(f) + " ended, and request " + std::to_string(id) + " has no answer");
+    kill_front(f);
+}
+
+std::vector<RequestId> World::unanswered(std::size_t f) const {
+    std::vector<RequestId> ids;
+    for (const auto& [id, t] : tries_)
+        if (t.front == f && t.front_life == fronts_[f]->life && !t.answered) ids.push_back(id);
+    return ids;
+}
+
 void World::cut_front(std::size_t f, bool off) { fronts_[f]->off = off; }
 void World::delay_front(std::size_t f, Micros span) {
     fronts_[f]->next = std::max(fronts_[f]->next, now_) + span;
@@ -685,6 +733,7 @@
     front.core.reset();
     front.best_version = 0;
     front.watches.clear();
+    front.shutdown = {};
     front.handler = std::make_unique<RequestHandler>(RequestHandler::Options{
         front.name, front.zone, front.life + 1, kReach, shape_.seed + f + front.life * 100});
     at(now_ + 500'000, [this, f] { tick_front(f); });
@@ -739,8 +788,13 @@
 void World::request(std::size_t f, const std::string& service, int work_ms, int deadline_ms) {
     Front& front = *fronts_[f];
     if (!front.up) return;
+    if (!front.accepts) {
+        ++unconnected;
+        return;
+    }
     const RequestId id = ++request_;
     Try& t = tries_[id];
+    t.front_life = front.life;
     t.front = f, t.service = service, t.work_ms = work_ms, t.came = now_;
     for (const Made& m : services)
         if (m.name == service) t.idempotent = m.idempotent, t.aim = m.aim_ms * 1000LL;
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -17,6 +17,7 @@
 #include "cluster/consensus/consensus.hpp"
 #include "cluster/configuration/configuration.hpp"
 #include "cluster/proxy/request_handler.hpp"
+#include "cluster/proxy/shutdown.hpp"
 #include "cluster/placement/planner.hpp"
 #include "cluster/runners/resources.hpp"
 #include "cluster/slots/slot_table.hpp"
@@ -24,7 +25,7 @@
 namespace gannethold::cluster::played {
 
 // Faults put into the code under test on purpose, to show that the checks can fail.
-enum class Sabotage { none, send_before_sync, vote_after_wipe, lease_without_drift };
+enum class Sabotage { none, send_before_sync, vote_after_wipe, lease_without_drift, end_without_answers };
 
 class World {
   public:
@@ -68,6 +69,9 @@
     void resign_core(std::size_t i);
     void cut_front(std::size_t f, bool off);
     void kill_front(std::size_t f);
+    /// SIGTERM: the front is killed `grace` later at the latest, and starts again half a second after its
+    /// end.
+    void end_front(std::size_t f, Micros grace);
     void delay_front(std::size_t f,
                      Micros span);  // what the coordinator says to it comes so much later, in order
     void put(Number version, std::size_t core, const std::string& mark = {});
@@ -90,6 +94,7 @@
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
     std::map<std::string, Micros> worst_of;                       // longest time to a whole answer
     std::uint64_t overtaken = 0;
+    int unconnected = 0;  // requests that met a front which accepts no connections
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
     std::size_t runners(const std::string& service) const;   // that live
@@ -121,6 +126,9 @@
     void take(std::size_t front, std::size_t core, Number life, Number term, Session session,
               const Message& message);
     void tick_front(std::size_t f);
+    void shut_down_step(std::size_t f);
+    void stop_front(std::size_t f);
+    std::vector<RequestId> unanswered(std::size_t f) const;
     void actions(std::size_t f, Actions& d);
     void begin(std::size_t core, Number life, const Begin& begin, Number fence);
     void breach(const std::string& what);
@@ -162,6 +170,7 @@
         bool idempotent = true, answered = false, promised = false;
         Micros came = 0;
         Micros aim = 0;
+        Number front_life = 0;
     };
     std::map<RequestId, Try> tries_;
 };
