Simulation: world.cpp and the search's play() are split into files of one job

world.cpp (850 lines) held cores, coordinator, fronts, operators and looks; play() was one function of 150 lines. Each part has its own file; nothing else changes.

--- /dev/null
+++ b/tests/system/search_play.hpp
@@ -0,0 +1,45 @@
+// One seed's play: a world of its own, troubles drawn by chance, and the story that replays it.
+#pragma once
+
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "world.hpp"
+
+namespace gannethold::cluster::played {
+
+struct Played {
+    std::vector<std::string> breaches;
+    std::string story;
+};
+
+class Play {
+  public:
+    Play(std::uint64_t seed, Sabotage sabotage);
+    Played run();
+
+  private:
+    World::Shape shape_of(std::uint64_t seed, Sabotage sabotage);
+    std::uint64_t pick(std::uint64_t n) { return random_() % n; }
+    void say(const std::string& text);
+    void put(Number version, std::size_t core, const std::string& mark);
+    void puts();
+    void trouble(std::size_t core);
+    void trouble_of_front(Micros span);
+    void trouble_of_core(std::size_t core, Micros span);
+    void lose_while_one_lags(std::size_t lagging);
+    void requests();
+    void end();
+
+    std::mt19937_64 random_;
+    World::Shape shape_;
+    World world_;
+    std::ostringstream story_;
+    Micros start_, at_;
+    Number version_ = 0;     // the highest that was put
+    Micros down_until_ = 0;  // else one at a time
+};
+
+}  // namespace gannethold::cluster::played
--- /dev/null
+++ b/tests/system/world_cores.cpp
@@ -0,0 +1,188 @@
+// Cores: their start, end and troubles; disks; messages between them.
+#include <algorithm>
+
+#include "world_parts.hpp"
+
+namespace gannethold::cluster::played {
+
+namespace {
+
+constexpr Micros kReopen = 300'000;  // until a disk that failed is opened again
+
+}  // namespace
+
+void World::open_core(Core& core) {
+    Consensus::Options options;
+    options.self = core.name;
+    options.seeds = seeds_;
+    options.first_start = core.first && !core.disk.promise.member;
+    options.random_seed = random_();
+    if (shape_.sabotage == Sabotage::lease_without_drift)
+        options.lease_duration = 3 * options.election_timeout;
+    if (shape_.sabotage == Sabotage::vote_after_wipe && !core.first && !core.disk.promise.member) {
+        // As if an empty disk were that of a member that never voted.
+        core.disk.promise.member = true;
+        core.disk.entry.position = {0, 1};
+        core.disk.entry.members = seeds_;
+    }
+    Output out;
+    core.consensus.emplace(std::move(options), core.disk, now_, out);
+    carry_out(core, out);
+}
+
+void World::start_core(std::size_t i) {
+    Core& core = *cores_[i];
+    if (core.up) return;
+    core.up = true;
+    ++core.life;
+    open_core(core);
+    core.first = false;
+    at(now_, [this, i] { tick_core(i); });
+}
+
+std::size_t World::add_core() {
+    cores_.push_back(std::make_unique<Core>());
+    const std::size_t i = cores_.size() - 1;
+    cores_[i]->name = "10.0.0." + std::to_string(i + 1) + ":80";
+    cores_[i]->first = false;
+    start_core(i);
+    return i;
+}
+
+void World::kill_core(std::size_t i, bool lose_disk) {
+    Core& core = *cores_[i];
+    if (lose_disk) core.disk = {};
+    if (!core.up) return;
+    core.up = false;
+    ++core.life;
+    core.crash = false;
+    close_coordinator(core);
+    core.consensus.reset();
+}
+
+void World::crash_in_write(std::size_t i) { cores_[i]->crash = true; }
+void World::disk(std::size_t i, bool works) { cores_[i]->disk_works = works; }
+void World::cut(std::size_t a, std::size_t b, bool one_way) {
+    cuts_.insert({a, b});
+    if (!one_way) cuts_.insert({b, a});
+}
+void World::heal() { cuts_.clear(); }
+void World::stall_core(std::size_t i, Micros span) { cores_[i]->stalled_until = now_ + span; }
+
+void World::leave_core(std::size_t i) {
+    Core& core = *cores_[i];
+    if (!core.up || !core.consensus) return;
+    Output out;
+    core.consensus->leave(now_, out);
+    carry_out(core, out);
+}
+
+void World::tick_core(std::size_t i) {
+    Core& core = *cores_[i];
+    if (!core.up) return;
+    const Number life = core.life;
+    Micros next = now_ + 50'000;
+    if (now_ < core.stalled_until) {
+        next = core.stalled_until;
+    } else {
+        if (!core.consensus && now_ >= core.reopen_at && core.disk_works) open_core(core);
+        if (core.up && core.consensus) {
+            Output out;
+            core.consensus->tick(now_, out);
+            carry_out(core, out);
+        }
+        if (core.up && core.consensus) look(core);
+        if (core.up && core.coordinator && now_ >= core.coordinator->next && core.consensus->leads(now_))
+            coordinator_step(core);
+        if (core.up && core.consensus)
+            next = std::min(next, std::max(now_ + 1'000, core.consensus->next_tick()));
+    }
+    if (!core.up || core.life != life) return;
+    at(next, [this, i, life] {
+        if (cores_[i]->life == life) tick_core(i);
+    });
+}
+
+void World::carry_out(Core& core, Output& out) {
+    const std::size_t i = static_cast<std::size_t>(
+        std::find_if(cores_.begin(), cores_.end(), [&](const auto& c) { return c.get() == &core; }) -
+        cores_.begin());
+    const auto send = [&] {
+        for (const auto& mail : out.sends)
+            for (std::size_t to = 0; to < cores_.size(); ++to)
+                if (cores_[to]->name == mail.to) deliver(i, to, mail.message);
+        for (const auto& v : out.results) {
+            const auto t = tickets_.find(v.ticket);
+            if (t == tickets_.end()) continue;
+            if (v.outcome == ProposalOutcome::committed) {
+                const Number version = t->second.first;
+                acknowledged_ = std::max(acknowledged_, version);
+                // What is acknowledged under its number is the one that is held, or a higher one is.
+                const LogEntry* entry = core.consensus ? core.consensus->committed() : nullptr;
+                if (!entry || entry->version < version)
+                    breach("acknowledged version " + std::to_string(version) + " is not committed");
+                else if (entry->version == version) {
+                    const auto [known, fresh] = acked_bodies_.emplace(version, entry->body);
+                    if (!fresh && known->second != entry->body)
+                        breach("two bodies acknowledged as version " + std::to_string(version));
+                }
+            }
+            tickets_.erase(t);
+        }
+    };
+    if (out.write && shape_.sabotage == Sabotage::send_before_sync) send();
+    if (out.write) {
+        if (core.crash) {
+            core.crash = false;
+            // The power went while it was written: there whole, or not at all; nothing was said.
+            const bool there = chance(0.5);
+            if (there) core.disk = core.consensus->persistent_state();
+            kill_core(i);
+            at(now_ + 700'000, [this, i] { start_core(i); });
+            return;
+        }
+        if (!core.disk_works) {
+            close_coordinator(core);
+            core.consensus.reset();
+            core.reopen_at = now_ + kReopen;
+            return;
+        }
+        core.disk = core.consensus->persistent_state();
+    }
+    if (!(out.write && shape_.sabotage == Sabotage::send_before_sync)) send();
+    if (core.consensus && core.consensus->committed()) {
+        const LogEntry& entry = *core.consensus->committed();
+        if (entry.version > 0) {
+            const auto [known, fresh] = seen_bodies_.emplace(entry.version, entry.body);
+            if (!fresh && known->second != entry.body)
+                breach("two bodies committed as version " + std::to_string(entry.version));
+        }
+    }
+    look(core);
+}
+
+void World::deliver(std::size_t from, std::size_t to, const Message& message) {
+    if (!joined(from, to) || chance(shape_.loss)) return;
+    // What was sent arrives, whatever becomes of the sender.
+    const Number life = cores_[to]->life;
+    std::function<void()> arrive = [this, from, to, message, life] {
+        Core& core = *cores_[to];
+        if (!core.up || core.life != life || !core.consensus || !joined(from, to)) return;
+        if (now_ < core.stalled_until) {
+            at(core.stalled_until, [this, from, to, message, life] {
+                Core& woken = *cores_[to];
+                if (!woken.up || woken.life != life || !woken.consensus) return;
+                Output out;
+                woken.consensus->receive(now_, cores_[from]->name, message, out);
+                carry_out(woken, out);
+            });
+            return;
+        }
+        Output out;
+        core.consensus->receive(now_, cores_[from]->name, message, out);
+        carry_out(core, out);
+    };
+    at(now_ + hop(), std::move(arrive));
+}
+
+}  // namespace gannethold::cluster::played
