--- a/tests/system/world.cpp
+++ b/tests/system/world.cpp
@@ -6,7 +6,11 @@
 
 namespace gannethold::cluster::played {
 
-World::World(const Shape& shape) : shape_(shape), random_(shape.seed * 7919 + 17) {
+World::World(const Shape& shape)
+    : shape_(shape),
+      random_(shape.seed * 7919 + 17),
+      links_(shape.bits_per_second,
+             [this](Micros delay, std::function<void()> what) { at(now_ + delay, std::move(what)); }) {
     for (std::size_t i = 0; i < shape.cores; ++i) {
         cores_.push_back(std::make_unique<Core>());
         cores_[i]->name = "10.0.0." + std::to_string(i + 1) + ":80";
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -20,11 +20,24 @@
 #include "cluster/placement/planner.hpp"
 #include "cluster/runners/resources.hpp"
 #include "cluster/slots/slot_table.hpp"
+#include "links.hpp"
 
 namespace gannethold::cluster::played {
 
 // Faults put into the code under test on purpose, to show that the checks can fail.
-enum class Sabotage { none, send_before_sync, vote_after_wipe, lease_without_drift };
+enum class Sabotage {
+    none,
+    send_before_sync,
+    vote_after_wipe,
+    lease_without_drift,
+    read_without_lease,         // a GET is answered by whoever holds something committed
+    configure_without_lease,    // so is a front that registers
+    compare_no_bodies,          // a number that is not above the held one is confirmed, whatever the body
+    quorum_of_new_voters,       // while membership changes only the new voters are counted
+    learner_votes_at_once,      // a learner becomes a voter before it holds the state
+    change_without_joint_step,  // the voters before have no say in a change of membership
+    resend_whole_entry,         // on a timer, without waiting for a confirmation
+};
 
 class World {
   public:
@@ -33,6 +46,7 @@
         std::uint64_t seed = 1;
         Micros delay = 1'000;  // one way, up to four times that by chance
         double loss = 0;
+        double bits_per_second = 0;  // of a core's uplink; 0: no bound
         Sabotage sabotage = Sabotage::none;
         std::size_t workers = 6;
         std::int64_t worker_mb = 4096;
@@ -60,11 +74,16 @@
     void kill_core(std::size_t i, bool lose_disk = false);
     void crash_in_write(std::size_t i);  // at its next write, which is on disk or not by chance
     void start_core(std::size_t i);
-    std::size_t add_core();  // an empty machine at a new address
+    std::size_t add_core();                    // an empty machine at a new address
+    std::size_t add_successor(std::size_t i);  // likewise, in that one's place among the seeds
+    void retire_core(std::size_t i);           // it goes for good, with its disk
+    // It leaves, ends once it may or after its grace time, and is gone for good, or is started again.
+    void end_core(std::size_t i, bool for_good);
     void disk(std::size_t i, bool works);
     void cut(std::size_t a, std::size_t b, bool one_way = false);  // cores
     void heal();
-    void stall_core(std::size_t i, Micros span);  // frozen: nothing in, nothing out, the clock goes on
+    void reset_link(std::size_t a, std::size_t b);  // what is under way between the two is lost
+    void stall_core(std::size_t i, Micros span);    // frozen: nothing in, nothing out, the clock goes on
     void leave_core(std::size_t i);
     void cut_front(std::size_t f, bool off);
     void kill_front(std::size_t f);
@@ -72,6 +91,8 @@
                      Micros span);  // what the coordinator says to it comes so much later, in order
     void put(Number version, std::size_t core, const std::string& mark = {});
     std::string body(Number version, const std::string& mark) const;
+    void get(std::size_t core);             // an operator reads; checked against what was acknowledged
+    void register_front(std::size_t core);  // a front without anything greets that core, and no more
     // One request at a front for that service; outcomes are counted by status.
     void request(std::size_t front, const std::string& service, int work_ms, int deadline_ms);
     void crash_worker(const std::string& worker);
@@ -83,7 +104,12 @@
     std::optional<std::size_t> leader() const;  // that acts
     std::size_t leaders() const;
     Number acknowledged() const { return acknowledged_; }
-    Number committed() const;  // at the leader; 0: none
+    Number committed() const;          // at the leader; 0: none
+    Number term() const;               // the highest of any core
+    Number held(std::size_t i) const;  // version on that core's disk
+    bool is_retired(std::size_t i) const;
+    // Whether the leader's voters are just these, none of them retired.
+    bool voters_live() const;
     std::size_t members() const;
     std::size_t learners() const;                                 // at the leader
     std::uint64_t greetings() const { return session_; }          // of fronts, so far
@@ -91,6 +117,8 @@
     std::map<std::string, int> answered_of, late_of, refused_of;  // by route's name
     std::map<std::string, Micros> worst_of;                       // longest time to a whole answer
     std::uint64_t overtaken = 0;
+    int reads = 0, registrations = 0, conflicts = 0, confirmations = 0, ends_after_grace = 0;
+    std::size_t most_queued = 0;  // bytes to one member
     int late = 0, ran = 0, turned_away = 0, starts = 0, stops = 0, fence_refused = 0;
     std::map<std::string, Micros> refusal_worst_of;  // longest time to an answer that promises it has not run
     std::size_t runners(const std::string& service) const;   // that live
@@ -109,12 +137,29 @@
     struct Front;
     struct Runner;
     struct Ring;
+    struct Order {
+        Number version = 0;
+        std::size_t core = 0;
+        std::string body;
+    };
 
     void carry_out(Core& core, Output& out);
     void deliver(std::size_t from, std::size_t to, const Message& message);
+    void arrive(std::size_t from, std::size_t to, const Message& message, Number life);
+    void answered(Core& core, const Output::ProposalResult& result);
+    void confirmed(Core& core, const Order& order);
+    void refused(const Order& order);
+    void check_disks(const LogEntry& entry);
+    void check_contact(std::size_t i, const std::string& what);
+    std::optional<std::size_t> serving(std::size_t core) const;  // that one, or whom it names, if it leads
+    const LogEntry* read(std::size_t core, bool without_lease) const;
+    Number acknowledged_before(Micros when) const;
+    std::size_t index_of(const Core& core) const;
+    void note_cut_off();
     void look(Core& core);
     void close_coordinator(Core& core);
     void tick_core(std::size_t i);
+    void end_if_it_may(Core& core);
     void open_core(Core& core);
     void coordinator_step(Core& core);
     void post(std::size_t core, std::vector<FrontMail>& mail);
@@ -144,10 +189,13 @@
     std::vector<std::unique_ptr<Front>> fronts_;
     std::vector<std::string> seeds_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    Links links_;
+    std::map<std::size_t, Micros> cut_off_since_;  // cores that no other one reaches and that reach none
     Number acknowledged_ = 0, ticket_ = 0;
+    std::map<Micros, Number> acknowledged_at_;  // the highest, by time
     std::map<Number, std::string> acked_bodies_, seen_bodies_;
-    std::map<Number, std::pair<Number, std::size_t>> tickets_;  // version, core
-    std::map<Number, std::string> ticket_bodies_;
+    std::map<Number, std::set<std::string>> sent_bodies_, refused_bodies_;
+    std::map<Number, Order> tickets_;
     std::map<Number, std::size_t> term_leader_;
     std::map<std::string, std::unique_ptr<Runner>> runners_;  // by id
     std::map<std::string, std::string> nonces_;               // service + nonce: runner
--- a/tests/system/world_cores.cpp
+++ b/tests/system/world_cores.cpp
@@ -1,13 +1,15 @@
 // Cores: their start, end and troubles; disks; messages between them.
 #include <algorithm>
 
+#include "cluster/wire/codec.hpp"
 #include "world_parts.hpp"
 
 namespace gannethold::cluster::played {
 
 namespace {
 
-constexpr Micros kReopen = 300'000;  // until a disk that failed is opened again
+constexpr Micros kReopen = 300'000;              // until a disk that failed is opened again
+constexpr std::size_t kMostQueued = 256 * 1024;  // bytes to one member, before one more message
 
 }  // namespace
 
@@ -32,8 +34,9 @@
 
 void World::start_core(std::size_t i) {
     Core& core = *cores_[i];
-    if (core.up) return;
+    if (core.up || core.retired) return;
     core.up = true;
+    core.ends_by = 0;
     ++core.life;
     open_core(core);
     core.first = false;
@@ -56,6 +59,7 @@
     core.up = false;
     ++core.life;
     core.crash = false;
+    if (links_.limited()) links_.reset_all(i);
     close_coordinator(core);
     core.consensus.reset();
 }
@@ -64,9 +68,18 @@
 void World::disk(std::size_t i, bool works) { cores_[i]->disk_works = works; }
 void World::cut(std::size_t a, std::size_t b, bool one_way) {
     cuts_.insert({a, b});
-    if (!one_way) cuts_.insert({b, a});
+    links_.block(a, b);
+    if (!one_way) {
+        cuts_.insert({b, a});
+        links_.block(b, a);
+    }
+    note_cut_off();
+}
+void World::heal() {
+    cuts_.clear();
+    cut_off_since_.clear();
+    links_.unblock_all();
 }
-void World::heal() { cuts_.clear(); }
 void World::stall_core(std::size_t i, Micros span) { cores_[i]->stalled_until = now_ + span; }
 
 void World::leave_core(std::size_t i) {
@@ -92,6 +105,7 @@
             carry_out(core, out);
         }
         if (core.up && core.consensus) look(core);
+        if (core.up && core.ends_by > 0) end_if_it_may(core);
         if (core.up && core.coordinator && now_ >= core.coordinator->next && core.consensus->leads(now_))
             coordinator_step(core);
         if (core.up && core.consensus)
@@ -111,24 +125,7 @@
         for (const auto& mail : out.sends)
             for (std::size_t to = 0; to < cores_.size(); ++to)
                 if (cores_[to]->name == mail.to) deliver(i, to, mail.message);
-        for (const auto& v : out.results) {
-            const auto t = tickets_.find(v.ticket);
-            if (t == tickets_.end()) continue;
-            if (v.outcome == ProposalOutcome::committed) {
-                const Number version = t->second.first;
-                acknowledged_ = std::max(acknowledged_, version);
-                // What is acknowledged under its number is the one that is held, or a higher one is.
-                const LogEntry* entry = core.consensus ? core.consensus->committed() : nullptr;
-                if (!entry || entry->version < version)
-                    breach("acknowledged version " + std::to_string(version) + " is not committed");
-                else if (entry->version == version) {
-                    const auto [known, fresh] = acked_bodies_.emplace(version, entry->body);
-                    if (!fresh && known->second != entry->body)
-                        breach("two bodies acknowledged as version " + std::to_string(version));
-                }
-            }
-            tickets_.erase(t);
-        }
+        for (const auto& result : out.results) answered(core, result);
     };
     if (out.write && shape_.sabotage == Sabotage::send_before_sync) send();
     if (out.write) {
@@ -137,6 +134,7 @@
             // The power went while it was written: there whole, or not at all; nothing was said.
             const bool there = chance(0.5);
             if (there) core.disk = core.consensus->persistent_state();
+            core.synced = std::max(core.synced, core.disk.entry.position);
             kill_core(i);
             at(now_ + 700'000, [this, i] { start_core(i); });
             return;
@@ -148,6 +146,7 @@
             return;
         }
         core.disk = core.consensus->persistent_state();
+        core.synced = std::max(core.synced, core.disk.entry.position);
     }
     if (!(out.write && shape_.sabotage == Sabotage::send_before_sync)) send();
     if (core.consensus && core.consensus->committed()) {
@@ -162,27 +161,36 @@
 }
 
 void World::deliver(std::size_t from, std::size_t to, const Message& message) {
-    if (!joined(from, to) || chance(shape_.loss)) return;
+    // A slow link holds what a cut does not let through; else it is lost.
+    if (!links_.limited() && !joined(from, to)) return;
+    if (chance(shape_.loss)) return;
+    const std::size_t bytes = links_.limited() ? encode(message).size() : 0;
+    const std::size_t queued = links_.queued(from, to);
+    most_queued = std::max(most_queued, queued + bytes);
+    if (queued > kMostQueued)
+        breach(std::to_string(queued) + " bytes wait from " + cores_[from]->name + " to " + cores_[to]->name);
     // What was sent arrives, whatever becomes of the sender.
     const Number life = cores_[to]->life;
-    std::function<void()> arrive = [this, from, to, message, life] {
-        Core& core = *cores_[to];
-        if (!core.up || core.life != life || !core.consensus || !joined(from, to)) return;
-        if (now_ < core.stalled_until) {
-            at(core.stalled_until, [this, from, to, message, life] {
-                Core& woken = *cores_[to];
-                if (!woken.up || woken.life != life || !woken.consensus) return;
-                Output out;
-                woken.consensus->receive(now_, cores_[from]->name, message, out);
-                carry_out(woken, out);
-            });
-            return;
-        }
-        Output out;
-        core.consensus->receive(now_, cores_[from]->name, message, out);
-        carry_out(core, out);
-    };
-    at(now_ + hop(), std::move(arrive));
+    const std::uint64_t connection = links_.generation(from, to);
+    links_.send(from, to, bytes, [this, from, to, message, life, connection] {
+        const Micros delay = links_.limited() ? shape_.delay : hop();
+        at(now_ + delay, [this, from, to, message, life, connection] {
+            const bool lost = !links_.limited() && !joined(from, to);
+            if (!lost && links_.generation(from, to) == connection) arrive(from, to, message, life);
+        });
+    });
+}
+
+void World::arrive(std::size_t from, std::size_t to, const Message& message, Number life) {
+    Core& core = *cores_[to];
+    if (!core.up || core.life != life || !core.consensus) return;
+    if (now_ < core.stalled_until) {
+        at(core.stalled_until, [this, from, to, message, life] { arrive(from, to, message, life); });
+        return;
+    }
+    Output out;
+    core.consensus->receive(now_, cores_[from]->name, message, out);
+    carry_out(core, out);
 }
 
 }  // namespace gannethold::cluster::played
--- a/tests/system/world_fronts.cpp
+++ b/tests/system/world_fronts.cpp
@@ -80,6 +80,7 @@
                 next.coordinator->slot_table.front_came(now_, front.session, front.handler->registration(),
                                                         mail);
                 if (next.consensus && next.consensus->committed() &&
+                    (next.consensus->leads(now_) || shape_.sabotage == Sabotage::configure_without_lease) &&
                     next.consensus->committed()->version > front.handler->version())
                     leaf::try_handle_all(
                         [&]() -> leaf::result<void> {
--- a/tests/system/world_looks.cpp
+++ b/tests/system/world_looks.cpp
@@ -1,4 +1,5 @@
 // What tests can look at.
+#include <algorithm>
 #include <sstream>
 
 #include "world_parts.hpp"
@@ -51,6 +52,23 @@
     for (const auto& [zone, n] : by) text += (text.empty() ? "" : " ") + zone + ":" + std::to_string(n);
     return text;
 }
+Number World::term() const {
+    Number highest = 0;
+    for (const auto& core : cores_)
+        if (core->consensus) highest = std::max(highest, core->consensus->term());
+    return highest;
+}
+Number World::held(std::size_t i) const { return cores_[i]->disk.entry.version; }
+bool World::is_retired(std::size_t i) const { return cores_[i]->retired; }
+bool World::voters_live() const {
+    const auto at = leader();
+    if (!at) return false;
+    const auto& voters = cores_[*at]->consensus->members();
+    return std::all_of(voters.begin(), voters.end(), [&](const std::string& voter) {
+        return std::any_of(cores_.begin(), cores_.end(),
+                           [&](const auto& core) { return core->name == voter && !core->retired; });
+    });
+}
 bool World::core_up(std::size_t i) const { return cores_[i]->up; }
 bool World::core_recovering(std::size_t i) const {
     return !cores_[i]->consensus || cores_[i]->consensus->recovering();
--- a/tests/system/world_outside.cpp
+++ b/tests/system/world_outside.cpp
@@ -30,25 +30,6 @@
     return text.str();
 }
 
-void World::put(Number version, std::size_t core, const std::string& mark) {
-    Core& c = *cores_[core];
-    if (!c.up || !c.consensus || now_ < c.stalled_until) return;
-    // The caller follows a redirection once.
-    if (!c.consensus->leads(now_)) {
-        const std::string leader = c.consensus->leader();
-        for (std::size_t i = 0; i < cores_.size(); ++i)
-            if (i != core && cores_[i]->name == leader && cores_[i]->up && cores_[i]->consensus &&
-                cores_[i]->consensus->leads(now_))
-                return put(version, i, mark);
-        return;
-    }
-    Output out;
-    const Number ticket = ++ticket_;
-    tickets_[ticket] = {version, core};
-    c.consensus->propose(now_, ticket, version, body(version, mark), out);
-    carry_out(c, out);
-}
-
 void World::request(std::size_t f, const std::string& service, int work_ms, int deadline_ms) {
     Front& front = *fronts_[f];
     if (!front.up) return;
