--- a/tests/system/search.cpp
+++ b/tests/system/search.cpp
@@ -4,43 +4,78 @@
 // scenario that replays it.
 //   cluster_search [seeds] [first] [sabotage]      sabotage: sync, vote or drift, to show that the checks can
 //   fail
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <iterator>
 #include <thread>
 
+#include "search_chaos.hpp"
+#include "search_losses.hpp"
 #include "search_play.hpp"
 
 using namespace gannethold;
 using namespace gannethold::cluster;
 using namespace gannethold::cluster::played;
 
+namespace {
+
+// Two of four seeds play single troubles; one losses as they may come; one troubles without bound.
+Played play(std::uint64_t seed, Sabotage sabotage) {
+    if (seed % 4 == 0) return LossPlay(seed, sabotage).run();
+    if (seed % 4 == 1) return ChaosPlay(seed, sabotage).run();
+    return Play(seed, sabotage).run();
+}
+
+constexpr std::uint64_t kStoriesTold = 3, kBreachesTold = 100;
+
+struct Fault {
+    const char* name;
+    Sabotage sabotage;
+};
+
+constexpr Fault kFaults[] = {
+    {"sync", Sabotage::send_before_sync},
+    {"vote", Sabotage::vote_after_wipe},
+    {"drift", Sabotage::lease_without_drift},
+    {"stale_read", Sabotage::read_without_lease},
+    {"stale_front", Sabotage::configure_without_lease},
+    {"any_body", Sabotage::compare_no_bodies},
+    {"new_voters_only", Sabotage::quorum_of_new_voters},
+    {"learner_votes", Sabotage::learner_votes_at_once},
+    {"no_joint_step", Sabotage::change_without_joint_step},
+};
+
+}  // namespace
+
 int main(int argc, char** argv) {
     const std::uint64_t seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1000;
     const std::uint64_t first = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
     Sabotage sabotage = Sabotage::none;
     if (argc > 3) {
-        if (!std::strcmp(argv[3], "sync"))
-            sabotage = Sabotage::send_before_sync;
-        else if (!std::strcmp(argv[3], "vote"))
-            sabotage = Sabotage::vote_after_wipe;
-        else if (!std::strcmp(argv[3], "drift"))
-            sabotage = Sabotage::lease_without_drift;
-        else
-            return std::fprintf(stderr, "no such sabotage: %s\n", argv[3]), 2;
+        const auto fault = std::find_if(std::begin(kFaults), std::end(kFaults),
+                                        [&](const Fault& one) { return !std::strcmp(argv[3], one.name); });
+        if (fault == std::end(kFaults)) {
+            std::fprintf(stderr, "no such fault: %s\n", argv[3]);
+            return 2;
+        }
+        sabotage = fault->sabotage;
     }
     std::atomic<std::uint64_t> next{first}, failed{0}, shown{0};
     std::vector<std::thread> threads;
     for (unsigned t = 0; t < std::max(1U, std::thread::hardware_concurrency()); ++t)
         threads.emplace_back([&] {
             for (std::uint64_t seed; (seed = next++) < first + seeds;) {
-                const Played played = Play(seed, sabotage).run();
+                const Played played = play(seed, sabotage);
                 if (played.breaches.empty()) continue;
                 ++failed;
-                if (shown++ < 3)
-                    std::printf("# seed %llu: %s\n%s\n", static_cast<unsigned long long>(seed),
-                                played.breaches.front().c_str(), played.story.c_str());
+                const std::uint64_t earlier = shown++;
+                if (earlier >= kBreachesTold) continue;
+                const char* const story = earlier < kStoriesTold ? played.story.c_str() : "";
+                std::printf("# seed %llu: %s\n%s\n", static_cast<unsigned long long>(seed),
+                            played.breaches.front().c_str(), story);
             }
         });
     for (std::thread& t : threads) t.join();
--- a/tests/system/search_play.cpp
+++ b/tests/system/search_play.cpp
@@ -5,8 +5,9 @@
 namespace gannethold::cluster::played {
 namespace {
 
-constexpr Micros kFirst = 2'500'000;    // before the first trouble: a core is founded
-constexpr Micros kSpan = 9'000'000;     // from the start until no more troubles come
+constexpr Micros kFirst = 2'500'000;  // before the first trouble: a core is founded
+constexpr Micros kSpan = 9'000'000;   // from the start until no more troubles come
+constexpr Micros kLongSpan = 20'000'000;
 constexpr Micros kWhole = 1'600'000;    // after a trouble, until the next
 constexpr Micros kRecover = 9'000'000;  // votes may be split a few times, and one that lost its disk gives
                                         // none for two terms
@@ -17,14 +18,18 @@
     : random_(seed * 104729 + 3),
       shape_(shape_of(seed, sabotage)),
       world_(shape_),
+      story_(world_),
+      operators_(world_, story_, [this](std::uint64_t n) { return pick(n); }),
       start_(world_.now()),
       at_(start_ + kFirst) {
     world_.services.push_back({"a", 2, 600, 128, 1500, 4000, true, 2});
     world_.services.push_back({"b", 1, 600, 128, 1500, 4000, false, 1});
     // Urgent work of the same function.
     world_.services.push_back({"u", 1, 600, 128, 400, 4000, true, 2, "b", 0});
-    story_ << "cores " << shape_.cores << " seeds 3 fronts " << shape_.fronts << " delay "
-           << static_cast<double>(shape_.delay) / 1e3 << " loss " << shape_.loss << " seed " << seed << "\n";
+    story_.first("cores " + std::to_string(shape_.cores) + " seeds 3 fronts " +
+                 std::to_string(shape_.fronts) + " delay " +
+                 std::to_string(static_cast<double>(shape_.delay) / 1e3) + " loss " +
+                 std::to_string(shape_.loss) + " seed " + std::to_string(seed));
 }
 
 World::Shape Play::shape_of(std::uint64_t seed, Sabotage sabotage) {
@@ -39,47 +44,38 @@
     return shape;
 }
 
-void Play::say(const std::string& text) {
-    story_ << "at " << static_cast<double>(at_ - start_) / 1e6 << " " << text << "\n";
-}
-
 Played Play::run() {
     while (at_ < start_ + kSpan) {
+        at_ = std::max(at_, world_.now());
         world_.run(at_);
         const bool whole = at_ >= down_until_;
         const std::size_t core = pick(world_.cores());
         if (pick(2) == 0)
-            puts();
+            operators_.any();
         else if (whole)
             trouble(core);
         requests();
         at_ += static_cast<Micros>(20'000 + pick(400'000));
     }
     end();
-    return {world_.breaches, story_.str()};
-}
-
-void Play::put(Number version, std::size_t core, const std::string& mark) {
-    world_.put(version, core, mark);
-    say("put " + std::to_string(version) + " " + std::to_string(core) + " " + mark);
+    return {world_.breaches, story_.text()};
 }
 
-// Two operators at once, now and then with the same number.
-void Play::puts() {
-    const Number version = version_ + 1 + pick(3);
-    const std::string mark(1, static_cast<char>('a' + pick(26)));
-    for (std::size_t n = 0; n <= pick(2); ++n) put(version, pick(world_.cores()), mark + std::to_string(n));
-    version_ = std::max(version_, version);
+void Play::pass(std::size_t core, Micros until) {
+    while (at_ < until) {
+        at_ = std::min(until, at_ + static_cast<Micros>(50'000 + pick(1'000'000)));
+        world_.run(at_);
+        if (at_ < until) operators_.any_at(pick(2) == 0 ? core : pick(world_.cores()));
+    }
 }
 
 void Play::trouble(std::size_t core) {
-    const Micros span = static_cast<Micros>(300'000 + pick(2'500'000));
+    const Micros span = pick(8) == 0 ? kLongSpan : static_cast<Micros>(300'000 + pick(2'500'000));
     trouble_of_front(span);
     trouble_of_core(core, span);
     // Back after a while, and whole again some time after that.
-    at_ += span;
     at_ = std::max(at_, world_.now());
-    world_.run(at_);
+    pass(core, at_ + span);
     world_.heal();
     world_.disk(core, true);
     for (std::size_t o = 0; o < world_.cores(); ++o) world_.start_core(o);
@@ -173,7 +169,7 @@
         world_.crash_in_write(loser);
         say("crash " + std::to_string(loser));
     }
-    put(++version_, *leader, "x");
+    operators_.put(*leader);
     at_ += static_cast<Micros>(shape_.delay * static_cast<Micros>(2 + pick(14)));
     world_.run(at_);
     if (!crash) {
--- a/tests/system/search_play.hpp
+++ b/tests/system/search_play.hpp
@@ -2,19 +2,13 @@
 #pragma once
 
 #include <random>
-#include <sstream>
 #include <string>
 #include <vector>
 
-#include "world.hpp"
+#include "search_moves.hpp"
 
 namespace gannethold::cluster::played {
 
-struct Played {
-    std::vector<std::string> breaches;
-    std::string story;
-};
-
 class Play {
   public:
     Play(std::uint64_t seed, Sabotage sabotage);
@@ -23,9 +17,8 @@
   private:
     World::Shape shape_of(std::uint64_t seed, Sabotage sabotage);
     std::uint64_t pick(std::uint64_t n) { return random_() % n; }
-    void say(const std::string& text);
-    void put(Number version, std::size_t core, const std::string& mark);
-    void puts();
+    void say(const std::string& text) { story_.say(text); }
+    void pass(std::size_t core, Micros until);  // with operators at work, most at that core
     void trouble(std::size_t core);
     void trouble_of_front(Micros span);
     void trouble_of_core(std::size_t core, Micros span);
@@ -36,9 +29,9 @@
     std::mt19937_64 random_;
     World::Shape shape_;
     World world_;
-    std::ostringstream story_;
+    Story story_;
+    OperatorMoves operators_;
     Micros start_, at_;
-    Number version_ = 0;     // the highest that was put
     Micros down_until_ = 0;  // else one at a time
 };
 
