--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -145,6 +145,20 @@
             x.heal();
         else if (verb == "stall")
             x.stall_core(core(w.at(1)), static_cast<Micros>(std::stod(w.at(2)) * 1e6));
+        else if (verb == "successor")
+            last_ = x.add_successor(core(w.at(1)));
+        else if (verb == "retire")
+            x.retire_core(core(w.at(1)));
+        else if (verb == "end")
+            x.end_core(core(w.at(1)), w.back() == "good");  // "end 1 for good", else it is started again
+        else if (verb == "get")
+            x.get(core(w.at(1)));
+        else if (verb == "register")
+            x.register_front(core(w.at(1)));
+        else if (verb == "reset")
+            x.reset_link(core(w.at(1)), core(w.at(2)));
+        else if (verb == "part" || verb == "part-one-way")
+            x.cut(core(w.at(1)), core(w.at(2)), verb != "part");
         else if (verb == "leave")
             x.leave_core(core(w.at(1)));
         else if (verb == "put")
@@ -198,6 +212,15 @@
                           arg = colon == std::string::npos ? "" : what.substr(colon + 1);
         if (name == "leaders") return static_cast<double>(x.leaders());
         if (name == "acknowledged") return static_cast<double>(x.acknowledged());
+        if (name == "term") return static_cast<double>(x.term());
+        if (name == "held") return static_cast<double>(x.held(core(arg)));
+        if (name == "conflicts") return x.conflicts;
+        if (name == "confirmations") return x.confirmations;
+        if (name == "reads") return x.reads;
+        if (name == "registrations") return x.registrations;
+        if (name == "ends-after-grace") return x.ends_after_grace;
+        if (name == "most-queued") return static_cast<double>(x.most_queued);
+        if (name == "voters-live") return x.voters_live();
         if (name == "learners") return static_cast<double>(x.learners());
         if (name == "committed") return static_cast<double>(x.committed());
         if (name == "members") return static_cast<double>(x.members());
