--- a/src/cluster/consensus/consensus.hpp
+++ b/src/cluster/consensus/consensus.hpp
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cluster/consensus/entry_transfer.hpp"
+#include "cluster/consensus/quorum.hpp"
 #include "cluster/wire/messages.hpp"
 #include "types.hpp"
 
@@ -57,6 +58,15 @@
     std::vector<ProposalResult> results;
 };
 
+// Faults that tests plant to show that their checks find them; nothing else sets one.
+enum class PlantedFault {
+    none,
+    count_new_voters_only,      // while membership changes, the voters before have no say
+    learner_votes_at_once,      // before it holds the state
+    change_without_joint_step,  // of members
+    resend_whole_entry,         // on a timer, whatever was confirmed
+};
+
 class Consensus {
   public:
     struct Options {
@@ -70,6 +80,7 @@
         Micros replace_after = 1'000'000;  // silence of a voter before a learner takes its place
         Micros remove_after = 8'000'000;   // silence of voters before the core goes on without them
         std::uint64_t random_seed = 1;
+        PlantedFault planted_fault = PlantedFault::none;
     };
 
     // now: any steady clock. A member that starts waits for a whole election timeout before it votes against
@@ -116,6 +127,7 @@
         Number round = 0;     // the newest it has answered
         LogPosition held;
         EntrySender sender;
+        Micros resent = 0;  // for the planted fault
     };
     struct PendingProposal {
         Number ticket = 0, version = 0, digest = 0;
@@ -140,6 +152,7 @@
     void send_heartbeats(Output& out);
     void send_append(const std::string& to, Output& out);
     bool start_transfer(Peer& peer);
+    void resend_whole_entry(const std::string& to, Output& out);
     LogPosition base_for(const Peer& peer) const;
     std::shared_ptr<const std::string> payload_against(const LogPosition& base);
     std::size_t large_transfers() const;
@@ -185,6 +198,14 @@
     bool accepts_state() const;
     void become_member(Output& out);
 
+    bool planted(PlantedFault fault) const { return options_.planted_fault == fault; }
+    // Whether a quorum of the newest entry's voters agrees.
+    template <class Agrees>
+    bool quorum_agrees(const Agrees& agrees) const {
+        const bool joint = !planted(PlantedFault::count_new_voters_only);
+        return has_quorum(state_.entry.members, joint ? state_.entry.outgoing_members : std::vector<std::string>{},
+                          agrees);
+    }
     bool is_self(const std::string& member) const { return member == options_.self; }
 
     Options options_;
--- a/src/cluster/consensus/membership.cpp
+++ b/src/cluster/consensus/membership.cpp
@@ -33,6 +33,8 @@
 std::vector<std::string> Consensus::ready_learners() const {
     std::vector<std::string> ready;
     for (const std::string& learner : learners_) {
+        if (planted(PlantedFault::learner_votes_at_once)) ready.push_back(learner);
+        if (planted(PlantedFault::learner_votes_at_once)) continue;
         const auto peer = peers_.find(learner);
         if (peer == peers_.end() || silent(learner, options_.election_timeout)) continue;
         const LogPosition& held = peer->second.held;
@@ -100,6 +102,7 @@
     for (const std::string& member : members) learners_.erase(member);
     LogEntry next = state_.entry;
     next.outgoing_members = std::exchange(next.members, std::move(members));
+    if (planted(PlantedFault::change_without_joint_step)) next.outgoing_members.clear();
     append(std::move(next), out);
     return true;
 }
--- a/src/cluster/consensus/replication.cpp
+++ b/src/cluster/consensus/replication.cpp
@@ -24,7 +24,7 @@
 // against us.
 Micros Consensus::lease_start() const {
     const Micros incoming = lease_start(state_.entry.members);
-    if (state_.entry.outgoing_members.empty()) return incoming;
+    if (state_.entry.outgoing_members.empty() || planted(PlantedFault::count_new_voters_only)) return incoming;
     return std::min(incoming, lease_start(state_.entry.outgoing_members));
 }
 
@@ -50,7 +50,7 @@
 // A leader that no quorum answers is none: who asks it should look for another.
 bool Consensus::hears_quorum() const {
     const Micros since = now_ - kTimeoutsUntilStepDown * options_.election_timeout;
-    return has_quorum(state_.entry, [&](const std::string& voter) {
+    return quorum_agrees([&](const std::string& voter) {
         const auto peer = peers_.find(voter);
         return is_self(voter) || (peer != peers_.end() && peer->second.answered >= since);
     });
@@ -87,10 +87,24 @@
     Peer& peer = peers_[to];
     out.sends.push_back({to, AppendRequest{term(), round_, state_.entry.position, committed_.position}});
     const bool lacks = peer.held != state_.entry.position;
+    if (lacks && planted(PlantedFault::resend_whole_entry)) return resend_whole_entry(to, out);
     if (!lacks || peer.sender.sending(state_.entry.position)) return;
     if (start_transfer(peer)) out.sends.push_back({to, peer.sender.chunk(term(), round_)});
 }
 
+// The planted fault, as the code before had it.
+void Consensus::resend_whole_entry(const std::string& to, Output& out) {
+    constexpr Micros kInterval = 400'000;
+    Peer& peer = peers_[to];
+    if (peer.sender.sending(state_.entry.position) && now_ < peer.resent + kInterval) return;
+    peer.resent = now_;
+    peer.sender.start(state_.entry.position, {}, payload_against({}));
+    for (Number offset = 0; offset < payload_against({})->size(); offset += kChunkBytes) {
+        peer.sender.continue_at(offset);
+        out.sends.push_back({to, peer.sender.chunk(term(), round_)});
+    }
+}
+
 std::size_t Consensus::large_transfers() const {
     const Micros since = now_ - options_.election_timeout;
     return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& one) {
@@ -162,7 +176,7 @@
         const auto peer = peers_.find(voter);
         return is_self(voter) || (peer != peers_.end() && peer->second.held == head);
     };
-    if (!has_quorum(state_.entry, holds_head)) return;
+    if (!quorum_agrees(holds_head)) return;
     committed_ = state_.entry;
     resolve_proposals(out);
     append_next_change(out);
--- a/tests/system/world_cores.cpp
+++ b/tests/system/world_cores.cpp
@@ -11,6 +11,22 @@
 constexpr Micros kReopen = 300'000;              // until a disk that failed is opened again
 constexpr std::size_t kMostQueued = 256 * 1024;  // bytes to one member, before one more message
 
+// Those faults that only the code under test itself can have.
+PlantedFault planted_fault(Sabotage sabotage) {
+    switch (sabotage) {
+        case Sabotage::quorum_of_new_voters:
+            return PlantedFault::count_new_voters_only;
+        case Sabotage::learner_votes_at_once:
+            return PlantedFault::learner_votes_at_once;
+        case Sabotage::change_without_joint_step:
+            return PlantedFault::change_without_joint_step;
+        case Sabotage::resend_whole_entry:
+            return PlantedFault::resend_whole_entry;
+        default:
+            return PlantedFault::none;
+    }
+}
+
 }  // namespace
 
 void World::open_core(Core& core) {
@@ -27,6 +43,7 @@
         core.disk.entry.position = {0, 1};
         core.disk.entry.members = seeds_;
     }
+    options.planted_fault = planted_fault(shape_.sabotage);
     Output out;
     core.consensus.emplace(std::move(options), core.disk, now_, out);
     carry_out(core, out);
