--- a/src/cluster/consensus/consensus.hpp
+++ b/src/cluster/consensus/consensus.hpp
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cluster/consensus/entry_transfer.hpp"
+#include "cluster/consensus/quorum.hpp"
 #include "cluster/wire/messages.hpp"
 #include "types.hpp"
 
@@ -57,6 +58,15 @@
     std::vector<ProposalResult> results;
 };
 
+// Faults that tests plant to show that their checks find them; nothing else sets one.
+enum class PlantedFault {
+    none,
+    count_new_voters_only,      // while membership changes, the voters before have no say
+    learner_votes_at_once,      // before it holds the state
+    change_without_joint_step,  // of members
+    resend_whole_entry,         // on a timer, whatever was confirmed
+};
+
 class Consensus {
   public:
     struct Options {
@@ -68,8 +78,9 @@
             450'000;  // least silence of a leader before a vote against it; a lease lasts less
         Micros lease_duration = 330'000;   // shorter than that by more than clocks drift in that time
         Micros replace_after = 1'000'000;  // silence of a voter before a learner takes its place
-        Micros remove_after = 8'000'000;   // silence of voters before the core goes on without them
+        Micros remove_after = 2'500'000;   // silence of voters before the core goes on without them
         std::uint64_t random_seed = 1;
+        PlantedFault planted_fault = PlantedFault::none;
     };
 
     // now: any steady clock. A member that starts waits for a whole election timeout before it votes against
@@ -116,6 +127,7 @@
         Number round = 0;     // the newest it has answered
         LogPosition held;
         EntrySender sender;
+        Micros resent = 0;  // for the planted fault
     };
     struct PendingProposal {
         Number ticket = 0, version = 0, digest = 0;
@@ -140,6 +152,7 @@
     void send_heartbeats(Output& out);
     void send_append(const std::string& to, Output& out);
     bool start_transfer(Peer& peer);
+    void resend_whole_entry(const std::string& to, Output& out);
     LogPosition base_for(const Peer& peer) const;
     std::shared_ptr<const std::string> payload_against(const LogPosition& base);
     std::size_t large_transfers() const;
@@ -168,7 +181,6 @@
     std::vector<std::string> wanted_members() const;
     void remove_gone(std::vector<std::string>& members, std::size_t count) const;
     void drop_silent_learners();
-    void note_answer_of_leaver(const std::string& member);
     void hand_over(Output& out);
     void continue_leaving(Output& out);
     bool safe_without(const std::string& member) const;
@@ -185,6 +197,14 @@
     bool accepts_state() const;
     void become_member(Output& out);
 
+    bool planted(PlantedFault fault) const { return options_.planted_fault == fault; }
+    // Whether a quorum of the newest entry's voters agrees.
+    template <class Agrees>
+    bool quorum_agrees(const Agrees& agrees) const {
+        const bool joint = !planted(PlantedFault::count_new_voters_only);
+        return has_quorum(state_.entry.members,
+                          joint ? state_.entry.outgoing_members : std::vector<std::string>{}, agrees);
+    }
     bool is_self(const std::string& member) const { return member == options_.self; }
 
     Options options_;
@@ -209,7 +229,7 @@
     std::map<LogPosition, std::shared_ptr<const std::string>> payloads_;  // of the head, by base
     std::vector<PendingProposal> pending_;
     std::set<std::string> learners_;
-    std::map<std::string, Micros> leaving_members_;  // when each said so last
+    std::set<std::string> leaving_members_;  // who said so and has not answered since as one that stays
     bool resigned_ = false;
 
     // A follower's.
--- a/src/cluster/consensus/membership.cpp
+++ b/src/cluster/consensus/membership.cpp
@@ -14,10 +14,9 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr Micros kLeaveInterval = 50'000;    // between requests of a member that leaves
-constexpr Micros kLeaveForgotten = 300'000;  // a member that says so no more has started anew
-constexpr std::size_t kLeastMembers = 3;     // to which the core may shrink
-constexpr Number kReadyLag = 2;              // entries that a learner may lack still as it becomes a voter
+constexpr Micros kLeaveInterval = 50'000;  // between requests of a member that leaves
+constexpr std::size_t kLeastMembers = 3;   // to which the core may shrink
+constexpr Number kReadyLag = 2;            // entries that a learner may lack still as it becomes a voter
 constexpr Micros kLearnerForgotten = 2'000'000;  // silence of a learner
 
 }  // namespace
@@ -33,6 +32,8 @@
 std::vector<std::string> Consensus::ready_learners() const {
     std::vector<std::string> ready;
     for (const std::string& learner : learners_) {
+        if (planted(PlantedFault::learner_votes_at_once)) ready.push_back(learner);
+        if (planted(PlantedFault::learner_votes_at_once)) continue;
         const auto peer = peers_.find(learner);
         if (peer == peers_.end() || silent(learner, options_.election_timeout)) continue;
         const LogPosition& held = peer->second.held;
@@ -80,12 +81,6 @@
     for (std::size_t i = 0; i < count; ++i) std::erase(members, gone[i]);
 }
 
-// A member that said that it leaves and answers again long after has started anew.
-void Consensus::note_answer_of_leaver(const std::string& member) {
-    const auto left = leaving_members_.find(member);
-    if (left != leaving_members_.end() && now_ > left->second + kLeaveForgotten) leaving_members_.erase(left);
-}
-
 // Begins or ends a joint change; whether it did.
 bool Consensus::append_membership_change(Output& out) {
     if (!state_.entry.outgoing_members.empty()) {
@@ -100,6 +95,7 @@
     for (const std::string& member : members) learners_.erase(member);
     LogEntry next = state_.entry;
     next.outgoing_members = std::exchange(next.members, std::move(members));
+    if (planted(PlantedFault::change_without_joint_step)) next.outgoing_members.clear();
     append(std::move(next), out);
     return true;
 }
@@ -128,7 +124,7 @@
 void Consensus::handle(const std::string& from, const LeaveRequest&, Output& out) {
     if (role_ != Role::leader || !holds()) return;
     if (is_voter(state_.entry, from)) {
-        leaving_members_[from] = now_;
+        leaving_members_.insert(from);
         append_next_change(out);
         const bool replaceable = !ready_learners().empty();
         if (replaceable || !state_.entry.outgoing_members.empty() || !safe_without(from)) return;
--- a/src/cluster/programs/controller.cpp
+++ b/src/cluster/programs/controller.cpp
@@ -36,9 +36,8 @@
     // A machine counts as lost for catch_up after its start: by then its predecessor must be out.
     constexpr Micros kLeastReplaceAfter = 600'000;
     constexpr Micros kMostReplaceAfter = 3'000'000;
-    constexpr int kCatchUpsUntilRemoved = 2;
     options.replace_after = std::clamp(settings.catch_up / 4, kLeastReplaceAfter, kMostReplaceAfter);
-    options.remove_after = kCatchUpsUntilRemoved * settings.catch_up;
+    options.remove_after = std::max(2 * options.replace_after, settings.catch_up * 5 / 8);
     return options;
 }
 
--- a/src/cluster/wire/cluster.capnp
+++ b/src/cluster/wire/cluster.capnp
@@ -36,6 +36,7 @@
     }
     appendResponse :group {
       term @19 :UInt64; round @21 :UInt64; held @22 :LogPosition; receiving @23 :LogPosition; received @24 :UInt64;
+      leaving @81 :Bool;
     }
     recoveryRequest @20 :UInt64;
     recoveryResponse :group {
--- a/src/cluster/wire/codec.cpp
+++ b/src/cluster/wire/codec.cpp
@@ -103,6 +103,7 @@
         put(to.initHeld(), m.held);
         put(to.initReceiving(), m.receiving);
         to.setReceived(m.received);
+        to.setLeaving(m.leaving);
     }
     void operator()(const RecoveryRequest& m) { e.setRecoveryRequest(m.nonce); }
     void operator()(const RecoveryResponse& m) {
@@ -207,8 +208,8 @@
         }
         case E::APPEND_RESPONSE: {
             const auto m = e.getAppendResponse();
-            return AppendResponse{m.getTerm(), m.getRound(), get(m.getHeld()), get(m.getReceiving()),
-                                  m.getReceived()};
+            return AppendResponse{m.getTerm(),           m.getRound(),    get(m.getHeld()),
+                                  get(m.getReceiving()), m.getReceived(), m.getLeaving()};
         }
         case E::RECOVERY_REQUEST:
             return RecoveryRequest{e.getRecoveryRequest()};
--- a/src/cluster/wire/messages.hpp
+++ b/src/cluster/wire/messages.hpp
@@ -98,6 +98,7 @@
     LogPosition held;       // on disk
     LogPosition receiving;  // the entry that is being received; {}: none
     Number received = 0;    // bytes of its payload
+    bool leaving = false;   // the sender is about to end
 };
 // From a member that lost its disk, or a machine that is no member: how do things stand?
 struct RecoveryRequest {
