HTTP service: requests sent ahead neither nest nor fill the pool; HEAD has no body

Cause: a request that had waited behind a slow one and was answered at once read the next one from within its own answer. One client with many short requests ahead nested as deep as there are buffers in the pool that all clients share, and emptied it, since no answer was written meanwhile. And an answer to a HEAD request had a body, which the client reads as its next answer. Change: what was sent ahead is read once the answer before it has been written; answers to HEAD are written without body and length.

--- a/src/cluster/transport/http_message.cpp
+++ b/src/cluster/transport/http_message.cpp
@@ -43,11 +43,12 @@
     else
         text.append(m.method).append(" ").append(m.target).append(" HTTP/1.1\r\n");
     for (const auto& [name, value] : m.fields) text.append(name).append(": ").append(value).append("\r\n");
-    const bool bodiless =
-        m.status == 0 ? m.body.empty() && m.method == "GET" : m.status == 204 || m.status == 304;
-    if (!bodiless) text.append("Content-Length: ").append(std::to_string(m.body.size())).append("\r\n");
+    const bool lengthless = m.status == 0 ? m.body.empty() && m.method == "GET"
+                                          : m.answers_head || m.status == 204 || m.status == 304;
+    if (!lengthless) text.append("Content-Length: ").append(std::to_string(m.body.size())).append("\r\n");
     if (!m.keeps_alive) text.append("Connection: close\r\n");
-    return text.append("\r\n").append(m.body);
+    text.append("\r\n");
+    return lengthless ? text : text.append(m.body);
 }
 
 }  // namespace gannethold::cluster
--- a/src/cluster/transport/http_message.hpp
+++ b/src/cluster/transport/http_message.hpp
@@ -14,6 +14,7 @@
     std::string method, target;  // of a request
     int status = 0;              // of an answer
     bool keeps_alive = true;
+    bool answers_head = false;  // of an answer to a HEAD request: written without a body and its length
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
 
@@ -25,7 +26,11 @@
 };
 
 inline HttpMessage copy_of(const http::Head& head) {
-    HttpMessage m{std::string(head.method), std::string(head.target), head.status, head.keeps_alive, {}, {}};
+    HttpMessage m;
+    m.method = std::string(head.method);
+    m.target = std::string(head.target);
+    m.status = head.status;
+    m.keeps_alive = head.keeps_alive;
     m.fields.reserve(head.fields.size());
     for (const auto& f : head.fields) m.fields.emplace_back(f.name, f.value);
     return m;
--- a/src/cluster/transport/http_service.cpp
+++ b/src/cluster/transport/http_service.cpp
@@ -20,9 +20,9 @@
         since_ = net::Loop::now();
         HttpMessage last = message;
         last.keeps_alive = keeps_alive_ && message.keeps_alive && !service_.leaving_;
+        last.answers_head = head_;
         if (!connection_.write(bytes_of(last))) return leave();
-        if (!last.keeps_alive) return finish();
-        again();
+        if (!last.keeps_alive) finish();
     }
     // Nothing under way, and nothing half read.
     bool idle() const { return exchange_ == 0 && !reading_ && ahead_.empty() && !reader_.begun(); }
@@ -47,7 +47,7 @@
   private:
     void bytes(std::string_view bytes) override {
         if (finishing_) return;
-        if (exchange_ != 0) {
+        if (exchange_ != 0 || connection_.unsent()) {
             // Sent ahead. So much is more than any client's due.
             if (ahead_.size() + bytes.size() > (1U << 20)) return leave();
             ahead_.append(bytes);
@@ -56,12 +56,12 @@
         read(bytes);
     }
 
-    void again() {
-        while (exchange_ == 0 && !finishing_ && !ahead_.empty()) {
-            const std::string bytes = std::move(ahead_);
-            ahead_.clear();
-            read(bytes);
-        }
+    // What was sent ahead is read once the answer before it has been written: so many requests at once
+    // neither nest nor take more than one answer's memory.
+    void all_written() override {
+        if (exchange_ != 0 || finishing_ || ahead_.empty()) return;
+        const std::string bytes = std::exchange(ahead_, {});
+        read(bytes);
     }
 
     void read(std::string_view bytes) {
@@ -85,6 +85,7 @@
                     reader_.restart();
                     reading_ = false;
                     keeps_alive_ = request_.keeps_alive;
+                    head_ = request_.method == "HEAD";
                     ahead_.assign(bytes);
                     exchange_ = ++service_.last_;
                     service_.exchanges_[exchange_] = this;
@@ -128,6 +129,7 @@
     std::string ahead_;
     Exchange exchange_ = 0;
     bool reading_ = false, keeps_alive_ = true, finishing_ = false;
+    bool head_ = false;  // the request under way is a HEAD request
     Micros since_;
     net::Connection connection_;
 };
--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -390,5 +390,146 @@
     BOOST_TEST(runner.ended.size() == 2U);
 }
 
+// ---- client to proxy ----
+
+// A service, and what it was asked.
+struct Served {
+    explicit Served(bool answers_at_once = false)
+        : port(free_port()),
+          service(loop, *net::Address::read("127.0.0.1:" + std::to_string(port)),
+                  {[this, answers_at_once](HttpService::Exchange exchange, HttpMessage&& message) {
+                       asked.emplace_back(exchange, std::move(message));
+                       if (answers_at_once) answer(exchange, asked.back().second.target);
+                   },
+                   [this](HttpService::Exchange exchange) { left.push_back(exchange); }},
+                  64) {}
+    void answer(HttpService::Exchange exchange, const std::string& body) {
+        HttpMessage message;
+        message.status = 200;
+        message.body = body;
+        service.answer(exchange, message);
+    }
+    bool until(const std::function<bool()>& holds) { return turn_until(loop, holds); }
+    static std::string ask(const std::string& path, const std::string& method = "GET") {
+        return method + " " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    net::Loop loop{kBlocks};
+    std::uint16_t port;
+    std::deque<std::pair<HttpService::Exchange, HttpMessage>> asked;
+    std::vector<HttpService::Exchange> left;
+    HttpService service;
+};
+
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_one_by_one_in_their_order) {
+    Served served;
+    Wire client = Wire::to(served.port);
+    client.say(Served::ask("/1") + Served::ask("/2") + Served::ask("/3"));
+    for (std::size_t n = 1; n <= 3; ++n) {
+        BOOST_REQUIRE(served.until([&] { return served.asked.size() == n; }));
+        BOOST_TEST(served.service.under_way() == 1U);
+        served.answer(served.asked.back().first, "answer to " + served.asked.back().second.target);
+    }
+    BOOST_REQUIRE(served.until([&] { return client.has("answer to /3"); }));
+    BOOST_TEST(client.got.find("answer to /1") < client.got.find("answer to /2"));
+    BOOST_TEST(client.got.find("answer to /2") < client.got.find("answer to /3"));
+    BOOST_TEST(count(client.got, "HTTP/1.1 200") == 3U);
+}
+
+constexpr std::size_t kManyAhead = 4'000;
+constexpr std::size_t kFewBlocks = 256;  // of which one answer that is not yet written takes one
+
+std::string many_ahead() {
+    std::string all;
+    for (std::size_t n = 0; n < kManyAhead; ++n) all += "GET /p HTTP/1.1\r\n\r\n";
+    return all;
+}
+
+BOOST_AUTO_TEST_CASE(many_requests_sent_ahead_and_answered_at_once_do_not_nest) {
+    Served served(true);
+    Wire client = Wire::to(served.port);
+    const std::string all = many_ahead();
+    std::size_t said = 0;
+    BOOST_TEST(served.until([&] {
+        said += client.say(std::string_view(all).substr(said));
+        client.look();
+        return served.asked.size() == kManyAhead;
+    }));
+    BOOST_TEST(served.until([&] { return count(client.look().got, "HTTP/1.1 200") == kManyAhead; }));
+}
+
+BOOST_AUTO_TEST_CASE(what_waited_behind_a_slow_request_does_not_nest_either) {
+    net::Loop loop(kFewBlocks);
+    const std::uint16_t port = free_port();
+    std::size_t asked = 0, depth = 0, deepest = 0;
+    HttpService::Exchange first = 0;
+    HttpService* there = nullptr;
+    const auto reply = [&](HttpService::Exchange exchange) {
+        HttpMessage message;
+        message.status = 200;
+        there->answer(exchange, message);
+    };
+    HttpService service(loop, *net::Address::read("127.0.0.1:" + std::to_string(port)),
+                        {[&](HttpService::Exchange exchange, HttpMessage&&) {
+                            deepest = std::max(deepest, ++depth);
+                            if (++asked == 1)
+                                first = exchange;
+                            else
+                                reply(exchange);
+                            --depth;
+                        }},
+                        64);
+    there = &service;
+    Wire client = Wire::to(port);
+    const std::string all = many_ahead();
+    std::size_t said = 0;
+    BOOST_REQUIRE(turn_until(loop, [&] {
+        said += client.say(std::string_view(all).substr(said));
+        return first != 0 && said == all.size();
+    }));
+    reply(first);
+    BOOST_TEST(turn_until(loop, [&] {
+        client.look();
+        return asked == kManyAhead || client.closed;
+    }));
+    BOOST_TEST(turn_until(loop, [&] { return count(client.look().got, "HTTP/1.1 200") == kManyAhead; }));
+    BOOST_TEST(deepest == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_a_client_that_left_reaches_no_other) {
+    Served served;
+    {
+        Wire gone = Wire::to(served.port);
+        gone.say(Served::ask("/gone"));
+        BOOST_REQUIRE(served.until([&] { return served.asked.size() == 1; }));
+        gone.reset();
+    }
+    BOOST_REQUIRE(served.until([&] { return served.left.size() == 1; }));
+    Wire next = Wire::to(served.port);
+    next.say(Served::ask("/next"));
+    BOOST_REQUIRE(served.until([&] { return served.asked.size() == 2; }));
+    BOOST_TEST(served.asked[0].first != served.asked[1].first);
+    served.answer(served.asked[0].first, "of another");
+    served.answer(served.asked[1].first, "mine");
+    served.answer(served.asked[1].first, "twice");
+    BOOST_REQUIRE(served.until([&] { return next.has("mine"); }));
+    served.until([end = net::Loop::now() + 20'000] { return net::Loop::now() > end; });
+    BOOST_TEST(count(next.look().got, "HTTP/1.1") == 1U);
+    BOOST_TEST(served.left.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_to_a_head_request_has_no_body) {
+    Served served;
+    Wire client = Wire::to(served.port);
+    client.say(Served::ask("/1", "HEAD") + Served::ask("/2"));
+    BOOST_REQUIRE(served.until([&] { return served.asked.size() == 1; }));
+    served.service.answer(served.asked[0].first, Kind::no_slot, {}, 100);
+    BOOST_REQUIRE(served.until([&] { return served.asked.size() == 2; }));
+    served.answer(served.asked[1].first, "mine");
+    BOOST_REQUIRE(served.until([&] { return client.has("mine"); }));
+    const std::size_t end = client.got.find("\r\n\r\n") + 4;
+    BOOST_TEST(client.got.substr(end, 12) == "HTTP/1.1 200");
+}
+
 }  // namespace
 }  // namespace gannethold::cluster
