Proxy: a request that may have run at one runner gets no promise from a later one

Cause: after a first sending without an answer (an idempotent request), a second that was turned away, found no slot or no time was answered 503, which promises that the request has not run. Change: a request remembers that it may have run, and its refusal is 502 from then on, wherever it is given up. What may not be repeated was and is answered 502 at once. Measured: the two tests a_request_that_may_have_run_* failed before.

--- a/src/cluster/proxy/request_handler.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -230,6 +230,10 @@
 
 void RequestHandler::give_up(Micros now, RequestId id, Request& r, Kind kind, std::uint32_t retry_ms,
                              Actions& out) {
+    if (r.may_have_run && answer_to(kind).promise) {
+        kind = Kind::may_have_run;
+        retry_ms = 0;
+    }
     if (r.client) out.replies.push_back({id, kind, retry_ms});
     if (r.client && r.route)
         lost(now, r,
@@ -330,6 +334,7 @@
     }
     r.slowed = how == RunEnd::not_run ? Loss::Cause::slot : Loss::Cause::runner;
     const bool ran = how == RunEnd::failed || how == RunEnd::may_have_run;
+    r.may_have_run = r.may_have_run || ran;
     if (!r.client) return close(id);
     const bool may_again =
         (!ran || r.route->idempotent) && r.sends < r.route->attempts && now + 20'000 < r.deadline_at;
@@ -343,7 +348,7 @@
         lost(now, r, Loss::How::failed);
         return close(id);
     }
-    give_up(now, id, r, ran ? Kind::may_have_run : Kind::no_slot, ran ? 0 : kSoon, out);
+    give_up(now, id, r, Kind::no_slot, kSoon, out);
 }
 
 // ---- the coordinator
--- a/src/cluster/proxy/request_handler.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -55,7 +55,7 @@
     not_run,      // the runner says so
     misdirected,  // likewise: another runner has the address
     unreachable,  // nothing was sent
-    unsent,       // not whole: it has not run
+    unsent,       // not its whole head: it has not run
     may_have_run,
 };
 
@@ -151,6 +151,7 @@
         bool by_slot = false;  // the runner's slot was granted, and is to be released
         bool client = true;    // it still waits
         bool again = false, unrestricted = false;
+        bool may_have_run = false;               // at a runner that it was sent to before
         std::uint32_t drawn_number = 0;          // the runner that the coordinator was told
         Loss::Cause slowed = Loss::Cause::work;  // by what it was held up last
     };
--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -531,5 +531,171 @@
     BOOST_TEST(client.got.substr(end, 12) == "HTTP/1.1 200");
 }
 
+// ---- proxy and coordinator ----
+
+constexpr Session kSession = 1;
+constexpr char kService[] = "f";
+
+std::shared_ptr<const Configuration> configuration(bool idempotent, int attempts) {
+    const std::string text =
+        std::string(R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/f/","route_kind":")") +
+        (idempotent ? "idempotent" : "non_idempotent") +
+        R"(","timeout_ms":4000,"target_latency_ms":1500,"priority":1,"service":"f","max_attempts":)" +
+        std::to_string(attempts) +
+        R"(}],"services":[{"name":"f","connection_limit":20,"memory_mb":128,"boot_duration_ms":600,"max_concurrency":1}]})";
+    return leaf::try_handle_all([&] { return Configuration::read(text); },
+                                []() -> std::shared_ptr<const Configuration> {
+                                    BOOST_FAIL("the configuration can not be read");
+                                    return {};
+                                });
+}
+
+// One front and the slot tables of the coordinators that it meets, with no network between but what a test
+// holds back.
+struct Together {
+    explicit Together(bool idempotent = true, int attempts = 2)
+        : routes(configuration(idempotent, attempts)), handler({"front", "z0"}) {
+        handler.configure(routes);
+        open_coordinator();
+    }
+    void open_coordinator() {
+        table = std::make_unique<SlotTable>(SlotTable::Options{.budget_slack = 100});
+        table->configure(routes);
+        std::vector<FrontMail> mail;
+        for (const Holding& runner : runners) table->listed(now, runner, false, mail);
+    }
+    void add_runner(const std::string& name) {
+        runners.push_back(
+            {name, kService, "10.0.0.1:" + std::to_string(runners.size() + 1), "z0", "w", 1, 0, true});
+        std::vector<FrontMail> mail;
+        table->listed(now, runners.back(), false, mail);
+        deliver(mail);
+    }
+    void deliver(std::vector<FrontMail>& mail) {
+        for (const FrontMail& one : mail) handler.said(now, one.message, actions);
+        mail.clear();
+        carry();
+    }
+    // What the front says reaches the coordinator, as long as there is one.
+    void carry() {
+        while (!actions.mails.empty()) {
+            std::vector<FrontMail> mail;
+            for (const Message& message : std::exchange(actions.mails, {})) {
+                said.push_back(message);
+                if (const auto* ask = std::get_if<AcquireRequest>(&message))
+                    table->ask(now, kSession, *ask, mail);
+                if (const auto* release = std::get_if<Release>(&message))
+                    table->release(now, kSession, *release, mail);
+                if (const auto* outs = std::get_if<OutstandingReport>(&message))
+                    table->outs(now, kSession, *outs);
+            }
+            for (const FrontMail& one : mail) handler.said(now, one.message, actions);
+        }
+    }
+    // The greeting is on its way; meanwhile may happen what the test does; then the answer comes.
+    void greet(const std::function<void()>& meanwhile = [] {}) {
+        const Register registration = handler.registration();
+        meanwhile();
+        std::vector<FrontMail> mail;
+        table->front_came(now, kSession, registration, mail);
+        handler.said(now, Registered{1, 0, 1, {}}, actions);
+        handler.coordinator_connected(now, actions);
+        deliver(mail);
+    }
+    void request(RequestId id) {
+        handler.arrived(now, id, "h", "/f/x", 3000, actions);
+        carry();
+    }
+    void end(RequestId id, RunEnd how) {
+        handler.ended(now, id, how, actions);
+        carry();
+    }
+    void lose_coordinator() {
+        handler.coordinator_lost(now, actions);
+        actions.mails.clear();
+    }
+    std::uint32_t out() const {
+        std::uint32_t all = 0;
+        for (const auto& [number, runner] : table->runners()) all += runner.out();
+        return all;
+    }
+
+    Micros now = 10'000'000;
+    std::shared_ptr<const Configuration> routes;
+    RequestHandler handler;
+    std::unique_ptr<SlotTable> table;
+    std::vector<Holding> runners;
+    Actions actions;
+    std::vector<Message> said;
+};
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_never_refused_with_a_promise) {
+    // It may be repeated, and no second runner is found for it.
+    Together together;
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    BOOST_REQUIRE(together.actions.forwards.size() == 1U);
+    together.end(1, RunEnd::may_have_run);
+    BOOST_TEST(together.actions.forwards.size() == 2U);
+    together.end(1, RunEnd::not_run);
+    BOOST_REQUIRE(together.actions.replies.size() == 1U);
+    BOOST_TEST(!answer_to(together.actions.replies[0].kind).promise);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_and_then_finds_no_slot_in_time_has_no_promise) {
+    Together together;
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    together.request(2);  // waits behind it
+    together.end(1, RunEnd::may_have_run);
+    // The second has the slot now, and the first waits for a second runner until its time is over.
+    together.now += 3'100'000;
+    together.handler.tick(together.now, together.actions);
+    for (const Actions::Reply& reply : together.actions.replies)
+        if (reply.request == 1) BOOST_TEST(!answer_to(reply.kind).promise);
+    BOOST_TEST(together.actions.replies.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_not_be_repeated_is_sent_once_after_it_may_have_run_and_again_after_a_promise) {
+    for (const RunEnd how : {RunEnd::may_have_run, RunEnd::failed}) {
+        Together together(false, 3);
+        together.add_runner("i-1");
+        together.greet();
+        together.request(1);
+        together.end(1, how);
+        BOOST_TEST(together.actions.forwards.size() == 1U);
+        BOOST_TEST(together.actions.replies.size() + together.actions.relays.size() == 1U);
+        for (const Actions::Reply& reply : together.actions.replies)
+            BOOST_TEST(!answer_to(reply.kind).promise);
+    }
+    Together together(false, 3);
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    together.end(1, RunEnd::unsent);
+    BOOST_TEST(together.actions.forwards.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_grant_of_an_earlier_session_sends_nothing) {
+    Together together;
+    together.greet();
+    together.request(1);  // waits: there is no runner
+    BOOST_REQUIRE(!together.said.empty());
+    const auto* const ask = std::get_if<AcquireRequest>(&together.said.back());
+    BOOST_REQUIRE(ask != nullptr);
+    const std::uint32_t old_ask = ask->id;
+    together.lose_coordinator();
+    together.open_coordinator();
+    together.greet();
+    together.add_runner("i-1");
+    BOOST_TEST(together.actions.forwards.size() == 1U);
+    together.handler.said(together.now, AcquireGranted{old_ask, 1}, together.actions);
+    BOOST_TEST(together.actions.forwards.size() == 1U);
+    together.carry();
+    BOOST_TEST(together.out() == 1U);
+}
+
 }  // namespace
 }  // namespace gannethold::cluster
