Registration: what ends, begins or was retired around it is counted once

Cause: requests that ended between a front's registration and the coordinator's answer were never released, and those sent then never told: a slot was taken for as long as the session lasted (a runner of one slot gives none and is never stopped), or given twice. And a front that came back was told of a runner that was being retired by a number that it did not know: it passed the word over, went on taking the runner for ready, and its requests there were never released, so that the runner was never stopped. Change: with the first word about a runner in a session the front corrects what it registered; the first word about one that is gone names it. Measured: a_new_coordinator_counts_what_ended_*, ..._began_* and what_a_front_that_comes_back_* failed before.

--- a/src/cluster/proxy/request_handler.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -354,14 +354,16 @@
 // ---- the coordinator
 // ----------------------------------------------------------------------------------------------
 
-Register RequestHandler::registration() const {
+Register RequestHandler::registration() {
     Register g{options_.name, options_.zone, options_.incarnation, version(), {}, {}};
-    for (const auto& [id, r] : runners_) {
+    for (auto& [id, r] : runners_) {
+        r.registered = 0;
         if (r.state == RunnerState::gone && r.out == 0) continue;
         Holding h = r.what;
         const auto coordinator = offices_.find(h.service);
         const bool unrestricted = coordinator != offices_.end() && coordinator->second.unrestricted;
         h.out = unrestricted ? 0 : r.out;  // of what is sent unasked no end is told
+        r.registered = h.out;
         h.up = r.state == RunnerState::ready;
         g.holdings.push_back(std::move(h));
     }
@@ -408,21 +410,42 @@
     runners_.erase(at);
 }
 
-void RequestHandler::told(const RunnerTold& m, Actions& out) {
-    if (m.state == RunnerState::gone) {
-        if (const auto at = by_number_.find(m.number); at != by_number_.end())
-            drop_runner(std::string(at->second), out);
-        return;
+// What ended between the registration and the coordinator's answer is released, and what was sent then is
+// told: else a slot would be taken, or given twice, for as long as the session lasts.
+void RequestHandler::correct_registration(Runner& runner, Actions& out) {
+    const std::uint32_t registered = std::exchange(runner.registered, 0);
+    if (offices_[runner.what.service].unrestricted) return;
+    if (runner.out > registered)
+        out.mails.push_back(OutstandingReport{{{runner.number, runner.out - registered}}});
+    for (std::uint32_t ended = runner.out; ended < registered; ++ended)
+        out.mails.push_back(Release{0, runner.number, Ended::unused, 0});
+}
+
+// One that is gone may still have requests out here, whose ends the coordinator counts under its number.
+void RequestHandler::told_gone(const RunnerTold& m, Actions& out) {
+    if (const auto held = runners_.find(m.runner.runner);
+        held != runners_.end() && held->second.number == 0) {
+        held->second.number = m.number;
+        by_number_[m.number] = m.runner.runner;
+        correct_registration(held->second, out);
     }
+    if (const auto at = by_number_.find(m.number); at != by_number_.end())
+        drop_runner(std::string(at->second), out);
+}
+
+void RequestHandler::told(const RunnerTold& m, Actions& out) {
+    if (m.state == RunnerState::gone) return told_gone(m, out);
     Runner& r = runners_[m.runner.runner];
     const std::uint32_t mine = r.out;
     const bool fresh = r.what.runner.empty();
     r.what = m.runner;
     r.out = mine;
+    const bool first = r.number == 0;  // in this session
     if (r.number != m.number) by_number_.erase(r.number);
     r.number = m.number;
     by_number_[m.number] = m.runner.runner;
     r.state = m.state;
+    if (first) correct_registration(r, out);
     Coordinator& coordinator = offices_[m.runner.service];
     if (fresh) coordinator.runners.push_back(m.runner.runner);
     if (m.state == RunnerState::ready) coordinator.split.enter(m.runner.runner, m.runner.slots);
--- a/src/cluster/proxy/request_handler.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -106,7 +106,9 @@
     void ended(Micros now, RequestId request, RunEnd how, Actions& out);
 
     // The coordinator: a session with it begins and ends; what it says.
-    Register registration() const;
+    // What the coordinator is told as a session begins; what changes until coordinator_connected() is told
+    // after it.
+    Register registration();
     void coordinator_connected(Micros now, Actions& out);
     void coordinator_lost(Micros now, Actions& out);
     bool coordinator() const { return coordinator_; }
@@ -162,6 +164,7 @@
     struct Runner {
         Holding what;
         std::uint32_t number = 0, out = 0;
+        std::uint32_t registered = 0;  // of those out, as the coordinator was told with the registration
         RunnerState state = RunnerState::starting;
         Micros aside_until = 0;  // for what it did to us
     };
@@ -189,6 +192,8 @@
     static void held_up(Request& r, WaitedFor by);
     void note(Micros now, RequestId id, const Request& r, const std::string& runner, const char* why);
     void told(const RunnerTold& m, Actions& out);
+    void told_gone(const RunnerTold& m, Actions& out);
+    void correct_registration(Runner& runner, Actions& out);
     void drop_runner(const std::string& runner, Actions& out);
     std::uint32_t part(const Runner& runner) const;
     double unit();
--- a/src/cluster/slots/slot_table.cpp
+++ b/src/cluster/slots/slot_table.cpp
@@ -96,9 +96,10 @@
 // ------------------------------------------------------------------------------------------
 
 void SlotTable::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
-    r.told.insert(front);
+    // A front that was not told its number knows a runner by its name only.
+    const bool first = r.told.insert(front).second;
     const bool gone = r.draining || r.state == RunnerState::gone;
-    RunnerTold told{r.number, gone ? RunnerState::gone : r.state, gone ? Holding{} : r.what, watch};
+    RunnerTold told{r.number, gone ? RunnerState::gone : r.state, gone && !first ? Holding{} : r.what, watch};
     told.runner.out = 0;
     out.push_back({front, std::move(told)});
 }
--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -697,5 +697,59 @@
     BOOST_TEST(together.out() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_coordinator_counts_what_ended_while_it_was_greeted) {
+    Together together;
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    BOOST_REQUIRE(together.actions.forwards.size() == 1U);
+    together.lose_coordinator();
+    together.open_coordinator();
+    together.greet([&] { together.handler.ended(together.now, 1, RunEnd::answered, together.actions); });
+    BOOST_TEST(together.out() == 0U);
+    together.request(2);
+    BOOST_TEST(together.actions.forwards.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_coordinator_counts_what_began_while_it_was_greeted) {
+    Together together;
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    together.end(1, RunEnd::answered);
+    together.lose_coordinator();
+    together.open_coordinator();
+    together.greet([&] {
+        together.handler.arrived(together.now, 2, "h", "/f/x", 3000, together.actions);
+        BOOST_REQUIRE(together.actions.forwards.size() == 2U);  // of its own part
+    });
+    BOOST_TEST(together.out() == 1U);
+    together.end(2, RunEnd::answered);
+    BOOST_TEST(together.out() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(what_a_front_that_comes_back_has_out_at_a_retired_runner_is_released) {
+    Together together;
+    together.add_runner("i-1");
+    together.greet();
+    together.request(1);
+    BOOST_REQUIRE(together.out() == 1U);
+    const std::uint32_t number = together.table->runners().begin()->first;
+    std::vector<FrontMail> mail;
+    together.lose_coordinator();
+    together.table->front_left(together.now, kSession, mail);
+    together.table->retire(together.now, number, mail);
+    mail.clear();
+    together.greet();
+    BOOST_TEST(together.out() == 1U);
+    BOOST_TEST(!together.table->retire(together.now, number, mail));
+    together.end(1, RunEnd::answered);
+    // Nothing is under way there any more: it may be stopped.
+    BOOST_TEST(together.out() == 0U);
+    BOOST_TEST(together.table->retire(together.now, number, mail));
+    together.request(2);
+    BOOST_TEST(together.actions.forwards.size() == 1U);
+}
+
 }  // namespace
 }  // namespace gannethold::cluster
