Coordinator: a nonce is never used twice, and stays under the platform's 64 bytes

Cause: a coordinator that is closed and opened again in one term (its letters overflowed while the lease was out) counted its nonces from 1 again. The platform gives the old runner for a nonce that it has seen: a start that was none. A node name of over 50 bytes made nonces that the platform refuses. Change: the prefix bears the count of coordinators that the process has opened, and 24 bytes of the name. Measured: a_nonce_is_of_one_coordinator_also_where_its_term_is_opened_twice failed before.

--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::size_t kBodies = 8;
 constexpr Micros kWorkers = 1'000'000, kCallLimit = 1'200'000;
+constexpr std::size_t kNameInNonce = 24;  // bytes, so that a nonce stays under the platform's 64
+
+// Unique also where one term is opened twice by one process: the platform gives the old runner for a nonce
+// that it has seen. A later process of this machine leads later terms only.
+std::string nonce_prefix(const std::string& node_name, Number term) {
+    static Number opened = 0;
+    return node_name.substr(0, kNameInNonce) + "-" + std::to_string(term) + "-" + std::to_string(++opened) +
+           "-";
+}
 
 SlotTable::Options slot_table_options(const Settings& s) {
     SlotTable::Options t;
@@ -21,7 +30,7 @@
 
 Planner::Options planner_options(const Settings& s, Number term) {
     Planner::Options t;
-    t.nonce_prefix = s.node_name + "-" + std::to_string(term) + "-";
+    t.nonce_prefix = nonce_prefix(s.node_name, term);
     t.duty_per_s = s.duty_per_s;
     t.region_of = s.region_of;
     // Fronts tell what they know to be starting as they come; what nobody knows costs one start too many.
--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -751,5 +751,89 @@
     BOOST_TEST(together.actions.forwards.size() == 1U);
 }
 
+// ---- leader to platform ----
+
+// Answers the lists, and starts when it is told to; keeps the bodies of the calls that change something.
+struct Platform {
+    void serve() {
+        for (Wire& wire : door.guests()) {
+            wire.look();
+            for (std::size_t end; (end = wire.got.find("\r\n\r\n")) != std::string::npos;) {
+                std::size_t length = 0;
+                if (const std::size_t at = wire.got.find("Content-Length: "); at < end)
+                    length = std::stoul(wire.got.substr(at + 16));
+                if (wire.got.size() < end + 4 + length) break;
+                const std::string head = wire.got.substr(0, end), body = wire.got.substr(end + 4, length);
+                wire.got.erase(0, end + 4 + length);
+                take(wire, head, body);
+            }
+        }
+    }
+    void take(Wire& wire, const std::string& head, const std::string& body) {
+        if (head.starts_with("GET /runners"))
+            return void(wire.say(answer({}, R"({"instances":[],"next_page_token":null})")));
+        if (head.starts_with("GET /v1/workers"))
+            return void(wire.say(answer(
+                {},
+                R"({"workers":[{"name":"w","zone":"z0","memory_mb":4096,"free_memory_mb":4096,"state":"ready"}]})")));
+        const std::string key = "\"request_nonce\":\"";
+        const std::size_t at = body.find(key) + key.size();
+        nonces.push_back(body.substr(at, body.find('"', at) - at));
+        if (!silent) wire.say(answer({}, R"({"runner_id":"i-1","address":"127.0.0.1:1"})"));
+    }
+    Door door;
+    bool silent = false;
+    std::vector<std::string> nonces;
+};
+
+// A coordinator with one front that asks for a runner.
+struct Leader {
+    Leader(net::Loop& loop, Platform& platform, const std::string& node, Number term)
+        : loop(loop), platform(platform) {
+        settings.node_name = node;
+        settings.platform = platform.door.address();
+        settings.list_rate_per_s = 50;
+        settings.duty_per_s = 50;
+        coordinator.emplace(loop, settings, term, [](Session, const Message&) {});
+        LogEntry entry;
+        entry.version = 1;
+        coordinator->committed(entry, configuration(true, 2));
+        coordinator->came(kSession, Register{"front", "z0", 1, 1, {}, {}});
+        coordinator->said(kSession, AcquireRequest{1, 0, kService, 1500, 60'000, 1, 1, false});
+    }
+    bool until_asked(std::size_t times) {
+        return turn_until(loop, [&] {
+            coordinator->tick(net::Loop::now());
+            platform.serve();
+            return platform.nonces.size() >= times;
+        });
+    }
+    net::Loop& loop;
+    Platform& platform;
+    Settings settings;
+    std::optional<Coordinator> coordinator;
+};
+
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_asked_for_again_under_its_nonce) {
+    net::Loop loop(kBlocks);
+    Platform platform;
+    platform.silent = true;
+    Leader leader(loop, platform, "core-1", 7);
+    BOOST_REQUIRE(leader.until_asked(2));
+    BOOST_TEST(platform.nonces[0] == platform.nonces[1]);
+}
+
+BOOST_AUTO_TEST_CASE(a_nonce_is_of_one_coordinator_also_where_its_term_is_opened_twice) {
+    net::Loop loop(kBlocks);
+    Platform platform;
+    const std::string long_name(80, 'n');
+    for (int opened = 0; opened < 2; ++opened) {
+        Leader leader(loop, platform, long_name, 7);
+        BOOST_REQUIRE(leader.until_asked(platform.nonces.size() + 1));
+    }
+    BOOST_TEST(platform.nonces[0] != platform.nonces[1]);
+    for (const std::string& nonce : platform.nonces) BOOST_TEST(nonce.size() <= 64U);
+}
+
 }  // namespace
 }  // namespace gannethold::cluster
