Simulation: lost answers of runners and platform, and the fault repeat_after_silence

The promise of a refusal is checked for requests that may be repeated too. The search loses a tenth of the runners' answers in a third of its seeds of single troubles; fault "silence" takes a call without an answer for one that was not sent.

--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -203,6 +203,8 @@
             x.drain_worker(w.at(1));
         else if (verb == "answers-lost")
             x.answers_lost(std::stod(w.at(1)));
+        else if (verb == "platform-answers-lost")
+            x.platform_answers_lost(std::stod(w.at(1)));
         else if (verb == "reuse-address")
             x.reuse_address(w.at(1));
         else if (verb == "load")
--- a/tests/system/search.cpp
+++ b/tests/system/search.cpp
@@ -46,6 +46,7 @@
     {"new_voters_only", Sabotage::quorum_of_new_voters},
     {"learner_votes", Sabotage::learner_votes_at_once},
     {"no_joint_step", Sabotage::change_without_joint_step},
+    {"silence", Sabotage::repeat_after_silence},
 };
 
 }  // namespace
--- a/tests/system/search_play.cpp
+++ b/tests/system/search_play.cpp
@@ -8,6 +8,8 @@
 constexpr Micros kFirst = 2'500'000;  // before the first trouble: a core is founded
 constexpr Micros kSpan = 9'000'000;   // from the start until no more troubles come
 constexpr Micros kLongSpan = 20'000'000;
+constexpr std::uint64_t kLosesAnswersEach = 3;  // of so many seeds one
+constexpr double kAnswersLost = 0.1;
 constexpr Micros kWhole = 1'600'000;    // after a trouble, until the next
 constexpr Micros kRecover = 9'000'000;  // votes may be split a few times, and one that lost its disk gives
                                         // none for two terms
@@ -30,6 +32,10 @@
                  std::to_string(shape_.fronts) + " delay " +
                  std::to_string(static_cast<double>(shape_.delay) / 1e3) + " loss " +
                  std::to_string(shape_.loss) + " seed " + std::to_string(seed));
+    // Answers of runners are lost in some of them, after the run.
+    if (seed % kLosesAnswersEach != 0) return;
+    world_.answers_lost(kAnswersLost);
+    say("answers-lost " + std::to_string(kAnswersLost));
 }
 
 World::Shape Play::shape_of(std::uint64_t seed, Sabotage sabotage) {
--- a/tests/system/world.hpp
+++ b/tests/system/world.hpp
@@ -39,6 +39,7 @@
     change_without_joint_step,  // the voters before have no say in a change of membership
     resend_whole_entry,         // on a timer, without waiting for a confirmation
     end_without_answers,        // a front that ends answers nothing that is open
+    repeat_after_silence,       // a call without an answer is taken for one that was not sent
 };
 
 class World {
@@ -104,6 +105,7 @@
     void crash_worker(const std::string& worker);
     void drain_worker(const std::string& worker);
     void answers_lost(double share) { answers_lost_ = share; }
+    void platform_answers_lost(double share) { platform_answers_lost_ = share; }  // to starts and stops
     void reuse_address(const std::string& service);  // the runner of it ends, another has its address
 
     // ---- what can be looked at ----
@@ -216,7 +218,7 @@
     Number fence_ = 0;
     std::string fence_holder_;
     std::uint64_t made_ = 0, session_ = 0, request_ = 0;
-    double answers_lost_ = 0;
+    double answers_lost_ = 0, platform_answers_lost_ = 0;
     struct Try {
         std::size_t front = 0;
         std::string service, at;  // at: the runner that works on it
--- a/tests/system/world_coordinator.cpp
+++ b/tests/system/world_coordinator.cpp
@@ -126,6 +126,7 @@
             const auto at = runners_.find(s.runner);
             if (at != runners_.end() && !at->second->ended)
                 at->second->ended = true, at->second->ended_at = now_;
+            if (chance(platform_answers_lost_)) return;
             Core& c = *cores_[i];
             if (c.life != life || !c.coordinator || c.coordinator->term != term) return;
             c.coordinator->planner.stop_answered(s.runner, true);
@@ -177,7 +178,9 @@
                 begun = {r.id, r.service, r.address, r.zone, r.worker, r.slots, 0, false};
             }
         }
-        at(now_ + hop(), [this, core, life, b, answer, begun] {
+        const bool lost = chance(platform_answers_lost_);
+        if (lost) answer = BeginAnswer::silent;
+        at(now_ + (lost ? kCallLimit : hop()), [this, core, life, b, answer, begun] {
             Core& c = *cores_[core];
             if (c.life != life || !c.coordinator || !c.consensus || !c.consensus->leads(now_)) return;
             std::vector<FrontMail> mail;
--- a/tests/system/world_fronts.cpp
+++ b/tests/system/world_fronts.cpp
@@ -130,7 +130,7 @@
         ++refused_of[t.service];
         if (a.promise) refusal_worst_of[t.service] = std::max(refusal_worst_of[t.service], now_ - t.came);
         if (a.promise) t.promised = true;
-        if (a.promise && t.runs > 0 && !t.idempotent) breach("refused as not run, and it has run");
+        if (a.promise && t.runs > 0) breach("refused as not run, and it has run");
     }
     for (const RequestId id : d.relays) {
         Try& t = tries_[id];
@@ -153,6 +153,8 @@
         const std::string want = fw.runner, address = fw.address;
         const Number life = front.life;
         const auto end = [this, f, id, life](RunEnd how) {
+            if (shape_.sabotage == Sabotage::repeat_after_silence && how == RunEnd::may_have_run)
+                how = RunEnd::unsent;
             at(now_ + hop(), [this, f, id, life, how] {
                 Front& front = *fronts_[f];
                 if (!front.up || front.life != life) return;
@@ -176,7 +178,7 @@
             ++runner.busy;
             ++ran;
             if (++t.runs > 1 && !t.idempotent) breach("ran twice");
-            if (t.promised && !t.idempotent) breach("refused as not run, and it runs later");
+            if (t.promised) breach("refused as not run, and it runs later");
             const bool lost = chance(answers_lost_);
             t.at = runner.id;
             at(now_ + t.work_ms * 1000LL, [this, id, key = runner.id, end, lost] {
--- a/tests/system/world_parts.hpp
+++ b/tests/system/world_parts.hpp
@@ -14,6 +14,7 @@
 
 // How long after its start or end the platform's list shows a runner.
 constexpr Micros kListLag = 800'000;
+constexpr Micros kCallLimit = 1'200'000;  // of the leader's, for a call to the platform
 // How long a front does without its coordinator before it takes it for lost.
 constexpr Micros kReach = 800'000;
 
