--- a/tests/system/calls.cpp
+++ b/tests/system/calls.cpp
@@ -753,8 +753,11 @@
 
 // ---- leader to platform ----
 
-// Answers the lists, and starts when it is told to; keeps the bodies of the calls that change something.
+// Answers the lists; keeps the nonces of the starts that it was asked for, and ends those calls as it is
+// told.
 struct Platform {
+    enum class Start { answered, silent, cut };
+
     void serve() {
         for (Wire& wire : door.guests()) {
             wire.look();
@@ -779,10 +782,15 @@
         const std::string key = "\"request_nonce\":\"";
         const std::size_t at = body.find(key) + key.size();
         nonces.push_back(body.substr(at, body.find('"', at) - at));
-        if (!silent) wire.say(answer({}, R"({"runner_id":"i-1","address":"127.0.0.1:1"})"));
+        const std::string whole = answer({}, R"({"runner_id":"i-1","address":"127.0.0.1:1"})");
+        if (start == Start::answered) wire.say(whole);
+        if (start == Start::cut) {
+            wire.say(std::string_view(whole).substr(0, whole.size() - 1));
+            wire.hang_up();
+        }
     }
     Door door;
-    bool silent = false;
+    Start start = Start::answered;
     std::vector<std::string> nonces;
 };
 
@@ -815,12 +823,14 @@
 };
 
 BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_asked_for_again_under_its_nonce) {
-    net::Loop loop(kBlocks);
-    Platform platform;
-    platform.silent = true;
-    Leader leader(loop, platform, "core-1", 7);
-    BOOST_REQUIRE(leader.until_asked(2));
-    BOOST_TEST(platform.nonces[0] == platform.nonces[1]);
+    for (const Platform::Start how : {Platform::Start::silent, Platform::Start::cut}) {
+        net::Loop loop(kBlocks);
+        Platform platform;
+        platform.start = how;
+        Leader leader(loop, platform, "core-1", 7);
+        BOOST_REQUIRE(leader.until_asked(2));
+        BOOST_TEST(platform.nonces[0] == platform.nonces[1]);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(a_nonce_is_of_one_coordinator_also_where_its_term_is_opened_twice) {
--- a/tests/system/peers.hpp
+++ b/tests/system/peers.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -43,15 +44,24 @@
 // One end of a connection, in the hands of the test.
 class Wire {
   public:
-    explicit Wire(int socket) : socket_(socket) { fcntl(socket_, F_SETFL, O_NONBLOCK); }
+    explicit Wire(int socket, bool blocks = false) : socket_(socket) {
+        if (!blocks) fcntl(socket_, F_SETFL, O_NONBLOCK);
+    }
     Wire(Wire&& other) noexcept : got(std::move(other.got)), socket_(std::exchange(other.socket_, -1)) {}
     ~Wire() { hang_up(); }
 
-    static Wire to(std::uint16_t port) {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    static std::optional<Wire> try_to(std::uint16_t port) {
+        std::optional<Wire> wire(std::in_place, ::socket(AF_INET, SOCK_STREAM, 0), true);
         const sockaddr_in address = loopback(port);
-        BOOST_REQUIRE(connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-        return Wire(socket);
+        if (connect(wire->socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+            return {};
+        fcntl(wire->socket_, F_SETFL, O_NONBLOCK);
+        return wire;
+    }
+    static Wire to(std::uint16_t port) {
+        std::optional<Wire> wire = try_to(port);
+        BOOST_REQUIRE(wire.has_value());
+        return std::move(*wire);
     }
     // How many bytes of it the connection took.
     std::size_t say(std::string_view text) const {
--- /dev/null
+++ b/tests/system/program.hpp
@@ -0,0 +1,57 @@
+// One of the system's programs as a process of the test's own, with settings of its own.
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+extern char** environ;
+
+namespace gannethold::cluster {
+
+class Program {
+  public:
+    /// Starts the program with those settings. Its folder is removed, and it is killed, with this object.
+    Program(const char* path, const std::string& settings) {
+        static int started = 0;
+        folder_ = std::filesystem::temp_directory_path() /
+                  ("gannethold-calls-" + std::to_string(getpid()) + "-" + std::to_string(++started));
+        std::filesystem::create_directories(folder_);
+        const std::string file = folder_ / "settings.conf";
+        std::ofstream(file) << settings << "data_directory=" << (folder_ / "disk").string() << "\n";
+        const std::string flag = "--settings=" + file;
+        char* const words[] = {const_cast<char*>(path), const_cast<char*>(flag.c_str()), nullptr};
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+        BOOST_REQUIRE(posix_spawn(&process_, path, &actions, nullptr, words, environ) == 0);
+        posix_spawn_file_actions_destroy(&actions);
+    }
+    Program(const Program&) = delete;
+    Program& operator=(const Program&) = delete;
+    ~Program() {
+        kill(process_, SIGKILL);
+        waitpid(process_, nullptr, 0);
+        std::filesystem::remove_all(folder_);
+    }
+    long resident_kb() const {
+        std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+        for (std::string line; std::getline(status, line);)
+            if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+        return 0;
+    }
+
+  private:
+    std::filesystem::path folder_;
+    pid_t process_ = 0;
+};
+
+}  // namespace gannethold::cluster
--- a/tests/system/proxy_calls.cpp
+++ b/tests/system/proxy_calls.cpp
@@ -5,12 +5,6 @@
 #define BOOST_TEST_MODULE proxy_calls
 #include <boost/test/unit_test.hpp>
 
-#include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
-
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -19,8 +13,7 @@
 #include "cluster/transport/message_connection.hpp"
 #include "net/listener.hpp"
 #include "peers.hpp"
-
-extern char** environ;
+#include "program.hpp"
 
 namespace gannethold::cluster {
 namespace {
@@ -40,20 +33,13 @@
 class Fleet {
   public:
     Fleet()
-        : folder_(std::filesystem::temp_directory_path() / ("gannethold-calls-" + std::to_string(getpid()))),
-          frontend_(free_port()),
+        : frontend_(free_port()),
           listener_(
               loop, net::Door(*net::Address::read("127.0.0.1:" + std::to_string(free_port()))),
               [this](evutil_socket_t socket) { accepted(socket); }, [] {}) {
-        std::filesystem::create_directories(folder_);
-        start();
+        proxy_.emplace(PROXY, settings());
         BOOST_REQUIRE(until([this] { return held_; }));
     }
-    ~Fleet() {
-        kill(process_, SIGKILL);
-        waitpid(process_, nullptr, 0);
-        std::filesystem::remove_all(folder_);
-    }
 
     bool until(const std::function<bool()>& holds) { return turn_until(loop, holds); }
     void pass(Micros span) {
@@ -94,12 +80,7 @@
         BOOST_TEST(count(client.look().got, "HTTP/1.1 ") == 1U, client.got);
         return client.got;
     }
-    long resident_kb() const {
-        std::ifstream status("/proc/" + std::to_string(process_) + "/status");
-        for (std::string line; std::getline(status, line);)
-            if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
-        return 0;
-    }
+    long resident_kb() const { return proxy_->resident_kb(); }
 
     net::Loop loop{8192};
     Door runner;
@@ -107,21 +88,13 @@
     std::size_t asked = 0, withdrawn = 0;
 
   private:
-    void start() {
-        const std::string settings = folder_ / "settings.conf";
-        std::ofstream(settings) << "node_name=front\nip_address=127.0.0.1\nzone=z0\ninternal_port_range="
-                                << listener_.port() << "," << listener_.port()
-                                << "\nseed_addresses=127.0.0.1:1\nplatform_api.address=127.0.0.1:1\n"
-                                << "limits.memory_mb=256\nlimits.file_descriptors=1024\n"
-                                << "listen_addresses.frontend=127.0.0.1:" << frontend_
-                                << "\nlisten_addresses.readiness=127.0.0.1:" << free_port() << "\n";
-        const std::string flag = "--settings=" + settings;
-        char* const words[] = {const_cast<char*>(PROXY), const_cast<char*>(flag.c_str()), nullptr};
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
-        BOOST_REQUIRE(posix_spawn(&process_, PROXY, &actions, nullptr, words, environ) == 0);
-        posix_spawn_file_actions_destroy(&actions);
+    std::string settings() const {
+        const std::string port = std::to_string(listener_.port());
+        return "node_name=front\nip_address=127.0.0.1\nzone=z0\ninternal_port_range=" + port + "," + port +
+               "\nseed_addresses=127.0.0.1:1\nplatform_api.address=127.0.0.1:1\nlimits.memory_mb=256\n"
+               "limits.file_descriptors=1024\nlisten_addresses.frontend=127.0.0.1:" +
+               std::to_string(frontend_) +
+               "\nlisten_addresses.readiness=127.0.0.1:" + std::to_string(free_port()) + "\n";
     }
 
     void accepted(evutil_socket_t socket) {
@@ -150,12 +123,11 @@
         if (const auto* release = std::get_if<Release>(&message)) withdrawn += release->runner == 0;
     }
 
-    std::filesystem::path folder_;
     std::uint16_t frontend_;
     net::Listener listener_;
     std::vector<std::unique_ptr<MessageConnection>> lines_;
     bool held_ = false;
-    pid_t process_ = 0;
+    std::optional<Program> proxy_;
 };
 
 BOOST_AUTO_TEST_CASE(what_may_not_be_repeated_is_sent_once_whatever_its_connection_does) {
