--- a/src/cluster/consensus/membership.cpp
+++ b/src/cluster/consensus/membership.cpp
@@ -62,7 +62,12 @@
         ready.pop_back();
     }
     const std::size_t to_odd = members.size() % 2 == 0 ? 1 : 2;
-    if (ready.size() >= to_odd) {
+    // Whoever comes while a voter may be going may be its successor.
+    const bool all_answer = std::none_of(members.begin(), members.end(), [&](const std::string& member) {
+        const bool comes = contains(ready, member) || !contains(state_.entry.members, member);
+        return !comes && (leaving_members_.count(member) > 0 || silent(member, options_.election_timeout));
+    });
+    if (all_answer && ready.size() >= to_odd) {
         const auto first = ready.end() - static_cast<std::ptrdiff_t>(to_odd);
         members.insert(members.end(), first, ready.end());
     }
