--- a/src/cluster/base/settings.cpp
+++ b/src/cluster/base/settings.cpp
@@ -99,10 +99,12 @@
     s.control_plane = reader.text("listen_addresses.control_plane");
     s.data_directory = reader.text("data_directory");
     s.initial_start = reader.text("initial_start") == "true";
-    double memory = 256, descriptors = 1024;
+    double memory = 256;
+    double descriptors = 1024;
     BOOST_LEAF_CHECK(reader.number("limits.memory_mb", memory));
     BOOST_LEAF_CHECK(reader.number("limits.file_descriptors", descriptors));
-    s.memory_mb = static_cast<std::int64_t>(memory), s.descriptors = static_cast<std::int64_t>(descriptors);
+    s.memory_mb = static_cast<std::int64_t>(memory);
+    s.descriptors = static_cast<std::int64_t>(descriptors);
     BOOST_LEAF_CHECK(reader.number("platform_api.rate_per_s", s.list_rate_per_s));
     BOOST_LEAF_CHECK(reader.number("platform_api.duty_per_s", s.duty_per_s));
     BOOST_LEAF_CHECK(reader.span("platform_api.max_lag_ms", 1e3, s.list_lag));
