--- a/src/cluster/configuration/configuration.cpp
+++ b/src/cluster/configuration/configuration.cpp
@@ -40,12 +40,16 @@
     Service s;
     BOOST_LEAF_ASSIGN(s.name, word(from, "name", "a service"));
     const std::string where = "service " + s.name;
-    double memory = 128, boot = 1000, most = 1, connections = 1024;
+    double memory = 128;
+    double boot = 1000;
+    double most = 1;
+    double connections = 1024;
     BOOST_LEAF_CHECK(number(from, "memory_mb", where, 0, memory));
     BOOST_LEAF_CHECK(number(from, "boot_duration_ms", where, 0, boot));
     BOOST_LEAF_CHECK(number(from, "max_concurrency", where, 1, most));
     BOOST_LEAF_CHECK(number(from, "connection_limit", where, 0, connections));
-    s.memory_mb = static_cast<std::int64_t>(memory), s.boot = static_cast<Micros>(boot * 1e3);
+    s.memory_mb = static_cast<std::int64_t>(memory);
+    s.boot = static_cast<Micros>(boot * 1e3);
     s.most = static_cast<std::uint32_t>(std::min(most, 1e6));
     s.connections = static_cast<std::uint32_t>(std::min(connections, 1e6));
     return s;
@@ -99,13 +103,17 @@
     if (kind != "idempotent" && kind != "non_idempotent")
         return wrong(where, "route_kind is not known: " + kind);
     r.idempotent = kind == "idempotent";
-    double timeout = 30'000, aim = 1'000, priority = 0, attempts = 1;
+    double timeout = 30'000;
+    double aim = 1'000;
+    double priority = 0;
+    double attempts = 1;
     BOOST_LEAF_CHECK(number(from, "timeout_ms", where, 0, timeout));
     BOOST_LEAF_CHECK(number(from, "target_latency_ms", where, 0, aim));
     BOOST_LEAF_CHECK(number(from, "priority", where, 0, priority));
     BOOST_LEAF_CHECK(number(from, "max_attempts", where, 0, attempts));
     if (timeout <= 0) return wrong(where, "timeout_ms is 0");
-    r.timeout = static_cast<Micros>(timeout * 1e3), r.aim = static_cast<Micros>(aim * 1e3);
+    r.timeout = static_cast<Micros>(timeout * 1e3);
+    r.aim = static_cast<Micros>(aim * 1e3);
     r.priority = static_cast<std::uint8_t>(std::min(priority, 255.0));
     r.attempts = static_cast<std::uint32_t>(std::clamp(attempts, 1.0, 16.0));
     BOOST_LEAF_ASSIGN(r.shares, shares_from(from, where));
@@ -146,7 +154,8 @@
     auto made = std::make_shared<Configuration>();
     if (top["version"].get(made->version_) || made->version_ == 0)
         return wrong("configuration", "version is no whole number from 1 on");
-    simdjson::dom::array services, routes;
+    simdjson::dom::array services;
+    simdjson::dom::array routes;
     if (top["services"].get(services)) return wrong("configuration", "services is no list");
     if (top["routes"].get(routes)) return wrong("configuration", "routes is no list");
     for (const element one : services) {
@@ -186,9 +195,10 @@
     }
     if (object limits; !top["limits"].get(limits)) {
         Limits& l = made->limits_;
-        double header = static_cast<double>(l.header_bytes), body = static_cast<double>(l.body_bytes);
-        double header_ms = static_cast<double>(l.header_timeout) / 1e3,
-               idle_ms = static_cast<double>(l.idle_timeout) / 1e3;
+        double header = static_cast<double>(l.header_bytes);
+        double body = static_cast<double>(l.body_bytes);
+        double header_ms = static_cast<double>(l.header_timeout) / 1e3;
+        double idle_ms = static_cast<double>(l.idle_timeout) / 1e3;
         BOOST_LEAF_CHECK(number(limits, "max_header_bytes", "limits", 1, header));
         BOOST_LEAF_CHECK(number(limits, "max_body_bytes", "limits", 0, body));
         BOOST_LEAF_CHECK(number(limits, "header_timeout_ms", "limits", 1, header_ms));
--- a/src/cluster/configuration/delta.cpp
+++ b/src/cluster/configuration/delta.cpp
@@ -47,12 +47,15 @@
         at = end;
     }
     // Turns of: length of own bytes, those bytes, place in base, length there.
-    std::string steps, own;
-    std::size_t from = 0, length = 0;
+    std::string steps;
+    std::string own;
+    std::size_t from = 0;
+    std::size_t length = 0;
     const auto flush = [&] {
         put(steps, own.size());
         steps += own;
-        put(steps, from), put(steps, length);
+        put(steps, from);
+        put(steps, length);
         own.clear();
         length = 0;
     };
@@ -67,7 +70,8 @@
         const auto known = places.find(piece);
         if (known != places.end()) {
             if (length > 0) flush();
-            from = known->second, length = piece.size();
+            from = known->second;
+            length = piece.size();
         } else {
             if (length > 0) flush();
             own.append(piece);
@@ -75,7 +79,9 @@
     }
     flush();
     std::string plain;
-    put(plain, text.size()), put(plain, check(base)), put(plain, check(text));
+    put(plain, text.size());
+    put(plain, check(base));
+    put(plain, check(text));
     plain += steps;
     std::string out;
     put(out, plain.size());
@@ -90,7 +96,9 @@
 
 leaf::result<std::string> apply_delta(std::string_view base, std::string_view difference) {
     const auto bad = [](const char* why) { return failure(Kind::bytes_malformed, why); };
-    std::uint64_t size = 0, base_check = 0, text_check = 0;
+    std::uint64_t size = 0;
+    std::uint64_t base_check = 0;
+    std::uint64_t text_check = 0;
     if (!take(difference, size) || size > kMost) return bad("a difference without its length");
     std::string plain(size, '\0');
     uLongf got = static_cast<uLongf>(size);
@@ -106,7 +114,9 @@
     std::string text;
     text.reserve(size);
     while (!steps.empty()) {
-        std::uint64_t own = 0, from = 0, length = 0;
+        std::uint64_t own = 0;
+        std::uint64_t from = 0;
+        std::uint64_t length = 0;
         if (!take(steps, own) || own > steps.size()) return bad("a difference cut short");
         text.append(steps.substr(0, own));
         steps.remove_prefix(own);
