Placement: one statement a line, options taken by value

Change: each statement and variable has its own line, the planner moves its options in, and membership is asked by contains(). Behaviour is as before.

--- a/src/cluster/placement/planner.cpp
+++ b/src/cluster/placement/planner.cpp
@@ -61,7 +61,10 @@
         const double rank =
             100 * near - 16 * there[name] +
             static_cast<double>(left) / static_cast<double>(std::max<std::int64_t>(1, w.memory_mb));
-        if (!best || rank > best_rank) best = &w, best_rank = rank;
+        if (!best || rank > best_rank) {
+            best = &w;
+            best_rank = rank;
+        }
     }
     return best;
 }
@@ -84,14 +87,18 @@
     double most = 0;
     for (const auto& [zone, place] : f.places) {
         const double need = place.rate / (0.2 + there[zone]);
-        if (need > most) most = need, wish.zone = zone;
+        if (need > most) {
+            most = need;
+            wish.zone = zone;
+        }
     }
     if (s.warm()) {
         const double wanted = load + 2 * std::sqrt(load);
         wish.count = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(wanted / (slots * 0.8))));
         wish.why = wish.count > 1 ? "load" : "warm";
         // Near those who ask: a region of its own for each region, a zone where enough comes from it.
-        std::map<std::string, double> rates, has;
+        std::map<std::string, double> rates;
+        std::map<std::string, double> has;
         std::size_t zones = 0;
         for (const auto& [zone, place] : f.places) {
             rates[region(zone)] += place.rate;
@@ -101,7 +108,10 @@
         for (const auto& [name, rate] : rates)
             regions += rate > kNearRate / 4 * static_cast<double>(s.memory_mb) / 1024;
         const std::size_t near = std::max(zones, regions);
-        if (near > wish.count) wish.count = near, wish.why = "near";
+        if (near > wish.count) {
+            wish.count = near;
+            wish.why = "near";
+        }
     } else if (f.rate * kHold * static_cast<double>(s.boot) / 1e6 > 1 || f.load_slow > 0.5) {
         wish.count = std::max<std::size_t>(
             1, static_cast<std::size_t>(std::ceil((f.load_slow + std::sqrt(f.load_slow)) / slots - 0.3)));
@@ -113,7 +123,10 @@
             if (const std::string* zone = slot_table.zone_of(w.front)) ++zones[*zone];
         int many = 0;
         for (const auto& [zone, count] : zones)
-            if (count > many) many = count, wish.zone = zone;
+            if (count > many) {
+                many = count;
+                wish.zone = zone;
+            }
         // One more where a start is over before a slot comes free, and what is coming up already would be too
         // late for the aim.
         const double wait = slot_table.expected_wait(now, f);
@@ -122,7 +135,10 @@
                           static_cast<double>(last.aim_at);
         if (starting * s.most < f.waiting.size() && wait > kStartPays * static_cast<double>(s.boot) &&
             (have == 0 || late)) {
-            if (have + 1 > wish.count) wish.why = "waiting", wish.count = have + 1;
+            if (have + 1 > wish.count) {
+                wish.why = "waiting";
+                wish.count = have + 1;
+            }
         }
     }
     return wish;
@@ -151,7 +167,7 @@
     if (!committed(now)) return;
     // Nobody asks, nothing runs, none is to be warm.
     if (f.service && f.runners.empty() && f.waiting.empty() && f.rate < 0.01 && !f.service->warm() &&
-        !begins_of_.count(f.name))
+        !begins_of_.contains(f.name))
         return;
     if (!f.service) {
         for (const std::uint32_t number : std::vector<std::uint32_t>(f.runners)) {
@@ -160,14 +176,17 @@
         }
         return;
     }
-    std::size_t have = 0, starting = 0;
+    std::size_t have = 0;
+    std::size_t starting = 0;
     for (const std::uint32_t number : f.runners) {
         const Slots& r = slot_table.runner(number);
         have += !r.draining;
         starting += !r.draining && r.state == RunnerState::starting;
     }
-    if (const auto of = begins_of_.find(f.name); of != begins_of_.end())
-        have += of->second.size(), starting += of->second.size();
+    if (const auto of = begins_of_.find(f.name); of != begins_of_.end()) {
+        have += of->second.size();
+        starting += of->second.size();
+    }
     const Wish want = wish(now, slot_table, f, have, starting);
     if (have < want.count) {
         surplus_since_.erase(f.name);
--- a/src/cluster/placement/planner.hpp
+++ b/src/cluster/placement/planner.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cluster/slots/slot_table.hpp"
@@ -43,7 +44,7 @@
             1'500'000;  // after coming into coordinator, before what is not listed is started anew
         std::map<std::string, std::string> region_of;  // by zone
     };
-    Planner(const Options& terms, Micros now) : options_(terms), since_(now), tokens_at_(now) {}
+    Planner(Options options, Micros now) : options_(std::move(options)), since_(now), tokens_at_(now) {}
 
     void workers(Micros now, std::vector<Worker> all);
     // Call after workers(): ends the starts on workers that drain or stand there no more.
