Coordinator and explain: one statement a line, parameters named alike

Cause: comma operators and joint declarations hid statements, and .clang-tidy's checks were not met here. Change: each statement and variable has its own line, and declarations name their parameters as the definitions do. Behaviour is as before.

--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -23,7 +23,9 @@
 
 SlotTable::Options slot_table_options(const Settings& s) {
     SlotTable::Options t;
-    t.budget_slack = s.budget_slack, t.budget_window = s.budget_window, t.rejection_slack = s.rejection_slack;
+    t.budget_slack = s.budget_slack;
+    t.budget_window = s.budget_window;
+    t.rejection_slack = s.rejection_slack;
     t.late_turn = s.late_turn;
     return t;
 }
@@ -60,7 +62,10 @@
 // --------------------------------------------------------------------------------
 
 void Coordinator::committed(const LogEntry& entry, std::shared_ptr<const Configuration> read) {
-    if (entry.members != members_) members_ = entry.members, announce_at_ = net::Loop::now();
+    if (entry.members != members_) {
+        members_ = entry.members;
+        announce_at_ = net::Loop::now();
+    }
     if (entry.version <= version_) return;
     if (read)
         slot_table_.configure(std::move(read));
@@ -90,7 +95,7 @@
     const Number from = base == bodies_.end() ? 0 : front.version;
     std::string& delta = deltas_[from];
     if (delta.empty())
-        delta = make_delta(from > 0 ? std::string_view(base->second) : std::string_view(), bodies_[version_]);
+        delta = make_delta(from > 0 ? std::string_view{base->second} : std::string_view{}, bodies_[version_]);
     front.sent = version_;
     say_(session, ConfigurationSent{version_, {from, delta}});
 }
@@ -105,7 +110,8 @@
 
 void Coordinator::came(Session session, const Register& registration) {
     Front& front = fronts_[session];
-    front.name = registration.name, front.version = registration.version;
+    front.name = registration.name;
+    front.version = registration.version;
     say_(session, Registered{term_, 0, static_cast<std::uint32_t>(std::max<std::size_t>(1, fronts_.size())),
                              members_});
     push(session, front);
@@ -146,7 +152,8 @@
     if (const auto* outs = std::get_if<OutstandingReport>(&message)) slot_table_.outs(now, session, *outs);
     if (std::holds_alternative<Heartbeat>(message)) say_(session, Heartbeat{});
     if (const auto* held = std::get_if<ConfigurationHeld>(&message)) {
-        at->second.version = held->version, at->second.sent = 0;
+        at->second.version = held->version;
+        at->second.sent = 0;
         push(session, at->second);
     }
     post(mail);
@@ -216,7 +223,8 @@
             Holding begun;
             const BeginAnswer said = answered ? begin_.read(answer, begun) : BeginAnswer::silent;
             if (said == BeginAnswer::begun) {
-                begun.service = call.begin.service, begun.worker = call.begin.worker;
+                begun.service = call.begin.service;
+                begun.worker = call.begin.worker;
                 begun.zone = planner_.zone_of(call.begin.worker);
                 slot_table_.began(now, begun, mail);
             }
@@ -263,12 +271,14 @@
     const Fence fence{settings_.node_name, term_};
     for (const Begin& begin : orders.begins) {
         Call c;
-        c.what = Call::What::begin, c.begin = begin;
+        c.what = Call::What::begin;
+        c.begin = begin;
         call(std::move(c), begin_.post(fence, begin), kCallLimit);
     }
     for (const Stop& stop : orders.stops) {
         Call c;
-        c.what = Call::What::stop, c.stop = stop;
+        c.what = Call::What::stop;
+        c.stop = stop;
         call(std::move(c), stop_.post(fence, stop), kCallLimit);
     }
 }
@@ -276,7 +286,10 @@
 void Coordinator::explain(const std::string& what, json::Object& into) const {
     const Micros now = net::Loop::now();
     const auto asked = [&](const char* part) { return what.empty() || what == part; };
-    json::List starts, functions, waiting, fronts;
+    json::List starts;
+    json::List functions;
+    json::List waiting;
+    json::List fronts;
     if (asked("starts"))
         for (const PlatformAction& d : recent_actions_.kept())
             starts.emplace_back(json::Object{{"ago_ms", told_ms(now - d.at)},
@@ -383,7 +396,10 @@
             .with("why", o.why);
     }
     overtakings_told_ = overtakings.all();
-    if (announce_at_ > 0 && now >= announce_at_) announce_at_ = 0, announce_registered();
+    if (announce_at_ > 0 && now >= announce_at_) {
+        announce_at_ = 0;
+        announce_registered();
+    }
     std::vector<FrontMail> mail;
     slot_table_.tick(now, mail);
     post(mail);
--- a/src/cluster/programs/coordinator.hpp
+++ b/src/cluster/programs/coordinator.hpp
@@ -28,9 +28,9 @@
     // A newer configuration, or other members. read: the entry's configuration where it has been read
     // already.
     void committed(const LogEntry& entry, std::shared_ptr<const Configuration> read);
-    void came(Session front, const Register& registration);
-    void left(Session front);
-    void said(Session front, const Message& message);
+    void came(Session session, const Register& registration);
+    void left(Session session);
+    void said(Session session, const Message& message);
     void tick(Micros now);
     Micros next_tick() const { return next_tick_; }
     Number term() const { return term_; }
--- a/src/cluster/programs/explain.cpp
+++ b/src/cluster/programs/explain.cpp
@@ -58,7 +58,10 @@
 }
 
 int print(const std::string& body) {
-    if (absl::GetFlag(FLAGS_json)) return std::printf("%s\n", body.c_str()), 0;
+    if (absl::GetFlag(FLAGS_json)) {
+        std::printf("%s\n", body.c_str());
+        return 0;
+    }
     const json::Value all = json::read(body);
     const auto* const top = all.get<json::Object>();
     if (!top) return 1;
@@ -93,7 +96,8 @@
     });
     limit.set(net::Loop::now() + absl::GetFlag(FLAGS_wait_ms) * 1000LL);
     cluster::HttpMessage request;
-    request.method = "GET", request.target = "/explain?what=" + absl::GetFlag(FLAGS_what);
+    request.method = "GET";
+    request.target = "/explain?what=" + absl::GetFlag(FLAGS_what);
     request.fields.emplace_back("Host", "gannethold");
     caller.call(1, absl::GetFlag(FLAGS_at), request);
     loop.run([] {});
