Request handler: one statement a line, parameters named alike

Change: each statement has its own line, and declarations name their parameters as the definitions do. Behaviour is as before.

--- a/src/cluster/proxy/request_handler.cpp
+++ b/src/cluster/proxy/request_handler.cpp
@@ -15,7 +15,9 @@
 }  // namespace
 
 double RequestHandler::unit() {
-    chance_ ^= chance_ << 13, chance_ ^= chance_ >> 7, chance_ ^= chance_ << 17;
+    chance_ ^= chance_ << 13;
+    chance_ ^= chance_ >> 7;
+    chance_ ^= chance_ << 17;
     return static_cast<double>(chance_ >> 11) * 0x1.0p-53;
 }
 
@@ -146,7 +148,10 @@
     const double at = unit();
     const Split::Share* drawn = coordinator.split.draw(at, fits(true));
     if (!drawn) drawn = coordinator.split.draw(at, fits(false));
-    if (!drawn) return r.slowed = Loss::Cause::coordinator, false;
+    if (!drawn) {
+        r.slowed = Loss::Cause::coordinator;
+        return false;
+    }
     r.unrestricted = coordinator.unrestricted;
     note(now, id, r, drawn->runner, "drawn_without_keeper");
     send(now, id, r, runners_[drawn->runner], out);
@@ -186,7 +191,10 @@
         if (runner->second.out > 0) --runner->second.out;
         number = runner->second.number;
     }
-    if (r.unrestricted) ++coordinator.count, coordinator.busy += took;
+    if (r.unrestricted) {
+        ++coordinator.count;
+        coordinator.busy += took;
+    }
     // Of what was sent unasked only what went wrong is told, or what the coordinator counts meanwhile.
     const bool tell = r.ask > 0 || (number > 0 && (!r.unrestricted || how == Ended::turned_away ||
                                                    how == Ended::unreachable || how == Ended::gone));
@@ -223,7 +231,8 @@
             loads.loads.push_back(
                 {service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)});
         coordinator.last = {service, coordinator.count, static_cast<std::uint32_t>(coordinator.busy / 1000)};
-        coordinator.count = 0, coordinator.busy = 0;
+        coordinator.count = 0;
+        coordinator.busy = 0;
     }
     if (coordinator_ && !loads.loads.empty()) out.mails.push_back(std::move(loads));
 }
@@ -393,7 +402,11 @@
     asks_.clear();
     std::set<std::string> services;
     for (auto& [id, r] : requests_)
-        if (r.state == State::asking) r.ask = 0, r.state = State::held, services.insert(r.service);
+        if (r.state == State::asking) {
+            r.ask = 0;
+            r.state = State::held;
+            services.insert(r.service);
+        }
     for (const std::string& service : services) serve_alone(now, service, out);
 }
 
@@ -474,7 +487,8 @@
 
 void RequestHandler::said(Micros now, const Message& message, Actions& out) {
     if (const auto* m = std::get_if<Registered>(&message)) {
-        rank_ = m->rank, fronts_ = std::max(1U, m->fronts);
+        rank_ = m->rank;
+        fronts_ = std::max(1U, m->fronts);
     } else if (const auto* m = std::get_if<RunnerTold>(&message)) {
         told(*m, out);
     } else if (const auto* m = std::get_if<AcquireGranted>(&message)) {
--- a/src/cluster/proxy/request_handler.hpp
+++ b/src/cluster/proxy/request_handler.hpp
@@ -100,10 +100,10 @@
     const Configuration* configuration() const { return configuration_.get(); }
     Number version() const { return configuration_ ? configuration_->version() : 0; }
 
-    void arrived(Micros now, RequestId request, std::string_view host, std::string_view path,
+    void arrived(Micros now, RequestId id, std::string_view host, std::string_view path,
                  std::uint32_t deadline_ms, Actions& out);
-    void client_left(Micros now, RequestId request, Actions& out);
-    void ended(Micros now, RequestId request, RunEnd how, Actions& out);
+    void client_left(Micros now, RequestId id, Actions& out);
+    void ended(Micros now, RequestId id, RunEnd how, Actions& out);
 
     // The coordinator: a session with it begins and ends; what it says.
     // What the coordinator is told as a session begins; what changes until coordinator_connected() is told
