Runners: one statement a line

Change: each statement has its own line, and membership is asked by contains(). Behaviour is as before.

--- a/src/cluster/runners/listing.cpp
+++ b/src/cluster/runners/listing.cpp
@@ -28,7 +28,7 @@
     next_ = now + (whole ? std::max(options_.pause, apart) : apart);
     if (!whole) return;
     for (const std::string& runner : last_)
-        if (!reading_.count(runner)) gone.push_back(runner);
+        if (!reading_.contains(runner)) gone.push_back(runner);
     last_ = std::move(reading_);
     reading_.clear();
 }
--- a/src/cluster/runners/resources.cpp
+++ b/src/cluster/runners/resources.cpp
@@ -42,7 +42,8 @@
 
 HttpMessage request(const char* method, std::string target) {
     HttpMessage m;
-    m.method = method, m.target = std::move(target);
+    m.method = method;
+    m.target = std::move(target);
     m.fields.emplace_back("Host", "platform");
     return m;
 }
@@ -124,7 +125,8 @@
     simdjson::dom::parser parser;
     object top;
     if (parser.parse(answer.body).get(top)) return BeginAnswer::silent;
-    begun.runner = text(top, "runner_id"), begun.address = text(top, "address");
+    begun.runner = text(top, "runner_id");
+    begun.address = text(top, "address");
     return begun.runner.empty() || begun.address.empty() ? BeginAnswer::silent : BeginAnswer::begun;
 }
 
