Slots: one statement a line, parameters named alike

Change: each statement and variable has its own line, declarations name their parameters as the definitions do, and membership is asked by contains(). Behaviour is as before.

--- a/src/cluster/slots/slot_table.cpp
+++ b/src/cluster/slots/slot_table.cpp
@@ -63,9 +63,10 @@
 void SlotTable::configure(std::shared_ptr<const Configuration> configuration) {
     configuration_ = std::move(configuration);
     for (const Service& s : configuration_->services()) function(s.name);
-    for (auto& [name, f] : functions_)
-        f->service = configuration_->service(name),
+    for (auto& [name, f] : functions_) {
+        f->service = configuration_->service(name);
         touch(*f);  // the next tick lets go of those that are not used
+    }
     for (auto& [number, r] : runners_)
         if (r.function->service) r.what.slots = r.function->service->most;
 }
@@ -109,18 +110,18 @@
     std::set<Session> all = r.function->interested;
     all.insert(r.told.begin(), r.told.end());
     for (const Session front : all)
-        if (fronts_.count(front)) tell(r, front, out);
+        if (fronts_.contains(front)) tell(r, front, out);
 }
 
 // A runner refuses connections until it has started, and the platform's list shows that late: one front, of
 // those who will use it, tries until it can connect.
 void SlotTable::watch(Slots& r, std::vector<FrontMail>& out) {
-    if (r.state != RunnerState::starting || fronts_.count(r.watcher) || fronts_.empty()) return;
+    if (r.state != RunnerState::starting || fronts_.contains(r.watcher) || fronts_.empty()) return;
     const Function& f = *r.function;
     const auto rank = [&](Session s, const Front& front) {
         // Those alike in use and zone take turns, by the runner's number.
         return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)),
-                          (s * 2654435761U ^ r.number * 40503U) % 997);
+                          (s * 2654435761U ^ std::uint64_t{r.number * 40503U}) % 997);
     };
     Session best = 0;
     for (const auto& [session, front] : fronts_)
@@ -135,9 +136,10 @@
 void SlotTable::front_came(Micros now, Session session, const Register& registration,
                            std::vector<FrontMail>& out) {
     Front& front = fronts_[session];
-    front.name = registration.name, front.zone = registration.zone;
+    front.name = registration.name;
+    front.zone = registration.zone;
     for (const Holding& held : registration.holdings) {
-        if (ended_.count(held.runner)) continue;
+        if (ended_.contains(held.runner)) continue;
         const auto known = by_name_.find(held.runner);
         Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, held);
         if (held.up && r.state == RunnerState::starting) {
@@ -190,7 +192,10 @@
         // What it had out may be at work still; a runner drops most of it as the connection ends.
         if (std::erase_if(r.given, [&](const Slots::Given& g) { return g.front == session; }) > 0)
             r.aside_until = std::max(r.aside_until, now + 250'000);
-        if (r.watcher == session) r.watcher = 0, watch(r, out);
+        if (r.watcher == session) {
+            r.watcher = 0;
+            watch(r, out);
+        }
     }
 }
 
@@ -204,7 +209,11 @@
         return nullptr;
     }
     Function& f = *known->second;
-    if (now > f.last_used + kPause) f.used_since = now, f.fast = Demand(0.7), f.slow = Demand(6);
+    if (now > f.last_used + kPause) {
+        f.used_since = now;
+        f.fast = Demand(0.7);
+        f.slow = Demand(6);
+    }
     f.last_used = now;
     touch(f);
     if (f.interested.insert(session).second) {
@@ -291,7 +300,7 @@
 void SlotTable::grant(Micros now, Slots& r, Session session, const AcquireRequest& ask, WaitedFor waited,
                       std::vector<FrontMail>& out) {
     r.given.push_back({session, ask.id, ask.shape, now});
-    if (!r.told.count(session)) tell(r, session, out);
+    if (!r.told.contains(session)) tell(r, session, out);
     out.push_back({session, AcquireGranted{ask.id, r.number, waited}});
 }
 
@@ -304,7 +313,8 @@
         Slots* const r = front != fronts_.end() ? choose(now, f, first->ask, front->second.zone) : nullptr;
         if (front != fronts_.end() && !r) return;
         const WaitQueue::Waiting next = *first;
-        const bool late = f.waiting.is_late(place), turn = f.turns + 1 >= options_.late_turn;
+        const bool late = f.waiting.is_late(place);
+        const bool turn = f.turns + 1 >= options_.late_turn;
         f.waiting.leave(place);
         if (!r) continue;
         f.turns = late ? 0 : f.turns + 1;
@@ -394,7 +404,7 @@
 }
 
 void SlotTable::outs(Micros now, Session session, const OutstandingReport& m) {
-    if (!fronts_.count(session)) return;
+    if (!fronts_.contains(session)) return;
     for (const auto& [number, count] : m.by_runner) {
         const auto at = runners_.find(number);
         if (at == runners_.end()) continue;
@@ -421,9 +431,14 @@
             ready[r.what.zone] += 1;
     if (ready.empty()) return set_mode(f, false, out);
     // Fronts send near ones first: each zone's part goes to its own runners, what has none to all.
-    double all = 0, rate = 0, near = 0;
+    double all = 0;
+    double rate = 0;
+    double near = 0;
     for (const auto& [zone, count] : ready) all += count;
-    for (const auto& [zone, place] : f.places) rate += place.rate, near += ready.count(zone) ? place.rate : 0;
+    for (const auto& [zone, place] : f.places) {
+        rate += place.rate;
+        near += ready.contains(zone) ? place.rate : 0;
+    }
     const double load = std::max(f.load_fast, f.load_slow);
     double turned = 0;
     for (const auto& [zone, count] : ready) {
@@ -467,19 +482,25 @@
 }
 
 void SlotTable::began(Micros now, const Holding& what, std::vector<FrontMail>& out) {
-    if (by_name_.count(what.runner) || ended_.count(what.runner)) return;
+    if (by_name_.contains(what.runner) || ended_.contains(what.runner)) return;
     Slots& r = add(now, what);
     watch(r, out);
 }
 
 void SlotTable::listed(Micros now, const Holding& what, bool draining, std::vector<FrontMail>& out) {
     const auto known = by_name_.find(what.runner);
-    if (known == by_name_.end() && (draining || ended_.count(what.runner))) return;
+    if (known == by_name_.end() && (draining || ended_.contains(what.runner))) return;
     Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, what);
     if (r.what.worker.empty()) r.what.worker = what.worker;
     const bool changed = r.state == RunnerState::starting || (draining && !r.draining);
-    if (r.state == RunnerState::starting) r.state = RunnerState::ready, starting_.erase(r.number);
-    if (draining && !r.draining) r.draining = true, r.retired = now;
+    if (r.state == RunnerState::starting) {
+        r.state = RunnerState::ready;
+        starting_.erase(r.number);
+    }
+    if (draining && !r.draining) {
+        r.draining = true;
+        r.retired = now;
+    }
     if (!changed) return;
     touch(*r.function);
     tell_all(r, out);
@@ -550,7 +571,8 @@
     std::erase_if(ended_, [&](const auto& one) { return one.second + 60'000'000 < now; });
     for (auto i = active_.begin(); i != active_.end();) {
         Function& f = **i;
-        double out_now = 0, free_load = 0;
+        double out_now = 0;
+        double free_load = 0;
         for (const std::uint32_t number : f.runners) out_now += runners_.at(number).out();
         std::map<std::string, double> reported;
         for (const auto& [session, part] : f.parts) {
@@ -559,7 +581,8 @@
             if (const std::string* zone = zone_of(session)) reported[*zone] += part.rate;
         }
         const double came = std::exchange(f.came, 0) + free_load * kStep;
-        f.fast.sample(came, kStep), f.slow.sample(came, kStep);
+        f.fast.sample(came, kStep);
+        f.slow.sample(came, kStep);
         f.busy_fast += (out_now - f.busy_fast) * (kStep / 0.7);
         f.busy_slow += (out_now - f.busy_slow) * (kStep / 6.0);
         f.load_fast = std::max(f.busy_fast, f.fast.slots());
@@ -598,10 +621,12 @@
         if (!f.waiting.empty()) serve(now, f, out);
         // A function that is to be warm is planned for whether or not anyone asks.
         if (f.runners.empty() && f.waiting.empty() && now > f.last_used + kForget &&
-            !(f.service && f.service->warm()))
-            f.active = false, i = active_.erase(i);
-        else
+            !(f.service && f.service->warm())) {
+            f.active = false;
+            i = active_.erase(i);
+        } else {
             ++i;
+        }
     }
 }
 
--- a/src/cluster/slots/slot_table.hpp
+++ b/src/cluster/slots/slot_table.hpp
@@ -144,14 +144,14 @@
 
     void configure(std::shared_ptr<const Configuration> configuration);
 
-    void front_came(Micros now, Session front, const Register& registration, std::vector<FrontMail>& out);
-    void front_left(Micros now, Session front, std::vector<FrontMail>& out);
+    void front_came(Micros now, Session session, const Register& registration, std::vector<FrontMail>& out);
+    void front_left(Micros now, Session session, std::vector<FrontMail>& out);
     // The function asked for; nullptr: there is none.
-    Function* ask(Micros now, Session front, const AcquireRequest& ask, std::vector<FrontMail>& out);
-    void release(Micros now, Session front, const Release& release, std::vector<FrontMail>& out);
-    void up(Micros now, Session front, const RunnerReachable& up, std::vector<FrontMail>& out);
-    void loads(Micros now, Session front, const LoadReport& loads);
-    void outs(Micros now, Session front, const OutstandingReport& outs);
+    Function* ask(Micros now, Session session, const AcquireRequest& ask, std::vector<FrontMail>& out);
+    void release(Micros now, Session session, const Release& m, std::vector<FrontMail>& out);
+    void up(Micros now, Session session, const RunnerReachable& m, std::vector<FrontMail>& out);
+    void loads(Micros now, Session session, const LoadReport& m);
+    void outs(Micros now, Session session, const OutstandingReport& m);
 
     // A runner that the platform says it starts; one that stands in its list; one that ended.
     void began(Micros now, const Holding& what, std::vector<FrontMail>& out);
@@ -186,7 +186,7 @@
     Function& function(const std::string& name);
     void touch(Function& f);
     Slots* choose(Micros now, Function& f, const AcquireRequest& ask, const std::string& zone);
-    void grant(Micros now, Slots& runner, Session front, const AcquireRequest& ask, WaitedFor waited,
+    void grant(Micros now, Slots& r, Session session, const AcquireRequest& ask, WaitedFor waited,
                std::vector<FrontMail>& out);
     WaitedFor lacks(const Function& f) const;
     double slots_of(const Function& f) const;  // of all its runners, those that start too
--- a/src/cluster/slots/wait_queue.hpp
+++ b/src/cluster/slots/wait_queue.hpp
@@ -35,7 +35,7 @@
     // Who goes first; nullptr: nobody waits. turn: whether one that is late has its turn; it has none if
     // nobody is late.
     const Waiting* first(Micros now, bool turn, Place& place);
-    bool is_late(Place place) const { return late_.count({all_.at(place).since, place}) > 0; }
+    bool is_late(Place place) const { return late_.contains({all_.at(place).since, place}); }
     // Who came first of all; nullptr: nobody waits.
     const Waiting* oldest() const { return all_.empty() ? nullptr : &all_.begin()->second; }
     const Waiting* newest() const { return all_.empty() ? nullptr : &all_.rbegin()->second; }
