Split: one statement and one declaration a line

Cause: comma operators and joint declarations hid statements, and .clang-tidy's checks were not met here. Change: each statement and variable has its own line. Behaviour is as before.

--- a/src/cluster/split/split.cpp
+++ b/src/cluster/split/split.cpp
@@ -32,11 +32,19 @@
     Share fresh{
         runner, shares_.empty() ? 1.0 : 1.0 / static_cast<double>(shares_.size()), 0, 0, std::max(1U, slots),
         0};
-    double latency = 0, least = 0;
+    double latency = 0;
+    double least = 0;
     int known = 0;
     for (const Share& s : shares_)
-        if (s.latency > 0) latency += s.latency, least += s.least, ++known;
-    if (known > 0) fresh.latency = latency / known, fresh.least = least / known;
+        if (s.latency > 0) {
+            latency += s.latency;
+            least += s.least;
+            ++known;
+        }
+    if (known > 0) {
+        fresh.latency = latency / known;
+        fresh.least = least / known;
+    }
     shares_.push_back(std::move(fresh));
     rescale();
 }
@@ -95,7 +103,10 @@
     double eta = 2 / (count * count * greatest);
     if (steps_ < first) eta /= first - steps_;
     ++steps_;
-    for (Share& s : shares_) s.marginal = marginal(s), s.eta = eta;
+    for (Share& s : shares_) {
+        s.marginal = marginal(s);
+        s.eta = eta;
+    }
     const double tie = (static_cast<double>(chance % n) + 0.5) / count;
     step_toward_least(shares_, std::max(rate_, kFewRequests), [tie] { return tie; });
     rescale();
