Transport: one statement a line, and classes that own connections are not copied

Change: each statement has its own line, and HttpCaller and HttpService say that they can not be copied. Behaviour is as before.

--- a/src/cluster/transport/http_caller.hpp
+++ b/src/cluster/transport/http_caller.hpp
@@ -44,6 +44,8 @@
             id_field;  // an answer whose field is another than the request's is another's: passed over
     };
     HttpCaller(net::Loop& loop, Options terms, Events events);
+    HttpCaller(const HttpCaller&) = delete;
+    HttpCaller& operator=(const HttpCaller&) = delete;
     ~HttpCaller();
 
     /// Begins a call; it ends with one event, not before this returns. A request that may already have come
--- a/src/cluster/transport/http_service.cpp
+++ b/src/cluster/transport/http_service.cpp
@@ -66,7 +66,7 @@
 
     void read(std::string_view bytes) {
         for (;;) {
-            if (reading_ == false && !reader_.begun()) since_ = net::Loop::now();
+            if (!reading_ && !reader_.begun()) since_ = net::Loop::now();
             switch (reader_.read(bytes)) {
                 case http::Found::nothing:
                     if (bytes.empty()) return;
--- a/src/cluster/transport/http_service.hpp
+++ b/src/cluster/transport/http_service.hpp
@@ -25,6 +25,8 @@
         std::function<void(Exchange)> left = [](Exchange) {};
     };
     HttpService(net::Loop& loop, const net::Address& at, Events events, std::size_t most_connections);
+    HttpService(const HttpService&) = delete;
+    HttpService& operator=(const HttpService&) = delete;
     ~HttpService();
 
     void answer(Exchange exchange, const HttpMessage& message);
--- a/src/cluster/transport/message_connection.cpp
+++ b/src/cluster/transport/message_connection.cpp
@@ -24,7 +24,10 @@
 void MessageConnection::send(const Message& message, std::string_view from) {
     if (closed_) return;
     // A pool that is empty is a peer that does not read: what was not said is said again by whoever needs it.
-    if (!connection_->write(encode(message, from))) close(), events_.ended();
+    if (!connection_->write(encode(message, from))) {
+        close();
+        events_.ended();
+    }
 }
 
 void MessageConnection::close() {
@@ -61,7 +64,10 @@
                 close();
                 events_.ended();
             },
-            [&] { close(), events_.ended(); });
+            [&] {
+                close();
+                events_.ended();
+            });
         if (!more) return;
     }
 }
