Scenarios and costs: one statement and one declaration a line

Change: each statement and variable has its own line, and a temporary folder can not be copied. No check of a test changes. Behaviour is as before.

--- a/tests/system/costs.cpp
+++ b/tests/system/costs.cpp
@@ -11,8 +11,8 @@
 int main() {
     const double ask =
         static_cast<double>(encode(AcquireRequest{123456, 7001, "huvo11a", 1500, 4000, 2, 9, false}).size());
-    const double grant = static_cast<double>(encode(AcquireGranted{123456, 7001}).size()),
-                 release = static_cast<double>(encode(Release{123456, 7001, Ended::answered, 61}).size());
+    const double grant = static_cast<double>(encode(AcquireGranted{123456, 7001}).size());
+    const double release = static_cast<double>(encode(Release{123456, 7001, Ended::answered, 61}).size());
     const double told = static_cast<double>(
         encode(RunnerTold{7001,
                           RunnerState::ready,
@@ -23,8 +23,8 @@
     LoadReport loads{1000, {}};
     for (int i = 0; i < 10; ++i) loads.loads.push_back({"huvo11a", 3, 200});
     const double report = static_cast<double>(encode(loads).size());
-    const double order = static_cast<double>(encode(AppendRequest{7, 900, {7, 40}, {7, 40}}).size()),
-                 receipt = static_cast<double>(encode(AppendResponse{7, 900, {7, 40}}).size());
+    const double order = static_cast<double>(encode(AppendRequest{7, 900, {7, 40}, {7, 40}}).size());
+    const double receipt = static_cast<double>(encode(AppendResponse{7, 900, {7, 40}}).size());
     std::string old_text = "{\"version\":7,\"routes\":[";
     for (int i = 0; i < 1000; ++i)
         old_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"host\":\"dese" +
@@ -34,9 +34,9 @@
                     std::to_string(i) + "\",\"max_attempts\":2},";
     std::string text = old_text;
     text.replace(text.find("4000", text.size() / 2), 4, "3500");
-    const double whole = static_cast<double>(encode(ConfigurationSent{8, {0, make_delta({}, text)}}).size()),
-                 change = static_cast<double>(
-                     encode(ConfigurationSent{8, {7, make_delta(old_text, text)}}).size());
+    const double whole = static_cast<double>(encode(ConfigurationSent{8, {0, make_delta({}, text)}}).size());
+    const double change =
+        static_cast<double>(encode(ConfigurationSent{8, {7, make_delta(old_text, text)}}).size());
     std::printf(
         "bytes: ask %.0f, grant %.0f, release %.0f, a runner told %.0f, beat %.0f, report of ten functions "
         "%.0f, order %.0f, receipt %.0f,\n1,000 routes whole %.0f, one of them changed %.0f\n\n",
@@ -47,7 +47,8 @@
     for (const int fronts : {10, 65, 500}) {
         // 18 requests a second a front, a fifth of them to kept functions; a runner in a hundred of those is
         // new to five fronts.
-        const double all = 18.0 * fronts, kept = all / 5;
+        const double all = 18.0 * fronts;
+        const double kept = all / 5;
         const double messages = kept * 3 + fronts * 1.0;
         const double bytes =
             kept * (ask + grant + release) + kept / 100 * 5 * told * 2 + fronts * (report + beat);
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -51,7 +51,7 @@
 
 class Scenario {
   public:
-    explicit Scenario(const std::string& path) : path_(path) {}
+    explicit Scenario(std::string path) : path_(std::move(path)) {}
 
     void play() {
         std::ifstream in(path_);
@@ -148,7 +148,10 @@
         World& x = *world_;
         const std::string& verb = w.at(0);
         if (verb == "expect") return expect(w);
-        if (verb == "tell") return std::printf("%s\n", x.told().c_str()), void();  // how each core stands
+        if (verb == "tell") {  // how each core stands
+            std::printf("%s\n", x.told().c_str());
+            return;
+        }
         if (verb == "kill" && w.at(1) == "all")
             for (std::size_t i = 0; i < x.cores(); ++i) x.kill_core(i);
         else if (verb == "kill" && w.at(1) == "front")
@@ -227,9 +230,10 @@
 
     // load SERVICE rate R for S work MS deadline MS [front F]: else over all fronts in turn.
     void load(const Words& w) {
-        const double rate = value(w, "rate", 10), span = value(w, "for", 1);
-        const int work = static_cast<int>(value(w, "work", 60)),
-                  deadline = static_cast<int>(value(w, "deadline", 4000));
+        const double rate = value(w, "rate", 10);
+        const double span = value(w, "for", 1);
+        const int work = static_cast<int>(value(w, "work", 60));
+        const int deadline = static_cast<int>(value(w, "deadline", 4000));
         const int only = static_cast<int>(value(w, "front", -1));
         for (int n = 0; n < static_cast<int>(rate * span); ++n) {
             const auto front =
@@ -257,8 +261,8 @@
     double look(const std::string& what) {
         World& x = *world_;
         const auto colon = what.find(':');
-        const std::string name = what.substr(0, colon),
-                          arg = colon == std::string::npos ? "" : what.substr(colon + 1);
+        const std::string name = what.substr(0, colon);
+        const std::string arg = colon == std::string::npos ? "" : what.substr(colon + 1);
         if (name == "leaders") return static_cast<double>(x.leaders());
         if (name == "acknowledged") return static_cast<double>(x.acknowledged());
         if (name == "term") return static_cast<double>(x.term());
@@ -301,7 +305,8 @@
     // expect WHAT = N, or < or >
     void expect(const Words& w) {
         ++checked_;
-        const double seen = look(w.at(1)), wanted = std::stod(w.at(3));
+        const double seen = look(w.at(1));
+        const double wanted = std::stod(w.at(3));
         const std::string told = w[1] + " is " + std::to_string(seen);
         if (w.at(2) == "=")
             BOOST_TEST(seen == wanted, told);
@@ -317,7 +322,8 @@
     // must stand in the detail.
     void check_text(bool settings, const std::string& kind, std::string text) {
         ++checked_;
-        std::string got = "ok", detail;
+        std::string got = "ok";
+        std::string detail;
         if (settings)
             for (char& c : text)
                 if (c == ';') c = '\n';
@@ -329,7 +335,11 @@
                     BOOST_LEAF_CHECK(Configuration::read(text));
                 return {};
             },
-            [&](Kind k, const Detail& d) { got = answer_to(k).name, detail = d.text; }, [&] { got = "?"; });
+            [&](Kind k, const Detail& d) {
+                got = answer_to(k).name;
+                detail = d.text;
+            },
+            [&] { got = "?"; });
         const auto colon = kind.find(':');
         BOOST_TEST(got == kind.substr(0, colon), got + " " + detail);
         if (colon != std::string::npos)
@@ -578,7 +588,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_difference_gives_the_text_back_and_refuses_another_base) {
-    std::string old_text = "{\"routes\":[", new_text = old_text;
+    std::string old_text = "{\"routes\":[";
+    std::string new_text = old_text;
     for (int i = 0; i < 900; ++i) {
         old_text += "{\"name\":\"r-" + std::to_string(i * 7919) + "\",\"timeout_ms\":4000},";
         new_text += "{\"name\":\"r-" + std::to_string(i * 7919) +
@@ -612,7 +623,7 @@
             },
             [] { return std::optional<ReceivedMessage>(); });
     };
-    const auto back = read(std::string_view(bytes).substr(4));
+    const auto back = read(std::string_view{bytes}.substr(4));
     BOOST_REQUIRE(back.has_value());
     const auto* const same = std::get_if<AcquireRequest>(&back->message);
     BOOST_REQUIRE(same != nullptr);
@@ -637,15 +648,18 @@
 
 BOOST_AUTO_TEST_CASE(the_split_moves_share_to_the_faster_runner_by_clamped_steps) {
     Split split;
-    split.enter("slow", 8), split.enter("fast", 8);
+    split.enter("slow", 8);
+    split.enter("fast", 8);
     BOOST_TEST(split.shares()[0].fraction == 0.5);
     Micros now = 1'000'000;
     double last = 0.5;
     for (int period = 0; period < 120; ++period) {
         for (int n = 0; n < 10; ++n) {
             split.arrived();
-            split.sent("slow"), split.ended("slow", n % 2 ? 0.4 : 0.2);
-            split.sent("fast"), split.ended("fast", n % 2 ? 0.06 : 0.05);
+            split.sent("slow");
+            split.ended("slow", n % 2 ? 0.4 : 0.2);
+            split.sent("fast");
+            split.ended("fast", n % 2 ? 0.06 : 0.05);
         }
         split.advance(now += Split::kPeriod, static_cast<std::uint64_t>(period));
         const double share = split.shares()[0].fraction;
@@ -676,6 +690,8 @@
         char name[] = "/tmp/gannethold-store-XXXXXX";
         path = mkdtemp(name);
     }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
     ~Folder() { std::filesystem::remove_all(path); }
     std::vector<std::filesystem::path> files() const {
         std::vector<std::filesystem::path> all;
@@ -724,7 +740,8 @@
         {
             Store store;
             opened(store, folder.path);
-            written(store, kept(1, 1000)), written(store, kept(2, 1000));
+            written(store, kept(1, 1000));
+            written(store, kept(2, 1000));
         }
         for (const auto& f : folder.files())
             if (f.extension() == ".log" && std::filesystem::file_size(f) > torn)
