--- a/src/cluster/programs/coordinator.cpp
+++ b/src/cluster/programs/coordinator.cpp
@@ -87,8 +87,9 @@
     plan(net::Loop::now());
 }
 
-// What the front lacks, as the difference to what it holds. One version is under way to a front: the next, which may skip
-// some, follows its confirmation, so that however slow its link is no more than one is queued there.
+// What the front lacks, as the difference to what it holds. One version is under way to a front: the next,
+// which may skip some, follows its confirmation, so that however slow its link is no more than one is queued
+// there.
 void Coordinator::push(Session session, Front& front) {
     if (version_ == 0 || front.version >= version_ || front.sent != 0) return;
     const auto base = bodies_.find(front.version);
