Slots: slot_table.cpp becomes seven files of one job each

Change: demand, modes, proxies, requests, runners, sampling, and the table itself with its look-ups; definitions are moved unchanged, two shared constants go to the class. Behaviour is as before.

--- /dev/null
+++ b/src/cluster/slots/proxies.cpp
@@ -0,0 +1,110 @@
+// The slot table's proxies: their sessions, and what they are told of runners.
+#include "cluster/slots/slot_table.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace gannethold::cluster {
+
+void SlotTable::front_came(Micros now, Session session, const Register& registration,
+                           std::vector<FrontMail>& out) {
+    Front& front = fronts_[session];
+    front.name = registration.name;
+    front.zone = registration.zone;
+    for (const Holding& held : registration.holdings) {
+        if (ended_.contains(held.runner)) continue;
+        const auto known = by_name_.find(held.runner);
+        Slots& r = known != by_name_.end() ? runners_.at(known->second) : add(now, held);
+        if (held.up && r.state == RunnerState::starting) {
+            r.state = RunnerState::ready;
+            starting_.erase(r.number);
+            tell_all(r, out);
+        }
+        for (std::uint32_t n = 0; n < held.out; ++n) r.given.push_back({session, 0, 0, now});
+        r.function->interested.insert(session);
+        touch(*r.function);
+        tell(r, session, out);
+    }
+    // What it takes unasked was free under the coordinator before: so it stays, unless it has been kept here
+    // already; by the loads that are told with it the next sample judges it like any other.
+    for (const Load& l : registration.unrestricted) {
+        Function& f = function(l.service);
+        f.interested.insert(session);
+        if (now < f.coordinated_until) {
+            out.push_back({session, Mode{f.name, false}});
+            continue;
+        }
+        f.used_since = std::min(f.used_since, now - kKnown);
+        f.last_used = now;
+        f.parts[session] = {static_cast<double>(l.busy_ms) / 1e3, static_cast<double>(l.count), now};
+        touch(f);
+        if (!f.unrestricted) {
+            f.unrestricted = true;
+            for (const Session other : f.interested)
+                if (other != session) out.push_back({other, Mode{f.name, true}});
+        }
+    }
+    // One that kept on asking for what is free by now.
+    std::set<std::string> kept;
+    for (const Holding& held : registration.holdings) kept.insert(held.service);
+    for (const Load& l : registration.unrestricted) kept.erase(l.service);
+    for (const std::string& name : kept)
+        if (function(name).unrestricted) out.push_back({session, Mode{name, true}});
+    for (const std::uint32_t number : std::set<std::uint32_t>(starting_)) watch(runners_.at(number), out);
+}
+
+void SlotTable::front_left(Micros now, Session session, std::vector<FrontMail>& out) {
+    if (fronts_.erase(session) == 0) return;
+    for (auto& [name, f] : functions_) {
+        f->interested.erase(session);
+        f->parts.erase(session);
+        f->waiting.front_left(session);
+    }
+    for (auto& [number, r] : runners_) {
+        r.told.erase(session);
+        // What it had out may be at work still; a runner drops most of it as the connection ends.
+        if (std::erase_if(r.given, [&](const Slots::Given& g) { return g.front == session; }) > 0)
+            r.aside_until = std::max(r.aside_until, now + 250'000);
+        if (r.watcher == session) {
+            r.watcher = 0;
+            watch(r, out);
+        }
+    }
+}
+
+void SlotTable::tell(Slots& r, Session front, std::vector<FrontMail>& out, bool watch) {
+    // A front that was not told its number knows a runner by its name only.
+    const bool first = r.told.insert(front).second;
+    const bool gone = r.draining || r.state == RunnerState::gone;
+    RunnerTold told{r.number, gone ? RunnerState::gone : r.state, gone && !first ? Holding{} : r.what, watch};
+    told.runner.out = 0;
+    out.push_back({front, std::move(told)});
+}
+
+void SlotTable::tell_all(Slots& r, std::vector<FrontMail>& out) {
+    // Whoever was told of it once, and whoever uses the function.
+    std::set<Session> all = r.function->interested;
+    all.insert(r.told.begin(), r.told.end());
+    for (const Session front : all)
+        if (fronts_.contains(front)) tell(r, front, out);
+}
+
+// A runner refuses connections until it has started, and the platform's list shows that late: one front, of
+// those who will use it, tries until it can connect.
+void SlotTable::watch(Slots& r, std::vector<FrontMail>& out) {
+    if (r.state != RunnerState::starting || fronts_.contains(r.watcher) || fronts_.empty()) return;
+    const Function& f = *r.function;
+    const auto rank = [&](Session s, const Front& front) {
+        // Those alike in use and zone take turns, by the runner's number.
+        return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)),
+                          (s * 2654435761U ^ std::uint64_t{r.number * 40503U}) % 997);
+    };
+    Session best = 0;
+    for (const auto& [session, front] : fronts_)
+        if (best == 0 || rank(session, front) > rank(best, fronts_.at(best))) best = session;
+    r.watcher = best;
+    tell(r, best, out, true);
+}
+
+}  // namespace gannethold::cluster
--- a/src/cluster/slots/slot_table.hpp
+++ b/src/cluster/slots/slot_table.hpp
@@ -178,6 +178,11 @@
     double expected_wait(Micros now, const Function& function) const;
 
   private:
+    // So long a function's traffic must have been seen before it may be free.
+    static constexpr Micros kKnown = 3'000'000;
+    // So long without a request, and what was seen of a function before says nothing any more.
+    static constexpr Micros kPause = 5'000'000;
+
     struct Front {
         std::string name, zone;
         std::unordered_map<std::uint32_t, std::pair<Function*, WaitQueue::Place>> waiting;  // by ask
