--- a/src/cluster/configuration/digest.cpp
+++ b/src/cluster/configuration/digest.cpp
@@ -26,7 +26,7 @@
     std::size_t length = 0;
     if (simdjson::minify(json.data(), json.size(), minified.data(), length) != simdjson::SUCCESS)
         return fnv1a(json);
-    return fnv1a(std::string_view(minified).substr(0, length));
+    return fnv1a(std::string_view{minified}.substr(0, length));
 }
 
 }  // namespace gannethold::cluster
--- a/src/cluster/slots/proxies.cpp
+++ b/src/cluster/slots/proxies.cpp
@@ -97,8 +97,9 @@
     const Function& f = *r.function;
     const auto rank = [&](Session s, const Front& front) {
         // Those alike in use and zone take turns, by the runner's number.
+        const std::uint32_t turn = r.number * 40503U;  // wraps at 32 bits
         return std::tuple(2 * (front.zone == r.what.zone) + static_cast<int>(f.interested.count(s)),
-                          (s * 2654435761U ^ std::uint64_t{r.number * 40503U}) % 997);
+                          (s * 2654435761U ^ turn) % 997);
     };
     Session best = 0;
     for (const auto& [session, front] : fronts_)
