--- a/src/cluster/transport/message_connection.cpp
+++ b/src/cluster/transport/message_connection.cpp
@@ -5,7 +5,8 @@
 namespace gannethold::cluster {
 namespace {
 std::uint64_t malformed_lines = 0;
-}
+constexpr std::size_t kFrameHead = 4;  // a message's length, in front of it
+}  // namespace
 
 std::uint64_t MessageConnection::malformed() { return malformed_lines; }
 
@@ -21,13 +22,14 @@
       heard_(net::Loop::now()),
       connection_(new net::Connection(loop, *this, to, connect_limit)) {}
 
-void MessageConnection::send(const Message& message, std::string_view from) {
-    if (closed_) return;
+std::size_t MessageConnection::send(const Message& message, std::string_view from) {
+    if (closed_) return 0;
+    const std::string bytes = encode(message, from);
+    if (connection_->write(bytes)) return bytes.size();
     // A pool that is empty is a peer that does not read: what was not said is said again by whoever needs it.
-    if (!connection_->write(encode(message, from))) {
-        close();
-        events_.ended();
-    }
+    close();
+    events_.ended();
+    return 0;
 }
 
 void MessageConnection::close() {
@@ -51,6 +53,7 @@
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(frame, frames_.next());
                 if (!frame) return {};
+                message_bytes_ = kFrameHead + frame->size();
                 BOOST_LEAF_AUTO(message_received, decode(*frame));
                 more = true;
                 events_.message_received(message_received);
--- a/src/cluster/transport/message_connection.hpp
+++ b/src/cluster/transport/message_connection.hpp
@@ -22,7 +22,10 @@
     MessageConnection(net::Loop& loop, const net::Address& to, Micros connect_limit, Events events);
 
     bool open() const { return open_; }
-    void send(const Message& message, std::string_view from = {});
+    // Returns the bytes that it takes on the wire; 0: it could not be sent.
+    std::size_t send(const Message& message, std::string_view from = {});
+    // Of the message that is being told, its length in front included.
+    std::size_t message_bytes() const { return message_bytes_; }
     void close();
     Micros heard() const { return heard_; }
     static std::uint64_t
@@ -38,6 +41,7 @@
     Frames frames_;
     bool open_ = false, closed_ = false;
     Micros heard_ = 0;
+    std::size_t message_bytes_ = 0;
     std::unique_ptr<net::Connection> connection_;
 };
 
