--- a/rehearsal/scale/report.cpp
+++ b/rehearsal/scale/report.cpp
@@ -240,6 +240,14 @@
     return sum;
 }
 
+std::optional<std::string> not_recovered(const Measurements& run) {
+    for (const Recovery& recovery : run.recoveries)
+        if (!recovery.all_registered)
+            return std::string("not all proxies were registered again after ") + name_of(recovery.fault);
+    if (run.recoveries.size() < run.options.faults.size()) return "not all faults were played";
+    return std::nullopt;
+}
+
 std::string text_report(const Measurements& run) {
     const Summary sum = summary_of(run);
     std::ostringstream out;
--- a/rehearsal/scale/report.hpp
+++ b/rehearsal/scale/report.hpp
@@ -1,6 +1,7 @@
 // What a run measured: as text, JSON and a plot.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "scale/measurements.hpp"
@@ -28,6 +29,10 @@
 /// Sums up a run; what it did not come to stays 0 or nothing.
 Summary summary_of(const Measurements& run);
 
+/// Why the system did not come back whole: a fault after which not all were registered again; nothing: it
+/// did.
+std::optional<std::string> not_recovered(const Measurements& run);
+
 std::string text_report(const Measurements& run);
 std::string json_report(const Measurements& run);
 /// The leader's processor and memory and the sessions over time.
--- a/rehearsal/scale/scale_run.cpp
+++ b/rehearsal/scale/scale_run.cpp
@@ -47,6 +47,7 @@
 ABSL_FLAG(int, memory_mb, 256, "memory limit that controllers and proxies are told in their settings");
 ABSL_FLAG(int, subnet, 9, "addresses are 127.SUBNET.x.y: two runs at once need two");
 ABSL_FLAG(std::string, programs, "", "folder of the system's programs; empty: where this one stands");
+ABSL_FLAG(bool, check, false, "end with 1 unless all proxies are registered again after each fault");
 ABSL_FLAG(std::string, json, "", "file for the measurements; empty: none");
 ABSL_FLAG(std::string, svg, "", "file for the plot; empty: none");
 
@@ -54,7 +55,7 @@
 
 using namespace gannethold;
 
-constexpr int kBadArguments = 2, kStoppedEarly = 3;
+constexpr int kNotRecovered = 1, kBadArguments = 2, kStoppedEarly = 3;
 constexpr std::size_t kBlocks = 65'536;  // of 8 KB, for what is not yet written
 constexpr rlim_t kDescriptors = 8192;
 
@@ -121,6 +122,11 @@
     std::printf("%s", scale::text_report(measured).c_str());
     write_file(absl::GetFlag(FLAGS_json), scale::json_report(measured));
     write_file(absl::GetFlag(FLAGS_svg), scale::svg_report(measured));
+    const auto fault = scale::not_recovered(measured);
+    if (absl::GetFlag(FLAGS_check) && fault) {
+        std::fprintf(stderr, "gannethold-scale-run: %s\n", fault->c_str());
+        return kNotRecovered;
+    }
     return measured.stopped_early.empty() && measured.ended_by_themselves.empty() ? 0 : kStoppedEarly;
 }
 
@@ -132,7 +138,8 @@
     absl::SetFlagsUsageConfig(usage);
     absl::SetProgramUsageMessage(
         "gannethold-scale-run measures a system on loopback at a given size.\n"
-        "Ends with 0; with 2 if an argument is wrong; with 3 if the run could not be played to its end.");
+        "Ends with 0; with 1 if --check is given and fails; with 2 if an argument is wrong; with 3 if the "
+        "run could not be played to its end.");
     const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
     if (rest.size() > 1) return complain(std::string("not understood: ") + rest[1]);
     std::string wrong;
--- a/rehearsal/scale/tests/scale_tests.cpp
+++ b/rehearsal/scale/tests/scale_tests.cpp
@@ -199,6 +199,20 @@
     BOOST_TEST(svg_report(run).find("</svg>") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_fault_without_a_whole_recovery_is_told_by_name) {
+    Measurements run = played();
+    run.options.faults = {Fault::leader_killed, Fault::all_killed};
+    BOOST_TEST(not_recovered(run).value() == "not all faults were played");
+    Recovery whole, half;
+    whole.all_registered = 1;
+    half.fault = Fault::all_killed;
+    half.first_registered = 1;
+    run.recoveries = {whole, half};
+    BOOST_TEST(not_recovered(run).value() == "not all proxies were registered again after all");
+    run.recoveries.back().all_registered = 2;
+    BOOST_TEST(!not_recovered(run));
+}
+
 BOOST_AUTO_TEST_CASE(the_kernel_tells_what_this_process_uses) {
     const Usage usage = usage_of(getpid());
     BOOST_TEST(usage.memory_mb > 1);
