Scale run: seconds without a leader are counted, and are no other leader

Cause: a reading in which nobody served counted as one more leader. Change: leaders_seen counts controllers alone; seconds_without_leader stands beside it.

--- a/rehearsal/scale/report.cpp
+++ b/rehearsal/scale/report.cpp
@@ -56,7 +56,8 @@
     const double first_s = run.start_s.value_or(0);
     for (const Sample& sample : run.samples) {
         if (sample.at_s < first_s || sample.at_s > first_s + run.steady_s) continue;
-        leaders.insert(sample.leader);
+        if (sample.leader >= 0) leaders.insert(sample.leader);
+        sum.seconds_without_leader += sample.leader < 0;
         sum.leader_descriptors = std::max(sum.leader_descriptors, sample.leader_descriptors);
     }
     sum.leaders = static_cast<int>(leaders.size());
@@ -307,6 +308,7 @@
                      {"leader_messages_per_s", number(sum.leader_messages_per_s)},
                      {"leader_kb_per_s", number(sum.leader_kb_per_s)},
                      {"leaders_seen", number(sum.leaders)},
+                     {"seconds_without_leader", number(sum.seconds_without_leader)},
                      {"follower_processor", number(sum.follower_processor)},
                      {"follower_memory_mb", number(sum.follower_memory_mb)},
                      {"proxy_messages_per_s", number(sum.proxy_messages_per_s)},
--- a/rehearsal/scale/report.hpp
+++ b/rehearsal/scale/report.hpp
@@ -23,7 +23,8 @@
     std::optional<double> request_ms, request_ms_99;
     int changes = 0, changes_unfinished = 0;
     double granted_per_s = 0, unasked_per_s = 0, denied_per_s = 0;
-    int leaders = 0;  // different ones in the steady part
+    int seconds_without_leader = 0;  // readings, one a second, in which nobody served any hollow proxy
+    int leaders = 0;                 // different ones in the steady part
 };
 
 /// Sums up a run; what it did not come to stays 0 or nothing.
--- a/rehearsal/scale/tests/scale_tests.cpp
+++ b/rehearsal/scale/tests/scale_tests.cpp
@@ -166,6 +166,15 @@
     BOOST_TEST(summary_of(run).follower_memory_mb == 11);
 }
 
+BOOST_AUTO_TEST_CASE(a_reading_without_a_leader_is_no_other_leader) {
+    Measurements run = played();
+    Sample none;
+    none.at_s = 3;
+    run.samples.push_back(none);
+    BOOST_TEST(summary_of(run).leaders == 1);
+    BOOST_TEST(summary_of(run).seconds_without_leader == 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_first_configuration_counts_as_no_change) {
     const Summary sum = summary_of(played());
     BOOST_TEST(sum.changes == 2);
