--- a/rehearsal/scale/tests/scale_tests.cpp
+++ b/rehearsal/scale/tests/scale_tests.cpp
@@ -114,6 +114,20 @@
     BOOST_TEST(per_second(10, 30, 0) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(messages_have_their_names) {
+    for (std::size_t type = 0; type < kMessageTypes; ++type) BOOST_TEST(message_name(type) != nullptr);
+    const auto name_of_message = [](const cluster::Message& message) {
+        return std::string(message_name(message.index()));
+    };
+    BOOST_TEST(name_of_message(cluster::VoteRequest()) == "VoteRequest");
+    BOOST_TEST(name_of_message(cluster::EntryChunk()) == "EntryChunk");
+    BOOST_TEST(name_of_message(cluster::Register()) == "Register");
+    BOOST_TEST(name_of_message(cluster::ConfigurationSent()) == "ConfigurationSent");
+    BOOST_TEST(name_of_message(cluster::RunnerTold()) == "RunnerTold");
+    BOOST_TEST(name_of_message(cluster::Heartbeat()) == "Heartbeat");
+    BOOST_TEST(name_of_message(cluster::OutstandingReport()) == "OutstandingReport");
+}
+
 BOOST_AUTO_TEST_CASE(functions_have_names) {
     BOOST_TEST(function_of(function_name(63'999)) == 63'999);
     for (const char* name : {"", "f", "g1", "f1x"}) BOOST_TEST(function_of(name) == -1);
