--- a/tests/system/search.cpp
+++ b/tests/system/search.cpp
@@ -1,9 +1,11 @@
 // Plays the core's state machines through seeded troubles and checks after each step what must hold: one
-// leader a term and one that acts, one body a version, nothing acknowledged lost within what may be lost at
-// once, fronts that never go back, no request run twice, no slot given twice. A failing seed prints the
-// scenario that replays it.
-//   cluster_search [seeds] [first] [sabotage]      sabotage: sync, vote or drift, to show that the checks can
-//   fail
+// leader a term and one that acts, one body a number, nothing acknowledged that is lost or refused later, no
+// read and no configuration of a front older than what was acknowledged before, no answer of who has long
+// been cut off, a leader soon after every loss that may come, fronts that never go back, no request run
+// twice, no slot given twice. A failing seed prints the scenario that replays it.
+//   cluster_search [seeds] [first] [fault]         fault: one of kFaults, to show that the checks can fail
+// Plays: search_play.hpp (one trouble at a time), search_losses.hpp (losses as they may come, the next one at
+// catch-up), search_chaos.hpp (troubles without bound). What operators do meanwhile: search_moves.hpp.
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
