--- a/tests/system/world_coordinator.cpp
+++ b/tests/system/world_coordinator.cpp
@@ -15,7 +15,7 @@
         const auto [known, fresh] = term_leader_.emplace(core.consensus->term(), i);
         if (!fresh && known->second != i)
             breach("two leaders in term " + std::to_string(core.consensus->term()));
-        if (leaders() > 1) breach("two act as leader at once");
+        if (leaders() > 1) breach("two act as leader at once: " + told());
     }
     if (core.coordinator && (!core.consensus->holds() || core.coordinator->term != core.consensus->term()))
         close_coordinator(core);
