Consensus: rounds of an earlier life grant no lease; a refused pre-vote names its term

Cause: a member that had been frozen answered heartbeats of the leader's life before with the term of now and their high round, so the new life took its own newest round for answered and kept its lease while cut off: two acted as leader (). And a refused pre-vote did not say the voter's term, so a candidate behind it asked for the same term for ever (). Change: what an outdated leader is answered bears no round, a round that was not sent counts for nothing, and a refusal carries the first term to ask for.

--- a/src/cluster/consensus/consensus.hpp
+++ b/src/cluster/consensus/consensus.hpp
@@ -159,7 +159,7 @@
     std::size_t large_transfers() const;
     void remember_body();
     void advance_commit(Output& out);
-    bool accept_leader(const std::string& from, Number term, Number round, Output& out);
+    bool accept_leader(const std::string& from, Number term, Output& out);
     void install(LogEntry entry, Output& out);
     void answer_leader(const std::string& from, Number round, Output& out);
     void handle(const std::string& from, const AppendRequest& request, Output& out);
--- a/src/cluster/consensus/election.cpp
+++ b/src/cluster/consensus/election.cpp
@@ -77,7 +77,9 @@
             promise.pre_voted_through = request.term;
             out.write = true;
         }
-        out.sends.push_back({from, VoteResponse{request.term, granted, true, promise.no_vote_through}});
+        // A candidate whose term is behind learns the first one in which it may get this vote.
+        const Number newest = std::max(promise.no_vote_through, promise.term);
+        out.sends.push_back({from, VoteResponse{request.term, granted, true, newest}});
         return;
     }
     // Against one that did not hear what all others hear. A leader that hands over has given up its lease
@@ -99,7 +101,7 @@
     if (response.pre_vote) {
         if (role_ != Role::pre_candidate || response.term != next_term()) return;
         if (!response.granted && response.no_vote_through >= response.term) {
-            // That voter lost its disk: a term in which it may vote is asked for at once.
+            // That voter has a newer term or lost its disk: a term in which it may vote is asked for at once.
             term_floor_ = response.no_vote_through + 1;
             return campaign(true, out);
         }
--- a/src/cluster/consensus/replication.cpp
+++ b/src/cluster/consensus/replication.cpp
@@ -164,7 +164,7 @@
         leaving_members_.insert(from);
     else
         leaving_members_.erase(from);  // it has started anew
-    peer.round = std::max(peer.round, response.round);
+    if (response.round <= round_) peer.round = std::max(peer.round, response.round);
     peer.held = response.held;
     const LogPosition& head = state_.entry.position;
     if (peer.held == head) {
@@ -214,10 +214,10 @@
 // ---- a follower ----
 
 // Whether what that leader says is to be followed; the answer is sent where it is not.
-bool Consensus::accept_leader(const std::string& from, Number term, Number round, Output& out) {
+bool Consensus::accept_leader(const std::string& from, Number term, Output& out) {
     if (role_ == Role::non_member && !accepts_state()) return false;
     if (term < state_.promise.term) {
-        answer_leader(from, round, out);
+        answer_leader(from, 0, out);  // no round of this term is answered
         return false;
     }
     const bool other_role = role_ != Role::follower && role_ != Role::non_member;
@@ -243,14 +243,14 @@
 }
 
 void Consensus::handle(const std::string& from, const AppendRequest& request, Output& out) {
-    if (!accept_leader(from, request.term, request.round, out)) return;
+    if (!accept_leader(from, request.term, out)) return;
     const bool holds_committed = request.committed == state_.entry.position;
     if (holds_committed && committed_.position != request.committed) committed_ = state_.entry;
     answer_leader(from, request.round, out);
 }
 
 void Consensus::handle(const std::string& from, const EntryChunk& chunk, Output& out) {
-    if (!accept_leader(from, chunk.term, chunk.round, out)) return;
+    if (!accept_leader(from, chunk.term, out)) return;
     const bool whole = chunk.base == LogPosition{};
     const bool fits = whole || chunk.base == state_.entry.position;
     if (chunk.position <= state_.entry.position || !fits) return answer_leader(from, chunk.round, out);
--- a/src/cluster/wire/messages.hpp
+++ b/src/cluster/wire/messages.hpp
@@ -77,7 +77,7 @@
     Number term = 0;
     bool granted = false;
     bool pre_vote = false;
-    Number no_vote_through = 0;  // the sender votes in no term up to this one
+    Number no_vote_through = 0;  // the sender gives no vote in terms up to this one
 };
 // The leader's heartbeat.
 struct AppendRequest {
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -587,6 +587,58 @@
     BOOST_TEST((release.id == id && release.runner == 3U && release.how == Ended::unused));
 }
 
+// A member that was frozen may answer, in the term of now, heartbeats of an earlier life of the same leader:
+// their rounds were never sent in this life, and grant nothing.
+BOOST_AUTO_TEST_CASE(an_answer_to_a_round_that_was_not_sent_grants_no_lease) {
+    constexpr Micros kNow = 3'000'000;
+    Consensus::Options options;
+    options.self = "a";
+    options.seeds = {"a", "b", "c"};
+    options.first_start = true;
+    Output out;
+    Consensus consensus(options, {}, 1'000'000, out);
+    consensus.tick(kNow, out);
+    consensus.receive(kNow, "b", VoteResponse{1, true, true, 0}, out);
+    consensus.receive(kNow, "b", VoteResponse{1, true, false, 0}, out);
+    const LogPosition first = consensus.persistent_state().entry.position;
+    consensus.receive(kNow, "b", AppendResponse{1, 1000, first, {}, 0, false}, out);
+    BOOST_TEST(consensus.holds());
+    BOOST_TEST(!consensus.leads(kNow));
+    consensus.receive(kNow, "b", AppendResponse{1, 1, first, {}, 0, false}, out);
+    BOOST_TEST(consensus.leads(kNow));
+}
+
+// A candidate whose term is behind learns the voter's from the refusal, and asks for one in which it may get
+// the vote.
+BOOST_AUTO_TEST_CASE(a_refused_pre_vote_names_the_term_to_ask_for) {
+    Consensus::Options options;
+    options.self = "a";
+    PersistentState state;
+    state.promise = {true, 1, {}, 0, 0, {}};
+    state.entry = {{1, 8}, 1, {"a", "b", "c"}, {}, {}, "x"};
+    Output out;
+    Consensus candidate(options, state, 1'000'000, out);
+    options.self = "b";
+    state.promise = {true, 2, "a", 0, 0, {}};
+    state.entry.position = {1, 7};
+    Consensus voter(options, state, 1'000'000, out);
+    out = {};
+    candidate.tick(3'000'000, out);
+    BOOST_TEST(vote_requests(out, 2, true) == 2);
+    out = {};
+    voter.receive(3'000'000, "a", VoteRequest{2, {1, 8}, true, false}, out);
+    const auto refusal =
+        std::find_if(out.sends.begin(), out.sends.end(), [](const Output::Envelope& envelope) {
+            return std::holds_alternative<VoteResponse>(envelope.message);
+        });
+    BOOST_REQUIRE((refusal != out.sends.end()));
+    const VoteResponse refused = std::get<VoteResponse>(refusal->message);
+    BOOST_TEST(!refused.granted);
+    out = {};
+    candidate.receive(3'001'000, "b", refused, out);
+    BOOST_TEST(vote_requests(out, 3, true) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_difference_gives_the_text_back_and_refuses_another_base) {
     std::string old_text = "{\"routes\":[";
     std::string new_text = old_text;
