--- a/rehearsal/scale/hollow_proxy.cpp
+++ b/rehearsal/scale/hollow_proxy.cpp
@@ -201,8 +201,10 @@
 
 cluster::Register HollowProxy::registration() const {
     cluster::Register registration;
-    registration.name = "hollow-" + std::to_string(number_);
-    registration.zone = "z" + std::to_string(zone_);
+    registration.name = "hollow-";
+    registration.name += std::to_string(number_);
+    registration.zone = "z";
+    registration.zone += std::to_string(zone_);
     registration.incarnation = static_cast<cluster::Number>(number_) + 1;
     registration.version = version_;
     const Micros now = net::Loop::now();
