--- a/src/cluster/programs/proxy.cpp
+++ b/src/cluster/programs/proxy.cpp
@@ -15,6 +15,7 @@
 #include "cluster/proxy/shutdown.hpp"
 #include "cluster/programs/admin.hpp"
 #include "cluster/programs/process.hpp"
+#include "cluster/programs/run_end.hpp"
 #include "cluster/transport/http_caller.hpp"
 #include "cluster/transport/http_service.hpp"
 #include "cluster/transport/message_connection.hpp"
@@ -26,8 +27,7 @@
 constexpr Micros kWatchEach = 40'000;
 constexpr Micros kShutdownCheck = 50'000;  // what is written meanwhile is noticed so late
 constexpr Micros kAsleep = 1'000'000;      // timers are at most 0.2 s apart
-constexpr char kId[] = "X-Attempt-Id", kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner",
-               kNotRun[] = "X-Request-Not-Run";
+constexpr char kLeft[] = "X-Deadline-Remaining", kExpect[] = "X-Expected-Runner";
 
 RequestHandler::Options handler_options(const Settings& s) {
     std::random_device chance;
@@ -47,7 +47,7 @@
           watch_(loop, [this](const Settings& s) { settings_.seeds = s.seeds; }),
           handler_(handler_options(settings_)),
           runners_(
-              loop, {500'000, 8'000'000, 6, 16U << 20, kId},
+              loop, {500'000, 8'000'000, 6, 16U << 20, kAttemptIdField},
               {[this](HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) {
                    ended(id, how, std::move(answer), fresh);
                },
@@ -68,6 +68,10 @@
     }
 
   private:
+    struct Asked {
+        HttpMessage message;
+        std::vector<std::string> sent_to;  // addresses
+    };
     struct Watch {
         Micros since = 0, next = 0;
         bool out = false;
@@ -91,7 +95,7 @@
         if (stated.empty() || wrong != std::errc()) deadline = 600'000;
         (void)end;
         const std::string host(m.field("Host")), target = m.target;
-        requests_[exchange] = std::move(m);
+        requests_[exchange].message = std::move(m);
         Actions actions;
         handler_.arrived(net::Loop::now(), exchange, host, target, deadline, actions);
         carry_out(actions);
@@ -109,7 +113,7 @@
     void forward(const Actions::Forward& f) {
         const auto at = requests_.find(f.request);
         if (at == requests_.end()) return;
-        const HttpMessage& from = at->second;
+        const HttpMessage& from = at->second.message;
         HttpMessage to;
         to.method = from.method, to.target = from.target;
         for (const auto& [name, value] : from.fields)
@@ -118,39 +122,14 @@
         to.fields.emplace_back(kLeft, std::to_string(f.remaining_ms));
         to.fields.emplace_back(kExpect, f.runner);
         to.body = from.body;
-        runners_.call(f.request, f.address, to);
+        std::vector<std::string>& sent_to = at->second.sent_to;
+        const bool been_there = std::find(sent_to.begin(), sent_to.end(), f.address) != sent_to.end();
+        if (!been_there) sent_to.push_back(f.address);
+        runners_.call(f.request, f.address, to, been_there);
     }
 
     void ended(HttpCaller::Call id, CallEnd how, HttpMessage&& answer, bool fresh) {
-        RunEnd end = RunEnd::may_have_run;
-        switch (how) {
-            case CallEnd::unreachable:
-                end = RunEnd::unreachable;
-                break;
-            case CallEnd::unsent:
-                end = RunEnd::unsent;
-                break;
-            case CallEnd::broken:
-            case CallEnd::malformed:
-                break;
-            case CallEnd::answered: {
-                const bool named = !answer.field(kId).empty();
-                const bool says_not = !answer.field(kNotRun).empty() || answer.status == 421;
-                if (says_not) {
-                    // Without our id on a connection that served others it may be an answer too many to one
-                    // of those.
-                    if (named || fresh) end = answer.status == 421 ? RunEnd::misdirected : RunEnd::not_run;
-                } else if (named && answer.field("Content-Encoding").empty()) {
-                    const int s = answer.status;
-                    // Of these our client would think that it has not run, and the runner does not say so.
-                    if (s == 408 || s == 429 || s == 503)
-                        end = RunEnd::may_have_run;
-                    else
-                        end = s >= 500 ? RunEnd::failed : RunEnd::answered;
-                }
-                break;
-            }
-        }
+        const RunEnd end = judge(how, answer, fresh);
         answers_[id] = std::move(answer);
         Actions actions;
         handler_.ended(net::Loop::now(), id, end, actions);
@@ -442,7 +421,8 @@
     RequestHandler handler_;
     HttpCaller runners_;
     HttpService clients_, readiness_;
-    std::unordered_map<RequestId, HttpMessage> requests_, answers_;
+    std::unordered_map<RequestId, Asked> requests_;  // of clients that wait
+    std::unordered_map<RequestId, HttpMessage> answers_;
     std::map<std::string, Watch> watches_;
     std::unique_ptr<MessageConnection> line_;
     std::vector<std::unique_ptr<MessageConnection>> old_;
--- a/src/cluster/transport/http_caller.cpp
+++ b/src/cluster/transport/http_caller.cpp
@@ -19,6 +19,8 @@
         id_ = caller_.options_.id_field.empty() ? std::string()
                                                 : std::string(request.field(caller_.options_.id_field));
         got_ = false;
+        reader_.answers_head(request.method == "HEAD");
+        body_bytes_ = request.body.size();
         pending_ = bytes_of(request);
         if (up_) send();
     }
@@ -45,7 +47,8 @@
     void send() {
         if (!connection_.write(pending_)) {
             connection_.close();
-            return finish(CallEnd::unsent, {});
+            caller_.end_later(std::exchange(call_, 0), CallEnd::unsent);
+            return over();
         }
         pending_.clear();
     }
@@ -76,9 +79,7 @@
                     break;
             }
             reader_.restart();
-            const std::string_view said =
-                id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
-            if (!said.empty() && said != id_) {
+            if (const std::string_view said = id_of_answer(); !said.empty() && said != id_) {
                 // An answer too many to an earlier request, where ours is due.
                 answer_ = {};
                 if (++strangers_ > 2) return broken(CallEnd::malformed);
@@ -98,9 +99,11 @@
             keep = std::min<Micros>(keep, std::max(0, seconds) * 500'000LL);
         }
         kept_until_ = net::Loop::now() + keep;
-        // Bytes behind a whole answer belong to nobody: the connection is not trusted any more.
-        closing_ = more || !answer_.keeps_alive || keep == 0;
-        const bool fresh = served_++ == 0;
+        // Bytes behind a whole answer belong to nobody, and another's answer before it came out of its turn:
+        // the connection is not trusted any more. What is left of a request that was answered early would
+        // stand before the next one.
+        closing_ = more || strangers_ > 0 || connection_.unsent() || !answer_.keeps_alive || keep == 0;
+        const bool fresh = served_++ == 0 && strangers_ == 0;
         const Call call = std::exchange(call_, 0);
         HttpCaller& caller = caller_;
         caller.calls_.erase(call);
@@ -126,16 +129,19 @@
             return over();
         }
         if (!up_) return finish(CallEnd::unreachable, {});
-        if (ending == net::Ending::ended_early && reader_.ends_by_close()) {
-            reader_.restart();
-            answer_.keeps_alive = false;
-            const std::string_view said =
-                id_.empty() ? std::string_view() : answer_.field(caller_.options_.id_field);
-            // Without a stated end a whole body can not be told from one that was cut.
-            (void)said;
+        // Without a stated end a whole body can not be told from one that was cut.
+        if (ending == net::Ending::ended_early && reader_.ends_by_close())
             return finish(CallEnd::malformed, {});
-        }
-        finish(ending == net::Ending::broken_unsent && !got_ ? CallEnd::unsent : CallEnd::broken, {});
+        finish(head_was_cut() && !got_ ? CallEnd::unsent : CallEnd::broken, {});
+    }
+
+    // Whether the system never took the whole head of the request. A runner may begin with the head: that of
+    // the body is missing proves nothing.
+    bool head_was_cut() const { return connection_.unsent_at_end() > body_bytes_; }
+
+    std::string_view id_of_answer() const {
+        const std::string& field = caller_.options_.id_field;
+        return field.empty() ? std::string_view() : answer_.field(field);
     }
 
     void finish(CallEnd how, HttpMessage&& answer) {
@@ -166,34 +172,40 @@
     Call call_ = 0;
     bool up_ = false, got_ = false, closing_ = false, pre_ = false;
     int served_ = 0, strangers_ = 0;
+    std::size_t body_bytes_ = 0;  // of the request
     Micros kept_since_, kept_until_ = 0;
     net::Connection connection_;
 };
 
 HttpCaller::HttpCaller(net::Loop& loop, Options terms, Events events)
-    : loop_(loop), options_(std::move(terms)), events_(std::move(events)) {}
+    : loop_(loop),
+      options_(std::move(terms)),
+      events_(std::move(events)),
+      ends_due_(loop, [this] { tell_ends(); }) {}
 HttpCaller::~HttpCaller() = default;
 
-void HttpCaller::call(Call call, const std::string& address, const HttpMessage& request) {
+// The idle connection there that was used last; closes those that can not be used any more.
+HttpCaller::Link* HttpCaller::take_idle(const std::string& address) {
     const Micros now = net::Loop::now();
-    if (const auto kept = idle_.find(address); kept != idle_.end()) {
-        while (!kept->second.empty()) {
-            Link* const link = kept->second.back();
-            kept->second.pop_back();
-            if (link->usable(now)) {
-                calls_[call] = link;
-                link->start(call, request);
-                return;
-            }
-            link->close();
-            if (idle_.find(address) == idle_.end()) break;
-        }
+    for (auto kept = idle_.find(address); kept != idle_.end() && !kept->second.empty();
+         kept = idle_.find(address)) {
+        Link* const link = kept->second.back();
+        kept->second.pop_back();
+        if (link->usable(now)) return link;
+        link->close();
     }
-    const auto to = net::Address::read(address);
-    if (!to) {
-        events_.ended(call, CallEnd::unreachable, {}, true);
+    return nullptr;
+}
+
+void HttpCaller::call(Call call, const std::string& address, const HttpMessage& request,
+                      bool on_new_connection) {
+    if (Link* const link = on_new_connection ? nullptr : take_idle(address)) {
+        calls_[call] = link;
+        link->start(call, request);
         return;
     }
+    const auto to = net::Address::read(address);
+    if (!to) return end_later(call, CallEnd::unreachable);
     auto link = std::make_unique<Link>(*this, address, *to);
     Link* const key = link.get();
     links_[key] = std::move(link);
@@ -201,7 +213,23 @@
     key->start(call, request);
 }
 
+void HttpCaller::end_later(Call call, CallEnd how) {
+    calls_.erase(call);
+    ends_.emplace_back(call, how);
+    ends_due_.set(net::Loop::now());
+}
+
+void HttpCaller::tell_ends() {
+    // An event may make or abandon further calls.
+    while (!ends_.empty()) {
+        const auto [call, how] = ends_.front();
+        ends_.erase(ends_.begin());
+        events_.ended(call, how, {}, true);
+    }
+}
+
 void HttpCaller::abandon(Call call) {
+    std::erase_if(ends_, [call](const auto& end) { return end.first == call; });
     const auto at = calls_.find(call);
     if (at == calls_.end()) return;
     Link* const link = at->second;
--- a/src/cluster/transport/http_caller.hpp
+++ b/src/cluster/transport/http_caller.hpp
@@ -19,8 +19,9 @@
 enum class CallEnd {
     answered,
     unreachable,  // no connection came up: nothing was sent
-    unsent,       // the connection ended before the last byte was written: not carried out
-    broken,       // it ended after that without a whole answer: may have been carried out
+    unsent,       // the connection ended before the system took the whole head: not carried out
+    broken,       // it ended after that without a whole answer: may have been carried out, also where
+                  // not all of the body was taken
     malformed,    // what came is no answer, or another's: may have been carried out
 };
 
@@ -45,8 +46,11 @@
     HttpCaller(net::Loop& loop, Options terms, Events events);
     ~HttpCaller();
 
-    // Begins a call; it ends with one event, not before this returns.
-    void call(Call call, const std::string& address, const HttpMessage& request);
+    /// Begins a call; it ends with one event, not before this returns. A request that may already have come
+    /// to this address under the same id wants a new connection: on the old one an answer too many to the
+    /// earlier sending would be taken for the answer to this one.
+    void call(Call call, const std::string& address, const HttpMessage& request,
+              bool on_new_connection = false);
     void abandon(Call call);  // no event; the connection is closed
     // Opens a connection and keeps it for the next call there.
     void preconnect(const std::string& address);
@@ -56,7 +60,10 @@
   private:
     class Link;
     friend class Link;
+    Link* take_idle(const std::string& address);
     void keep(Link* link);
+    void end_later(Call call, CallEnd how);
+    void tell_ends();
 
     net::Loop& loop_;
     Options options_;
@@ -65,6 +72,8 @@
     std::vector<std::unique_ptr<Link>> closed_;
     std::unordered_map<Call, Link*> calls_;
     std::unordered_map<std::string, std::list<Link*>> idle_;
+    std::vector<std::pair<Call, CallEnd>> ends_;  // of calls that failed as they were made, to be told
+    net::Timer ends_due_;
 };
 
 }  // namespace gannethold::cluster
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -182,7 +182,8 @@
     for (const Field& f : head_.fields)
         if (same_word(f.name, "Connection") && lists(f.value, "close")) head_.keeps_alive = false;
     left_ = length;
-    const bool bodiless = kind_ == Kind::answer && (head_.status == 204 || head_.status == 304);
+    const bool bodiless =
+        kind_ == Kind::answer && (answers_head_ || head_.status == 204 || head_.status == 304);
     if (bodiless)
         state_ = State::end;
     else if (chunked)
--- a/src/http/reader.hpp
+++ b/src/http/reader.hpp
@@ -40,6 +40,9 @@
     // Takes from the front of bytes. Call until it has found nothing; then it wants more bytes. After an end
     // it takes none until restart().
     Found read(std::string_view& bytes);
+    // Whether the answers that are read from here on are to a HEAD request: whatever length they state, no
+    // body follows.
+    void answers_head(bool head) { answers_head_ = head; }
     // The peer will send no more. True if that is a proper end of the message.
     bool ends_by_close() const { return state_ == State::until_close; }
     void restart();
@@ -79,6 +82,7 @@
     net::BlockPool& pool_;
     char* block_ = nullptr;
     std::size_t used_ = 0;
+    bool answers_head_ = false;
     State state_ = State::head;
     Fault fault_ = Fault::none;
     Head head_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -90,6 +90,7 @@
 
 void Connection::close() {
     if (limit_) limit_->cancel();
+    if (stream_) unsent_at_end_ = unsent_bytes();
     stream_.reset();
 }
 
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -37,6 +37,8 @@
     void write(Blocks&& bytes);
     bool unsent() const;  // whether bytes are left that the system has not taken
     std::size_t unsent_bytes() const;
+    // After the end: how many bytes the system had not taken by then.
+    std::size_t unsent_at_end() const { return unsent_at_end_; }
     // Whether the peer has ended it, or said something unasked, that the loop has not come to yet.
     bool stale() const;
     // Ends at once, without a word to the owner.
@@ -58,6 +60,7 @@
     std::unique_ptr<bufferevent, decltype(&bufferevent_free)> stream_{nullptr, &bufferevent_free};
     std::optional<Timer> limit_;
     Ending failure_ = Ending::unreachable;
+    std::size_t unsent_at_end_ = 0;
     bool connecting_ = false, finishing_ = false, hung_up_ = false;
 };
 
--- /dev/null
+++ b/tests/system/calls.cpp
@@ -0,0 +1,394 @@
+// Each call is answered once, to its caller, on every hop: sockets with scripted peers on loopback for the
+// transport and for the leader's calls to the platform; the front's state machine against a slot table for
+// what two of them believe of one call. Nothing sleeps: the loop is turned, for a bounded time, until what is
+// expected holds.
+#define BOOST_TEST_DYN_LINK
+#define BOOST_TEST_MODULE calls
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cluster/configuration/configuration.hpp"
+#include "cluster/programs/coordinator.hpp"
+#include "cluster/programs/run_end.hpp"
+#include "cluster/proxy/request_handler.hpp"
+#include "cluster/slots/slot_table.hpp"
+#include "cluster/transport/http_caller.hpp"
+#include "cluster/transport/http_service.hpp"
+#include "peers.hpp"
+
+namespace gannethold::cluster {
+namespace {
+
+constexpr std::size_t kMoreThanBuffersTake = 24U
+                                             << 20;  // bytes: no pair of sockets on loopback takes so many
+constexpr std::size_t kBlocks = 8192;
+
+// ---- proxy to runner ----
+
+HttpMessage request(const std::string& id, const std::string& method = "GET", std::string body = {}) {
+    HttpMessage message;
+    message.method = method;
+    message.target = "/work/" + id;
+    if (!id.empty()) message.fields.emplace_back("X-Attempt-Id", id);
+    message.body = std::move(body);
+    return message;
+}
+
+std::string answer(const std::string& id, const std::string& body, const std::string& more = {}) {
+    return "HTTP/1.1 200 OK\r\n" + (id.empty() ? std::string() : "X-Attempt-Id: " + id + "\r\n") + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A caller, a scripted runner, and how each call ended.
+struct Runner {
+    struct Ended {
+        HttpCaller::Call call = 0;
+        CallEnd how = CallEnd::broken;
+        HttpMessage message;
+        bool fresh = false;
+        bool within_call = false;  // told before call() had returned
+    };
+
+    explicit Runner(int receive_buffer = 0, std::size_t blocks = kBlocks)
+        : loop(blocks),
+          door(receive_buffer),
+          caller(loop, {500'000, 8'000'000, 6, 16U << 20, "X-Attempt-Id"},
+                 {[this](HttpCaller::Call call, CallEnd how, HttpMessage&& message, bool fresh) {
+                     ended.push_back({call, how, std::move(message), fresh, calling});
+                 }}) {}
+
+    void call(const HttpMessage& message, bool on_new_connection = false) {
+        calling = true;
+        caller.call(++last, door.address(), message, on_new_connection);
+        calling = false;
+    }
+    bool until(const std::function<bool()>& holds) { return turn_until(loop, holds); }
+    // The connection on which that request came whole.
+    Wire& wire_of(const std::string& id) {
+        Wire* found = nullptr;
+        BOOST_REQUIRE(until([&] {
+            for (Wire& wire : door.guests())
+                if (wire.has("/work/" + id + " HTTP/1.1\r\n") && wire.got.ends_with("\r\n\r\n"))
+                    found = &wire;
+            return found != nullptr;
+        }));
+        return *found;
+    }
+    const Ended& end_of(HttpCaller::Call call) {
+        const Ended* found = nullptr;
+        BOOST_REQUIRE(until([&] {
+            for (const Ended& one : ended)
+                if (one.call == call) found = &one;
+            return found != nullptr;
+        }));
+        return *found;
+    }
+    // How a new call ends after the runner has said that and then done so.
+    Ended after(
+        const std::string& words, const std::function<void(Wire&)>& then = [](Wire&) {}) {
+        const std::string id = "id" + std::to_string(last + 1);
+        call(request(id));
+        Wire& wire = wire_of(id);
+        wire.say(words);
+        then(wire);
+        return end_of(last);
+    }
+    // A whole exchange, after which the connection is kept.
+    Wire& exchange_before() {
+        call(request("before"));
+        Wire& wire = wire_of("before");
+        wire.say(answer("before", "first"));
+        BOOST_REQUIRE((end_of(last).how == CallEnd::answered));
+        wire.got.clear();
+        return wire;
+    }
+
+    net::Loop loop;
+    Door door;
+    bool calling = false;
+    HttpCaller::Call last = 0;
+    std::deque<Ended> ended;
+    HttpCaller caller;
+};
+
+const auto kHangUp = [](Wire& wire) { wire.hang_up(); };
+const auto kReset = [](Wire& wire) { wire.reset(); };
+
+BOOST_AUTO_TEST_CASE(once_a_whole_head_may_have_arrived_a_call_is_never_unsent) {
+    // A runner that begins with the head has begun, whatever became of the body.
+    Runner runner(4096);
+    runner.call(request("long", "POST", std::string(kMoreThanBuffersTake, 'x')));
+    BOOST_REQUIRE(runner.until([&] {
+        return !runner.door.guests().empty() &&
+               runner.door.guests()[0].look(1024).got.find("\r\n\r\n") != std::string::npos;
+    }));
+    runner.door.guests()[0].reset();
+    BOOST_TEST((runner.end_of(1).how == CallEnd::broken));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_whose_head_was_cut_is_unsent) {
+    Runner runner(4096);
+    HttpMessage message = request("long");
+    message.fields.emplace_back("X-Long", std::string(kMoreThanBuffersTake, 'x'));
+    runner.call(message);
+    BOOST_REQUIRE(runner.until(
+        [&] { return !runner.door.guests().empty() && !runner.door.guests()[0].look(1024).got.empty(); }));
+    runner.door.guests()[0].reset();
+    BOOST_TEST((runner.end_of(1).how == CallEnd::unsent));
+}
+
+BOOST_AUTO_TEST_CASE(where_nobody_listens_nothing_was_sent) {
+    Runner runner;
+    runner.door.shut();
+    runner.call(request("a"));
+    BOOST_TEST((runner.end_of(1).how == CallEnd::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_went_out_and_got_no_answer_is_not_sent_again) {
+    for (const bool kept : {false, true})
+        for (const bool reset : {false, true}) {
+            Runner runner;
+            if (kept) runner.exchange_before();
+            runner.call(request("once", "POST", ""));
+            Wire& wire = runner.wire_of("once");
+            if (reset)
+                wire.reset();
+            else
+                wire.hang_up();
+            BOOST_TEST((runner.end_of(runner.last).how == CallEnd::broken));
+            runner.until([&, end = net::Loop::now() + 50'000] { return net::Loop::now() > end; });
+            std::size_t times = 0;
+            for (Wire& one : runner.door.guests()) times += count(one.look().got, "/work/once");
+            BOOST_TEST(times == 1U);
+            BOOST_TEST(runner.door.guests().size() == 1U);
+        }
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_connection_that_the_peer_has_ended_is_not_used) {
+    for (const bool reset : {false, true}) {
+        Runner runner;
+        Wire& wire = runner.exchange_before();
+        if (reset)
+            wire.reset();
+        else
+            wire.hang_up();
+        runner.call(request("next"));  // before the loop has come to the end of the connection
+        runner.wire_of("next").say(answer("next", "second"));
+        BOOST_TEST((runner.end_of(runner.last).how == CallEnd::answered));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_was_cut_never_looks_whole) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n";
+    for (const auto& then : {std::function<void(Wire&)>(kHangUp), std::function<void(Wire&)>(kReset)}) {
+        BOOST_TEST((Runner().after("HTTP/1.1 200", then).how == CallEnd::broken));
+        BOOST_TEST((Runner().after(head, then).how == CallEnd::broken));
+        BOOST_TEST((Runner().after(head + "Content-Length: 5\r\n\r\nhalf", then).how == CallEnd::broken));
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        for (const char* const cut : {"", "5\r\nhal", "5\r\nwhole", "5\r\nwhole\r\n", "5\r\nwhole\r\n0\r\n"})
+            BOOST_TEST((Runner().after(chunked + cut, then).how == CallEnd::broken), cut);
+    }
+    // Without a length the end of the connection may as well be a cut.
+    BOOST_TEST((Runner().after(head + "\r\nwhole", kHangUp).how == CallEnd::malformed));
+    BOOST_TEST((Runner().after("SSH-2.0\r\n\r\n").how == CallEnd::malformed));
+    BOOST_TEST((Runner().after(head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nwhole").how ==
+                CallEnd::malformed));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_after_its_call_was_abandoned_reaches_nobody) {
+    Runner runner;
+    runner.call(request("silent"));
+    Wire& silent = runner.wire_of("silent");
+    runner.caller.abandon(1);
+    runner.call(request("next"));
+    Wire& next = runner.wire_of("next");
+    BOOST_TEST(&silent != &next);
+    silent.say(answer("silent", "late"));
+    next.say(answer("next", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+    BOOST_TEST(runner.ended.size() == 1U);
+    BOOST_TEST(silent.look().closed);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_said_more_than_its_answer_is_not_used_again) {
+    // In one piece with the answer, or after it and before the next call.
+    for (const bool at_once : {true, false}) {
+        Runner runner;
+        const std::string extra = answer("id1", "extra");
+        runner.after(answer("id1", "first") + (at_once ? extra : std::string()),
+                     [&](Wire&) { runner.until([&] { return !runner.ended.empty(); }); });
+        Wire& old = runner.door.guests()[0];
+        if (!at_once) old.say(extra);
+        runner.call(request("next"));
+        Wire& next = runner.wire_of("next");
+        BOOST_TEST(&next != &old);
+        next.say(answer("next", "mine"));
+        BOOST_TEST(runner.end_of(2).message.body == "mine");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_too_many_where_the_next_is_due_is_passed_over_and_ends_the_connection) {
+    Runner runner;
+    Wire& wire = runner.exchange_before();
+    runner.call(request("next"));
+    BOOST_TEST(&runner.wire_of("next") == &wire);
+    wire.say(answer("before", "extra") + answer("next", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+    // What came once out of its turn may do so again.
+    runner.call(request("third"));
+    BOOST_TEST(&runner.wire_of("third") != &wire);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_an_id_takes_no_answer_that_bears_one) {
+    Runner runner;
+    Wire& wire = runner.exchange_before();
+    HttpMessage message = request("");
+    message.target = "/work/nameless";
+    runner.call(message);
+    BOOST_TEST(&runner.wire_of("nameless") == &wire);
+    wire.say(answer("before", "of another"));
+    wire.say(answer("", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_an_id_counts_as_no_promise_on_a_connection_that_served_others) {
+    const std::string not_run = "HTTP/1.1 503 x\r\nX-Request-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    Runner fresh;
+    const Runner::Ended first = fresh.after(not_run);
+    BOOST_TEST((judge(first.how, first.message, first.fresh) == RunEnd::not_run));
+    Runner kept;
+    kept.exchange_before();
+    const Runner::Ended second = kept.after(not_run);
+    BOOST_TEST((judge(second.how, second.message, second.fresh) == RunEnd::may_have_run));
+    // Nor on one where another's answer came first.
+    Runner strange;
+    const Runner::Ended third = strange.after(answer("another", "x") + not_run);
+    BOOST_TEST((judge(third.how, third.message, third.fresh) == RunEnd::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(only_what_the_runner_states_is_a_promise) {
+    const auto judged = [](int status, std::vector<std::pair<std::string, std::string>> fields) {
+        HttpMessage message;
+        message.status = status;
+        message.fields = std::move(fields);
+        return judge(CallEnd::answered, message, false);
+    };
+    const std::pair<std::string, std::string> id{"X-Attempt-Id", "a"}, not_run{"X-Request-Not-Run", "full"};
+    BOOST_TEST((judged(200, {id}) == RunEnd::answered));
+    BOOST_TEST((judged(404, {id}) == RunEnd::answered));
+    BOOST_TEST((judged(200, {}) == RunEnd::may_have_run));
+    BOOST_TEST((judged(200, {id, {"Content-Encoding", "gzip"}}) == RunEnd::may_have_run));
+    BOOST_TEST((judged(500, {id}) == RunEnd::failed));
+    for (const int status : {408, 429, 503}) BOOST_TEST((judged(status, {id}) == RunEnd::may_have_run));
+    for (const int status : {400, 429, 503}) BOOST_TEST((judged(status, {id, not_run}) == RunEnd::not_run));
+    BOOST_TEST((judged(421, {id}) == RunEnd::misdirected));
+    BOOST_TEST((judge(CallEnd::broken, {}, true) == RunEnd::may_have_run));
+    BOOST_TEST((judge(CallEnd::malformed, {}, true) == RunEnd::may_have_run));
+    BOOST_TEST((judge(CallEnd::unsent, {}, true) == RunEnd::unsent));
+    BOOST_TEST((judge(CallEnd::unreachable, {}, true) == RunEnd::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(after_an_answer_that_came_before_the_request_was_written_the_connection_is_not_used) {
+    Runner runner(4096);
+    runner.call(request("long", "POST", std::string(kMoreThanBuffersTake, 'x')));
+    BOOST_REQUIRE(runner.until([&] {
+        return !runner.door.guests().empty() &&
+               runner.door.guests()[0].look(1024).got.find("\r\n\r\n") != std::string::npos;
+    }));
+    runner.door.guests()[0].say(answer("long", "early"));
+    BOOST_TEST(runner.end_of(1).message.body == "early");
+    runner.call(request("next"));
+    BOOST_REQUIRE(runner.until([&] { return runner.door.guests().size() == 2; }));
+    // Nothing of the next request stands behind the rest of the long one.
+    BOOST_TEST(count(runner.door.guests()[0].look().got, "/work/next") == 0U);
+    runner.wire_of("next").say(answer("next", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_are_no_answers) {
+    const Runner::Ended one =
+        Runner().after("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Attempt-Id: id1\r\n\r\n" +
+                       answer("id1", "mine"));
+    BOOST_TEST(one.message.body == "mine");
+    BOOST_TEST(one.message.status == 200);
+    BOOST_TEST((Runner().after("HTTP/1.1 101 x\r\nX-Attempt-Id: id1\r\n\r\n").how == CallEnd::malformed));
+    BOOST_TEST((Runner().after("HTTP/1.1 100 Continue\r\n\r\n", kHangUp).how == CallEnd::broken));
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_have_no_body_by_rule_wait_for_none) {
+    for (const char* const status : {"204 No Content", "304 Not Modified"}) {
+        Runner runner;
+        const Runner::Ended one = runner.after("HTTP/1.1 " + std::string(status) +
+                                               "\r\nX-Attempt-Id: id1\r\nContent-Length: 5\r\n\r\n");
+        BOOST_TEST((one.how == CallEnd::answered));
+        BOOST_TEST(one.message.body.empty());
+    }
+    Runner runner;
+    runner.call(request("head", "HEAD"));
+    Wire& wire = runner.wire_of("head");
+    wire.say("HTTP/1.1 200 OK\r\nX-Attempt-Id: head\r\nContent-Length: 5\r\n\r\n");
+    BOOST_TEST((runner.end_of(1).how == CallEnd::answered));
+    // The next one on this connection has its body.
+    runner.call(request("next"));
+    BOOST_TEST(&runner.wire_of("next") == &wire);
+    wire.say(answer("next", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_half_closes_has_ended_the_connection) {
+    const auto half = [](Wire& wire) { wire.half_close(); };
+    BOOST_TEST((Runner().after("", half).how == CallEnd::broken));
+    Runner runner;
+    BOOST_TEST((runner.after(answer("id1", "whole"), half).how == CallEnd::answered));
+    runner.call(request("next"));
+    BOOST_TEST(&runner.wire_of("next") != &runner.door.guests()[0]);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_sending_to_one_address_has_a_connection_of_its_own) {
+    // An answer too many to the first sending bears the same id: it would be taken for the second's.
+    Runner runner;
+    const std::string not_run =
+        "HTTP/1.1 503 x\r\nX-Attempt-Id: same\r\nX-Request-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    runner.call(request("same"));
+    Wire& first = runner.wire_of("same");
+    first.say(not_run);
+    runner.end_of(1);
+    runner.call(request("same"), true);
+    BOOST_REQUIRE(runner.until([&] { return runner.door.guests().size() == 2; }));
+    first.say(not_run);
+    Wire& second = runner.door.guests()[1];
+    BOOST_REQUIRE(runner.until([&] { return second.has("/work/same"); }));
+    second.say(answer("same", "mine"));
+    BOOST_TEST(runner.end_of(2).message.body == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(no_call_ends_before_it_was_made) {
+    Runner runner(0, 1);
+    HttpMessage message = request("a", "POST", std::string(100'000, 'x'));  // more than the pool has
+    runner.caller.preconnect(runner.door.address());
+    BOOST_REQUIRE(runner.until([&] { return !runner.door.guests().empty(); }));
+    runner.until([&, end = net::Loop::now() + 20'000] { return net::Loop::now() > end; });
+    runner.call(message);
+    BOOST_TEST((runner.end_of(1).how == CallEnd::unsent));
+    BOOST_TEST(!runner.ended[0].within_call);
+    runner.calling = true;
+    runner.caller.call(++runner.last, "nowhere", message);
+    runner.calling = false;
+    BOOST_TEST((runner.end_of(2).how == CallEnd::unreachable));
+    BOOST_TEST(!runner.ended[1].within_call);
+    // One that is abandoned before it could be told has no event.
+    runner.caller.call(++runner.last, "nowhere", message);
+    runner.caller.abandon(runner.last);
+    runner.until([&, end = net::Loop::now() + 20'000] { return net::Loop::now() > end; });
+    BOOST_TEST(runner.ended.size() == 2U);
+}
+
+}  // namespace
+}  // namespace gannethold::cluster
