Programs of the system log through log4cpp, which starts no threads

Seen by operators: at SIGTERM no process of the system ended; the platform killed each at the end of its grace time.

Cause: log4cplus starts four threads when the library is loaded (five in a program that has never called it), and joins them at its end. The class of fault is an end that depends on a library's shutdown.

Change: log4cpp in place of log4cplus. It has no threads and nothing to close, so close_log() is gone. Lines bear the whole time, where they had its milliseconds only.

The new case a_proxy_has_one_thread counts 5 threads on the text before.

--- a/src/cluster/base/events.cpp
+++ b/src/cluster/base/events.cpp
@@ -1,10 +1,11 @@
 #include "cluster/base/events.hpp"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
+#include <log4cpp/Category.hh>
+#include <log4cpp/OstreamAppender.hh>
+#include <log4cpp/PatternLayout.hh>
+#include <log4cpp/Priority.hh>
 
+#include <iostream>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -12,21 +13,18 @@
 namespace gannethold::cluster {
 namespace {
 
-constexpr bool kToStandardError = true;
-constexpr bool kFlushEachLine = true;
-
-log4cplus::LogLevel log4cplus_level(Level level) {
+log4cpp::Priority::Value log4cpp_priority(Level level) {
     switch (level) {
         case Level::debug:
-            return log4cplus::DEBUG_LOG_LEVEL;
+            return log4cpp::Priority::DEBUG;
         case Level::info:
-            return log4cplus::INFO_LOG_LEVEL;
+            return log4cpp::Priority::INFO;
         case Level::warning:
-            return log4cplus::WARN_LOG_LEVEL;
+            return log4cpp::Priority::WARN;
         case Level::error:
-            return log4cplus::ERROR_LOG_LEVEL;
+            return log4cpp::Priority::ERROR;
     }
-    return log4cplus::ERROR_LOG_LEVEL;
+    return log4cpp::Priority::ERROR;
 }
 
 std::optional<Level> level_named(const std::string& name) {
@@ -37,35 +35,33 @@
     return std::nullopt;
 }
 
-// Set from open_log() to close_log().
-std::unique_ptr<log4cplus::Initializer> initializer;
-std::optional<log4cplus::Logger> open_logger;
+// std::cerr keeps nothing back, so that there is nothing to flush at the end.
+std::unique_ptr<log4cpp::Appender> standard_error_appender() {
+    auto layout = std::make_unique<log4cpp::PatternLayout>();
+    layout->setConversionPattern("time=%d{%Y-%m-%dT%H:%M:%S.%l} level=%p %m%n");
+    auto appender = std::make_unique<log4cpp::OstreamAppender>("stderr", &std::cerr);
+    appender->setLayout(layout.release());  // the appender owns it from here on
+    return appender;
+}
+
+// nullptr until open_log(). Owned by log4cpp.
+log4cpp::Category* open_logger = nullptr;
 
 }  // namespace
 
 bool open_log(const std::string& level) {
     const auto min_level = level_named(level);
     if (!min_level) return false;
-    if (!initializer) initializer = std::make_unique<log4cplus::Initializer>();
-    log4cplus::Logger root = log4cplus::Logger::getRoot();
-    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
-    console->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%d{%q} level=%p %m%n"));
+    log4cpp::Category& root = log4cpp::Category::getRoot();
     root.removeAllAppenders();
-    root.addAppender(console);
-    root.setLogLevel(log4cplus_level(*min_level));
-    open_logger = std::move(root);
+    root.addAppender(standard_error_appender().release());  // the category owns it from here on
+    root.setPriority(log4cpp_priority(*min_level));
+    open_logger = &root;
     return true;
 }
 
-void close_log() {
-    if (!open_logger) return;
-    open_logger->removeAllAppenders();
-    open_logger.reset();
-    initializer.reset();
-}
-
 Event::Event(std::string_view name, Level level)
-    : level_(level), is_enabled_(open_logger && open_logger->isEnabledFor(log4cplus_level(level))) {
+    : level_(level), is_enabled_(open_logger && open_logger->isPriorityEnabled(log4cpp_priority(level))) {
     if (is_enabled_) line_.append("event=").append(name);
 }
 
@@ -86,7 +82,7 @@
 }
 
 Event::~Event() {
-    if (is_enabled_) open_logger->log(log4cplus_level(level_), line_);
+    if (is_enabled_) open_logger->log(log4cpp_priority(level_), line_);
 }
 
 }  // namespace gannethold::cluster
--- a/src/cluster/base/events.hpp
+++ b/src/cluster/base/events.hpp
@@ -1,4 +1,5 @@
-// Log lines for operators: each event is one line of key=value pairs on standard error, written by log4cplus.
+// Log lines for operators: each event is one line of key=value pairs on standard error, written by log4cpp.
+// It starts no threads, and nothing is left to be written when a process ends.
 //
 //   Event("leader_elected").with("term", 4).with("leader", address);
 //
@@ -15,13 +16,9 @@
 
 // Opens the log at a level: debug, info, warning or error; events below it are not written. False: there is
 // no such level. REQUIRES: called before the first event and before a second thread is started. Events before
-// it are dropped.
+// it are dropped. Each line is written before the event's destructor returns.
 bool open_log(const std::string& level);
 
-// Writes out what was logged and ends the logger's threads; events after it are dropped. Call it before
-// main() returns.
-void close_log();
-
 // Collects one line and writes it when destroyed. Any number may exist at once; safe from several threads.
 class Event {
   public:
--- a/src/cluster/programs/process.hpp
+++ b/src/cluster/programs/process.hpp
@@ -64,7 +64,6 @@
         Program program(loop, settings);
         loop.run([] {});
     }
-    close_log();
     return 0;
 }
 
--- a/tests/system/controller/controller_process_test.cpp
+++ b/tests/system/controller/controller_process_test.cpp
@@ -87,6 +87,13 @@
     BOOST_TEST(refused < again);
 }
 
+// Guards against processes that hang at their end while a library joins its threads. One is the program's,
+// the other LevelDB's for compactions, which is started with the first of them and never joined.
+BOOST_AUTO_TEST_CASE(a_controller_has_two_threads_at_most) {
+    Core core;
+    BOOST_TEST(core.program.thread_count() <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_controller_ends_by_itself_on_sigterm) {
     for (int run = 0; run < 5; ++run) {
         Core core;
--- a/tests/system/program.hpp
+++ b/tests/system/program.hpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
 
@@ -59,6 +60,12 @@
         return 0;
     }
 
+    /// REQUIRES: it has not ended.
+    std::ptrdiff_t thread_count() const {
+        const std::filesystem::directory_iterator threads("/proc/" + std::to_string(process_) + "/task");
+        return std::distance(begin(threads), end(threads));
+    }
+
   private:
     std::filesystem::path folder_;
     pid_t process_ = 0;
--- a/tests/system/proxy_server/program_test.cpp
+++ b/tests/system/proxy_server/program_test.cpp
@@ -82,6 +82,7 @@
         return client.received;
     }
     long resident_kb() const { return proxy_->resident_kb(); }
+    Program& program() { return *proxy_; }
 
     net::Loop loop{8192};
     ScriptedListener runner;
@@ -210,6 +211,34 @@
     BOOST_TEST(fixture.count_at_runner("slow") == 1U);
 }
 
+// Guards against processes that hang at their end while a library joins its threads.
+BOOST_AUTO_TEST_CASE(a_proxy_has_one_thread) {
+    ProxyFixture fixture;
+    BOOST_TEST(fixture.program().thread_count() == 1);
+}
+
+// Guards against processes that are still there at the end of their grace period.
+BOOST_AUTO_TEST_CASE(a_stopped_proxy_ends_while_a_client_goes_on_using_its_connection) {
+    ProxyFixture fixture;
+    ScriptedConnection client = fixture.client({});
+    std::size_t sent = 0;
+    std::size_t answered = 0;
+    const auto exchange = [&] {
+        const std::string id = "a" + std::to_string(sent++);
+        client.send(ProxyFixture::make_request("/again/x", id));
+        ScriptedConnection& runner = fixture.connection_at_runner(id);
+        runner.send(ProxyFixture::make_response(id, "done"));
+        fixture.until([&] { return count_occurrences(client.receive().received, "HTTP/1.1 200") == sent; });
+        answered = count_occurrences(client.received, "HTTP/1.1 200");
+    };
+    exchange();
+    fixture.program().send_signal(SIGTERM);
+    while (!client.receive().closed && answered == sent) exchange();
+    BOOST_TEST(answered == sent);
+    BOOST_REQUIRE(fixture.until([&] { return fixture.program().exit_status().has_value(); }));
+    BOOST_TEST(fixture.program().exit_status().value() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(disconnected_clients_leave_no_memory_in_use) {
     constexpr std::size_t kClients = 300;
     constexpr std::size_t kBodyBytes = 200'000;
