Store: renames of LevelDB are synced before anything follows from them

What it could do: after a restart and a loss of power soon after it, a controller found its database unreadable, took its disk for lost, and with two of three such members the core was gone: no configuration, no service (CONFIG, RECOVER).

Cause: LevelDB renames CURRENT to its new manifest and then removes the old manifest and log, but syncs the folder only at the next write of a manifest. By the platform's pages each change of a folder that was not synced is kept or lost by itself. The class of fault is a rename whose durability is assumed.

Change: an environment for LevelDB that syncs the folder after each rename.

Evidence: strace of a controller shows rename(CURRENT), unlink(MANIFEST), unlink(log) with no sync of the folder between or after.

--- a/src/cluster/store/store.cpp
+++ b/src/cluster/store/store.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cluster/store/confirmed_record.hpp"
+#include "cluster/store/synced_renames.hpp"
 #include "cluster/wire/codec.hpp"
 
 namespace gannethold::cluster {
@@ -31,7 +32,9 @@
 }
 
 leveldb::Options database_options() {
+    static SyncedRenames environment;
     leveldb::Options options;
+    options.env = &environment;
     options.create_if_missing = true;
     options.write_buffer_size = kBufferBytes;
     options.max_file_size = kBufferBytes;
--- a/src/cluster/store/store.hpp
+++ b/src/cluster/store/store.hpp
@@ -3,7 +3,8 @@
 //
 // Options of LevelDB, and why. sync on every write: messages that follow from it are sent next.
 // paranoid_checks off while opening: a loss of power may tear what was never synced, and the log is then cut
-// where its checksums end. verify_checksums on every read: what was synced must be intact.
+// where its checksums end. env: synced_renames.hpp. verify_checksums on every read: what was synced must be
+// intact.
 #pragma once
 
 #include <memory>
