--- a/rehearsal/system/load_generator.cpp
+++ b/rehearsal/system/load_generator.cpp
@@ -13,10 +13,10 @@
 constexpr Micros kPutRetryInterval = 200'000;
 constexpr Micros kSweepInterval = 500'000;
 
-std::string route_json(const FunctionSpec& function) {
+std::string route_json(const std::string& prefix, const FunctionSpec& function) {
     std::ostringstream text;
-    text << R"({"name":"r-)" << function.name << R"(","host":")" << kHost << R"(","path_prefix":"/)"
-         << function.name << R"(/","route_kind":"idempotent","timeout_ms":4000,"target_latency_ms":)"
+    text << R"({"name":"r-)" << prefix << R"(","host":")" << kHost << R"(","path_prefix":"/)" << prefix
+         << R"(/","route_kind":"idempotent","timeout_ms":4000,"target_latency_ms":)"
          << function.latency_target_ms << R"(,"priority":1,"service":")" << function.name
          << R"(","max_attempts":2})";
     return text.str();
@@ -30,7 +30,9 @@
     return text.str();
 }
 
-std::string configuration_body() {
+}  // namespace
+
+std::string configuration_body(int version, int added_routes) {
     std::string routes;
     std::string services;
     for (const FunctionSpec& function : functions()) {
@@ -38,16 +40,18 @@
             routes += ",";
             services += ",";
         }
-        routes += route_json(function);
+        routes += route_json(function.name, function);
         services += service_json(function);
     }
-    return R"({"version":1,"routes":[)" + routes + R"(],"services":[)" + services + "]}";
+    for (int added = 1; added <= added_routes; ++added)
+        routes += "," + route_json("added-" + std::to_string(added), *find_function("frame"));
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[)" +
+           services + "]}";
 }
 
-}  // namespace
-
-LoadGenerator::LoadGenerator(net::Loop& loop)
-    : client_(loop,
+LoadGenerator::LoadGenerator(net::Loop& loop, int proxies)
+    : proxies_(proxies),
+      client_(loop,
               {.connect_timeout = 1'000'000,
                .idle_timeout = 4'000'000,
                .max_idle_connections = 8,
@@ -71,7 +75,7 @@
     request.method = "PUT";
     request.target = "/v1/configuration";
     request.fields.emplace_back("Host", "core");
-    request.body = configuration_body();
+    request.body = configuration_body(1, 0);
     put_call_ = cluster::CallId{++last_call_};
     client_.call(put_call_, controller_address(puts_++ % kControllers), request);
 }
@@ -104,7 +108,8 @@
         {"Host", kHost}, {"X-Attempt-Id", "try-" + std::to_string(number)}, {"X-Deadline-Remaining", "4000"}};
     pending_[cluster::CallId{number}] = {net::Loop::now(), &function};
     ++outcomes_.sent;
-    client_.call(cluster::CallId{number}, proxy_address(static_cast<int>(number % kProxies)), request);
+    client_.call(cluster::CallId{number},
+                 proxy_address(static_cast<int>(number % static_cast<std::uint64_t>(proxies_))), request);
 }
 
 void LoadGenerator::on_call_completed(const cluster::CompletedCall& call) {
--- a/rehearsal/system/load_generator.hpp
+++ b/rehearsal/system/load_generator.hpp
@@ -21,10 +21,14 @@
     int failed = 0;
 };
 
+/// The configuration of the site under that version. Each further route, "/added-1/" and so on, leads to the
+/// function "frame".
+std::string configuration_body(int version, int added_routes);
+
 class LoadGenerator {
   public:
-    /// `loop` must outlive this object.
-    explicit LoadGenerator(net::Loop& loop);
+    /// `loop` must outlive this object. Requests go to the first `proxies` of the site, on kept connections.
+    explicit LoadGenerator(net::Loop& loop, int proxies = kProxies);
 
     /// Sends what is due since the last call at that rate of requests.
     void send_at_rate(Micros now, double requests_per_s);
@@ -45,6 +49,7 @@
     void on_call_completed(const cluster::CompletedCall& call);
     void on_put_completed(bool acknowledged);
 
+    int proxies_;
     cluster::HttpClient client_;
     std::uint64_t last_call_ = 0;
     std::map<cluster::CallId, PendingRequest> pending_;
--- a/rehearsal/system/platform_stand_in.cpp
+++ b/rehearsal/system/platform_stand_in.cpp
@@ -25,7 +25,7 @@
 
 PlatformStandIn::PlatformStandIn(net::Loop& loop)
     : loop_(loop),
-      api_(loop, *net::Address::read(kPlatformAddress),
+      api_(loop, *net::Address::read(platform_address()),
            {[this](ExchangeId exchange, HttpMessage&& request) { on_request(exchange, request); },
             [](ExchangeId) {}},
            kMaxConnections) {}
@@ -100,7 +100,7 @@
     runner->service = service;
     runner->worker = *order.text("worker_id");
     runner->zone = zone_name(std::stoi(runner->worker.substr(2)));
-    runner->address = "127.0.4.1:" + std::to_string(kFirstRunnerPort + created_);
+    runner->address = runner_address(kFirstRunnerPort + created_);
     runner->function = function;
     runner->ready_at = net::Loop::now() + function->boot_ms * Micros{1000};
     runner->listed_at = runner->ready_at + kListLag;
--- a/rehearsal/system/system_processes.cpp
+++ b/rehearsal/system/system_processes.cpp
@@ -18,10 +18,6 @@
 constexpr int kPollsForEnd = 100;
 constexpr useconds_t kPollInterval = 50'000;
 
-std::string controller_name(int index) { return "core-" + std::to_string(index); }
-
-std::string proxy_name(int index) { return "front-" + std::to_string(index); }
-
 std::string common_settings(const std::string& name, const std::string& ip, const std::string& zone,
                             bool first_start) {
     std::ostringstream text;
@@ -32,7 +28,7 @@
         text << (index > 0 ? "," : "") << controller_address(index);
     text << "\ninitial_start=" << (first_start ? "true" : "false")
          << "\nlimits.memory_mb=128\nlimits.file_descriptors=1024\n"
-         << "platform_api.address=" << kPlatformAddress
+         << "platform_api.address=" << platform_address()
          << "\nplatform_api.rate_per_s=25\nplatform_api.duty_per_s=100\nplatform_api.max_lag_ms=800\n"
          << "bounds.retry_budget_slack=50\nbounds.rejection_slack=10\n";
     return text.str();
@@ -40,6 +36,10 @@
 
 }  // namespace
 
+std::string SystemProcesses::controller_name(int index) { return "core-" + std::to_string(index); }
+
+std::string SystemProcesses::proxy_name(int index) { return "front-" + std::to_string(index); }
+
 SystemProcesses::SystemProcesses(const std::string& programs, const std::string& folder)
     : programs_(programs), folder_(folder) {
     if (programs.empty()) programs_ = std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -54,8 +54,8 @@
 }
 
 SystemProcesses::~SystemProcesses() {
+    for (const auto& [name, process] : processes_) ::kill(process, SIGTERM);
     for (const auto& [name, process] : processes_) {
-        ::kill(process, SIGTERM);
         for (int polls = 0; polls < kPollsForEnd && waitpid(process, nullptr, WNOHANG) == 0; ++polls)
             usleep(kPollInterval);
     }
@@ -103,4 +103,17 @@
     processes_.erase(at);
 }
 
+void SystemProcesses::send_signal(const std::string& name, int number) const {
+    const auto at = processes_.find(name);
+    if (at != processes_.end()) ::kill(at->second, number);
+}
+
+std::optional<int> SystemProcesses::take_exit_status(const std::string& name) {
+    const auto at = processes_.find(name);
+    int status = 0;
+    if (at == processes_.end() || waitpid(at->second, &status, WNOHANG) != at->second) return std::nullopt;
+    processes_.erase(at);
+    return status;
+}
+
 }  // namespace gannethold::trial
--- a/rehearsal/system/system_processes.hpp
+++ b/rehearsal/system/system_processes.hpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace gannethold::trial {
@@ -25,6 +26,14 @@
     void start_proxy(int index);
     /// With SIGKILL. Its disk stays.
     void kill_controller(int index);
+    /// Nothing happens where no process of that name runs.
+    void send_signal(const std::string& name, int number) const;
+    /// The status of a process that has ended, as waitpid() tells it; asked for once. nullopt: it runs, or
+    /// there is none.
+    std::optional<int> take_exit_status(const std::string& name);
+
+    static std::string controller_name(int index);
+    static std::string proxy_name(int index);
 
   private:
     void start(const std::string& name, const std::string& program, const std::string& ip,
--- a/rehearsal/system/trial_site.hpp
+++ b/rehearsal/system/trial_site.hpp
@@ -12,7 +12,6 @@
 inline constexpr int kWorkers = 6;
 inline constexpr int kZones = 3;
 
-inline const std::string kPlatformAddress = "127.0.3.1:18300";
 inline const std::string kHost = "try.example";
 
 struct FunctionSpec {
@@ -29,6 +28,12 @@
 /// nullptr: there is none of that name.
 const FunctionSpec* find_function(const std::string& name);
 
+/// All addresses are in 127.<network>.0.0 from here on, so that several sites may run at once; 0 unless set.
+/// REQUIRES: 0 to 255, and no address was asked for before.
+void set_network(int network);
+
+std::string platform_address();        // "ip:port"
+std::string runner_address(int port);  // "ip:port"
 // Indexes count from 0.
 std::string controller_ip(int index);
 std::string controller_address(int index);  // "ip:port" of its operators' interface
