Lint: the test of losses of power and the synced renames without findings

The C library's declarations name their parameters with underscores, which are reserved to it: that one check is off for the four functions that stand in their place.

--- a/src/cluster/store/synced_renames.cpp
+++ b/src/cluster/store/synced_renames.cpp
@@ -17,7 +17,7 @@
 leveldb::Status sync_folder(const std::string& folder) {
     const int descriptor = ::open(folder.c_str(), O_RDONLY | O_CLOEXEC | O_DIRECTORY);
     if (descriptor < 0) return last_error(folder);
-    const leveldb::Status status = ::fsync(descriptor) == 0 ? leveldb::Status::OK() : last_error(folder);
+    leveldb::Status status = ::fsync(descriptor) == 0 ? leveldb::Status::OK() : last_error(folder);
     ::close(descriptor);
     return status;
 }
--- a/tests/system/store/power_loss_test.cpp
+++ b/tests/system/store/power_loss_test.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <filesystem>
 #include <string>
 
 #include "cluster/store/store.hpp"
@@ -14,8 +13,6 @@
 namespace gannethold::cluster::tests {
 namespace {
 
-namespace filesystem = std::filesystem;
-
 constexpr char kDatabaseFolder[] = "state";
 // Of the changes that were not synced, the newest that are kept or lost in every combination.
 constexpr std::size_t kMaxCombined = 9;
--- a/tests/system/store/unsynced_changes.cpp
+++ b/tests/system/store/unsynced_changes.cpp
@@ -99,13 +99,14 @@
 
 }  // namespace gannethold::cluster::tests
 
-using gannethold::cluster::tests::Change;
 using gannethold::cluster::tests::file_before;
 using gannethold::cluster::tests::is_watched;
 using gannethold::cluster::tests::next;
 using gannethold::cluster::tests::on_synced;
 using gannethold::cluster::tests::watch;
 
+// The C library names its parameters with underscores, which are its own.
+// NOLINTBEGIN(readability-inconsistent-declaration-parameter-name)
 extern "C" int rename(const char* from, const char* to) noexcept {
     const std::scoped_lock lock(watch().mutex);
     if (is_watched(to)) watch().changes.push_back({{file_before(from), file_before(to)}});
@@ -129,3 +130,4 @@
     if (status == 0) on_synced(descriptor);
     return status;
 }
+// NOLINTEND(readability-inconsistent-declaration-parameter-name)
