Programs of the system handle a signal that comes during their start

Cause: until the event loop has its handlers the default action ends the process. The class of fault is a signal before its handler. Change: the three signals are held back from the first line of main() until all are handled, and delivered then.

Test a_signal_that_comes_during_the_start_is_handled: failed on the text before (the signal is never delivered), passes now.

--- a/src/cluster/programs/process.cpp
+++ b/src/cluster/programs/process.cpp
@@ -101,6 +101,14 @@
     on_shutdown_();
 }
 
+StartSignalGuard::StartSignalGuard() {
+    sigemptyset(&held_back_);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&held_back_, number);
+    sigprocmask(SIG_BLOCK, &held_back_, nullptr);
+}
+
+void StartSignalGuard::deliver() const { sigprocmask(SIG_UNBLOCK, &held_back_, nullptr); }
+
 net::Address address_or_end(const std::string& text, const char* key) {
     auto address = net::Address::read(text);
     if (!address) exit_with_error(std::string("settings_invalid: ") + key + " is no ip:port: " + text);
--- a/src/cluster/programs/process.hpp
+++ b/src/cluster/programs/process.hpp
@@ -1,6 +1,7 @@
 // What both programs share: command-line flags, settings, signals, and the process's beginning and end.
 #pragma once
 
+#include <csignal>
 #include <functional>
 #include <string>
 
@@ -53,15 +54,29 @@
 /// How many blocks of memory all connections may use together: a quarter of limits.memory_mb.
 std::size_t blocks_for(const Settings& settings);
 
+/// Holds SIGTERM, SIGINT and SIGHUP back from its construction until deliver(): one that comes before the
+/// program handles it would end the process at once.
+class StartSignalGuard {
+  public:
+    StartSignalGuard();
+    /// What came meanwhile is delivered now. REQUIRES: the program handles all three.
+    void deliver() const;
+
+  private:
+    sigset_t held_back_{};
+};
+
 /// A program from its first to its last line; returns its exit status. Program is constructed with
 /// (net::Loop&, Settings), and stops the loop once it is to end: what must survive is on disk by then, and
 /// every answer is written.
 template <class Program>
 int run_process(int argc, char** argv, const char* usage) {
+    const StartSignalGuard start_signals;
     const Settings settings = begin_process(argc, argv, usage);
     {
         net::Loop loop(blocks_for(settings));
         Program program(loop, settings);
+        start_signals.deliver();
         loop.run([] {});
     }
     return 0;
--- a/tests/system/controller/controller_process_test.cpp
+++ b/tests/system/controller/controller_process_test.cpp
@@ -87,6 +87,22 @@
     BOOST_TEST(refused < again);
 }
 
+// Guards against a signal during the start that ends the process, or is lost.
+BOOST_AUTO_TEST_CASE(a_signal_that_comes_during_the_start_is_handled) {
+    const std::string port = std::to_string(free_port());
+    const std::string control_plane = "127.0.0.1:" + std::to_string(free_port());
+    Program program(
+        CONTROLLER,
+        "node_name=core\nip_address=127.0.0.1\nzone=z0\ninternal_port_range=" + port + "," + port +
+            "\nseed_addresses=" + control_plane + "\ninitial_start=true\n" +
+            "platform_api.address=127.0.0.1:1\nlimits.memory_mb=256\nlimits.file_descriptors=1024\n" +
+            "listen_addresses.control_plane=" + control_plane + "\n",
+        SIGTERM);
+    net::Loop loop{64};
+    BOOST_REQUIRE(run_loop_until(loop, [&] { return program.exit_status().has_value(); }));
+    BOOST_TEST(program.exit_status().value() == 0);
+}
+
 // Guards against processes that hang at their end while a library joins its threads. One is the program's,
 // the other LevelDB's for compactions, which is started with the first of them and never joined.
 BOOST_AUTO_TEST_CASE(a_controller_has_two_threads_at_most) {
